--- a/src/leader.c
+++ b/src/leader.c
@@ -3,6 +3,7 @@
 #include "log.h"
 #include "part.h"
 #include "room.h"
+#include "score.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -16,6 +17,8 @@
     UNREACHABLE_MS = 4000,
     EXCLUDE_MS = 20000,
     AVOID_MS = 1500,
+    PREEMPT_MS = 1000, /* for what was stopped to be off the record */
+    DRAIN_S = 60,
     ATTEMPT_BITS = 20,
     MOST_DEFICIT = 10000000,
 };
@@ -24,6 +27,8 @@
 struct entry {
     attempt_no attempt;
     host_id host;
+    mono_time since;
+    bool halted;
 };
 
 /* A task dealt to a part and not on record yet. */
@@ -36,12 +41,14 @@
 struct ljob {
     job_id id;
     int team;
-    struct room room;            /* of one task */
+    struct room room; /* of one task */
+    bool service;
+    enum urgency urgency;
     GHashTable *entries, *deals; /* index + 1 -> */
     uint32_t cursor;             /* no task below it waits */
     bool finishing, compacting;
     bool blocked; /* in this pass: no machine has room */
-    mono_time not_before;
+    mono_time not_before, preempted_at;
     int failures;
     GHashTable *failed_on;
     mono_time gang_since;
@@ -53,7 +60,7 @@
     bool loaners;
     char *owner;
     int flags;
-    struct room total, booked, dealt;
+    struct room total, booked, dealt, pinned;
     mono_time seen, idle_since, first_seen, avoid_until;
     bool told; /* in its owner's last digest */
     bool sick;
@@ -97,6 +104,7 @@
     struct timer tick, pass;
     mono_time scaled_at;
     double demand_peak;
+    bool pressing; /* what may use spot machines piles up: ordinary ones are rented for it too */
 };
 
 static void on_view(struct leader *l, const GArray *changes);
@@ -220,6 +228,8 @@
     j->id = id;
     j->team = team;
     j->room = room_of_spec(v->spec);
+    j->service = v->spec->form == FORM_SERVICE;
+    j->urgency = v->spec->urgency;
     j->entries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     j->deals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     g_hash_table_insert(l->jobs, j->id.s, j);
@@ -277,7 +287,7 @@
     if (d && d->attempt.v == attempt.v)
         deal_drop(l, j, index);
     struct entry *e = g_new(struct entry, 1);
-    *e = (struct entry){attempt, host};
+    *e = (struct entry){attempt, host, loop_now(l->loop), false};
     g_hash_table_insert(j->entries, key_of(index), e);
     room_add(&l->teams[j->team].used, j->room);
     struct host_record *rec = view_host(l->view, host.s);
@@ -286,6 +296,8 @@
         h = lhost_make(l, host, rec->build, rec->yard, rec->loaners);
     if (h)
         room_add(&h->booked, j->room);
+    if (h && j->service)
+        room_add(&h->pinned, j->room);
 }
 
 static void entry_remove(struct leader *l, job_id job, uint32_t index, attempt_no attempt)
@@ -297,6 +309,8 @@
     struct lhost *h = lhost_get(l, e->host.s);
     if (h) {
         room_sub(&h->booked, j->room);
+        if (j->service)
+            room_sub(&h->pinned, j->room);
         h->idle_since = loop_now(l->loop);
     }
     room_sub(&l->teams[j->team].used, j->room);
@@ -333,7 +347,7 @@
     struct lhost *h;
     g_hash_table_iter_init(&it, l->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
-        h->booked = h->dealt = (struct room){0};
+        h->booked = h->dealt = h->pinned = (struct room){0};
         h->told = false;
         h->flags = 0;
     }
@@ -527,8 +541,9 @@
             continue;
         struct room taken = h->booked;
         room_add(&taken, h->dealt);
-        double score = (host_has_image(l, h, s->image) ? 4 : 0) + (h->loaners ? 2 : 0) +
-                       room_share(taken, h->total);
+        struct score_facts facts = {host_has_image(l, h, s->image), h->loaners,
+                                    room_share(taken, h->total), room_share(h->pinned, h->total)};
+        double score = score_host(s, &facts);
         if (!best || score > best_score ||
             (score == best_score && strcmp(h->id.s, best->id.s) < 0)) {
             best = h;
@@ -616,26 +631,12 @@
 
 enum { RANKS = 8 };
 
-static bool deal_one(struct leader *l, struct ljob *j, struct job *v)
-{
-    uint32_t index = next_waiting(j, v);
-    if (index >= v->tasks || !team_allows(l, j))
-        return false;
-    struct lhost *h = choose_host(l, j, v->spec);
-    if (!h) {
-        j->blocked = true;
-        return false;
-    }
-    deal_to(l, j, index, next_attempt(l), h, false);
-    return true;
-}
-
-static void halt(struct leader *l, struct ljob *j, uint32_t index, const struct entry *e,
-                 double grace_s)
+static void halt(struct leader *l, struct ljob *j, uint32_t index, struct entry *e, double grace_s)
 {
     struct lhost *h = lhost_get(l, e->host.s);
     if (!h || !h->owner)
         return;
+    e->halted = true;
     struct lpart *p = lpart_make(l, h->owner);
     cJSON *x = cJSON_CreateObject();
     cJSON_AddStringToObject(x, "h", e->host.s);
@@ -648,6 +649,103 @@
     cJSON_AddItemToArray(p->halt, x);
 }
 
+struct victim {
+    struct ljob *job;
+    uint32_t index;
+    struct entry *entry;
+};
+
+/* The youngest first: the least is lost with them. */
+static gint by_youth(gconstpointer a, gconstpointer b)
+{
+    const struct victim *x = a, *y = b;
+    return x->entry->since.us > y->entry->since.us ? -1 : x->entry->since.us < y->entry->since.us;
+}
+
+/* Tasks of lower priority on a machine, youngest first. Gangs are let be: one task stopped stops
+ * them all. */
+static GArray *victims_on(struct leader *l, struct lhost *h, enum urgency than)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(struct victim));
+    struct host_record *rec = view_host(l->view, h->id.s);
+    for (guint i = 0; rec && i < rec->tasks->len; i++) {
+        struct placed *t = rec->tasks->pdata[i];
+        struct ljob *j = ljob_get(l, t->job->id.s);
+        struct entry *e = j ? g_hash_table_lookup(j->entries, key_of(t->index)) : NULL;
+        if (!e || e->attempt.v != t->attempt.v || !host_eq(e->host, h->id) || e->halted ||
+            j->urgency <= than || !t->job->spec || t->job->spec->form == FORM_GANG)
+            continue;
+        struct victim v = {j, t->index, e};
+        g_array_append_val(out, v);
+    }
+    g_array_sort(out, by_youth);
+    return out;
+}
+
+/* Makes room for one task of a service that fits nowhere, by stopping work of lower priority on the
+ * machine where that loses the least. */
+static void preempt(struct leader *l, struct ljob *j, struct job *v)
+{
+    mono_time now = loop_now(l->loop);
+    if (j->preempted_at.us && time_ms_since(now, j->preempted_at) < PREEMPT_MS)
+        return;
+    GHashTableIter it;
+    struct lhost *h, *best = NULL;
+    double least = 0;
+    g_hash_table_iter_init(&it, l->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
+        if (!spec_allows(v->spec, h->build, h->yard, h->loaners) || !host_takes(l, h) ||
+            ((v->spec->one_zone || v->spec->apart) && !zone_allowed(l, j, v->spec, h->yard)))
+            continue;
+        GArray *victims = victims_on(l, h, v->spec->urgency);
+        struct room free = host_free_room(h);
+        double loss = 0;
+        for (guint i = 0; i < victims->len && !room_holds(free, j->room); i++) {
+            struct victim *x = &g_array_index(victims, struct victim, i);
+            room_add(&free, x->job->room);
+            loss +=
+                (double)x->job->room.cpus.milli * (double)(1 + time_ms_since(now, x->entry->since));
+        }
+        /* A machine that services hold already is kept anyway. */
+        loss *= 1.2 - room_share(h->pinned, h->total);
+        if (room_holds(free, j->room) && (!best || loss < least)) {
+            best = h;
+            least = loss;
+        }
+        g_array_unref(victims);
+    }
+    if (!best)
+        return;
+    j->preempted_at = now;
+    GArray *victims = victims_on(l, best, v->spec->urgency);
+    struct room free = host_free_room(best);
+    for (guint i = 0; i < victims->len && !room_holds(free, j->room); i++) {
+        struct victim *x = &g_array_index(victims, struct victim, i);
+        room_add(&free, x->job->room);
+        struct job *vx = view_job(l->view, x->job->id.s);
+        LOG_INFO("preempt", "job=%s task=%u machine=%s for=%s", x->job->id.s, x->index, best->id.s,
+                 j->id.s);
+        halt(l, x->job, x->index, x->entry, vx && vx->spec ? vx->spec->stow_s : 0);
+    }
+    g_array_unref(victims);
+}
+
+static bool deal_one(struct leader *l, struct ljob *j, struct job *v)
+{
+    uint32_t index = next_waiting(j, v);
+    if (index >= v->tasks || !team_allows(l, j))
+        return false;
+    struct lhost *h = choose_host(l, j, v->spec);
+    if (!h) {
+        j->blocked = true;
+        if (v->spec->urgency == URGENCY_PROD)
+            preempt(l, j, v);
+        return false;
+    }
+    deal_to(l, j, index, next_attempt(l), h, false);
+    return true;
+}
+
 /* A gang that lost a task cannot go on: what is left of it is stopped, and it starts whole again
  * once nothing of it is on record. */
 static void gang_mend(struct leader *l, struct ljob *j, struct job *v)
@@ -875,7 +973,7 @@
 
 /* The offer that holds n tasks at the least price a task, a little in favour of quick boots. */
 static bool best_offer(struct leader *l, const struct spec *s, struct room ask, int64_t n,
-                       const char *yard, struct offer *out)
+                       const char *yard, bool spot_only, struct offer *out)
 {
     double least = 0;
     out->type = NULL;
@@ -886,7 +984,7 @@
         if (per < 1)
             continue;
         for (int y = 0; t->yards[y]; y++)
-            for (int spot = 0; spot < 2; spot++) {
+            for (int spot = spot_only; spot < 2; spot++) {
                 if (!spec_allows(s, t->name, t->yards[y], spot) ||
                     (yard && strcmp(yard, t->yards[y]) != 0) ||
                     fleet_refused(l->fleet, t->name, t->yards[y], spot))
@@ -918,7 +1016,7 @@
 
 /* Finds room for n more tasks: what is on its way first, then new machines. */
 static void want(struct leader *l, GArray *rooms, GArray *orders, const struct spec *s,
-                 struct room ask, int64_t n, const char *yard)
+                 struct room ask, int64_t n, const char *yard, bool spot_only)
 {
     while (n > 0) {
         if (take_virtual(rooms, s, ask, yard)) {
@@ -929,24 +1027,29 @@
         int total = 0;
         for (guint i = 0; i < orders->len; i++)
             total += g_array_index(orders, struct offer, i).number;
-        if (total >= 40 || !best_offer(l, s, ask, n, yard, &o))
+        if (total >= 40 || !best_offer(l, s, ask, n, yard, spot_only, &o))
             return;
         order_offer(orders, &o);
         add_virtual(rooms, o.type->name, o.yard, o.loaners, room_of_type(o.type), false);
     }
 }
 
-static void want_job(struct leader *l, GArray *rooms, GArray *orders, struct ljob *j, struct job *v)
+/* Tasks that wait and that the team's limit leaves room for. */
+static int64_t count_allowed(struct leader *l, struct ljob *j, struct job *v)
 {
     struct lteam *t = &l->teams[j->team];
-    const struct spec *s = v->spec;
-    int64_t n = count_waiting(j, v);
     struct room left = {{t->team->cpus_max.milli - t->used.cpus.milli},
                         {t->team->gpus_max.milli - t->used.gpus.milli},
                         {INT64_MAX / 4}};
-    n = MIN(n, room_times(left, j->room));
+    return MIN((int64_t)count_waiting(j, v), room_times(left, j->room));
+}
+
+static void want_job(struct leader *l, GArray *rooms, GArray *orders, struct ljob *j, struct job *v)
+{
+    const struct spec *s = v->spec;
+    int64_t n = count_allowed(l, j, v);
     if (!s->apart) {
-        want(l, rooms, orders, s, j->room, n, NULL);
+        want(l, rooms, orders, s, j->room, n, NULL, s->loaners && !l->pressing);
         return;
     }
     /* Each zone may take up to half of the tasks. */
@@ -954,7 +1057,7 @@
         const char *yard = l->settings->zones->pdata[i];
         int64_t there = in_zone(l, j, yard), most = (s->tasks + 1) / 2 - there;
         int64_t here = CLAMP(most, 0, n);
-        want(l, rooms, orders, s, j->room, here, yard);
+        want(l, rooms, orders, s, j->room, here, yard, s->loaners && !l->pressing);
         n -= here;
     }
 }
@@ -984,6 +1087,32 @@
     return floor(0.12 * l->demand_peak);
 }
 
+/* How long the spot machines that are there would take for the work that waits for them. */
+static double backlog_s(struct leader *l, GArray *rooms)
+{
+    double work = 0, cpus = 1;
+    for (int i = 0; i < l->n_teams; i++)
+        for (guint k = 0; k < l->teams[i].ready->len; k++) {
+            struct ljob *j = l->teams[i].ready->pdata[k];
+            struct job *v = view_job(l->view, j->id.s);
+            if (v->spec->loaners && v->spec->form != FORM_SERVICE)
+                work += (double)count_allowed(l, j, v) * v->spec->expected_s *
+                        (double)j->room.cpus.milli / 1000;
+        }
+    GHashTableIter it;
+    struct lhost *h;
+    g_hash_table_iter_init(&it, l->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+        if (h->loaners && h->told)
+            cpus += (double)h->total.cpus.milli / 1000;
+    for (guint i = 0; i < rooms->len; i++) {
+        struct virtual *v = &g_array_index(rooms, struct virtual, i);
+        if (v->loaners)
+            cpus += (double)v->free.cpus.milli / 1000;
+    }
+    return work / cpus;
+}
+
 static void rent_for_demand(struct leader *l)
 {
     if (!types_now(l) || !fleet_listed(l->fleet))
@@ -991,6 +1120,7 @@
     GArray *rooms = g_array_new(FALSE, FALSE, sizeof(struct virtual));
     GArray *orders = g_array_new(FALSE, FALSE, sizeof(struct offer));
     incoming(l, rooms);
+    l->pressing = backlog_s(l, rooms) > DRAIN_S;
     for (int rank = 0; rank < RANKS; rank++)
         for (int i = 0; i < l->n_teams; i++)
             for (guint k = 0; k < l->teams[i].ready->len; k++) {
@@ -1004,7 +1134,7 @@
     struct room one = {{1000}, {0}, {1500}};
     double spare = spare_cpus(l) - (double)free_everywhere(l).cpus.milli / 1000;
     if (spare > 0)
-        want(l, rooms, orders, &any, one, (int64_t)ceil(spare), NULL);
+        want(l, rooms, orders, &any, one, (int64_t)ceil(spare), NULL, true);
     for (guint i = 0; i < orders->len; i++) {
         struct offer *o = &g_array_index(orders, struct offer, i);
         fleet_rent(l->fleet, o->type->name, o->yard, o->loaners, o->number);
@@ -1090,6 +1220,34 @@
     }
 }
 
+/* One line that tells what the fleet holds and what it is used for, in processors. */
+static void log_fleet(struct leader *l)
+{
+    double total[2] = {0}, used[2] = {0}, idle[2] = {0}, coming[2] = {0};
+    GHashTableIter it;
+    struct lhost *h;
+    g_hash_table_iter_init(&it, l->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
+        if (!h->told || !(h->flags & HOST_KNOWN))
+            continue;
+        total[h->loaners] += (double)h->total.cpus.milli / 1000;
+        used[h->loaners] += (double)(h->booked.cpus.milli + h->dealt.cpus.milli) / 1000;
+        idle[h->loaners] += host_idle(h) ? (double)h->total.cpus.milli / 1000 : 0;
+    }
+    GArray *rooms = g_array_new(FALSE, FALSE, sizeof(struct virtual));
+    incoming(l, rooms);
+    for (guint i = 0; i < rooms->len; i++) {
+        struct virtual *v = &g_array_index(rooms, struct virtual, i);
+        coming[v->loaners] += (double)v->free.cpus.milli / 1000;
+    }
+    g_array_unref(rooms);
+    LOG_DEBUG("fleet",
+              "ordinary=%.0f used=%.0f idle=%.0f coming=%.0f spot=%.0f used=%.0f idle=%.0f "
+              "coming=%.0f peak=%.0f",
+              total[0], used[0], idle[0], coming[0], total[1], used[1], idle[1], coming[1],
+              l->demand_peak);
+}
+
 static void scale(struct leader *l)
 {
     mono_time now = loop_now(l->loop);
@@ -1099,6 +1257,8 @@
     l->scaled_at = now;
     double used = used_cpus(l);
     l->demand_peak = MAX(used, l->demand_peak + (used - l->demand_peak) * MIN(passed / 60, 1));
+    if (log_debug_on())
+        log_fleet(l);
     rent_for_demand(l);
     return_useless(l);
     return_idle(l);
--- a/src/part.c
+++ b/src/part.c
@@ -3,6 +3,7 @@
 #include "arq.h"
 #include "log.h"
 #include "room.h"
+#include "score.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -34,6 +35,7 @@
     uint32_t index;
     attempt_no attempt;
     struct room room;
+    bool service;
     enum run_phase phase;
     bool in_txn;
     bool seen;
@@ -54,7 +56,7 @@
     host_id id;
     char addr[24], build[48], yard[48];
     bool loaners;
-    struct room total, booked;
+    struct room total, booked, pinned; /* pinned: by services */
     epoch_no owned_since;
     mono_time owned_at;
     bool known;
@@ -214,8 +216,11 @@
 
 static void run_unbook(struct host *h, struct run *r)
 {
-    if (r->phase != RUN_GONE)
-        room_sub(&h->booked, r->room);
+    if (r->phase == RUN_GONE)
+        return;
+    room_sub(&h->booked, r->room);
+    if (r->service)
+        room_sub(&h->pinned, r->room);
 }
 
 static void run_remove(struct host *h, guint at)
@@ -231,9 +236,13 @@
     r->job = job;
     r->index = index;
     r->attempt = attempt;
-    if (s)
+    if (s) {
         r->room = room_of_spec(s);
+        r->service = s->form == FORM_SERVICE;
+    }
     room_add(&h->booked, r->room);
+    if (r->service)
+        room_add(&h->pinned, r->room);
     g_ptr_array_add(h->runs, r);
     return r;
 }
@@ -1094,8 +1103,7 @@
     return true;
 }
 
-/* Among the machines in the pools from low to high that suit: one that has the image, then a cheap
- * one if the job may use it, then the busiest. */
+/* The best of the machines that suit, in the pools from low to high. */
 static struct host *choose(struct part *p, const struct dealt *d, const struct spec *s, int low,
                            int high)
 {
@@ -1110,7 +1118,9 @@
         int pool = arq_pool(booked);
         if (pool < low || pool > high)
             continue;
-        double score = (host_has_image(h, s->image) ? 4 : 0) + (h->loaners ? 2 : 0) + booked;
+        struct score_facts facts = {host_has_image(h, s->image), h->loaners, booked,
+                                    room_share(h->pinned, h->total)};
+        double score = score_host(s, &facts);
         if (!best || score > best_score ||
             (score == best_score && strcmp(h->id.s, best->id.s) < 0)) {
             best = h;
--- /dev/null
+++ b/src/score.h
@@ -0,0 +1,18 @@
+/* Which of several machines that would do is taken: the same for the leader, which deals where it
+ * expects a task to go, and for the part, which decides. */
+#ifndef LL_SCORE_H
+#define LL_SCORE_H
+
+#include "codec.h"
+
+struct score_facts {
+    bool image;    /* the machine has the task's image */
+    bool loaner;   /* it is a spot machine */
+    double booked; /* share that is booked */
+    double pinned; /* share that services hold */
+};
+
+/* The higher the better. */
+double score_host(const struct spec *s, const struct score_facts *f);
+
+#endif
