--- a/src/frontend.c
+++ b/src/frontend.c
@@ -99,6 +99,7 @@
     struct frontend *f = a->frontend;
     if (o->result == TXN_DONE) {
         /* It is on record, so this may be said from now on. */
+        LOG_DEBUG("answered", "job=%s action=%d", a->job.s, a->action);
         if (a->action == ACTION_SUBMIT)
             reply(a->replier, a->from, 201, codec_job_answer(a->job, "queued", -1, 0));
         else
--- a/src/leader.c
+++ b/src/leader.c
@@ -17,7 +17,8 @@
     UNREACHABLE_MS = 4000,
     EXCLUDE_MS = 20000,
     AVOID_MS = 1500,
-    PREEMPT_MS = 1000, /* for what was stopped to be off the record */
+    MOVE_AFTER_MS = 35000, /* a start counts once it has run for a while */
+    PREEMPT_MS = 1000,     /* for what was stopped to be off the record */
     DRAIN_S = 60,
     ATTEMPT_BITS = 20,
     MOST_DEFICIT = 10000000,
@@ -104,6 +105,7 @@
     struct timer tick, pass;
     mono_time scaled_at;
     double demand_peak;
+    double *zone_cpus; /* of ordinary machines, as in settings->zones */
     bool pressing; /* what may use spot machines piles up: ordinary ones are rented for it too */
 };
 
@@ -174,6 +176,7 @@
     l->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ljob_free);
     l->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lhost_free);
     l->parts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lpart_free);
+    l->zone_cpus = g_new0(double, settings->zones->len);
     l->n_teams = (int)settings->teams->len;
     l->teams = g_new0(struct lteam, l->n_teams);
     for (int i = 0; i < l->n_teams; i++) {
@@ -198,6 +201,7 @@
     for (int i = 0; i < l->n_teams; i++)
         g_ptr_array_unref(l->teams[i].ready);
     g_free(l->teams);
+    g_free(l->zone_cpus);
     g_free(l);
 }
 
@@ -526,6 +530,30 @@
     return !s->apart || there < (s->tasks + 1) / 2;
 }
 
+/* The processors of a zone's ordinary machines beside those of the largest zone. */
+static double zone_roomy(struct leader *l, const char *yard)
+{
+    double here = 0, most = 0;
+    for (guint i = 0; i < l->settings->zones->len; i++) {
+        most = MAX(most, l->zone_cpus[i]);
+        if (strcmp(l->settings->zones->pdata[i], yard) == 0)
+            here = l->zone_cpus[i];
+    }
+    return most > 0 ? here / most : 1;
+}
+
+static void measure_zones(struct leader *l)
+{
+    memset(l->zone_cpus, 0, sizeof *l->zone_cpus * l->settings->zones->len);
+    GHashTableIter it;
+    struct lhost *h;
+    g_hash_table_iter_init(&it, l->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+        for (guint i = 0; i < l->settings->zones->len && h->told && !h->loaners; i++)
+            if (strcmp(l->settings->zones->pdata[i], h->yard) == 0)
+                l->zone_cpus[i] += (double)h->total.cpus.milli / 1000;
+}
+
 static struct lhost *choose_host(struct leader *l, struct ljob *j, const struct spec *s)
 {
     struct lhost *best = NULL, *h;
@@ -542,7 +570,8 @@
         struct room taken = h->booked;
         room_add(&taken, h->dealt);
         struct score_facts facts = {host_has_image(l, h, s->image), h->loaners,
-                                    room_share(taken, h->total), room_share(h->pinned, h->total)};
+                                    room_share(taken, h->total), room_share(h->pinned, h->total),
+                                    zone_roomy(l, h->yard)};
         double score = score_host(s, &facts);
         if (!best || score > best_score ||
             (score == best_score && strcmp(h->id.s, best->id.s) < 0)) {
@@ -682,6 +711,52 @@
     return out;
 }
 
+/* Whether a task of a service could go to another machine that is not in the zone. */
+static bool could_leave(struct leader *l, struct ljob *j, const struct spec *s, const char *yard)
+{
+    GHashTableIter it;
+    struct lhost *h;
+    g_hash_table_iter_init(&it, l->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+        if (strcmp(h->yard, yard) != 0 && spec_allows(s, h->build, h->yard, h->loaners) &&
+            host_takes(l, h) && room_holds(host_free_room(h), j->room) &&
+            (!(s->one_zone || s->apart) || zone_allowed(l, j, s, h->yard)))
+            return true;
+    return false;
+}
+
+/* A replica that has to be in one zone finds it full, of others that could as well be elsewhere:
+ * one of these is moved, which costs it a moment. */
+static void make_way(struct leader *l, struct ljob *j, struct job *v)
+{
+    mono_time now = loop_now(l->loop);
+    GHashTableIter it;
+    struct lhost *h;
+    g_hash_table_iter_init(&it, l->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
+        struct host_record *rec = view_host(l->view, h->id.s);
+        if (!rec || !spec_allows(v->spec, h->build, h->yard, h->loaners) || !host_takes(l, h) ||
+            !zone_allowed(l, j, v->spec, h->yard))
+            continue;
+        for (guint i = 0; i < rec->tasks->len; i++) {
+            struct placed *t = rec->tasks->pdata[i];
+            struct ljob *other = ljob_get(l, t->job->id.s);
+            struct entry *e = other ? g_hash_table_lookup(other->entries, key_of(t->index)) : NULL;
+            struct room free = host_free_room(h);
+            if (!e || e->halted || !other->service || other == j || !t->job->spec ||
+                time_ms_since(now, e->since) < MOVE_AFTER_MS)
+                continue;
+            room_add(&free, other->room);
+            if (!room_holds(free, j->room) || !could_leave(l, other, t->job->spec, h->yard))
+                continue;
+            LOG_INFO("move", "job=%s task=%u machine=%s for=%s", t->job->id.s, t->index, h->id.s,
+                     j->id.s);
+            halt(l, other, t->index, e, t->job->spec->stow_s);
+            return;
+        }
+    }
+}
+
 /* Makes room for one task of a service that fits nowhere, by stopping work of lower priority on the
  * machine where that loses the least. */
 static void preempt(struct leader *l, struct ljob *j, struct job *v)
@@ -714,9 +789,12 @@
         }
         g_array_unref(victims);
     }
-    if (!best)
-        return;
     j->preempted_at = now;
+    if (!best) {
+        if (v->spec->apart)
+            make_way(l, j, v);
+        return;
+    }
     GArray *victims = victims_on(l, best, v->spec->urgency);
     struct room free = host_free_room(best);
     for (guint i = 0; i < victims->len && !room_holds(free, j->room); i++) {
@@ -1287,6 +1365,7 @@
     if (!ready_to_deal(l))
         return;
     int budget = DEALS_A_PASS;
+    measure_zones(l);
     if (collect_ready(l))
         for (int rank = 0; rank < RANKS && budget > 0; rank++)
             budget -= deal_rank(l, rank, budget);
--- a/src/part.c
+++ b/src/part.c
@@ -1119,7 +1119,7 @@
         if (pool < low || pool > high)
             continue;
         struct score_facts facts = {host_has_image(h, s->image), h->loaners, booked,
-                                    room_share(h->pinned, h->total)};
+                                    room_share(h->pinned, h->total), 1};
         double score = score_host(s, &facts);
         if (!best || score > best_score ||
             (score == best_score && strcmp(h->id.s, best->id.s) < 0)) {
--- a/src/score.c
+++ b/src/score.c
@@ -5,7 +5,8 @@
     /* Services stay for long: they go together, so that the other machines can be emptied and given
      * back. Whatever may use spot machines leaves the others to them. */
     if (s->form == FORM_SERVICE)
-        return 4 * f->image + 2 * f->pinned + f->booked;
+        /* Whoever may go anywhere leaves the small zone to those that must sit apart. */
+        return 4 * f->image + 8 * f->roomy + 2 * f->pinned + f->booked;
     /* Who is in a hurry does not wait for an image; for the others a fetch costs less than the
      * price of an ordinary machine. */
     double image = s->urgency <= URGENCY_HIGH ? 8 : 2;
--- a/src/score.h
+++ b/src/score.h
@@ -10,6 +10,7 @@
     bool loaner;   /* it is a spot machine */
     double booked; /* share that is booked */
     double pinned; /* share that services hold */
+    double roomy;  /* size of its zone's ordinary part beside the largest zone's; 1 if unknown */
 };
 
 /* The higher the better. */
