--- a/src/leader.c
+++ b/src/leader.c
@@ -19,11 +19,13 @@
     AVOID_MS = 1500,
     MOVE_AFTER_MS = 35000, /* a start counts once it has run for a while */
     PREEMPT_MS = 1000,     /* for what was stopped to be off the record */
-    DRAIN_S = 60,
+    USUAL_PATIENCE_S = 60,
     ATTEMPT_BITS = 20,
     MOST_DEFICIT = 10000000,
 };
 
+static const double PATIENCE_PART = 0.6;
+
 /* A task that is on record, as the ledger counts it. */
 struct entry {
     attempt_no attempt;
@@ -106,7 +108,6 @@
     mono_time scaled_at;
     double demand_peak;
     double *zone_cpus; /* of ordinary machines, as in settings->zones */
-    bool pressing; /* what may use spot machines piles up: ordinary ones are rented for it too */
 };
 
 static void on_view(struct leader *l, const GArray *changes);
@@ -978,6 +979,19 @@
 
 /* ---- renting and returning ---- */
 
+static const GArray *types_now(struct leader *l)
+{
+    return fleet_types(l->fleet) ? fleet_types(l->fleet) : l->view->types;
+}
+
+static double quickest_boot(struct leader *l)
+{
+    double least = 1e9;
+    for (guint i = 0; i < types_now(l)->len; i++)
+        least = MIN(least, g_array_index(types_now(l), struct machine_type, i).ready_s);
+    return least;
+}
+
 /* Room that is there or on its way, and not needed yet. */
 struct virtual
 {
@@ -994,11 +1008,6 @@
     int number;
 };
 
-static const GArray *types_now(struct leader *l)
-{
-    return fleet_types(l->fleet) ? fleet_types(l->fleet) : l->view->types;
-}
-
 static void add_virtual(GArray *rooms, const char *build, const char *yard, bool loaners,
                         struct room free, bool exists)
 {
@@ -1122,12 +1131,13 @@
     return MIN((int64_t)count_waiting(j, v), room_times(left, j->room));
 }
 
-static void want_job(struct leader *l, GArray *rooms, GArray *orders, struct ljob *j, struct job *v)
+static void want_job(struct leader *l, GArray *rooms, GArray *orders, struct ljob *j, struct job *v,
+                     bool pressing)
 {
     const struct spec *s = v->spec;
     int64_t n = count_allowed(l, j, v);
     if (!s->apart) {
-        want(l, rooms, orders, s, j->room, n, NULL, s->loaners && !l->pressing);
+        want(l, rooms, orders, s, j->room, n, NULL, s->loaners && !pressing);
         return;
     }
     /* Each zone may take up to half of the tasks. */
@@ -1135,7 +1145,7 @@
         const char *yard = l->settings->zones->pdata[i];
         int64_t there = in_zone(l, j, yard), most = (s->tasks + 1) / 2 - there;
         int64_t here = CLAMP(most, 0, n);
-        want(l, rooms, orders, s, j->room, here, yard, s->loaners && !l->pressing);
+        want(l, rooms, orders, s, j->room, here, yard, s->loaners && !pressing);
         n -= here;
     }
 }
@@ -1165,18 +1175,33 @@
     return floor(0.12 * l->demand_peak);
 }
 
-/* How long the spot machines that are there would take for the work that waits for them. */
-static double backlog_s(struct leader *l, GArray *rooms)
+/* How long the job's tasks may still wait, by what its class is expected to do. Renting cannot meet
+ * a wait shorter than a boot, so such an aim does not count here. */
+static double patience_s(struct leader *l, struct job *v)
 {
-    double work = 0, cpus = 1;
-    for (int i = 0; i < l->n_teams; i++)
-        for (guint k = 0; k < l->teams[i].ready->len; k++) {
-            struct ljob *j = l->teams[i].ready->pdata[k];
-            struct job *v = view_job(l->view, j->id.s);
-            if (v->spec->loaners && v->spec->form != FORM_SERVICE)
-                work += (double)count_allowed(l, j, v) * v->spec->expected_s *
-                        (double)j->room.cpus.milli / 1000;
-        }
+    const struct spec *s = v->spec;
+    double patience = USUAL_PATIENCE_S, boot = quickest_boot(l);
+    for (guint i = 0; i < l->settings->objectives->len; i++) {
+        const struct objective *o = &g_array_index(l->settings->objectives, struct objective, i);
+        if (strcmp(o->class, s->lot) != 0)
+            continue;
+        double left = patience;
+        if (o->kind == OBJECTIVE_WAIT && o->within_s > boot)
+            left = o->within_s;
+        else if (o->kind == OBJECTIVE_FINISHED)
+            left = o->within_s - s->expected_s;
+        else if (o->kind == OBJECTIVE_DEADLINE && s->due_s >= 0)
+            left = s->due_s - s->expected_s;
+        patience = MIN(patience, left);
+    }
+    double waited = (double)(loop_wall(l->loop).ms - v->submitted.ms) / 1000;
+    return patience - waited;
+}
+
+/* The processors of the spot machines that are there or on their way. */
+static double spot_cpus(struct leader *l, GArray *rooms)
+{
+    double cpus = 1;
     GHashTableIter it;
     struct lhost *h;
     g_hash_table_iter_init(&it, l->hosts);
@@ -1188,7 +1213,7 @@
         if (v->loaners)
             cpus += (double)v->free.cpus.milli / 1000;
     }
-    return work / cpus;
+    return cpus;
 }
 
 static void rent_for_demand(struct leader *l)
@@ -1198,14 +1223,22 @@
     GArray *rooms = g_array_new(FALSE, FALSE, sizeof(struct virtual));
     GArray *orders = g_array_new(FALSE, FALSE, sizeof(struct offer));
     incoming(l, rooms);
-    l->pressing = backlog_s(l, rooms) > DRAIN_S;
+    /* Ordinary machines are rented for work that spot machines could do only when these would not
+     * get to it in time, behind all that goes before it. */
+    double spot = spot_cpus(l, rooms), work = 0, boot = quickest_boot(l);
     for (int rank = 0; rank < RANKS; rank++)
         for (int i = 0; i < l->n_teams; i++)
             for (guint k = 0; k < l->teams[i].ready->len; k++) {
                 struct ljob *j = l->teams[i].ready->pdata[k];
                 struct job *v = view_job(l->view, j->id.s);
-                if (rank_of(l, j, v->spec) == rank)
-                    want_job(l, rooms, orders, j, v);
+                if (rank_of(l, j, v->spec) != rank)
+                    continue;
+                work += (double)count_allowed(l, j, v) * v->spec->expected_s *
+                        (double)j->room.cpus.milli / 1000;
+                double left = patience_s(l, v);
+                /* What comes up too late to help it is not rented for it. */
+                bool pressing = left > boot && work / spot > left * PATIENCE_PART;
+                want_job(l, rooms, orders, j, v, pressing);
             }
     /* Room to spare, for what comes next: one processor at a time, on whatever is cheapest. */
     struct spec any = {.loaners = true};
--- a/src/settings.c
+++ b/src/settings.c
@@ -153,6 +153,35 @@
     }
 }
 
+/* Kinds that are not known, and fields that do not matter here, are passed over. */
+static void read_objectives(struct reading *r, struct settings *s, json_object *root)
+{
+    json_object *list = list_at(r, root, "deployment.objectives");
+    for (size_t i = 0; list && i < json_object_array_length(list); i++) {
+        json_object *o = json_object_array_get_idx(list, i);
+        struct objective x = {OBJECTIVE_OTHER, NULL, 0};
+        char *kind = text_at(r, o, "kind");
+        if (strcmp(kind, "wait") == 0)
+            x.kind = OBJECTIVE_WAIT;
+        else if (strcmp(kind, "finished") == 0)
+            x.kind = OBJECTIVE_FINISHED;
+        else if (strcmp(kind, "deadline") == 0)
+            x.kind = OBJECTIVE_DEADLINE;
+        g_free(kind);
+        if (x.kind == OBJECTIVE_OTHER || !member(o, "class"))
+            continue;
+        x.class = text_at(r, o, "class");
+        if (x.kind != OBJECTIVE_DEADLINE)
+            x.within_s = number_at(r, o, "within_s", 0, 1e9);
+        g_array_append_val(s->objectives, x);
+    }
+}
+
+static void clear_objective(gpointer p)
+{
+    g_free(((struct objective *)p)->class);
+}
+
 static void clear_sibling(gpointer p)
 {
     struct sibling *x = p;
@@ -174,6 +203,8 @@
     g_array_set_clear_func(s->siblings, clear_sibling);
     s->teams = g_array_new(FALSE, TRUE, sizeof(struct team));
     g_array_set_clear_func(s->teams, clear_team);
+    s->objectives = g_array_new(FALSE, TRUE, sizeof(struct objective));
+    g_array_set_clear_func(s->objectives, clear_objective);
     s->zones = g_ptr_array_new_with_free_func(g_free);
     s->label = text_at(r, root, "label");
     s->zone = text_at(r, root, "domain");
@@ -191,6 +222,7 @@
         complain(r, "deployment.zones", "missing");
     s->clock_error_ms = number_at(r, root, "deployment.clock_error_ms", 0, 3600e3);
     read_teams(r, s, root);
+    read_objectives(r, s, root);
     s->report_s = number_at(r, root, "deployment.workers.report_s", 0.1, 600);
     s->lease_s = number_at(r, root, "deployment.workers.lease_s", 1, 3600);
     s->gang_wait_s = number_at(r, root, "deployment.workers.gang_wait_s", 0, 3600);
@@ -259,6 +291,7 @@
 {
     g_array_unref(s->siblings);
     g_array_unref(s->teams);
+    g_array_unref(s->objectives);
     g_ptr_array_unref(s->zones);
     g_free(s->label);
     g_free(s->zone);
--- a/src/settings.h
+++ b/src/settings.h
@@ -9,6 +9,20 @@
     amount cpus, cpus_max, gpus, gpus_max;
 };
 
+enum objective_kind {
+    OBJECTIVE_WAIT,     /* tasks started within within_s */
+    OBJECTIVE_FINISHED, /* jobs done within within_s */
+    OBJECTIVE_DEADLINE, /* jobs done by their own deadline */
+    OBJECTIVE_OTHER,
+};
+
+/* What is expected of a class of jobs. */
+struct objective {
+    enum objective_kind kind;
+    char *class;
+    double within_s;
+};
+
 struct sibling {
     char *label, *zone, *endpoint;
 };
@@ -20,7 +34,8 @@
     int size;
     GPtrArray *zones;
     double clock_error_ms;
-    GArray *teams; /* struct team */
+    GArray *teams;      /* struct team */
+    GArray *objectives; /* struct objective */
     double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
     double state_rps, state_write_rps, state_value_kb;
     int state_txn_ops;
