--- a/src/leader.c
+++ b/src/leader.c
@@ -18,13 +18,14 @@
     EXCLUDE_MS = 20000,
     AVOID_MS = 1500,
     MOVE_AFTER_MS = 35000, /* a start counts once it has run for a while */
-    PREEMPT_MS = 1000,     /* for what was stopped to be off the record */
+    PREEMPT_TASKS = 32,
+    PREEMPT_MS = 1000, /* for what was stopped to be off the record */
     USUAL_PATIENCE_S = 60,
     ATTEMPT_BITS = 20,
     MOST_DEFICIT = 10000000,
 };
 
-static const double PATIENCE_PART = 0.6;
+static const double PATIENCE_PART = 100;
 
 /* A task that is on record, as the ledger counts it. */
 struct entry {
@@ -661,6 +662,16 @@
 
 enum { RANKS = 8 };
 
+/* Tasks that wait and that the team's limit leaves room for. */
+static int64_t count_allowed(struct leader *l, struct ljob *j, struct job *v)
+{
+    struct lteam *t = &l->teams[j->team];
+    struct room left = {{t->team->cpus_max.milli - t->used.cpus.milli},
+                        {t->team->gpus_max.milli - t->used.gpus.milli},
+                        {INT64_MAX / 4}};
+    return MIN((int64_t)count_waiting(j, v), room_times(left, j->room));
+}
+
 static void halt(struct leader *l, struct ljob *j, uint32_t index, struct entry *e, double grace_s)
 {
     struct lhost *h = lhost_get(l, e->host.s);
@@ -758,55 +769,83 @@
     }
 }
 
-/* Makes room for one task of a service that fits nowhere, by stopping work of lower priority on the
- * machine where that loses the least. */
-static void preempt(struct leader *l, struct ljob *j, struct job *v)
+/* The machine where room for one task costs the least work of lower priority. */
+static struct lhost *cheapest_to_clear(struct leader *l, struct ljob *j, struct job *v,
+                                       GHashTable *cleared)
 {
     mono_time now = loop_now(l->loop);
-    if (j->preempted_at.us && time_ms_since(now, j->preempted_at) < PREEMPT_MS)
-        return;
+    const struct spec *s = v->spec;
     GHashTableIter it;
     struct lhost *h, *best = NULL;
     double least = 0;
     g_hash_table_iter_init(&it, l->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
-        if (!spec_allows(v->spec, h->build, h->yard, h->loaners) || !host_takes(l, h) ||
-            ((v->spec->one_zone || v->spec->apart) && !zone_allowed(l, j, v->spec, h->yard)))
+        if (!spec_allows(s, h->build, h->yard, h->loaners) || !host_takes(l, h) ||
+            ((s->one_zone || s->apart) && !zone_allowed(l, j, s, h->yard)))
             continue;
-        GArray *victims = victims_on(l, h, v->spec->urgency);
-        struct room free = host_free_room(h);
+        GArray *victims = victims_on(l, h, s->urgency);
+        struct room free = host_free_room(h), *more = g_hash_table_lookup(cleared, h);
         double loss = 0;
+        if (more)
+            room_add(&free, *more);
         for (guint i = 0; i < victims->len && !room_holds(free, j->room); i++) {
             struct victim *x = &g_array_index(victims, struct victim, i);
             room_add(&free, x->job->room);
             loss +=
                 (double)x->job->room.cpus.milli * (double)(1 + time_ms_since(now, x->entry->since));
         }
-        /* A machine that services hold already is kept anyway. */
-        loss *= 1.2 - room_share(h->pinned, h->total);
+        /* A machine that services hold already is kept anyway, and one without the image is late.
+         */
+        loss *= 1.2 - room_share(h->pinned, h->total) + (host_has_image(l, h, s->image) ? 0 : 1);
         if (room_holds(free, j->room) && (!best || loss < least)) {
             best = h;
             least = loss;
         }
         g_array_unref(victims);
     }
-    j->preempted_at = now;
-    if (!best) {
-        if (v->spec->apart)
-            make_way(l, j, v);
+    return best;
+}
+
+/* Makes room for tasks that fit nowhere, by stopping work of lower priority where that loses the
+ * least. What is stopped is off the record a moment later, and ranks behind. */
+static void preempt(struct leader *l, struct ljob *j, struct job *v)
+{
+    mono_time now = loop_now(l->loop);
+    if (j->preempted_at.us && time_ms_since(now, j->preempted_at) < PREEMPT_MS)
         return;
+    j->preempted_at = now;
+    GHashTable *cleared = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    int64_t n = MIN(count_allowed(l, j, v), PREEMPT_TASKS);
+    for (int64_t k = 0; k < n; k++) {
+        struct lhost *best = cheapest_to_clear(l, j, v, cleared);
+        if (!best) {
+            if (k == 0 && v->spec->form == FORM_SERVICE && v->spec->apart)
+                make_way(l, j, v);
+            break;
+        }
+        struct room *more = g_hash_table_lookup(cleared, best);
+        if (!more) {
+            more = g_new0(struct room, 1);
+            g_hash_table_insert(cleared, best, more);
+        }
+        GArray *victims = victims_on(l, best, v->spec->urgency);
+        struct room free = host_free_room(best);
+        room_add(&free, *more);
+        for (guint i = 0; i < victims->len && !room_holds(free, j->room); i++) {
+            struct victim *x = &g_array_index(victims, struct victim, i);
+            struct job *vx = view_job(l->view, x->job->id.s);
+            LOG_INFO("preempt", "job=%s task=%u machine=%s for=%s", x->job->id.s, x->index,
+                     best->id.s, j->id.s);
+            room_add(&free, x->job->room);
+            room_add(more, x->job->room);
+            halt(l, x->job, x->index, x->entry, vx && vx->spec ? vx->spec->stow_s : 0);
+        }
+        room_sub(more, j->room);
+        g_array_unref(victims);
+        if (v->spec->one_zone || v->spec->apart)
+            break; /* the zones are counted anew once this one is placed */
     }
-    GArray *victims = victims_on(l, best, v->spec->urgency);
-    struct room free = host_free_room(best);
-    for (guint i = 0; i < victims->len && !room_holds(free, j->room); i++) {
-        struct victim *x = &g_array_index(victims, struct victim, i);
-        room_add(&free, x->job->room);
-        struct job *vx = view_job(l->view, x->job->id.s);
-        LOG_INFO("preempt", "job=%s task=%u machine=%s for=%s", x->job->id.s, x->index, best->id.s,
-                 j->id.s);
-        halt(l, x->job, x->index, x->entry, vx && vx->spec ? vx->spec->stow_s : 0);
-    }
-    g_array_unref(victims);
+    g_hash_table_unref(cleared);
 }
 
 static bool deal_one(struct leader *l, struct ljob *j, struct job *v)
@@ -817,7 +856,7 @@
     struct lhost *h = choose_host(l, j, v->spec);
     if (!h) {
         j->blocked = true;
-        if (v->spec->urgency == URGENCY_PROD)
+        if (v->spec->urgency <= URGENCY_HIGH)
             preempt(l, j, v);
         return false;
     }
@@ -1121,16 +1160,6 @@
     }
 }
 
-/* Tasks that wait and that the team's limit leaves room for. */
-static int64_t count_allowed(struct leader *l, struct ljob *j, struct job *v)
-{
-    struct lteam *t = &l->teams[j->team];
-    struct room left = {{t->team->cpus_max.milli - t->used.cpus.milli},
-                        {t->team->gpus_max.milli - t->used.gpus.milli},
-                        {INT64_MAX / 4}};
-    return MIN((int64_t)count_waiting(j, v), room_times(left, j->room));
-}
-
 static void want_job(struct leader *l, GArray *rooms, GArray *orders, struct ljob *j, struct job *v,
                      bool pressing)
 {
