--- a/src/leader.c
+++ b/src/leader.c
@@ -25,7 +25,8 @@
     MOST_DEFICIT = 10000000,
 };
 
-static const double PATIENCE_PART = 100;
+static const double SERVICE_SPARE = 0.1;
+static const double PATIENCE_PART = 1;
 
 /* A task that is on record, as the ledger counts it. */
 struct entry {
@@ -108,7 +109,8 @@
     struct timer tick, pass;
     mono_time scaled_at;
     double demand_peak;
-    double *zone_cpus; /* of ordinary machines, as in settings->zones */
+    int64_t *service_lack; /* of tasks, by zone; negative: room to spare */
+    double *zone_cpus;     /* of ordinary machines, as in settings->zones */
 };
 
 static void on_view(struct leader *l, const GArray *changes);
@@ -178,6 +180,7 @@
     l->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ljob_free);
     l->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lhost_free);
     l->parts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lpart_free);
+    l->service_lack = g_new0(int64_t, settings->zones->len);
     l->zone_cpus = g_new0(double, settings->zones->len);
     l->n_teams = (int)settings->teams->len;
     l->teams = g_new0(struct lteam, l->n_teams);
@@ -203,6 +206,7 @@
     for (int i = 0; i < l->n_teams; i++)
         g_ptr_array_unref(l->teams[i].ready);
     g_free(l->teams);
+    g_free(l->service_lack);
     g_free(l->zone_cpus);
     g_free(l);
 }
@@ -1245,6 +1249,51 @@
     return cpus;
 }
 
+/* What services hold now, and the size of a task of theirs. */
+static int64_t service_tasks(struct leader *l, struct room *usual)
+{
+    int64_t n = 0;
+    struct room sum = {0};
+    GHashTableIter it;
+    struct ljob *j;
+    g_hash_table_iter_init(&it, l->jobs);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&j)) {
+        guint placed = g_hash_table_size(j->entries);
+        for (guint i = 0; j->service && i < placed; i++)
+            room_add(&sum, j->room);
+        n += j->service ? placed : 0;
+    }
+    if (n)
+        *usual = (struct room){{sum.cpus.milli / n}, {sum.gpus.milli / n}, {sum.memory.milli / n}};
+    return n;
+}
+
+/* Room for the services that come next, in every zone, on ordinary machines. Until then it is not
+ * idle: arrays use it and are preempted. */
+static void want_for_services(struct leader *l, GArray *rooms, GArray *orders)
+{
+    struct room usual;
+    int64_t n = service_tasks(l, &usual);
+    if (!n)
+        return;
+    struct spec any = {.form = FORM_SERVICE};
+    guint zones = l->settings->zones->len;
+    int64_t each = 1 + (int64_t)ceil((double)n * SERVICE_SPARE / zones);
+    for (guint i = 0; i < zones; i++) {
+        const char *yard = l->settings->zones->pdata[i];
+        int64_t have = 0;
+        GHashTableIter it;
+        struct lhost *h;
+        g_hash_table_iter_init(&it, l->hosts);
+        while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+            if (!h->loaners && host_takes(l, h) && strcmp(h->yard, yard) == 0)
+                have += room_times(room_left(h->total, h->pinned), usual);
+        l->service_lack[i] = each - have;
+        if (have < each)
+            want(l, rooms, orders, &any, usual, each - have, yard, false);
+    }
+}
+
 static void rent_for_demand(struct leader *l)
 {
     if (!types_now(l) || !fleet_listed(l->fleet))
@@ -1255,7 +1304,9 @@
     /* Ordinary machines are rented for work that spot machines could do only when these would not
      * get to it in time, behind all that goes before it. */
     double spot = spot_cpus(l, rooms), work = 0, boot = quickest_boot(l);
-    for (int rank = 0; rank < RANKS; rank++)
+    for (int rank = 0; rank < RANKS; rank++) {
+        if (rank == 1)
+            want_for_services(l, rooms, orders);
         for (int i = 0; i < l->n_teams; i++)
             for (guint k = 0; k < l->teams[i].ready->len; k++) {
                 struct ljob *j = l->teams[i].ready->pdata[k];
@@ -1269,6 +1320,7 @@
                 bool pressing = left > boot && work / spot > left * PATIENCE_PART;
                 want_job(l, rooms, orders, j, v, pressing);
             }
+    }
     /* Room to spare, for what comes next: one processor at a time, on whatever is cheapest. */
     struct spec any = {.loaners = true};
     struct room one = {{1000}, {0}, {1500}};
@@ -1289,6 +1341,22 @@
            !h->dealt.memory.milli;
 }
 
+/* Whether the next services would miss the machine. */
+static bool kept_for_services(struct leader *l, struct lhost *h)
+{
+    struct room usual;
+    if (h->loaners || !service_tasks(l, &usual))
+        return false;
+    for (guint i = 0; i < l->settings->zones->len; i++)
+        if (strcmp(l->settings->zones->pdata[i], h->yard) == 0) {
+            int64_t holds = room_times(room_left(h->total, h->pinned), usual);
+            if (l->service_lack[i] + holds > 0)
+                return true;
+            l->service_lack[i] += holds;
+        }
+    return false;
+}
+
 static void return_idle(struct leader *l)
 {
     mono_time now = loop_now(l->loop);
@@ -1299,7 +1367,7 @@
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
         double cpus = (double)h->total.cpus.milli / 1000;
         if (!host_takes(l, h) || !host_idle(h) || time_ms_since(now, h->idle_since) < 40000 ||
-            cpus > spare)
+            cpus > spare || kept_for_services(l, h))
             continue;
         spare -= cpus;
         fleet_return(l->fleet, h->id, "idle");
