--- a/src/leader.c
+++ b/src/leader.c
@@ -26,7 +26,7 @@
 };
 
 static const double SERVICE_SPARE = 0.1;
-static const double PATIENCE_PART = 1;
+static const double PATIENCE_PART = 4;
 
 /* A task that is on record, as the ledger counts it. */
 struct entry {
@@ -1145,8 +1145,8 @@
 }
 
 /* Finds room for n more tasks: what is on its way first, then new machines. */
-static void want(struct leader *l, GArray *rooms, GArray *orders, const struct spec *s,
-                 struct room ask, int64_t n, const char *yard, bool spot_only)
+static int64_t want(struct leader *l, GArray *rooms, GArray *orders, const struct spec *s,
+                    struct room ask, int64_t n, const char *yard, bool spot_only)
 {
     while (n > 0) {
         if (take_virtual(rooms, s, ask, yard)) {
@@ -1158,10 +1158,22 @@
         for (guint i = 0; i < orders->len; i++)
             total += g_array_index(orders, struct offer, i).number;
         if (total >= 40 || !best_offer(l, s, ask, n, yard, spot_only, &o))
-            return;
+            return n;
         order_offer(orders, &o);
         add_virtual(rooms, o.type->name, o.yard, o.loaners, room_of_type(o.type), false);
     }
+    return 0;
+}
+
+/* Room in one zone, or anywhere. Ordinary machines are rented for work that spot machines could do
+ * only once no more of these are to be had. */
+static void want_tasks(struct leader *l, GArray *rooms, GArray *orders, struct ljob *j,
+                       const struct spec *s, int64_t n, const char *yard, bool pressing)
+{
+    if (s->loaners)
+        n = want(l, rooms, orders, s, j->room, n, yard, true);
+    if (!s->loaners || pressing)
+        want(l, rooms, orders, s, j->room, n, yard, false);
 }
 
 static void want_job(struct leader *l, GArray *rooms, GArray *orders, struct ljob *j, struct job *v,
@@ -1170,7 +1182,7 @@
     const struct spec *s = v->spec;
     int64_t n = count_allowed(l, j, v);
     if (!s->apart) {
-        want(l, rooms, orders, s, j->room, n, NULL, s->loaners && !pressing);
+        want_tasks(l, rooms, orders, j, s, n, NULL, pressing);
         return;
     }
     /* Each zone may take up to half of the tasks. */
@@ -1178,7 +1190,7 @@
         const char *yard = l->settings->zones->pdata[i];
         int64_t there = in_zone(l, j, yard), most = (s->tasks + 1) / 2 - there;
         int64_t here = CLAMP(most, 0, n);
-        want(l, rooms, orders, s, j->room, here, yard, s->loaners && !pressing);
+        want_tasks(l, rooms, orders, j, s, here, yard, pressing);
         n -= here;
     }
 }
@@ -1208,27 +1220,26 @@
     return floor(0.12 * l->demand_peak);
 }
 
-/* How long the job's tasks may still wait, by what its class is expected to do. Renting cannot meet
- * a wait shorter than a boot, so such an aim does not count here. */
-static double patience_s(struct leader *l, struct job *v)
+/* How long the job's tasks may wait, by what its class is expected to do. Renting cannot meet a
+ * wait shorter than a boot, so such an aim does not count here. */
+static double patience_s(struct leader *l, const struct spec *s)
 {
-    const struct spec *s = v->spec;
     double patience = USUAL_PATIENCE_S, boot = quickest_boot(l);
     for (guint i = 0; i < l->settings->objectives->len; i++) {
         const struct objective *o = &g_array_index(l->settings->objectives, struct objective, i);
         if (strcmp(o->class, s->lot) != 0)
             continue;
         double left = patience;
-        if (o->kind == OBJECTIVE_WAIT && o->within_s > boot)
+        if (o->kind == OBJECTIVE_WAIT)
             left = o->within_s;
         else if (o->kind == OBJECTIVE_FINISHED)
             left = o->within_s - s->expected_s;
         else if (o->kind == OBJECTIVE_DEADLINE && s->due_s >= 0)
             left = s->due_s - s->expected_s;
-        patience = MIN(patience, left);
+        if (left > boot)
+            patience = MIN(patience, left);
     }
-    double waited = (double)(loop_wall(l->loop).ms - v->submitted.ms) / 1000;
-    return patience - waited;
+    return patience;
 }
 
 /* The processors of the spot machines that are there or on their way. */
@@ -1278,7 +1289,7 @@
         return;
     struct spec any = {.form = FORM_SERVICE};
     guint zones = l->settings->zones->len;
-    int64_t each = 1 + (int64_t)ceil((double)n * SERVICE_SPARE / zones);
+    int64_t each = 0 + (int64_t)ceil((double)n * SERVICE_SPARE / zones);
     for (guint i = 0; i < zones; i++) {
         const char *yard = l->settings->zones->pdata[i];
         int64_t have = 0;
@@ -1303,7 +1314,7 @@
     incoming(l, rooms);
     /* Ordinary machines are rented for work that spot machines could do only when these would not
      * get to it in time, behind all that goes before it. */
-    double spot = spot_cpus(l, rooms), work = 0, boot = quickest_boot(l);
+    double spot = spot_cpus(l, rooms), work = 0;
     for (int rank = 0; rank < RANKS; rank++) {
         if (rank == 1)
             want_for_services(l, rooms, orders);
@@ -1315,9 +1326,7 @@
                     continue;
                 work += (double)count_allowed(l, j, v) * v->spec->expected_s *
                         (double)j->room.cpus.milli / 1000;
-                double left = patience_s(l, v);
-                /* What comes up too late to help it is not rented for it. */
-                bool pressing = left > boot && work / spot > left * PATIENCE_PART;
+                bool pressing = work / spot > patience_s(l, v->spec) * PATIENCE_PART;
                 want_job(l, rooms, orders, j, v, pressing);
             }
     }
