--- a/src/leader.c
+++ b/src/leader.c
@@ -21,12 +21,15 @@
     PREEMPT_TASKS = 32,
     PREEMPT_MS = 1000, /* for what was stopped to be off the record */
     USUAL_PATIENCE_S = 60,
+    RATE_SLOTS = 8,
+    RATE_SLOT_MS = 30000,
     ATTEMPT_BITS = 20,
     MOST_DEFICIT = 10000000,
 };
 
-static const double SERVICE_SPARE = 0.1;
-static const double PATIENCE_PART = 4;
+/* Times what comes while a machine boots. */
+static const double SERVICE_SPARE = 1.5;
+static const double PATIENCE_PART = 10;
 
 /* A task that is on record, as the ledger counts it. */
 struct entry {
@@ -1035,6 +1038,14 @@
     return least;
 }
 
+static double slowest_boot(struct leader *l)
+{
+    double most = 0;
+    for (guint i = 0; i < types_now(l)->len; i++)
+        most = MAX(most, g_array_index(types_now(l), struct machine_type, i).ready_s);
+    return most;
+}
+
 /* Room that is there or on its way, and not needed yet. */
 struct virtual
 {
@@ -1260,23 +1271,37 @@
     return cpus;
 }
 
-/* What services hold now, and the size of a task of theirs. */
-static int64_t service_tasks(struct leader *l, struct room *usual)
+/* The size of a task of the services that run, and how many of their tasks come in a second. The
+ * busiest stretch of time is left out, so that many that come at once do not count for what is
+ * usual. */
+static bool service_rate(struct leader *l, struct room *usual, double *rate)
 {
-    int64_t n = 0;
-    struct room sum = {0};
+    int64_t n = 0, slots[RATE_SLOTS] = {0}, sum = 0, most = 0;
+    struct room total = {0};
+    wall_time now = loop_wall(l->loop);
     GHashTableIter it;
     struct ljob *j;
     g_hash_table_iter_init(&it, l->jobs);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&j)) {
-        guint placed = g_hash_table_size(j->entries);
-        for (guint i = 0; j->service && i < placed; i++)
-            room_add(&sum, j->room);
-        n += j->service ? placed : 0;
+        struct job *v = view_job(l->view, j->id.s);
+        if (!j->service || !v || !v->known)
+            continue;
+        for (uint32_t i = 0; i < v->tasks; i++)
+            room_add(&total, j->room);
+        n += v->tasks;
+        int64_t slot = (now.ms - v->submitted.ms) / RATE_SLOT_MS;
+        if (slot >= 0 && slot < RATE_SLOTS)
+            slots[slot] += v->tasks;
+    }
+    for (int i = 0; i < RATE_SLOTS; i++) {
+        sum += slots[i];
+        most = MAX(most, slots[i]);
     }
     if (n)
-        *usual = (struct room){{sum.cpus.milli / n}, {sum.gpus.milli / n}, {sum.memory.milli / n}};
-    return n;
+        *usual =
+            (struct room){{total.cpus.milli / n}, {total.gpus.milli / n}, {total.memory.milli / n}};
+    *rate = (double)(sum - most) * 1000 / ((RATE_SLOTS - 1) * RATE_SLOT_MS);
+    return n > 0;
 }
 
 /* Room for the services that come next, in every zone, on ordinary machines. Until then it is not
@@ -1284,12 +1309,12 @@
 static void want_for_services(struct leader *l, GArray *rooms, GArray *orders)
 {
     struct room usual;
-    int64_t n = service_tasks(l, &usual);
-    if (!n)
+    double rate;
+    if (!service_rate(l, &usual, &rate))
         return;
     struct spec any = {.form = FORM_SERVICE};
     guint zones = l->settings->zones->len;
-    int64_t each = 0 + (int64_t)ceil((double)n * SERVICE_SPARE / zones);
+    int64_t each = (int64_t)round(rate * slowest_boot(l) * SERVICE_SPARE / zones);
     for (guint i = 0; i < zones; i++) {
         const char *yard = l->settings->zones->pdata[i];
         int64_t have = 0;
@@ -1354,7 +1379,8 @@
 static bool kept_for_services(struct leader *l, struct lhost *h)
 {
     struct room usual;
-    if (h->loaners || !service_tasks(l, &usual))
+    double rate;
+    if (h->loaners || !service_rate(l, &usual, &rate))
         return false;
     for (guint i = 0; i < l->settings->zones->len; i++)
         if (strcmp(l->settings->zones->pdata[i], h->yard) == 0) {
