--- a/src/leader.c
+++ b/src/leader.c
@@ -109,6 +109,7 @@
     GHashTable *jobs, *hosts, *parts;
     struct lteam *teams;
     int n_teams;
+    int first_team; /* that this pass begins with */
     struct timer tick, pass;
     mono_time scaled_at;
     double demand_peak;
@@ -954,7 +955,7 @@
     while (any && dealt < budget) {
         any = false;
         for (int i = 0; i < l->n_teams && dealt < budget; i++) {
-            struct lteam *t = &l->teams[i];
+            struct lteam *t = &l->teams[(l->first_team + i) % l->n_teams];
             t->deficit = MIN(t->deficit + MAX(t->team->cpus.milli / 16, 1000), MOST_DEFICIT);
             bool moved = false;
             for (guint k = 0; k < t->ready->len && dealt < budget;) {
@@ -1530,6 +1531,7 @@
     if (!ready_to_deal(l))
         return;
     int budget = DEALS_A_PASS;
+    l->first_team = (l->first_team + 1) % l->n_teams;
     measure_zones(l);
     if (collect_ready(l))
         for (int rank = 0; rank < RANKS && budget > 0; rank++)
