--- a/daemon/main.c
+++ b/daemon/main.c
@@ -9,7 +9,7 @@
 enum { EXIT_USAGE = 2 };
 
 struct options {
-    char *config;
+    char *config, *policy, *check_policy;
     gboolean version, check;
 };
 
@@ -24,6 +24,9 @@
     const GOptionEntry entries[] = {
         {"config", 'c', 0, G_OPTION_ARG_FILENAME, &o->config, "Settings of this node (TOML)",
          "FILE"},
+        {"policy", 'p', 0, G_OPTION_ARG_FILENAME, &o->policy, "Operators' own settings", "FILE"},
+        {"check-policy", 0, 0, G_OPTION_ARG_FILENAME, &o->check_policy,
+         "Check operators' own settings and exit", "FILE"},
         {"check-config", 0, 0, G_OPTION_ARG_NONE, &o->check, "Check the settings and exit", NULL},
         {"version", 'V', 0, G_OPTION_ARG_NONE, &o->version, "Print the version and exit", NULL},
         {0},
@@ -40,7 +43,7 @@
     return ok;
 }
 
-static int run(const struct settings *s)
+static int run(const struct settings *s, const struct policy *policy)
 {
     struct loop *loop = loop_new();
     int fds = s->fd_limit;
@@ -51,7 +54,7 @@
                                         .connect_ms = 1500,
                                         .idle_ms = 20000};
     struct net *net = http_client_new(loop, client);
-    struct node *node = node_new(loop, net, s);
+    struct node *node = node_new(loop, net, s, policy);
     struct http_limits api = {fds / 2, 64 << 10, 90000, 10000};
     struct http_limits back = {MAX(fds / 16, 16), 4 << 20, 90000, 10000};
     char *error = NULL;
@@ -76,9 +79,18 @@
         puts("linenlandingd " LL_VERSION);
         return 0;
     }
+    char *error = NULL;
+    if (o.check_policy) {
+        if (!policy_load(o.check_policy, &error))
+            return usage_error(error);
+        printf("%s: fine\n", o.check_policy);
+        return 0;
+    }
     if (!o.config)
         return usage_error("--config FILE is missing");
-    char *error = NULL;
+    struct policy *policy = o.policy ? policy_load(o.policy, &error) : policy_default();
+    if (!policy)
+        return usage_error(error);
     struct settings *s = settings_load(o.config, &error);
     if (!s)
         return usage_error(error);
@@ -89,5 +101,5 @@
         printf("%s: fine\n", o.config);
         return 0;
     }
-    return run(s);
+    return run(s, policy);
 }
--- a/src/codec.c
+++ b/src/codec.c
@@ -22,9 +22,24 @@
 
 #define WORD(words, word) word_index(words, G_N_ELEMENTS(words), word)
 
+/* json-c takes 'single' quotes for quotes even when it is strict. */
+static bool has_foreign_quotes(const char *text, size_t len)
+{
+    bool inside = false;
+    for (size_t i = 0; i < len; i++) {
+        if (inside && text[i] == '\\')
+            i++;
+        else if (text[i] == '"')
+            inside = !inside;
+        else if (text[i] == '\'' && !inside)
+            return true;
+    }
+    return false;
+}
+
 json_object *json_read(const char *text, size_t len)
 {
-    if (len > INT32_MAX)
+    if (len > INT32_MAX || has_foreign_quotes(text, len))
         return NULL;
     struct json_tokener *t = json_tokener_new_ex(16);
     json_tokener_set_flags(t, JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
@@ -133,6 +148,11 @@
 
 /* ---- jobs ---- */
 
+const char *codec_urgency_word(enum urgency u)
+{
+    return urgency_words[u];
+}
+
 void spec_clear(struct spec *s)
 {
     g_free(s->lot);
--- a/src/codec.h
+++ b/src/codec.h
@@ -25,6 +25,7 @@
 };
 
 void spec_clear(struct spec *s);
+const char *codec_urgency_word(enum urgency u);
 
 enum task_state { TASK_FETCHING, TASK_GATHERING, TASK_RUNNING, TASK_FLUSHING, TASK_EXITED };
 enum cause {
--- a/src/leader.c
+++ b/src/leader.c
@@ -27,10 +27,6 @@
     MOST_DEFICIT = 10000000,
 };
 
-/* Times what comes while a machine boots. */
-static const double SERVICE_SPARE = 1.5;
-static const double PATIENCE_PART = 10;
-
 /* A task that is on record, as the ledger counts it. */
 struct entry {
     attempt_no attempt;
@@ -101,6 +97,7 @@
     struct membership *members;
     struct bus *bus;
     const struct settings *settings;
+    const struct policy *policy;
     struct fleet *fleet;
     bool leading;
     epoch_no epoch;
@@ -170,7 +167,7 @@
 
 struct leader *leader_new(struct loop *loop, struct net *net, struct store *store,
                           struct view *view, struct membership *members, struct bus *bus,
-                          const struct settings *settings)
+                          const struct settings *settings, const struct policy *policy)
 {
     struct leader *l = g_new0(struct leader, 1);
     l->actor = (struct actor){"leader", receive};
@@ -180,6 +177,7 @@
     l->members = members;
     l->bus = bus;
     l->settings = settings;
+    l->policy = policy;
     l->fleet = fleet_new(loop, net, store, view, members, settings, &l->actor);
     l->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ljob_free);
     l->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lhost_free);
@@ -484,6 +482,110 @@
     store_txn(l->store, LANE_NORMAL, t, swept, l);
 }
 
+/* ---- policy ---- */
+
+static const GArray *types_now(struct leader *l)
+{
+    return fleet_types(l->fleet) ? fleet_types(l->fleet) : l->view->types;
+}
+
+static double quickest_boot(struct leader *l)
+{
+    double least = 1e9;
+    for (guint i = 0; i < types_now(l)->len; i++)
+        least = MIN(least, g_array_index(types_now(l), struct machine_type, i).ready_s);
+    return least;
+}
+
+static double slowest_boot(struct leader *l)
+{
+    double most = 0;
+    for (guint i = 0; i < types_now(l)->len; i++)
+        most = MAX(most, g_array_index(types_now(l), struct machine_type, i).ready_s);
+    return most;
+}
+
+/* How long the job's tasks may wait, by what its class is expected to do. Renting cannot meet a
+ * wait shorter than a boot, so such an aim does not count here. */
+static double patience_s(struct leader *l, const struct spec *s)
+{
+    double patience = USUAL_PATIENCE_S, boot = quickest_boot(l);
+    for (guint i = 0; i < l->settings->objectives->len; i++) {
+        const struct objective *o = &g_array_index(l->settings->objectives, struct objective, i);
+        if (strcmp(o->class, s->lot) != 0)
+            continue;
+        double left = patience;
+        if (o->kind == OBJECTIVE_WAIT)
+            left = o->within_s;
+        else if (o->kind == OBJECTIVE_FINISHED)
+            left = o->within_s - s->expected_s;
+        else if (o->kind == OBJECTIVE_DEADLINE && s->due_s >= 0)
+            left = s->due_s - s->expected_s;
+        if (left > boot)
+            patience = MIN(patience, left);
+    }
+    return patience;
+}
+
+static double used_cpus(struct leader *l)
+{
+    double sum = 0;
+    for (int i = 0; i < l->n_teams; i++)
+        sum += (double)l->teams[i].used.cpus.milli / 1000;
+    return sum;
+}
+
+/* Inputs that tell of the load. */
+static void load_inputs(struct leader *l, struct policy_value *in)
+{
+    in[INPUT_USED_CPUS].number = used_cpus(l);
+    in[INPUT_PEAK_CPUS].number = l->demand_peak;
+}
+
+static void job_inputs(struct leader *l, const struct spec *s, struct policy_value *in)
+{
+    load_inputs(l, in);
+    in[INPUT_TEAM].text = s->crew;
+    in[INPUT_CLASS].text = s->lot;
+    in[INPUT_PRIORITY].text = codec_urgency_word(s->urgency);
+}
+
+static double spare_cpus(struct leader *l)
+{
+    struct policy_value in[POLICY_INPUTS] = {0};
+    load_inputs(l, in);
+    return floor(policy_number(l->policy, POLICY_SPARE_CPUS, in));
+}
+
+/* Whether ordinary machines may be rented for a job that spot ones could run, once no more of these
+ * are to be had. */
+static bool may_rent_ordinary(struct leader *l, const struct spec *s, double backlog_s)
+{
+    struct policy_value in[POLICY_INPUTS] = {0};
+    job_inputs(l, s, in);
+    in[INPUT_BACKLOG_S].number = backlog_s;
+    in[INPUT_PATIENCE_S].number = patience_s(l, s);
+    return policy_flag(l->policy, POLICY_RENT_ORDINARY, in);
+}
+
+static bool may_preempt(struct leader *l, const struct spec *s)
+{
+    struct policy_value in[POLICY_INPUTS] = {0};
+    job_inputs(l, s, in);
+    return policy_flag(l->policy, POLICY_PREEMPT, in);
+}
+
+static double idle_ms(struct leader *l, const struct lhost *h)
+{
+    struct policy_value in[POLICY_INPUTS] = {0};
+    load_inputs(l, in);
+    in[INPUT_TYPE].text = h->build;
+    in[INPUT_ZONE].text = h->yard;
+    in[INPUT_SPOT].flag = h->loaners;
+    in[INPUT_CPUS].number = (double)h->total.cpus.milli / 1000;
+    return policy_number(l->policy, POLICY_IDLE_S, in) * 1000;
+}
+
 /* ---- dealing ---- */
 
 static bool host_takes(struct leader *l, struct lhost *h)
@@ -864,7 +966,7 @@
     struct lhost *h = choose_host(l, j, v->spec);
     if (!h) {
         j->blocked = true;
-        if (v->spec->urgency <= URGENCY_HIGH)
+        if (may_preempt(l, v->spec))
             preempt(l, j, v);
         return false;
     }
@@ -1026,27 +1128,6 @@
 
 /* ---- renting and returning ---- */
 
-static const GArray *types_now(struct leader *l)
-{
-    return fleet_types(l->fleet) ? fleet_types(l->fleet) : l->view->types;
-}
-
-static double quickest_boot(struct leader *l)
-{
-    double least = 1e9;
-    for (guint i = 0; i < types_now(l)->len; i++)
-        least = MIN(least, g_array_index(types_now(l), struct machine_type, i).ready_s);
-    return least;
-}
-
-static double slowest_boot(struct leader *l)
-{
-    double most = 0;
-    for (guint i = 0; i < types_now(l)->len; i++)
-        most = MAX(most, g_array_index(types_now(l), struct machine_type, i).ready_s);
-    return most;
-}
-
 /* Room that is there or on its way, and not needed yet. */
 struct virtual
 {
@@ -1219,41 +1300,6 @@
     return sum;
 }
 
-static double used_cpus(struct leader *l)
-{
-    double sum = 0;
-    for (int i = 0; i < l->n_teams; i++)
-        sum += (double)l->teams[i].used.cpus.milli / 1000;
-    return sum;
-}
-
-static double spare_cpus(struct leader *l)
-{
-    return floor(0.12 * l->demand_peak);
-}
-
-/* How long the job's tasks may wait, by what its class is expected to do. Renting cannot meet a
- * wait shorter than a boot, so such an aim does not count here. */
-static double patience_s(struct leader *l, const struct spec *s)
-{
-    double patience = USUAL_PATIENCE_S, boot = quickest_boot(l);
-    for (guint i = 0; i < l->settings->objectives->len; i++) {
-        const struct objective *o = &g_array_index(l->settings->objectives, struct objective, i);
-        if (strcmp(o->class, s->lot) != 0)
-            continue;
-        double left = patience;
-        if (o->kind == OBJECTIVE_WAIT)
-            left = o->within_s;
-        else if (o->kind == OBJECTIVE_FINISHED)
-            left = o->within_s - s->expected_s;
-        else if (o->kind == OBJECTIVE_DEADLINE && s->due_s >= 0)
-            left = s->due_s - s->expected_s;
-        if (left > boot)
-            patience = MIN(patience, left);
-    }
-    return patience;
-}
-
 /* The processors of the spot machines that are there or on their way. */
 static double spot_cpus(struct leader *l, GArray *rooms)
 {
@@ -1313,9 +1359,12 @@
     double rate;
     if (!service_rate(l, &usual, &rate))
         return;
+    struct policy_value in[POLICY_INPUTS] = {0};
+    load_inputs(l, in);
     struct spec any = {.form = FORM_SERVICE};
     guint zones = l->settings->zones->len;
-    int64_t each = (int64_t)round(rate * slowest_boot(l) * SERVICE_SPARE / zones);
+    int64_t each = (int64_t)round(rate * slowest_boot(l) *
+                                  policy_number(l->policy, POLICY_SERVICE_SPARE, in) / zones);
     for (guint i = 0; i < zones; i++) {
         const char *yard = l->settings->zones->pdata[i];
         int64_t have = 0;
@@ -1352,7 +1401,7 @@
                     continue;
                 work += (double)count_allowed(l, j, v) * v->spec->expected_s *
                         (double)j->room.cpus.milli / 1000;
-                bool pressing = work / spot > patience_s(l, v->spec) * PATIENCE_PART;
+                bool pressing = may_rent_ordinary(l, v->spec, work / spot);
                 want_job(l, rooms, orders, j, v, pressing);
             }
     }
@@ -1402,8 +1451,9 @@
     g_hash_table_iter_init(&it, l->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
         double cpus = (double)h->total.cpus.milli / 1000;
-        if (!host_takes(l, h) || !host_idle(h) || time_ms_since(now, h->idle_since) < 40000 ||
-            cpus > spare || kept_for_services(l, h))
+        if (!host_takes(l, h) || !host_idle(h) ||
+            (double)time_ms_since(now, h->idle_since) < idle_ms(l, h) || cpus > spare ||
+            kept_for_services(l, h))
             continue;
         spare -= cpus;
         fleet_return(l->fleet, h->id, "idle");
--- a/src/leader.h
+++ b/src/leader.h
@@ -5,12 +5,13 @@
 
 #include "bus.h"
 #include "fleet.h"
+#include "policy.h"
 
 struct leader;
 
 struct leader *leader_new(struct loop *loop, struct net *net, struct store *store,
                           struct view *view, struct membership *members, struct bus *bus,
-                          const struct settings *settings);
+                          const struct settings *settings, const struct policy *policy);
 void leader_free(struct leader *l);
 void leader_start(struct leader *l);
 
--- a/src/node.c
+++ b/src/node.c
@@ -1,6 +1,7 @@
 #include "node.h"
 
-struct node *node_new(struct loop *loop, struct net *net, const struct settings *s)
+struct node *node_new(struct loop *loop, struct net *net, const struct settings *s,
+                      const struct policy *policy)
 {
     struct node *n = g_new0(struct node, 1);
     struct store_limits limits = {s->state_rps, s->state_write_rps, s->state_txn_ops,
@@ -13,7 +14,7 @@
     n->members = membership_new(loop, n->store, n->view, s);
     n->bus = bus_new(loop, net, s);
     n->part = part_new(loop, net, n->store, n->view, n->members, n->bus, s);
-    n->leader = leader_new(loop, net, n->store, n->view, n->members, n->bus, s);
+    n->leader = leader_new(loop, net, n->store, n->view, n->members, n->bus, s, policy);
     n->frontend = frontend_new(loop, n->store, n->view, n->members, s, n->part);
     return n;
 }
--- a/src/node.h
+++ b/src/node.h
@@ -18,7 +18,8 @@
     struct frontend *frontend;
 };
 
-struct node *node_new(struct loop *loop, struct net *net, const struct settings *settings);
+struct node *node_new(struct loop *loop, struct net *net, const struct settings *settings,
+                      const struct policy *policy);
 void node_start(struct node *n);
 void node_free(struct node *n);
 
--- /dev/null
+++ b/tests/test_http.c
@@ -0,0 +1,263 @@
+/* The HTTP parser and the codecs at their edges. */
+#include "bus.h"
+#include "codec.h"
+#include "http.h"
+#include "settings.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+static enum http_parsed request(const char *text, struct http_head *h)
+{
+    return http_parse_head(text, strlen(text), false, h);
+}
+
+static void heads_are_read_whole_or_not_at_all(void **state)
+{
+    (void)state;
+    struct http_head h;
+    const char *text =
+        "POST /work?x=1 HTTP/1.1\r\nHost: a\r\nContent-Length: 12\r\nConnection: Close\r\n\r\nbody";
+    assert_int_equal(request(text, &h), HTTP_DONE);
+    assert_string_equal(h.method, "POST");
+    assert_string_equal(h.target, "/work?x=1");
+    assert_int_equal(h.content_length, 12);
+    assert_true(h.close);
+    assert_int_equal(h.size, strlen(text) - 4);
+    /* Cut anywhere, it asks for more. */
+    for (size_t n = 0; n < h.size; n++) {
+        struct http_head part;
+        assert_int_equal(http_parse_head(text, n, false, &part), HTTP_MORE);
+    }
+    assert_int_equal(request("GET / HTTP/1.0\r\n\r\n", &h), HTTP_DONE);
+    assert_true(h.close);
+    assert_int_equal(h.content_length, -1);
+}
+
+static void heads_that_are_no_http_are_refused(void **state)
+{
+    (void)state;
+    struct http_head h;
+    const char *bad[] = {
+        "GET /\r\n\r\n",
+        "GET nowhere HTTP/1.1\r\n\r\n",
+        "GET / HTTP/2.0\r\n\r\n",
+        "GET / HTTP/1.1\r\nbroken\r\n\r\n",
+        "GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+        "GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        "GET / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "GET / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "GET / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n",
+        "\x16\x03\x01 binary"};
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+        if (request(bad[i], &h) != HTTP_BAD)
+            fail_msg("taken: %s", bad[i]);
+    char *big = g_malloc(9001);
+    memset(big, 'A', 9000);
+    big[9000] = 0;
+    assert_int_equal(request(big, &h), HTTP_TOO_LARGE);
+    g_free(big);
+}
+
+static void answers_are_read(void **state)
+{
+    (void)state;
+    struct http_head h;
+    const char *text = "HTTP/1.1 429 Too Many\r\nRetry-After: 7\r\nContent-Length: 0\r\n\r\n";
+    assert_int_equal(http_parse_head(text, strlen(text), true, &h), HTTP_DONE);
+    assert_int_equal(h.status, 429);
+    assert_int_equal(h.retry_after_s, 7);
+    assert_int_equal(http_parse_head("HTTP/1.1 x\r\n\r\n", 14, true, &h), HTTP_BAD);
+}
+
+static void chunks_are_put_together(void **state)
+{
+    (void)state;
+    GString *out = g_string_new(NULL);
+    size_t used = 0;
+    const char *text = "4\r\nWiki\r\n5;x=y\r\npedia\r\n0\r\n\r\n";
+    size_t n = strlen(text);
+    for (size_t i = 0; i < n; i++)
+        assert_int_equal(http_parse_chunks(text, i, 100, out, &used), HTTP_MORE);
+    assert_int_equal(http_parse_chunks(text, n, 100, out, &used), HTTP_DONE);
+    assert_string_equal(out->str, "Wikipedia");
+    assert_int_equal(used, n);
+    assert_int_equal(http_parse_chunks(text, n, 8, out, &used), HTTP_TOO_LARGE);
+    assert_int_equal(http_parse_chunks("zz\r\n", 4, 100, out, &used), HTTP_BAD);
+    g_string_free(out, TRUE);
+}
+
+static json_object *parse(const char *text)
+{
+    return json_read(text, strlen(text));
+}
+
+static void json_is_read_strictly(void **state)
+{
+    (void)state;
+    const char *bad[] = {"",       "{", "{} x", "{\"a\":1,}", "nul", "[1 2]", "{\"a\":\"\xff\"}",
+                         "{'a':1}"};
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+        if (parse(bad[i]))
+            fail_msg("taken: %s", bad[i]);
+    json_object *o =
+        parse(" {\"a\":18446744073709551615,\"b\":-1,\"c\":1.5,\"d\":9007199254740993} \n");
+    uint64_t v = 0;
+    assert_true(json_u64(o, "a", &v));
+    assert_true(v == UINT64_MAX); /* counts reach 2^64 */
+    assert_true(json_u64(o, "d", &v) && v == 9007199254740993ULL);
+    assert_false(json_u64(o, "b", &v) || json_u64(o, "c", &v) || json_u64(o, "e", &v));
+    json_object_put(o);
+    /* Between our own processes, where numbers are doubles, they go as texts. */
+    cJSON *m = cJSON_CreateObject();
+    bus_put_u64(m, "a", UINT64_MAX);
+    assert_true(bus_u64(m, "a", &v) && v == UINT64_MAX);
+    assert_false(bus_u64(m, "b", &v));
+    cJSON_Delete(m);
+}
+
+static const char report_text[] =
+    "{\"Mast\":\"host-1\",\"Address\":\"10.1.0.2:9000\",\"Build\":\"g8\",\"Yard\":\"a\","
+    "\"Loaners\":true,"
+    "\"Shift\":1,\"Tally\":18446744073709551615,\"Helm\":41,\"RecallS\":null,\"More\":{},"
+    "\"Pieces\":[{\"Piece\":\"wk-1/3\",\"Try\":18446744073709551614,\"Stage\":\"running\"},"
+    "{\"Piece\":\"wk-2/0\",\"Try\":1,\"Stage\":\"exited\",\"Cause\":\"done\"},"
+    "{\"Piece\":\"wk-3/0\",\"Try\":1,\"Stage\":\"exited\",\"Cause\":\"eaten\"}]}";
+
+static void reports_are_read_to_the_last_bit(void **state)
+{
+    (void)state;
+    struct report r;
+    json_object *o = parse(report_text);
+    assert_true(codec_report_read(o, &r));
+    assert_true(r.tally == UINT64_MAX && r.recall_s < 0 && r.tasks->len == 3);
+    struct report_task *t = &g_array_index(r.tasks, struct report_task, 0);
+    assert_true(t->attempt.v == UINT64_MAX - 1 && t->index == 3 && t->state == TASK_RUNNING);
+    assert_int_equal(g_array_index(r.tasks, struct report_task, 1).cause, CAUSE_DONE);
+    assert_int_equal(g_array_index(r.tasks, struct report_task, 2).cause, CAUSE_UNKNOWN);
+    report_clear(&r);
+    json_object_put(o);
+    const char *bad[] = {"{}", "[]", "{\"Mast\":\"host 1\"}"};
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        o = parse(bad[i]);
+        assert_false(codec_report_read(o, &r));
+        json_object_put(o);
+    }
+}
+
+static void tasks_are_named_job_slash_number(void **state)
+{
+    (void)state;
+    job_id job;
+    uint32_t i;
+    assert_true(task_name_read("wk-000412/3", &job, &i) && i == 3 &&
+                strcmp(job.s, "wk-000412") == 0);
+    const char *bad[] = {"",     "wk-1", "/3", "wk-1/", "wk-1/x", "wk-1/-1", "wk-1/99999999999",
+                         "a b/1"};
+    for (size_t k = 0; k < G_N_ELEMENTS(bad); k++)
+        if (task_name_read(bad[k], &job, &i))
+            fail_msg("taken: %s", bad[k]);
+}
+
+static char *job_text(const char *from, const char *to)
+{
+    const char *text =
+        "{\"Id\":\"wk-1\",\"Lot\":\"l\",\"Crew\":\"c\",\"Form\":\"sweep\",\"Urgency\":\"high\","
+        "\"Pieces\":16,"
+        "\"Vcpus\":8.0,\"Cards\":1.0,\"MemoryGb\":64.0,\"Mould\":\"i\",\"ImageGb\":6.2,\"Builds\":["
+        "\"g8\"],"
+        "\"Yard\":null,\"OneZone\":true,\"Apart\":false,\"Loaners\":true,\"ExpectedS\":240.0,"
+        "\"MarkEveryS\":30.0,\"StowS\":4.0,\"DueS\":900.0}";
+    char **parts = g_strsplit(text, from, 2), *out = g_strjoinv(to, parts);
+    g_strfreev(parts);
+    return out;
+}
+
+static void a_job_is_taken_whole_or_refused(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *from, *to;
+        bool ok;
+    } cases[] = {
+        {"16", "16", true},
+        {"\"Yard\":null,", "", true},
+        {"\"Builds\":[\"g8\"],", "\"New\":1,", true},
+        {"16", "100000", true},
+        {"16", "100001", false},
+        {"16", "0", false},
+        {"16", "1.5", false},
+        {"8.0", "8", true},
+        {"8.0", "-8.0", false},
+        {"8.0", "\"8\"", false},
+        {"wk-1", "job-1", false},
+        {"wk-1", "wk-1/2", false},
+        {"sweep", "swap", false},
+        {"\"OneZone\":true,", "", false},
+        {"\"OneZone\":true", "\"OneZone\":1", false},
+        {"\"DueS\":900.0", "\"DueS\":null", true},
+        {"[\"g8\"]", "[8]", false},
+        {"[\"g8\"]", "\"g8\"", false},
+        {"\"l\"", "\"\"", false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *text = job_text(cases[i].from, cases[i].to);
+        json_object *o = parse(text);
+        struct spec s;
+        if (codec_spec_read(o, &s) != cases[i].ok)
+            fail_msg("%s -> %s", cases[i].from, cases[i].to);
+        if (cases[i].ok) {
+            /* What is kept in the state service reads back the same. */
+            json_object *again = codec_spec_write(&s);
+            struct spec t;
+            assert_true(codec_spec_read(again, &t));
+            assert_true(t.tasks == s.tasks && t.cpus.milli == 8000 && t.due_s == s.due_s);
+            spec_clear(&t);
+            json_object_put(again);
+            spec_clear(&s);
+        }
+        json_object_put(o);
+        g_free(text);
+    }
+}
+
+static void settings_name_the_field_that_is_wrong(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *text, *why;
+    } cases[] = {
+        {"label = ", "line 1"},
+        {"", "label: missing"},
+        {"label = 3", "label: must be a text"},
+        {"label = \"a\"\ndomain = \"z\"\napi_addr = \"here\"", "api_addr: must be an address"},
+        {"label = \"a\"\ndomain = \"z\"\napi_addr = \"10.0.0.1:80800\"",
+         "api_addr: must be an address"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *error = NULL;
+        assert_null(settings_parse(cases[i].text, &error));
+        if (!strstr(error, cases[i].why))
+            fail_msg("'%s' does not say '%s'", error, cases[i].why);
+        g_free(error);
+    }
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(heads_are_read_whole_or_not_at_all),
+        cmocka_unit_test(heads_that_are_no_http_are_refused),
+        cmocka_unit_test(answers_are_read),
+        cmocka_unit_test(chunks_are_put_together),
+        cmocka_unit_test(json_is_read_strictly),
+        cmocka_unit_test(reports_are_read_to_the_last_bit),
+        cmocka_unit_test(tasks_are_named_job_slash_number),
+        cmocka_unit_test(a_job_is_taken_whole_or_refused),
+        cmocka_unit_test(settings_name_the_field_that_is_wrong),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/world.c
+++ b/tests/world.c
@@ -793,6 +793,7 @@
     w->held = g_ptr_array_new();
     w->charters = g_ptr_array_new_with_free_func(g_free);
     w->answers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    w->policy = policy_default();
     w->replier.reply = world_reply;
     for (int i = 0; i < WORLD_WORKERS; i++)
         w->workers[i].tasks = g_array_new(FALSE, TRUE, sizeof(struct wtask));
@@ -824,6 +825,7 @@
     g_hash_table_unref(w->leases);
     g_hash_table_unref(w->answers);
     g_ptr_array_unref(w->charters);
+    policy_free(w->policy);
     loop_free(w->loop);
     g_free(w);
 }
@@ -831,7 +833,7 @@
 void world_start(struct world *w, int node)
 {
     assert_null(w->nodes[node]);
-    w->nodes[node] = node_new(w->loop, &w->nets[node].net, w->settings[node]);
+    w->nodes[node] = node_new(w->loop, &w->nets[node].net, w->settings[node], w->policy);
     node_start(w->nodes[node]);
 }
 
--- a/tests/world.h
+++ b/tests/world.h
@@ -54,6 +54,7 @@
     struct loop *loop;
     struct settings *settings[WORLD_NODES];
     struct wnet nets[WORLD_NODES];
+    struct policy *policy;
     struct node *nodes[WORLD_NODES];
     fate_fn fate;
     bool state_down;
