--- a/src/leader.c
+++ b/src/leader.c
@@ -921,7 +921,9 @@
 static void preempt(struct leader *l, struct ljob *j, struct job *v)
 {
     mono_time now = loop_now(l->loop);
-    if (j->preempted_at.us && time_ms_since(now, j->preempted_at) < PREEMPT_MS)
+    /* Just after a change of epoch much of the room is not known yet. */
+    if ((j->preempted_at.us && time_ms_since(now, j->preempted_at) < PREEMPT_MS) ||
+        time_ms_since(now, l->epoch_at) < (int64_t)(l->settings->report_s * 1250))
         return;
     j->preempted_at = now;
     GHashTable *cleared = g_hash_table_new_full(NULL, NULL, NULL, g_free);
@@ -1323,7 +1325,7 @@
  * usual. */
 static bool service_rate(struct leader *l, struct room *usual, double *rate)
 {
-    int64_t n = 0, slots[RATE_SLOTS] = {0}, sum = 0, most = 0;
+    int64_t n = 0, slots[RATE_SLOTS] = {0}, sum = 0, most = 0, seen = 2;
     struct room total = {0};
     wall_time now = loop_wall(l->loop);
     GHashTableIter it;
@@ -1337,6 +1339,7 @@
             room_add(&total, j->room);
         n += v->tasks;
         int64_t slot = (now.ms - v->submitted.ms) / RATE_SLOT_MS;
+        seen = MAX(seen, MIN(slot + 1, RATE_SLOTS));
         if (slot >= 0 && slot < RATE_SLOTS)
             slots[slot] += v->tasks;
     }
@@ -1347,10 +1350,23 @@
     if (n)
         *usual =
             (struct room){{total.cpus.milli / n}, {total.gpus.milli / n}, {total.memory.milli / n}};
-    *rate = (double)(sum - most) * 1000 / ((RATE_SLOTS - 1) * RATE_SLOT_MS);
+    *rate = (double)(sum - most) * 1000 / (double)((seen - 1) * RATE_SLOT_MS);
     return n > 0;
 }
 
+/* How many more tasks of services a zone's ordinary machines could hold. */
+static int64_t service_room(struct leader *l, struct room usual, const char *yard)
+{
+    int64_t n = 0;
+    GHashTableIter it;
+    struct lhost *h;
+    g_hash_table_iter_init(&it, l->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+        if (!h->loaners && host_takes(l, h) && strcmp(h->yard, yard) == 0)
+            n += room_times(room_left(h->total, h->pinned), usual);
+    return n;
+}
+
 /* Room for the services that come next, in every zone, on ordinary machines. Until then it is not
  * idle: arrays use it and are preempted. */
 static void want_for_services(struct leader *l, GArray *rooms, GArray *orders)
@@ -1365,18 +1381,20 @@
     guint zones = l->settings->zones->len;
     int64_t each = (int64_t)round(rate * slowest_boot(l) *
                                   policy_number(l->policy, POLICY_SERVICE_SPARE, in) / zones);
+    int64_t unmet = 0;
     for (guint i = 0; i < zones; i++) {
         const char *yard = l->settings->zones->pdata[i];
-        int64_t have = 0;
-        GHashTableIter it;
-        struct lhost *h;
-        g_hash_table_iter_init(&it, l->hosts);
-        while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
-            if (!h->loaners && host_takes(l, h) && strcmp(h->yard, yard) == 0)
-                have += room_times(room_left(h->total, h->pinned), usual);
-        l->service_lack[i] = each - have;
-        if (have < each)
-            want(l, rooms, orders, &any, usual, each - have, yard, false);
+        l->service_lack[i] = each - service_room(l, usual, yard);
+        if (l->service_lack[i] > 0)
+            unmet += want(l, rooms, orders, &any, usual, l->service_lack[i], yard, false);
+    }
+    /* A zone that has no more machines to give is helped by room in another, where replicas that
+     * are free to go are moved to. */
+    for (guint i = 0; i < zones && unmet > 0; i++) {
+        l->service_lack[i] += unmet;
+        if (l->service_lack[i] > 0 && l->service_lack[i] <= unmet)
+            want(l, rooms, orders, &any, usual, l->service_lack[i], l->settings->zones->pdata[i],
+                 false);
     }
 }
 
@@ -1470,7 +1488,9 @@
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
         if (!h->told)
             continue;
-        if (h->flags & HOST_LOST)
+        /* Spot machines that fall silent are mostly gone, and a return proves it at once. Others
+         * are mostly only cut off: their tasks go on, until the lease is the proof. */
+        if ((h->flags & HOST_LOST) && (h->loaners || (h->flags & HOST_LAPSED)))
             fleet_return(l->fleet, h->id, "lost");
         else if (h->sick)
             fleet_return(l->fleet, h->id, "sick");
@@ -1487,7 +1507,7 @@
         bool up = h && h->told && (h->flags & HOST_KNOWN);
         if (m->stage == RENTAL_FAILED)
             fleet_return(l->fleet, m->id, "failed");
-        else if (!up && age > boot * 3 + 10000 &&
+        else if (!up && !view_host(l->view, m->id.s) && age > boot * 3 + 10000 &&
                  time_ms_since(now, l->epoch_at) > (int64_t)(l->settings->report_s * 3000))
             fleet_return(l->fleet, m->id, "never up");
     }
--- a/src/part.c
+++ b/src/part.c
@@ -19,6 +19,7 @@
     DIGEST_MS = 1000,
     RESEND_MS = 1500,
     GIVE_BACK_MS = 3000,
+    LAPSED_MS = 20000,
     IMAGES_KEPT = 12,
 };
 
@@ -1394,6 +1395,8 @@
         f |= HOST_QUIET;
     if (h->probe_fails >= 2 && age > (int64_t)(p->settings->report_s * 2500))
         f |= HOST_LOST;
+    if ((f & HOST_LOST) && age > (int64_t)(p->settings->lease_s * 1000) + LAPSED_MS)
+        f |= HOST_LAPSED;
     return f;
 }
 
--- a/src/store.c
+++ b/src/store.c
@@ -4,7 +4,14 @@
 
 #include <stdlib.h>
 
-enum { BARRIER_GAP_MS = 40, RETRY_429_MS = 120, TXN_TIMEOUT_MS = 2500, TXN_WAIT_MS = 2500 };
+enum {
+    BARRIER_GAP_MS = 40,
+    RETRY_429_MS = 120,
+    TXN_TIMEOUT_MS = 2500,
+    TXN_WAIT_MS = 2500,
+    SILENT_MS = 1800,
+    REFUSED_MS = 150
+};
 
 /* A budget that fills with time. */
 struct bucket {
@@ -36,7 +43,9 @@
     GQueue lanes[LANES];
     struct timer pump_timer;
     mono_time not_before; /* after a 429 */
-    GArray *waiting;      /* struct waiter: for the next barrier */
+    mono_time last_ok;
+    bool refused;    /* the last answer was a 503 */
+    GArray *waiting; /* struct waiter: for the next barrier */
     bool barrier_out;
     struct timer barrier_timer;
     mono_time last_barrier;
@@ -60,6 +69,7 @@
     s->net = net;
     s->addr = g_strdup(addr);
     s->limits = limits;
+    s->last_ok = loop_now(loop);
     /* The budgets are shared by all nodes. One node may need more than its share for a while, so
      * each may use over half; 429 tells when that was too much. */
     double part = limits.nodes > 1 ? 0.6 : 0.95;
@@ -124,9 +134,20 @@
         LOG_DEBUG("state_429", "path=%s", c->path);
         return;
     }
+    if (a->status > 0) {
+        s->refused = a->status == 503;
+        if (!s->refused)
+            s->last_ok = loop_now(s->loop);
+    }
     call_end(c, a);
 }
 
+bool store_troubled(const struct store *s)
+{
+    int64_t since = time_ms_since(loop_now(s->loop), s->last_ok);
+    return since > (s->refused ? REFUSED_MS : SILENT_MS);
+}
+
 static void call_send(struct store *s, struct call *c)
 {
     s->requests.level -= 1;
--- a/src/store.h
+++ b/src/store.h
@@ -19,6 +19,9 @@
 void store_free(struct store *s);
 const struct store_limits *store_limits(const struct store *s);
 
+/* Whether the state service has not answered this node for a moment, or refuses it. */
+bool store_troubled(const struct store *s);
+
 /* ---- plain requests ---- */
 
 enum store_lane { LANE_LEASE, LANE_URGENT, LANE_WATCH, LANE_NORMAL, LANES };
