--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -223,6 +223,27 @@
     world_free(w);
 }
 
+/* An ordinary machine that falls silent is mostly only cut off, and what runs on it goes on. */
+static void a_silent_ordinary_machine_is_left_to_its_lease(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    struct worker *k = world_worker(w, 7, "a", false);
+    w->capacity = 0;
+    world_run(w, 3000);
+    world_submit(w, 0, "wk-1", "daemon", 1);
+    world_run(w, 3000);
+    assert_non_null(worker_task(k, "wk-1", 0));
+    k->silent = true;
+    world_run(w, 8500); /* the lease is 10 s */
+    k->silent = false;
+    world_run(w, 5000);
+    assert_int_equal(w->returned, 0);
+    assert_int_equal(k->starts, 1);
+    assert_int_equal(world_on_machines(w, "wk-1"), 1);
+    world_free(w);
+}
+
 /* With the cloud away there is no return; then the lease must surely have run out. */
 static void without_the_cloud_the_lease_is_the_proof(void **state)
 {
@@ -458,6 +479,7 @@
         cmocka_unit_test(a_cancel_in_a_cut_ends_late_starts),
         cmocka_unit_test(a_crash_between_record_and_command_loses_nothing),
         cmocka_unit_test(a_silent_machine_is_replaced_after_proof),
+        cmocka_unit_test(a_silent_ordinary_machine_is_left_to_its_lease),
         cmocka_unit_test(without_the_cloud_the_lease_is_the_proof),
         cmocka_unit_test(a_lost_answer_to_a_transaction_accepts_once),
         cmocka_unit_test(a_node_cut_from_the_state_service_harms_nobody),
