--- a/src/frontend.c
+++ b/src/frontend.c
@@ -258,14 +258,15 @@
         view_barrier(f->view, ask_step, a);
 }
 
-/* Ready as long as requests can be answered. A short outage of the state service hits all nodes
- * alike, and taking them all out would only add to it. */
+/* Ready as long as requests can be answered, by a peer if need be. An outage of the state service
+ * that hits all nodes alike is no reason to take them all out, which would only prolong it. */
 static bool is_ready(struct frontend *f)
 {
     if (!f->view->ready || !f->view->types)
         return false;
-    return peers_served(f->peers) ||
-           time_ms_since(loop_now(f->loop), f->view->fresh) < STALE_READY_MS;
+    mono_time now = loop_now(f->loop), quiet = peers_quiet_until(f->peers);
+    return peers_served(f->peers) || (quiet.us && time_ms_since(now, quiet) < STALE_READY_MS / 2) ||
+           time_ms_since(now, f->view->fresh) < STALE_READY_MS;
 }
 
 static void route_work(struct frontend *f, struct http_replier *r, conn_ref from,
--- a/src/part.c
+++ b/src/part.c
@@ -1158,7 +1158,7 @@
 
 /* The best of the machines that suit, in the pools from low to high. */
 static struct host *choose(struct part *p, const struct dealt *d, const struct spec *s, int low,
-                           int high)
+                           int high, bool image)
 {
     struct host *best = NULL, *h;
     double best_score = 0;
@@ -1169,7 +1169,7 @@
             continue;
         double booked = host_booked(h);
         int pool = arq_pool(booked);
-        if (pool < low || pool > high)
+        if (pool < low || pool > high || (image && !host_has_image(h, s->image)))
             continue;
         struct score_facts facts = {host_has_image(h, s->image), h->loaners, booked,
                                     room_share(h->pinned, h->total), 1};
@@ -1232,18 +1232,29 @@
 
 /* The order that docs/design.md gives: the own pool; one class up while nobody waits there; then
  * the busiest machine that fits, at once unless it belongs to an emptier pool. */
-static struct host *place(struct part *p, const struct dealt *d, const struct spec *s,
-                          enum arq_move move)
+static struct host *place_among(struct part *p, const struct dealt *d, const struct spec *s,
+                                bool at_once, bool image)
 {
-    bool at_once = s->form == FORM_SERVICE || d->at[0] || move == ARQ_TAKE;
     if (!at_once) {
-        struct host *h = choose(p, d, s, d->queue, d->queue);
+        struct host *h = choose(p, d, s, d->queue, d->queue, image);
         if (!h && d->queue < ARQ_CLASSES && g_queue_is_empty(&p->queues[d->queue + 1]))
-            h = choose(p, d, s, d->queue + 1, d->queue + 1);
+            h = choose(p, d, s, d->queue + 1, d->queue + 1, image);
         if (h)
             return h;
     }
-    return choose(p, d, s, 1, at_once ? ARQ_CLASSES : d->queue);
+    return choose(p, d, s, 1, at_once ? ARQ_CLASSES : d->queue, image);
+}
+
+static struct host *place(struct part *p, const struct dealt *d, const struct spec *s,
+                          enum arq_move move)
+{
+    bool at_once = s->form == FORM_SERVICE || d->at[0] || move == ARQ_TAKE;
+    /* Who is in a hurry goes where the image is, whatever the pool: a fetch takes longer than most
+     * waits that the switch rule weighs. */
+    struct host *h = NULL;
+    if (s->urgency <= URGENCY_HIGH && !d->at[0])
+        h = place_among(p, d, s, true, true);
+    return h ? h : place_among(p, d, s, at_once, false);
 }
 
 static void take_host(struct part *p, struct dealt *d, struct host *h, const struct spec *s)
@@ -1299,7 +1310,7 @@
         g_queue_push_tail(&p->queues[d->queue], g_memdup2(d, sizeof *d));
         return true;
     }
-    bool hopeless = !choose(p, d, s, 1, ARQ_CLASSES);
+    bool hopeless = !choose(p, d, s, 1, ARQ_CLASSES, false);
     if (hopeless && (time_ms_since(now, d->since) > GIVE_BACK_MS || d->at[0])) {
         give_back(p, d);
         return true;
