--- a/src/leader.c
+++ b/src/leader.c
@@ -760,6 +760,15 @@
     return within(t->used, j->room, t->team->cpus_max, t->team->gpus_max);
 }
 
+/* Whether what the job's class is expected to do can still be done. One that has waited for very
+ * long has its place back, so that none waits for ever. */
+static bool still_in_time(struct leader *l, const struct job *v)
+{
+    double waited = (double)(loop_wall(l->loop).ms - v->submitted.ms) / 1000;
+    double patience = patience_s(l, v->spec);
+    return waited < patience || waited > patience * VERY_LATE;
+}
+
 /* Classes of precedence: services first, as people wait on them; then what a team was promised;
  * then what it borrows. */
 static int rank_of(struct leader *l, struct ljob *j, const struct spec *s)
@@ -770,6 +779,9 @@
     return (within(t->used, j->room, t->team->cpus, t->team->gpus) ? 0 : 4) + s->urgency;
 }
 
+/* Times its patience, when a late job has its place in the queue again. */
+static const double VERY_LATE = 10;
+
 enum { RANKS = 8 };
 
 /* Tasks that wait and that the team's limit leaves room for. */
@@ -1041,10 +1053,23 @@
     return whole;
 }
 
-static gint by_arrival(gconstpointer a, gconstpointer b, gpointer view)
+/* Whether what the job's class is expected to do can still be done. */
+static bool still_in_time(struct leader *l, const struct job *v)
+{
+    return (double)(loop_wall(l->loop).ms - v->submitted.ms) / 1000 <
+           patience_s(l, v->spec) * LATE_AFTER;
+}
+
+/* By arrival; but jobs that are late whatever is done now stand behind those that may still be in
+ * time. */
+static gint by_arrival(gconstpointer a, gconstpointer b, gpointer leader)
 {
+    struct leader *l = leader;
     const struct ljob *x = *(struct ljob *const *)a, *y = *(struct ljob *const *)b;
-    const struct job *vx = view_job(view, x->id.s), *vy = view_job(view, y->id.s);
+    const struct job *vx = view_job(l->view, x->id.s), *vy = view_job(l->view, y->id.s);
+    bool tx = still_in_time(l, vx), ty = still_in_time(l, vy);
+    if (tx != ty)
+        return tx ? -1 : 1;
     if (vx->submitted.ms != vy->submitted.ms)
         return vx->submitted.ms < vy->submitted.ms ? -1 : 1;
     return strcmp(x->id.s, y->id.s);
@@ -1109,7 +1134,7 @@
         any = true;
     }
     for (int i = 0; i < l->n_teams; i++)
-        g_ptr_array_sort_with_data(l->teams[i].ready, by_arrival, l->view);
+        g_ptr_array_sort_with_data(l->teams[i].ready, by_arrival, l);
     return any;
 }
 
