--- a/src/leader.c
+++ b/src/leader.c
@@ -27,6 +27,9 @@
     MOST_DEFICIT = 10000000,
 };
 
+/* Times its patience, when a late job has its place in the queue again. */
+static const double VERY_LATE = 10;
+
 /* A task that is on record, as the ledger counts it. */
 struct entry {
     attempt_no attempt;
@@ -776,13 +779,13 @@
     struct lteam *t = &l->teams[j->team];
     if (s->urgency == URGENCY_PROD)
         return 0;
-    return (within(t->used, j->room, t->team->cpus, t->team->gpus) ? 0 : 4) + s->urgency;
+    if (within(t->used, j->room, t->team->cpus, t->team->gpus))
+        return s->urgency;
+    struct job *v = view_job(l->view, j->id.s);
+    return (still_in_time(l, v) ? 4 : 8) + s->urgency;
 }
 
-/* Times its patience, when a late job has its place in the queue again. */
-static const double VERY_LATE = 10;
-
-enum { RANKS = 8 };
+enum { RANKS = 12 };
 
 /* Tasks that wait and that the team's limit leaves room for. */
 static int64_t count_allowed(struct leader *l, struct ljob *j, struct job *v)
@@ -1053,13 +1056,6 @@
     return whole;
 }
 
-/* Whether what the job's class is expected to do can still be done. */
-static bool still_in_time(struct leader *l, const struct job *v)
-{
-    return (double)(loop_wall(l->loop).ms - v->submitted.ms) / 1000 <
-           patience_s(l, v->spec) * LATE_AFTER;
-}
-
 /* By arrival; but jobs that are late whatever is done now stand behind those that may still be in
  * time. */
 static gint by_arrival(gconstpointer a, gconstpointer b, gpointer leader)
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -518,6 +518,126 @@
     world_free(w);
 }
 
+/* Under shortage, a job that is late whatever is done does not make the next one late too; and once
+ * there is room it runs. */
+static void late_jobs_stand_behind_those_in_time(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    w->capacity = 0;
+    world_worker(w, 7, "a", true);
+    world_run(w, 3000);
+    world_submit(w, 0, "wk-1", "sweep", 4);
+    world_run(w, 2000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 4);
+    world_submit(w, 0, "wk-2", "sweep", 4);
+    world_run(w, 70000);
+    world_submit(w, 0, "wk-3", "sweep", 4);
+    world_run(w, 1000);
+    worker_exit_all(w, "wk-1", "done");
+    world_run(w, 4000);
+    assert_int_equal(world_on_machines(w, "wk-2"), 0);
+    assert_int_equal(world_on_machines(w, "wk-3"), 4);
+    worker_exit_all(w, "wk-3", "done");
+    world_run(w, 4000);
+    assert_int_equal(world_on_machines(w, "wk-2"), 4);
+    world_free(w);
+}
+
+/* Urgent work takes the place of less urgent work, of which the youngest goes first. */
+static void urgent_work_preempts(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    w->capacity = 0;
+    world_worker(w, 7, "a", true);
+    world_run(w, 3000);
+    char *low = world_job("wk-1", "sweep", 4, "blue", 2.0, "");
+    char **parts = g_strsplit(low, "\"high\"", 2), *normal = g_strjoinv("\"normal\"", parts);
+    assert_int_equal(world_ask(w, 0, "POST", "/work", normal).status, 201);
+    world_run(w, 5000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 4);
+    world_submit(w, 0, "wk-2", "sweep", 2);
+    world_run(w, 4000);
+    assert_int_equal(world_on_machines(w, "wk-2"), 2);
+    assert_int_equal(world_on_machines(w, "wk-1"), 2);
+    g_strfreev(parts);
+    g_free(low);
+    g_free(normal);
+    world_free(w);
+}
+
+/* A job that fails wherever it runs is the user's mistake: it is tried again, ever more seldom, and
+ * its machines are not blamed. */
+static void a_job_that_fails_everywhere_backs_off(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    w->capacity = 0;
+    for (int i = 4; i < 8; i++)
+        world_worker(w, i, i % 2 ? "a" : "b", true);
+    world_run(w, 3000);
+    world_submit(w, 0, "wk-1", "sweep", 1);
+    int starts = 0;
+    for (int i = 0; i < 350; i++) {
+        world_run(w, 100);
+        worker_exit_all(w, "wk-1", "error");
+    }
+    for (int i = 4; i < 8; i++)
+        starts += w->workers[i].starts;
+    assert_in_range(starts, 4, 8);
+    assert_int_equal(w->returned, 0);
+    w->capacity = 2; /* those with nothing to do go back meanwhile */
+    world_run(w, 130000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 1); /* never given up */
+    world_free(w);
+}
+
+/* A machine on which the tasks of several jobs fail is no good. */
+static void a_sick_machine_is_given_back(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    w->capacity = 0;
+    struct worker *sick = world_worker(w, 7, "a", true);
+    world_run(w, 3000);
+    for (int round = 0; round < 80 && sick->up; round++) {
+        char id[16];
+        g_snprintf(id, sizeof id, "wk-%d", round % 3);
+        world_submit(w, 0, id, "sweep", 1);
+        world_run(w, 500);
+        worker_exit_all(w, id, "error");
+    }
+    assert_false(sick->up);
+    world_free(w);
+}
+
+/* The marks of a large job are in chunks; all of them make it done. */
+static void a_large_job_is_done_by_all_its_chunks(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    w->capacity = 0;
+    assert_int_equal(world_submit(w, 0, "wk-1", "sweep", 20000).status, 201);
+    world_run(w, 1000);
+    GString *bits = g_string_new(NULL);
+    for (int i = 0; i < 2048; i++)
+        g_string_append(bits, "ff");
+    char *chunk = g_strdup_printf("{\"d\":\"%s\"}", bits->str);
+    g_string_truncate(bits, 2 * (20000 - 16384) / 8);
+    char *last = g_strdup_printf("{\"d\":\"%s\"}", bits->str);
+    world_put(w, "ll/d/wk-1/1/mast-7", last);
+    world_run(w, 2000);
+    expect_stage(w, 1, "wk-1", "queued");
+    world_put(w, "ll/d/wk-1/0/mast-7", chunk);
+    world_run(w, 2000);
+    expect_stage(w, 1, "wk-1", "done");
+    g_string_free(bits, TRUE);
+    g_free(chunk);
+    g_free(last);
+    world_free(w);
+}
+
 static void idle_machines_are_returned(void **state)
 {
     (void)state;
@@ -557,6 +677,11 @@
         cmocka_unit_test(apart_is_kept_on_records),
         cmocka_unit_test(a_gang_starts_whole_or_not_at_all),
         cmocka_unit_test(a_lost_answer_of_the_cloud_rents_nothing_twice),
+        cmocka_unit_test(late_jobs_stand_behind_those_in_time),
+        cmocka_unit_test(urgent_work_preempts),
+        cmocka_unit_test(a_job_that_fails_everywhere_backs_off),
+        cmocka_unit_test(a_sick_machine_is_given_back),
+        cmocka_unit_test(a_large_job_is_done_by_all_its_chunks),
         cmocka_unit_test(idle_machines_are_returned),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world.c
+++ b/tests/world.c
@@ -258,6 +258,16 @@
     serve_watches(w);
 }
 
+void world_put(struct world *w, const char *key, const char *text)
+{
+    struct wkey *k = g_new0(struct wkey, 1);
+    k->text = g_strdup(text);
+    k->stamp = ++w->ledger;
+    g_tree_replace(w->keys, g_strdup(key), k);
+    event(w, key, text);
+    serve_watches(w);
+}
+
 struct listing {
     struct world *world;
     json_object *items;
--- a/tests/world.h
+++ b/tests/world.h
@@ -86,6 +86,8 @@
 void world_run(struct world *w, int64_t ms);
 /* A machine that nobody rented: it is just there. */
 struct worker *world_worker(struct world *w, int i, const char *yard, bool loaners);
+/* Writes a key of the state service by hand. */
+void world_put(struct world *w, const char *key, const char *text);
 /* Carries out what was held back, late. */
 void world_deliver_held(struct world *w);
 
