A guarantee is taken from what other teams run above theirs

The protocol allows it; until now a team within its guarantee waited for what others had borrowed. Also: the program's exit frees what it holds, so that sanitized builds return the right codes.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -69,37 +69,65 @@
     return 0;
 }
 
+static int check_policy(const char *path)
+{
+    char *error = NULL;
+    struct policy *p = policy_load(path, &error);
+    if (!p) {
+        int rc = usage_error(error);
+        g_free(error);
+        return rc;
+    }
+    policy_free(p);
+    printf("%s: fine\n", path);
+    return 0;
+}
+
+/* Reads all that a node needs, and runs it unless it was only to be checked. */
+static int start(const struct options *o)
+{
+    char *error = NULL;
+    struct settings *s = settings_load(o->config, &error);
+    struct policy *p = NULL;
+    int rc = EXIT_USAGE;
+    if (s)
+        p = o->policy ? policy_load(o->policy, &error) : policy_default();
+    const char *level = g_getenv("LOG_LEVEL");
+    if (!p)
+        rc = usage_error(error);
+    else if (!log_setup(level && *level ? level : "info", s->label))
+        rc = usage_error("LOG_LEVEL: must be error, info or debug");
+    else if (o->check)
+        rc = printf("%s: fine\n", o->config) < 0;
+    else
+        rc = run(s, p);
+    g_free(error);
+    if (p)
+        policy_free(p);
+    if (s)
+        settings_free(s);
+    return rc;
+}
+
 int main(int argc, char **argv)
 {
     struct options o = {0};
     GError *problem = NULL;
-    if (!parse(argc, argv, &o, &problem))
-        return usage_error(problem->message);
-    if (o.version) {
+    int rc = 0;
+    if (!parse(argc, argv, &o, &problem)) {
+        rc = usage_error(problem->message);
+        g_error_free(problem);
+    } else if (o.version) {
         puts("linenlandingd " LL_VERSION);
-        return 0;
-    }
-    char *error = NULL;
-    if (o.check_policy) {
-        if (!policy_load(o.check_policy, &error))
-            return usage_error(error);
-        printf("%s: fine\n", o.check_policy);
-        return 0;
-    }
-    if (!o.config)
-        return usage_error("--config FILE is missing");
-    struct policy *policy = o.policy ? policy_load(o.policy, &error) : policy_default();
-    if (!policy)
-        return usage_error(error);
-    struct settings *s = settings_load(o.config, &error);
-    if (!s)
-        return usage_error(error);
-    const char *level = g_getenv("LOG_LEVEL");
-    if (!log_setup(level && *level ? level : "info", s->label))
-        return usage_error("LOG_LEVEL: must be error, info or debug");
-    if (o.check) {
-        printf("%s: fine\n", o.config);
-        return 0;
+    } else if (o.check_policy) {
+        rc = check_policy(o.check_policy);
+    } else if (!o.config) {
+        rc = usage_error("--config FILE is missing");
+    } else {
+        rc = start(&o);
     }
-    return run(s, policy);
+    g_free(o.config);
+    g_free(o.policy);
+    g_free(o.check_policy);
+    return rc;
 }
--- a/src/leader.c
+++ b/src/leader.c
@@ -76,7 +76,8 @@
 
 struct lteam {
     const struct team *team;
-    struct room used; /* on record or dealt */
+    struct room used;    /* on record or dealt */
+    struct room halting; /* of that, told to stop */
     double deficit;
     GPtrArray *ready; /* struct ljob, in this pass */
 };
@@ -329,6 +330,8 @@
         h->idle_since = loop_now(l->loop);
     }
     room_sub(&l->teams[j->team].used, j->room);
+    if (e->halted)
+        room_sub(&l->teams[j->team].halting, j->room);
     g_hash_table_remove(j->entries, key_of(index));
     j->cursor = MIN(j->cursor, index);
 }
@@ -357,7 +360,7 @@
     l->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ljob_free);
     g_hash_table_remove_all(l->parts);
     for (int i = 0; i < l->n_teams; i++)
-        l->teams[i].used = (struct room){0};
+        l->teams[i].used = l->teams[i].halting = (struct room){0};
     GHashTableIter it;
     struct lhost *h;
     g_hash_table_iter_init(&it, l->hosts);
@@ -802,6 +805,8 @@
     struct lhost *h = lhost_get(l, e->host.s);
     if (!h || !h->owner)
         return;
+    if (!e->halted)
+        room_add(&l->teams[j->team].halting, j->room);
     e->halted = true;
     struct lpart *p = lpart_make(l, h->owner);
     cJSON *x = cJSON_CreateObject();
@@ -828,9 +833,33 @@
     return x->entry->since.us > y->entry->since.us ? -1 : x->entry->since.us < y->entry->since.us;
 }
 
-/* Tasks of lower priority on a machine, youngest first. Gangs are let be: one task stopped stops
- * them all. */
-static GArray *victims_on(struct leader *l, struct lhost *h, enum urgency than)
+/* Whether all that waits of a job lies within its team's guarantee. */
+static bool guaranteed(struct leader *l, struct ljob *j, struct job *v)
+{
+    struct lteam *t = &l->teams[j->team];
+    int64_t n = count_waiting(j, v);
+    struct room all = {{j->room.cpus.milli * n}, {j->room.gpus.milli * n}, {0}};
+    return within(t->used, all, t->team->cpus, t->team->gpus);
+}
+
+/* Whether a task may be stopped for the job: it has a lower priority, or its team runs it above its
+ * guarantee while the job's team lacks its own. Services are not stopped for a guarantee. */
+static bool may_stop(struct leader *l, struct ljob *victim, struct ljob *j, struct job *v)
+{
+    if (victim->urgency > j->urgency)
+        return may_preempt(l, v->spec);
+    const struct lteam *t = &l->teams[victim->team];
+    return victim->team != j->team && !victim->service && guaranteed(l, j, v) &&
+           (t->used.cpus.milli - t->halting.cpus.milli - victim->room.cpus.milli >=
+                t->team->cpus.milli &&
+            t->used.gpus.milli - t->halting.gpus.milli - victim->room.gpus.milli >=
+                t->team->gpus.milli);
+}
+
+/* Tasks on a machine that may be stopped for a job, youngest first. Gangs are let be: one task
+ * stopped stops them all. */
+static GArray *victims_on(struct leader *l, struct lhost *h, struct ljob *for_job,
+                          struct job *v_for)
 {
     GArray *out = g_array_new(FALSE, FALSE, sizeof(struct victim));
     struct host_record *rec = view_host(l->view, h->id.s);
@@ -839,7 +868,7 @@
         struct ljob *j = ljob_get(l, t->job->id.s);
         struct entry *e = j ? g_hash_table_lookup(j->entries, key_of(t->index)) : NULL;
         if (!e || e->attempt.v != t->attempt.v || !host_eq(e->host, h->id) || e->halted ||
-            j->urgency <= than || !t->job->spec || t->job->spec->form == FORM_GANG)
+            !t->job->spec || t->job->spec->form == FORM_GANG || !may_stop(l, j, for_job, v_for))
             continue;
         struct victim v = {j, t->index, e};
         g_array_append_val(out, v);
@@ -908,7 +937,7 @@
         if (!spec_allows(s, h->build, h->yard, h->loaners) || !host_takes(l, h) ||
             ((s->one_zone || s->apart) && !zone_allowed(l, j, s, h->yard)))
             continue;
-        GArray *victims = victims_on(l, h, s->urgency);
+        GArray *victims = victims_on(l, h, j, v);
         struct room free = host_free_room(h), *more = g_hash_table_lookup(cleared, h);
         double loss = 0;
         if (more)
@@ -955,7 +984,7 @@
             more = g_new0(struct room, 1);
             g_hash_table_insert(cleared, best, more);
         }
-        GArray *victims = victims_on(l, best, v->spec->urgency);
+        GArray *victims = victims_on(l, best, j, v);
         struct room free = host_free_room(best);
         room_add(&free, *more);
         for (guint i = 0; i < victims->len && !room_holds(free, j->room); i++) {
@@ -983,7 +1012,7 @@
     struct lhost *h = choose_host(l, j, v->spec);
     if (!h) {
         j->blocked = true;
-        if (may_preempt(l, v->spec))
+        if (may_preempt(l, v->spec) || guaranteed(l, j, v))
             preempt(l, j, v);
         return false;
     }
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -567,6 +567,36 @@
     world_free(w);
 }
 
+/* A team gets its guarantee from what another runs above its own, whatever the priorities. */
+static void a_guarantee_is_taken_from_what_is_borrowed(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    w->capacity = 0;
+    world_worker(w, 6, "b", true);
+    world_worker(w, 7, "a", true);
+    world_run(w, 3000);
+    world_submit(w, 0, "wk-1", "sweep", 8); /* blue: all 16 processors, all guaranteed */
+    world_run(w, 5000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 8);
+    char *job = world_job("wk-2", "sweep", 2, "red", 2.0, "");
+    assert_int_equal(world_ask(w, 0, "POST", "/work", job).status, 201);
+    g_free(job);
+    world_run(w, 5000);
+    assert_int_equal(world_on_machines(w, "wk-2"), 0); /* blue has only what it is promised */
+    world_worker(w, 5, "a", true);
+    world_submit(w, 0, "wk-3", "sweep", 2); /* blue borrows */
+    world_run(w, 4000);
+    assert_int_equal(world_on_machines(w, "wk-2"), 2);
+    job = world_job("wk-4", "sweep", 2, "red", 2.0, "");
+    assert_int_equal(world_ask(w, 0, "POST", "/work", job).status, 201);
+    g_free(job);
+    world_run(w, 5000);
+    assert_int_equal(world_on_machines(w, "wk-4"), 2); /* red is within its 8 */
+    assert_true(world_on_machines(w, "wk-1") + world_on_machines(w, "wk-3") >= 8);
+    world_free(w);
+}
+
 /* A job that fails wherever it runs is the user's mistake: it is tried again, ever more seldom, and
  * its machines are not blamed. */
 static void a_job_that_fails_everywhere_backs_off(void **state)
@@ -679,6 +709,7 @@
         cmocka_unit_test(a_lost_answer_of_the_cloud_rents_nothing_twice),
         cmocka_unit_test(late_jobs_stand_behind_those_in_time),
         cmocka_unit_test(urgent_work_preempts),
+        cmocka_unit_test(a_guarantee_is_taken_from_what_is_borrowed),
         cmocka_unit_test(a_job_that_fails_everywhere_backs_off),
         cmocka_unit_test(a_sick_machine_is_given_back),
         cmocka_unit_test(a_large_job_is_done_by_all_its_chunks),
