--- a/src/fleet.c
+++ b/src/fleet.c
@@ -248,6 +248,12 @@
     tell(f);
 }
 
+static void types_go(struct fleet *f)
+{
+    f->types_out = true;
+    call(f, "GET", "/machine_types", NULL, types_answered, call_new(f));
+}
+
 /* ---- the list ---- */
 
 static struct fleet_machine *machine_make(struct fleet *f, host_id id, const char *build,
@@ -486,11 +492,9 @@
     if (f->to_return->len && !f->return_out && !time_before(now, f->return_not_before) &&
         may_call(f))
         return_go(f);
-    if (!f->types && !f->types_out && may_call(f) &&
-        (!f->types_at.us || time_ms_since(now, f->types_at) > TYPES_MS)) {
-        f->types_out = true;
-        call(f, "GET", "/machine_types", NULL, types_answered, call_new(f));
-    }
+    bool types_due = !f->types_at.us || time_ms_since(now, f->types_at) > TYPES_MS;
+    if (!f->types && types_due && !f->types_out && may_call(f))
+        types_go(f);
     if (!f->listed && !f->list_out && may_call(f))
         list_go(f);
     while ((c = charter_due(f)) && may_call(f))
@@ -498,10 +502,8 @@
     int64_t every = (int64_t)(MAX(f->settings->cloud_list_lag_s, 4) * 1000);
     if (!f->list_out && (f->list_seen || time_ms_since(now, f->list_at) > every) && may_call(f))
         list_go(f);
-    if (!f->types_out && time_ms_since(now, f->types_at) > TYPES_MS && may_call(f)) {
-        f->types_out = true;
-        call(f, "GET", "/machine_types", NULL, types_answered, call_new(f));
-    }
+    if (types_due && !f->types_out && may_call(f))
+        types_go(f);
     if (f->types)
         store_types(f);
 }
--- a/src/http.h
+++ b/src/http.h
@@ -60,8 +60,6 @@
 struct http_server *http_server_new(struct loop *loop, const char *addr, struct http_limits limits,
                                     http_handler handler, void *ctx, char **error);
 void http_server_free(struct http_server *s);
-/* Closes the listening socket, so that connections are refused until it is opened again. */
-int http_server_connections(const struct http_server *s);
 
 /* ---- client ---- */
 
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -326,8 +326,3 @@
     g_hash_table_unref(s->conns);
     g_free(s);
 }
-
-int http_server_connections(const struct http_server *s)
-{
-    return (int)g_hash_table_size(s->conns);
-}
--- /dev/null
+++ b/src/leader_deal.c
@@ -0,0 +1,600 @@
+#include "leader_state.h"
+
+#include "log.h"
+#include "part.h"
+#include "score.h"
+
+enum {
+    SETTLE_MS = 1500,      /* after a new epoch: for the digests to come in */
+    MOVE_AFTER_MS = 35000, /* a start counts once it has run for a while */
+    PREEMPT_TASKS = 32,
+    PREEMPT_MS = 1000, /* for what was stopped to be off the record */
+    ATTEMPT_BITS = 20,
+    MOST_DEFICIT = 10000000,
+};
+
+/* Times its patience, when a late job has its place in the queue again. */
+static const double VERY_LATE = 10;
+
+bool leader_host_takes(struct leader *l, struct lhost *h)
+{
+    mono_time now = loop_now(l->loop);
+    struct fleet_machine *m = g_hash_table_lookup(fleet_machines(l->fleet), h->id.s);
+    return h->told && !h->sick && (h->flags & HOST_KNOWN) &&
+           !(h->flags & (HOST_LOST | HOST_RECALLED | HOST_QUIET)) &&
+           !fleet_gone(l->fleet, h->id.s) && !(m && m->returning) &&
+           !time_before(now, h->avoid_until);
+}
+
+struct room leader_host_free_room(const struct lhost *h)
+{
+    return room_left(room_left(h->total, h->booked), h->dealt);
+}
+
+static bool host_has_image(struct leader *l, const struct lhost *h, const char *image)
+{
+    struct host_record *rec = view_host(l->view, h->id.s);
+    return rec && rec->images && g_strv_contains((const char *const *)rec->images, image);
+}
+
+/* How many of a job's tasks are in a zone, or are about to be. */
+uint32_t leader_in_zone(struct leader *l, struct ljob *j, const char *yard)
+{
+    uint32_t n = 0;
+    GHashTableIter it;
+    struct entry *e;
+    struct deal *d;
+    g_hash_table_iter_init(&it, j->entries);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&e)) {
+        struct lhost *h = lhost_get(l, e->host.s);
+        struct host_record *rec = view_host(l->view, e->host.s);
+        const char *y = h ? h->yard : rec ? rec->yard : NULL;
+        /* Where it is cannot be told: it counts everywhere. */
+        n += !y || strcmp(y, yard) == 0;
+    }
+    g_hash_table_iter_init(&it, j->deals);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d))
+        n += strcmp(d->yard, yard) == 0;
+    return n;
+}
+
+/* OneZone and Apart are decided here, on records and deals; the zone is part of the deal. */
+static bool zone_allowed(struct leader *l, struct ljob *j, const struct spec *s, const char *yard)
+{
+    uint32_t there = leader_in_zone(l, j, yard);
+    if (s->one_zone) {
+        uint32_t all = g_hash_table_size(j->entries) + g_hash_table_size(j->deals);
+        if (there != all)
+            return false;
+    }
+    return !s->apart || there < (s->tasks + 1) / 2;
+}
+
+/* The processors of a zone's ordinary machines beside those of the largest zone. */
+static double zone_roomy(struct leader *l, const char *yard)
+{
+    double here = 0, most = 0;
+    for (guint i = 0; i < l->settings->zones->len; i++) {
+        most = MAX(most, l->zone_cpus[i]);
+        if (strcmp(l->settings->zones->pdata[i], yard) == 0)
+            here = l->zone_cpus[i];
+    }
+    return most > 0 ? here / most : 1;
+}
+
+void leader_measure_zones(struct leader *l)
+{
+    memset(l->zone_cpus, 0, sizeof *l->zone_cpus * l->settings->zones->len);
+    GHashTableIter it;
+    struct lhost *h;
+    g_hash_table_iter_init(&it, l->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+        for (guint i = 0; i < l->settings->zones->len && h->told && !h->loaners; i++)
+            if (strcmp(l->settings->zones->pdata[i], h->yard) == 0)
+                l->zone_cpus[i] += (double)h->total.cpus.milli / 1000;
+}
+
+static struct lhost *choose_host(struct leader *l, struct ljob *j, const struct spec *s)
+{
+    struct lhost *best = NULL, *h;
+    double best_score = 0;
+    bool zoned = s->one_zone || s->apart;
+    GHashTableIter it;
+    g_hash_table_iter_init(&it, l->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
+        if (!spec_allows(s, h->build, h->yard, h->loaners) || !leader_host_takes(l, h) ||
+            !room_holds(leader_host_free_room(h), j->room))
+            continue;
+        if (zoned && !zone_allowed(l, j, s, h->yard))
+            continue;
+        struct room taken = h->booked;
+        room_add(&taken, h->dealt);
+        struct score_facts facts = {host_has_image(l, h, s->image), h->loaners,
+                                    room_share(taken, h->total), room_share(h->pinned, h->total),
+                                    zone_roomy(l, h->yard)};
+        double score = score_host(s, &facts);
+        if (!best || score > best_score ||
+            (score == best_score && strcmp(h->id.s, best->id.s) < 0)) {
+            best = h;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+static attempt_no next_attempt(struct leader *l)
+{
+    /* The epoch makes it unique for good, without asking what was used before. */
+    if (++l->attempts >> ATTEMPT_BITS)
+        membership_raise(l->members, "attempts used up");
+    return (attempt_no){l->epoch.v << ATTEMPT_BITS | (l->attempts & ((1 << ATTEMPT_BITS) - 1))};
+}
+
+static void deal_to(struct leader *l, struct ljob *j, uint32_t index, attempt_no attempt,
+                    struct lhost *h, bool bound)
+{
+    struct deal *d = g_new0(struct deal, 1);
+    d->attempt = attempt;
+    d->host = h;
+    g_strlcpy(d->yard, h->yard, sizeof d->yard);
+    g_hash_table_insert(j->deals, leader_key_of(index), d);
+    room_add(&h->dealt, j->room);
+    room_add(&l->teams[j->team].used, j->room);
+    struct job *v = view_job(l->view, j->id.s);
+    struct lpart *p = lpart_make(l, h->owner);
+    cJSON *x = cJSON_CreateObject();
+    cJSON_AddStringToObject(x, "j", j->id.s);
+    cJSON_AddNumberToObject(x, "i", index);
+    bus_put_u64(x, "a", attempt.v);
+    if (v->spec->one_zone || v->spec->apart)
+        cJSON_AddStringToObject(x, "y", h->yard);
+    if (bound)
+        cJSON_AddStringToObject(x, "h", h->id.s);
+    if (!p->deal)
+        p->deal = cJSON_CreateArray();
+    cJSON_AddItemToArray(p->deal, x);
+}
+
+static bool task_waits(const struct ljob *j, const struct job *v, uint32_t index)
+{
+    return !job_task_done(v, index) && !job_placed(v, index) &&
+           !g_hash_table_contains(j->entries, leader_key_of(index)) &&
+           !g_hash_table_contains(j->deals, leader_key_of(index));
+}
+
+/* The next task that waits, or the job's size. */
+static uint32_t next_waiting(struct ljob *j, const struct job *v)
+{
+    while (j->cursor < v->tasks && !task_waits(j, v, j->cursor))
+        j->cursor++;
+    return j->cursor;
+}
+
+static uint32_t count_waiting(struct ljob *j, const struct job *v)
+{
+    uint32_t busy = g_hash_table_size(j->entries) + g_hash_table_size(j->deals) + v->n_done;
+    return busy >= v->tasks ? 0 : v->tasks - busy;
+}
+
+static bool within(struct room used, struct room more, amount cpus, amount gpus)
+{
+    return used.cpus.milli + more.cpus.milli <= cpus.milli &&
+           used.gpus.milli + more.gpus.milli <= gpus.milli;
+}
+
+static bool team_allows(struct leader *l, struct ljob *j)
+{
+    struct lteam *t = &l->teams[j->team];
+    return within(t->used, j->room, t->team->cpus_max, t->team->gpus_max);
+}
+
+/* Whether what the job's class is expected to do can still be done. One that has waited for very
+ * long has its place back, so that none waits for ever. */
+static bool still_in_time(struct leader *l, const struct job *v)
+{
+    double waited = (double)(loop_wall(l->loop).ms - v->submitted.ms) / 1000;
+    double patience = leader_patience_s(l, v->spec);
+    return waited < patience || waited > patience * VERY_LATE;
+}
+
+/* Classes of precedence: services first, as people wait on them; then what a team was promised;
+ * then what it borrows. */
+int leader_rank_of(struct leader *l, struct ljob *j, const struct spec *s)
+{
+    struct lteam *t = &l->teams[j->team];
+    if (s->urgency == URGENCY_PROD)
+        return 0;
+    if (within(t->used, j->room, t->team->cpus, t->team->gpus))
+        return s->urgency;
+    struct job *v = view_job(l->view, j->id.s);
+    return (still_in_time(l, v) ? 4 : 8) + s->urgency;
+}
+
+/* Tasks that wait and that the team's limit leaves room for. */
+int64_t leader_count_allowed(struct leader *l, struct ljob *j, struct job *v)
+{
+    struct lteam *t = &l->teams[j->team];
+    struct room left = {{t->team->cpus_max.milli - t->used.cpus.milli},
+                        {t->team->gpus_max.milli - t->used.gpus.milli},
+                        {INT64_MAX / 4}};
+    return MIN((int64_t)count_waiting(j, v), room_times(left, j->room));
+}
+
+static void halt(struct leader *l, struct ljob *j, uint32_t index, struct entry *e, double grace_s)
+{
+    struct lhost *h = lhost_get(l, e->host.s);
+    if (!h || !h->owner)
+        return;
+    if (!e->halted)
+        room_add(&l->teams[j->team].halting, j->room);
+    e->halted = true;
+    struct lpart *p = lpart_make(l, h->owner);
+    cJSON *x = cJSON_CreateObject();
+    cJSON_AddStringToObject(x, "h", e->host.s);
+    cJSON_AddStringToObject(x, "j", j->id.s);
+    cJSON_AddNumberToObject(x, "i", index);
+    bus_put_u64(x, "a", e->attempt.v);
+    cJSON_AddNumberToObject(x, "g", grace_s);
+    if (!p->halt)
+        p->halt = cJSON_CreateArray();
+    cJSON_AddItemToArray(p->halt, x);
+}
+
+struct victim {
+    struct ljob *job;
+    uint32_t index;
+    struct entry *entry;
+};
+
+/* The youngest first: the least is lost with them. */
+static gint by_youth(gconstpointer a, gconstpointer b)
+{
+    const struct victim *x = a, *y = b;
+    return x->entry->since.us > y->entry->since.us ? -1 : x->entry->since.us < y->entry->since.us;
+}
+
+/* Whether all that waits of a job lies within its team's guarantee. */
+static bool guaranteed(struct leader *l, struct ljob *j, struct job *v)
+{
+    struct lteam *t = &l->teams[j->team];
+    int64_t n = count_waiting(j, v);
+    struct room all = {{j->room.cpus.milli * n}, {j->room.gpus.milli * n}, {0}};
+    return within(t->used, all, t->team->cpus, t->team->gpus);
+}
+
+/* Whether a task may be stopped for the job: it has a lower priority, or its team runs it above its
+ * guarantee while the job's team lacks its own. Services are not stopped for a guarantee. */
+static bool may_stop(struct leader *l, struct ljob *victim, struct ljob *j, struct job *v)
+{
+    if (victim->urgency > j->urgency)
+        return leader_may_preempt(l, v->spec);
+    const struct lteam *t = &l->teams[victim->team];
+    return victim->team != j->team && !victim->service && guaranteed(l, j, v) &&
+           (t->used.cpus.milli - t->halting.cpus.milli - victim->room.cpus.milli >=
+                t->team->cpus.milli &&
+            t->used.gpus.milli - t->halting.gpus.milli - victim->room.gpus.milli >=
+                t->team->gpus.milli);
+}
+
+/* Tasks on a machine that may be stopped for a job, youngest first. Gangs are let be: one task
+ * stopped stops them all. */
+static GArray *victims_on(struct leader *l, struct lhost *h, struct ljob *for_job,
+                          struct job *v_for)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(struct victim));
+    struct host_record *rec = view_host(l->view, h->id.s);
+    for (guint i = 0; rec && i < rec->tasks->len; i++) {
+        struct placed *t = rec->tasks->pdata[i];
+        struct ljob *j = ljob_get(l, t->job->id.s);
+        struct entry *e = j ? g_hash_table_lookup(j->entries, leader_key_of(t->index)) : NULL;
+        if (!e || e->attempt.v != t->attempt.v || !host_eq(e->host, h->id) || e->halted ||
+            !t->job->spec || t->job->spec->form == FORM_GANG || !may_stop(l, j, for_job, v_for))
+            continue;
+        struct victim v = {j, t->index, e};
+        g_array_append_val(out, v);
+    }
+    g_array_sort(out, by_youth);
+    return out;
+}
+
+/* Whether a task of a service could go to another machine that is not in the zone. */
+static bool could_leave(struct leader *l, struct ljob *j, const struct spec *s, const char *yard)
+{
+    GHashTableIter it;
+    struct lhost *h;
+    g_hash_table_iter_init(&it, l->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+        if (strcmp(h->yard, yard) != 0 && spec_allows(s, h->build, h->yard, h->loaners) &&
+            leader_host_takes(l, h) && room_holds(leader_host_free_room(h), j->room) &&
+            (!(s->one_zone || s->apart) || zone_allowed(l, j, s, h->yard)))
+            return true;
+    return false;
+}
+
+/* A replica that has to be in one zone finds it full, of others that could as well be elsewhere:
+ * one of these is moved, which costs it a moment. */
+static void make_way(struct leader *l, struct ljob *j, struct job *v)
+{
+    mono_time now = loop_now(l->loop);
+    GHashTableIter it;
+    struct lhost *h;
+    g_hash_table_iter_init(&it, l->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
+        struct host_record *rec = view_host(l->view, h->id.s);
+        if (!rec || !spec_allows(v->spec, h->build, h->yard, h->loaners) ||
+            !leader_host_takes(l, h) || !zone_allowed(l, j, v->spec, h->yard))
+            continue;
+        for (guint i = 0; i < rec->tasks->len; i++) {
+            struct placed *t = rec->tasks->pdata[i];
+            struct ljob *other = ljob_get(l, t->job->id.s);
+            struct entry *e =
+                other ? g_hash_table_lookup(other->entries, leader_key_of(t->index)) : NULL;
+            struct room free = leader_host_free_room(h);
+            if (!e || e->halted || !other->service || other == j || !t->job->spec ||
+                time_ms_since(now, e->since) < MOVE_AFTER_MS)
+                continue;
+            room_add(&free, other->room);
+            if (!room_holds(free, j->room) || !could_leave(l, other, t->job->spec, h->yard))
+                continue;
+            LOG_INFO("move", "job=%s task=%u machine=%s for=%s", t->job->id.s, t->index, h->id.s,
+                     j->id.s);
+            halt(l, other, t->index, e, t->job->spec->stow_s);
+            return;
+        }
+    }
+}
+
+/* The machine where room for one task costs the least work of lower priority. */
+static struct lhost *cheapest_to_clear(struct leader *l, struct ljob *j, struct job *v,
+                                       GHashTable *cleared)
+{
+    mono_time now = loop_now(l->loop);
+    const struct spec *s = v->spec;
+    GHashTableIter it;
+    struct lhost *h, *best = NULL;
+    double least = 0;
+    g_hash_table_iter_init(&it, l->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
+        if (!spec_allows(s, h->build, h->yard, h->loaners) || !leader_host_takes(l, h) ||
+            ((s->one_zone || s->apart) && !zone_allowed(l, j, s, h->yard)))
+            continue;
+        GArray *victims = victims_on(l, h, j, v);
+        struct room free = leader_host_free_room(h), *more = g_hash_table_lookup(cleared, h);
+        double loss = 0;
+        if (more)
+            room_add(&free, *more);
+        for (guint i = 0; i < victims->len && !room_holds(free, j->room); i++) {
+            struct victim *x = &g_array_index(victims, struct victim, i);
+            room_add(&free, x->job->room);
+            loss +=
+                (double)x->job->room.cpus.milli * (double)(1 + time_ms_since(now, x->entry->since));
+        }
+        /* A machine that services hold already is kept anyway, and one without the image is late.
+         */
+        loss *= 1.2 - room_share(h->pinned, h->total) + (host_has_image(l, h, s->image) ? 0 : 1);
+        if (room_holds(free, j->room) && (!best || loss < least)) {
+            best = h;
+            least = loss;
+        }
+        g_array_unref(victims);
+    }
+    return best;
+}
+
+/* Makes room for tasks that fit nowhere, by stopping work of lower priority where that loses the
+ * least. What is stopped is off the record a moment later, and ranks behind. */
+static void preempt(struct leader *l, struct ljob *j, struct job *v)
+{
+    mono_time now = loop_now(l->loop);
+    /* Just after a change of epoch much of the room is not known yet. */
+    if ((j->preempted_at.us && time_ms_since(now, j->preempted_at) < PREEMPT_MS) ||
+        time_ms_since(now, l->epoch_at) < (int64_t)(l->settings->report_s * 1250))
+        return;
+    j->preempted_at = now;
+    GHashTable *cleared = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    int64_t n = MIN(leader_count_allowed(l, j, v), PREEMPT_TASKS);
+    for (int64_t k = 0; k < n; k++) {
+        struct lhost *best = cheapest_to_clear(l, j, v, cleared);
+        if (!best) {
+            if (k == 0 && v->spec->form == FORM_SERVICE && v->spec->apart)
+                make_way(l, j, v);
+            break;
+        }
+        struct room *more = g_hash_table_lookup(cleared, best);
+        if (!more) {
+            more = g_new0(struct room, 1);
+            g_hash_table_insert(cleared, best, more);
+        }
+        GArray *victims = victims_on(l, best, j, v);
+        struct room free = leader_host_free_room(best);
+        room_add(&free, *more);
+        for (guint i = 0; i < victims->len && !room_holds(free, j->room); i++) {
+            struct victim *x = &g_array_index(victims, struct victim, i);
+            struct job *vx = view_job(l->view, x->job->id.s);
+            LOG_INFO("preempt", "job=%s task=%u machine=%s for=%s", x->job->id.s, x->index,
+                     best->id.s, j->id.s);
+            room_add(&free, x->job->room);
+            room_add(more, x->job->room);
+            halt(l, x->job, x->index, x->entry, vx && vx->spec ? vx->spec->stow_s : 0);
+        }
+        room_sub(more, j->room);
+        g_array_unref(victims);
+        if (v->spec->one_zone || v->spec->apart)
+            break; /* the zones are counted anew once this one is placed */
+    }
+    g_hash_table_unref(cleared);
+}
+
+static bool deal_one(struct leader *l, struct ljob *j, struct job *v)
+{
+    uint32_t index = next_waiting(j, v);
+    if (index >= v->tasks || !team_allows(l, j))
+        return false;
+    struct lhost *h = choose_host(l, j, v->spec);
+    if (!h) {
+        j->blocked = true;
+        if (leader_may_preempt(l, v->spec) || guaranteed(l, j, v))
+            preempt(l, j, v);
+        return false;
+    }
+    deal_to(l, j, index, next_attempt(l), h, false);
+    return true;
+}
+
+/* A gang that lost a task cannot go on: what is left of it is stopped, and it starts whole again
+ * once nothing of it is on record. */
+static void gang_mend(struct leader *l, struct ljob *j, struct job *v)
+{
+    mono_time now = loop_now(l->loop);
+    guint placed = g_hash_table_size(j->entries);
+    if (!placed || g_hash_table_size(j->deals) || placed + v->n_done >= v->tasks) {
+        j->gang_since = now;
+        return;
+    }
+    if (time_ms_since(now, j->gang_since) < 2000)
+        return;
+    j->gang_since = now;
+    LOG_INFO("gang_broken", "job=%s placed=%u of=%u", j->id.s, placed, v->tasks);
+    GHashTableIter it;
+    gpointer key;
+    struct entry *e;
+    g_hash_table_iter_init(&it, j->entries);
+    while (g_hash_table_iter_next(&it, &key, (gpointer *)&e))
+        halt(l, j, GPOINTER_TO_UINT(key) - 1, e, v->spec->stow_s);
+}
+
+/* All tasks of a gang are dealt at once, each to a machine where it has room, or none is. */
+static bool deal_gang(struct leader *l, struct ljob *j, struct job *v)
+{
+    if (g_hash_table_size(j->entries) || g_hash_table_size(j->deals) || v->placed) {
+        gang_mend(l, j, v);
+        return false;
+    }
+    struct lteam *t = &l->teams[j->team];
+    uint32_t left = v->tasks - v->n_done;
+    struct room all = {{j->room.cpus.milli * left}, {j->room.gpus.milli * left}, {0}};
+    if (!left || !within(t->used, all, t->team->cpus_max, t->team->gpus_max))
+        return false;
+    GArray *undo = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    GPtrArray *hosts = g_ptr_array_new();
+    bool whole = true;
+    for (uint32_t i = 0; i < v->tasks && whole; i++) {
+        if (job_task_done(v, i))
+            continue;
+        struct lhost *h = choose_host(l, j, v->spec);
+        whole = h != NULL;
+        if (!h)
+            break;
+        /* Stands in for the deal, so that rooms and zones are counted. */
+        struct deal *d = g_new0(struct deal, 1);
+        d->host = h;
+        g_strlcpy(d->yard, h->yard, sizeof d->yard);
+        g_hash_table_insert(j->deals, leader_key_of(i), d);
+        room_add(&h->dealt, j->room);
+        room_add(&t->used, j->room);
+        g_array_append_val(undo, i);
+        g_ptr_array_add(hosts, h);
+    }
+    for (guint i = 0; i < undo->len; i++)
+        leader_deal_drop(l, j, g_array_index(undo, uint32_t, i));
+    attempt_no attempt = next_attempt(l);
+    for (guint i = 0; whole && i < undo->len; i++)
+        deal_to(l, j, g_array_index(undo, uint32_t, i), attempt, hosts->pdata[i], true);
+    j->blocked = !whole;
+    g_array_unref(undo);
+    g_ptr_array_unref(hosts);
+    return whole;
+}
+
+/* By arrival; but jobs that are late whatever is done now stand behind those that may still be in
+ * time. */
+static gint by_arrival(gconstpointer a, gconstpointer b, gpointer leader)
+{
+    struct leader *l = leader;
+    const struct ljob *x = *(struct ljob *const *)a, *y = *(struct ljob *const *)b;
+    const struct job *vx = view_job(l->view, x->id.s), *vy = view_job(l->view, y->id.s);
+    bool tx = still_in_time(l, vx), ty = still_in_time(l, vy);
+    if (tx != ty)
+        return tx ? -1 : 1;
+    if (vx->submitted.ms != vy->submitted.ms)
+        return vx->submitted.ms < vy->submitted.ms ? -1 : 1;
+    return strcmp(x->id.s, y->id.s);
+}
+
+/* Deficit round robin over the teams that have something in this rank: each turn a team may deal as
+ * much as its share. */
+int leader_deal_rank(struct leader *l, int rank, int budget)
+{
+    int dealt = 0;
+    bool any = true;
+    while (any && dealt < budget) {
+        any = false;
+        for (int i = 0; i < l->n_teams && dealt < budget; i++) {
+            struct lteam *t = &l->teams[(l->first_team + i) % l->n_teams];
+            t->deficit = MIN(t->deficit + MAX(t->team->cpus.milli / 16, 1000), MOST_DEFICIT);
+            bool moved = false;
+            for (guint k = 0; k < t->ready->len && dealt < budget;) {
+                struct ljob *j = t->ready->pdata[k];
+                struct job *v = view_job(l->view, j->id.s);
+                bool mine = !j->blocked && leader_rank_of(l, j, v->spec) == rank;
+                double cost = MIN((double)j->room.cpus.milli, MOST_DEFICIT);
+                if (!mine || t->deficit < cost) {
+                    any = any || (mine && next_waiting(j, v) < v->tasks);
+                    k++;
+                    continue;
+                }
+                bool ok = v->spec->form == FORM_GANG ? deal_gang(l, j, v) : deal_one(l, j, v);
+                if (!ok) {
+                    k++;
+                    continue;
+                }
+                t->deficit -= cost;
+                moved = true;
+                dealt++;
+            }
+            if (!moved && !any)
+                t->deficit = 0;
+            any = any || moved;
+        }
+    }
+    return dealt;
+}
+
+bool leader_collect_ready(struct leader *l)
+{
+    mono_time now = loop_now(l->loop);
+    bool any = false;
+    for (int i = 0; i < l->n_teams; i++)
+        g_ptr_array_set_size(l->teams[i].ready, 0);
+    GHashTableIter it;
+    struct ljob *j;
+    g_hash_table_iter_init(&it, l->jobs);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&j)) {
+        struct job *v = view_job(l->view, j->id.s);
+        j->blocked = false;
+        if (!v || !v->known || v->state != JOB_LIVE || !v->spec || time_before(now, j->not_before))
+            continue;
+        if (v->spec->form != FORM_GANG && next_waiting(j, v) >= v->tasks)
+            continue;
+        g_ptr_array_add(l->teams[j->team].ready, j);
+        any = true;
+    }
+    for (int i = 0; i < l->n_teams; i++)
+        g_ptr_array_sort_with_data(l->teams[i].ready, by_arrival, l);
+    return any;
+}
+
+bool leader_ready_to_deal(struct leader *l)
+{
+    if (!membership_leads(l->members) || l->epoch.v != l->view->epoch.v || !l->view->types)
+        return false;
+    if (time_ms_since(loop_now(l->loop), l->epoch_at) > SETTLE_MS)
+        return true;
+    GHashTableIter it;
+    struct lpart *p;
+    g_hash_table_iter_init(&it, l->parts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&p))
+        if (!p->digested)
+            return false;
+    return true;
+}
--- /dev/null
+++ b/src/leader_state.h
@@ -0,0 +1,131 @@
+/* What the leader's files share: its state, and what they ask of one another. */
+#ifndef LL_LEADER_STATE_H
+#define LL_LEADER_STATE_H
+
+#include "leader.h"
+#include "room.h"
+
+enum { RANKS = 12 }; /* of precedence: see leader_rank_of */
+
+/* A task that is on record, as the ledger counts it. */
+struct entry {
+    attempt_no attempt;
+    host_id host;
+    mono_time since;
+    bool halted;
+};
+
+/* A task dealt to a part and not on record yet. */
+struct deal {
+    attempt_no attempt;
+    struct lhost *host; /* where there was room; the part may choose another of its machines */
+    char yard[48];
+};
+
+struct ljob {
+    job_id id;
+    int team;
+    struct room room; /* of one task */
+    bool service;
+    enum urgency urgency;
+    GHashTable *entries, *deals; /* index + 1 -> */
+    uint32_t cursor;             /* no task below it waits */
+    bool finishing;
+    bool blocked; /* in this pass: no machine has room */
+    mono_time not_before, preempted_at;
+    int failures;
+    GHashTable *failed_on;
+    mono_time gang_since;
+};
+
+struct lhost {
+    host_id id;
+    char build[48], yard[48];
+    bool loaners;
+    char *owner;
+    int flags;
+    struct room total, booked, dealt, pinned;
+    mono_time idle_since, avoid_until;
+    bool told; /* in its owner's last digest */
+    bool sick;
+    GHashTable *failed_jobs;
+};
+
+struct lteam {
+    const struct team *team;
+    struct room used;    /* on record or dealt */
+    struct room halting; /* of that, told to stop */
+    double deficit;
+    GPtrArray *ready; /* struct ljob, in this pass */
+};
+
+/* What goes to one part, one message after the other. */
+struct lpart {
+    char *label;
+    uint64_t seq;
+    cJSON *deal, *halt, *gone;
+    cJSON *sending; /* until it is acknowledged */
+    bool out;
+    mono_time failing_since;
+    bool digested;
+};
+
+struct leader {
+    struct actor actor;
+    struct loop *loop;
+    struct store *store;
+    struct view *view;
+    struct membership *members;
+    struct bus *bus;
+    const struct settings *settings;
+    const struct policy *policy;
+    struct fleet *fleet;
+    bool leading;
+    epoch_no epoch;
+    mono_time epoch_at;
+    uint64_t generation, attempts;
+    GHashTable *jobs, *hosts, *parts;
+    struct lteam *teams;
+    int n_teams;
+    int first_team; /* that this pass begins with */
+    struct timer tick, pass;
+    mono_time scaled_at;
+    double demand_peak;
+    int64_t *service_lack; /* of tasks, by zone; negative: room to spare */
+    double *zone_cpus;     /* of ordinary machines, as in settings->zones */
+};
+
+/* leader.c: the ledger and the leader's messages */
+struct ljob *ljob_get(struct leader *l, const char *id);
+gpointer leader_key_of(uint32_t index);
+struct lhost *lhost_get(struct leader *l, const char *id);
+void leader_deal_drop(struct leader *l, struct ljob *j, uint32_t index);
+struct lpart *lpart_make(struct leader *l, const char *label);
+
+/* leader_policy.c: what operators and objectives say */
+const GArray *leader_types_now(struct leader *l);
+double leader_slowest_boot(struct leader *l);
+double leader_patience_s(struct leader *l, const struct spec *s);
+double leader_used_cpus(struct leader *l);
+void leader_load_inputs(struct leader *l, struct policy_value *in);
+double leader_spare_cpus(struct leader *l);
+bool leader_may_rent_ordinary(struct leader *l, const struct spec *s, double backlog_s);
+bool leader_may_preempt(struct leader *l, const struct spec *s);
+double leader_idle_ms(struct leader *l, const struct lhost *h);
+
+/* leader_deal.c: who gets what there is */
+bool leader_host_takes(struct leader *l, struct lhost *h);
+struct room leader_host_free_room(const struct lhost *h);
+uint32_t leader_in_zone(struct leader *l, struct ljob *j, const char *yard);
+void leader_measure_zones(struct leader *l);
+int leader_rank_of(struct leader *l, struct ljob *j, const struct spec *s);
+int64_t leader_count_allowed(struct leader *l, struct ljob *j, struct job *v);
+int leader_deal_rank(struct leader *l, int rank, int budget);
+bool leader_collect_ready(struct leader *l);
+bool leader_ready_to_deal(struct leader *l);
+
+/* leader_scale.c: renting and returning */
+bool leader_host_idle(const struct lhost *h);
+void leader_scale(struct leader *l);
+
+#endif
--- a/src/part.c
+++ b/src/part.c
@@ -66,7 +66,6 @@
     uint64_t shift, tally, helm;
     mono_time heard, answered;
     mono_time helm_seen; /* when its worker first showed a token that only we can give */
-    mono_time recalled_until;
     bool recalled;
     revision stamp;
     bool dirty, in_txn;
@@ -492,8 +491,6 @@
         if (h->recalled)
             LOG_INFO("machine_recalled", "machine=%s in_s=%.1f", h->id.s, rep->recall_s);
     }
-    if (h->recalled)
-        h->recalled_until = time_add_ms(now, (int64_t)(rep->recall_s * 1000));
     g_array_set_size(h->strays, 0);
     GArray *missing = g_array_new(FALSE, TRUE, 1);
     for (guint k = 0; k < h->runs->len; k++)
