--- a/src/leader_scale.c
+++ b/src/leader_scale.c
@@ -377,6 +377,8 @@
             fleet_return(l->fleet, h->id, "sick");
         else if ((h->flags & HOST_RECALLED) && leader_host_idle(h))
             fleet_return(l->fleet, h->id, "recalled");
+        else if ((h->flags & HOST_SLOW) && leader_host_idle(h))
+            fleet_return(l->fleet, h->id, "slow");
     }
     struct fleet_machine *m;
     g_hash_table_iter_init(&it, fleet_machines(l->fleet));
--- a/src/part.c
+++ b/src/part.c
@@ -20,11 +20,15 @@
     RESEND_MS = 1500,
     GIVE_BACK_MS = 3000,
     LAPSED_MS = 20000,
+    SLOW_AFTER = 4,
     REDIRECT_MS = 45000, /* a worker is sent to the owner again only so often */
     MOST_REDIRECTS = 5000,
     IMAGES_KEPT = 12,
 };
 
+/* A machine is slow when it takes so many times as long as the others. */
+static const double SLOW_PACE = 1.8;
+
 enum run_phase {
     RUN_NEW,      /* placed here, not on record yet */
     RUN_RECORDED, /* on record */
@@ -48,7 +52,7 @@
     uint64_t sent_shift; /* 0: not known */
     int unsettled;       /* direct run commands of which nobody knows what became */
     mono_time sent_at;   /* 0: never, by us */
-    mono_time placed_at;
+    mono_time placed_at, running_at;
     int pool; /* that its machine was in when it was placed */
     bool stop;
     double wind_down_s;
@@ -74,6 +78,8 @@
     GPtrArray *runs;
     GArray *strays; /* struct report_task: reported, not ours */
     GPtrArray *images;
+    double pace; /* of what it did lately: time taken by time expected */
+    int paced;   /* tasks that went into it */
     bool push_out, push_wanted, probe_out;
     mono_time probed;
     int probe_fails;
@@ -107,6 +113,7 @@
     GHashTable *hosts;
     GQueue queues[ARQ_CLASSES + 1]; /* [0]: jobs not in view yet */
     struct arq_busy busy[ARQ_CLASSES + 1];
+    double pace;       /* the same over all machines: owners' estimates are wrong together */
     GArray *back;      /* struct dealt: given back to the leader */
     GPtrArray *faults; /* cJSON: what went wrong, for the leader */
     GHashTable *marks; /* key -> GByteArray: what this node has marked done there */
@@ -428,9 +435,45 @@
     }
 }
 
+/* How long a task took beside its estimate, for its machine and for all. */
+static void learn_pace(struct part *p, struct host *h, struct run *r)
+{
+    struct job *j = view_job(p->view, r->job.s);
+    if (!j || !j->spec || j->spec->expected_s < 1 || !r->running_at.us)
+        return;
+    double took = (double)time_ms_since(loop_now(p->loop), r->running_at) / 1000;
+    double pace = took / j->spec->expected_s;
+    h->pace = h->paced++ ? h->pace + (pace - h->pace) * 0.3 : pace;
+    p->pace = p->pace > 0 ? p->pace + (pace - p->pace) * 0.03 : pace;
+}
+
+static bool host_slow(struct part *p, const struct host *h)
+{
+    return h->paced >= SLOW_AFTER && h->pace > SLOW_PACE * p->pace;
+}
+
+/* The cloud takes the machine back. What can save its work, or be replaced before it is missed, is
+ * stopped now; so is what could not end in time. */
+static void leave_in_time(struct part *p, struct host *h, double left_s)
+{
+    mono_time now = loop_now(p->loop);
+    for (guint i = 0; i < h->runs->len; i++) {
+        struct run *r = h->runs->pdata[i];
+        struct job *j = live_job(p, r->job);
+        if (!j || r->phase != RUN_RECORDED || j->spec->form == FORM_GANG)
+            continue;
+        const struct spec *s = j->spec;
+        double ran = r->running_at.us ? (double)time_ms_since(now, r->running_at) / 1000 : 0;
+        if (s->form == FORM_SERVICE || s->mark_every_s > 0 || ran + left_s < s->expected_s * 0.8)
+            run_stop(r, s->mark_every_s > 0 ? MIN(s->stow_s, MAX(left_s, 0)) : 0);
+    }
+}
+
 static void run_reported(struct part *p, struct host *h, struct run *r, const struct report_task *t)
 {
     bool first = !r->seen || r->state != t->state;
+    if (t->state == TASK_RUNNING && !r->running_at.us)
+        r->running_at = loop_now(p->loop);
     r->seen = true;
     r->state = t->state;
     if (t->state == TASK_RUNNING || (t->state == TASK_EXITED && t->cause == CAUSE_DONE)) {
@@ -445,6 +488,8 @@
                  t->cause);
     if (t->cause != CAUSE_DONE && t->cause != CAUSE_HALTED && t->cause != CAUSE_PEERS)
         fault(p, h, r, t->cause);
+    if (t->cause == CAUSE_DONE)
+        learn_pace(p, h, r);
     run_over(p, h, r, t->cause == CAUSE_DONE);
 }
 
@@ -490,6 +535,8 @@
         news = true;
         if (h->recalled)
             LOG_INFO("machine_recalled", "machine=%s in_s=%.1f", h->id.s, rep->recall_s);
+        if (h->recalled)
+            leave_in_time(p, h, rep->recall_s);
     }
     g_array_set_size(h->strays, 0);
     GArray *missing = g_array_new(FALSE, TRUE, 1);
@@ -1122,7 +1169,8 @@
 {
     return h->known && !h->gone && !h->recalled && h->probe_fails == 0 && h->total.cpus.milli > 0 &&
            time_ms_since(loop_now(p->loop), h->heard) <
-               (int64_t)(p->settings->report_s * 1250) + 1500;
+               (int64_t)(p->settings->report_s * 1250) + 1500 &&
+           !host_slow(p, h);
 }
 
 static double host_booked(const struct host *h)
@@ -1453,6 +1501,8 @@
         f |= HOST_RECALLED;
     if (!host_open(p, h))
         f |= HOST_QUIET;
+    if (host_slow(p, h))
+        f |= HOST_SLOW;
     if (h->probe_fails >= 2 && age > (int64_t)(p->settings->report_s * 2500))
         f |= HOST_LOST;
     if ((f & HOST_LOST) && age > (int64_t)(p->settings->lease_s * 1000) + LAPSED_MS)
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -623,6 +623,53 @@
     world_free(w);
 }
 
+/* What takes several times as long on one machine as elsewhere: it gets nothing more and goes back.
+ */
+static void a_slow_machine_gets_nothing_more(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    w->capacity = 0;
+    struct worker *slow = world_worker(w, 6, "a", true), *good = world_worker(w, 7, "a", true);
+    world_run(w, 3000);
+    for (int round = 0; round < 8 && slow->up; round++) {
+        char id[16];
+        g_snprintf(id, sizeof id, "wk-%d", round);
+        world_submit(w, 0, id, "sweep", 6);
+        world_run(w, 8000);
+        for (uint32_t t = 0; t < 6; t++)
+            if (worker_task(good, id, t))
+                worker_exit(good, id, t, "done");
+        world_run(w, 22000);
+        worker_exit_all(w, id, "done");
+        world_run(w, 3000);
+    }
+    assert_false(slow->up);
+    assert_true(good->up);
+    world_free(w);
+}
+
+/* The cloud's notice: a service leaves at once, and runs elsewhere before its machine is gone. */
+static void a_service_leaves_a_recalled_machine_in_time(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    w->capacity = 0;
+    struct worker *old = world_worker(w, 6, "a", true);
+    world_run(w, 3000);
+    world_submit(w, 0, "wk-1", "daemon", 2);
+    world_run(w, 3000);
+    struct worker *other = world_worker(w, 7, "b", true);
+    world_run(w, 3000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 2);
+    old->recall_s = 15;
+    world_run(w, 5000);
+    assert_non_null(worker_task(other, "wk-1", 0));
+    assert_non_null(worker_task(other, "wk-1", 1));
+    assert_false(world_ran_twice(w));
+    world_free(w);
+}
+
 /* A machine on which the tasks of several jobs fail is no good. */
 static void a_sick_machine_is_given_back(void **state)
 {
@@ -711,6 +758,8 @@
         cmocka_unit_test(urgent_work_preempts),
         cmocka_unit_test(a_guarantee_is_taken_from_what_is_borrowed),
         cmocka_unit_test(a_job_that_fails_everywhere_backs_off),
+        cmocka_unit_test(a_slow_machine_gets_nothing_more),
+        cmocka_unit_test(a_service_leaves_a_recalled_machine_in_time),
         cmocka_unit_test(a_sick_machine_is_given_back),
         cmocka_unit_test(a_large_job_is_done_by_all_its_chunks),
         cmocka_unit_test(idle_machines_are_returned),
--- a/tests/world.c
+++ b/tests/world.c
@@ -387,6 +387,8 @@
     json_put_u64(o, "Shift", k->shift);
     json_put_u64(o, "Tally", k->tally);
     json_put_u64(o, "Helm", k->helm);
+    if (k->recall_s >= 0)
+        json_object_object_add(o, "RecallS", json_object_new_double(k->recall_s));
     for (guint i = 0; i < k->tasks->len; i++) {
         struct wtask *t = &g_array_index(k->tasks, struct wtask, i);
         json_object *x = json_object_new_object();
@@ -586,6 +588,7 @@
     k->up = true;
     k->silent = false;
     k->shift = 1;
+    k->recall_s = -1;
     k->tally = k->helm = 0;
     k->world = w;
     k->lease_from = loop_now(w->loop);
--- a/tests/world.h
+++ b/tests/world.h
@@ -37,8 +37,9 @@
     char id[16], addr[24], build[16], yard[8];
     bool loaners, up, silent;
     uint64_t shift, tally, helm;
-    GArray *tasks; /* struct wtask */
-    int node;      /* that it reports to */
+    double recall_s; /* < 0: no notice */
+    GArray *tasks;   /* struct wtask */
+    int node;        /* that it reports to */
     int starts;
     mono_time lease_from;
     struct timer report;
