Stricter proofs: after epochs that were not seen one by one, and in long outages

Found by reading, not in a play: a node whose view showed two new epochs at once kept machines that another node may have owned in between, with what it knew of commands on their way; and the time for which peers must have told of no cancellation was counted from the trouble, not from when the view was last known to be new. Both are guarded now, and a poll that shows a cancelled job counts as telling of it.

--- a/src/frontend.c
+++ b/src/frontend.c
@@ -95,6 +95,13 @@
                             j->placed ? (long)g_hash_table_size(j->placed) : 0);
 }
 
+static void reply_job(struct frontend *f, struct http_replier *r, conn_ref to, const struct job *j)
+{
+    if (j->state == JOB_CANCELLED)
+        peers_told_cancel(f->peers);
+    reply(r, to, 200, job_text(j));
+}
+
 static struct job *known_job(struct frontend *f, job_id id)
 {
     struct job *j = view_job(f->view, id.s);
@@ -173,9 +180,7 @@
         write_cancel(a, j);
         return;
     } else {
-        if (a->action == ACTION_CANCEL)
-            peers_told_cancel(f->peers);
-        reply(a->replier, a->from, 200, job_text(j));
+        reply_job(f, a->replier, a->from, j);
     }
     ask_end(a);
 }
@@ -246,7 +251,7 @@
     }
     struct job *j = f->view->ready ? known_job(f, job) : NULL;
     if (j && j->state != JOB_LIVE) { /* final: nothing newer can be told */
-        reply(r, from, 200, job_text(j));
+        reply_job(f, r, from, j);
         return;
     }
     struct ask *a = ask_new(f, r, from, action, job);
--- a/src/node.c
+++ b/src/node.c
@@ -13,7 +13,7 @@
     n->view = view_new(loop, n->store);
     n->members = membership_new(loop, n->store, n->view, s);
     n->bus = bus_new(loop, net, s);
-    n->peers = peers_new(loop, n->bus, n->store, s);
+    n->peers = peers_new(loop, n->bus, n->store, n->view, s);
     n->part = part_new(loop, net, n->store, n->view, n->members, n->bus, n->peers, s);
     n->leader = leader_new(loop, net, n->store, n->view, n->members, n->bus, s, policy);
     n->frontend = frontend_new(loop, n->store, n->view, n->members, s, n->part, n->bus, n->peers);
--- a/src/part.c
+++ b/src/part.c
@@ -370,7 +370,7 @@
             r->phase = RUN_RECORDED;
         run_heed_job(p, r);
     }
-    for (guint i = 0; i < h->runs->len;) {
+    for (guint i = 0; i < h->runs->len; i++) {
         struct run *r = h->runs->pdata[i];
         struct job *j = view_job(p->view, r->job.s);
         struct placed *t = j ? job_placed(j, r->index) : NULL;
@@ -379,7 +379,6 @@
             run_unbook(h, r);
             r->phase = RUN_GONE;
         }
-        i++;
     }
 }
 
@@ -577,7 +576,9 @@
  * its way would start the task once more. So it is only sent when there can be none. */
 static bool may_clear(struct host *h, const struct run *r)
 {
-    return r->unsettled == 0 || h->helm > r->sent_helm.v;
+    /* Commands of earlier owners are not counted in unsettled: their tokens were lower than ours.
+     */
+    return (r->unsettled == 0 && h->helm >= h->owned_since.v) || h->helm > r->sent_helm.v;
 }
 
 static void order_for_run(struct part *p, struct host *h, struct run *r, bool direct, GArray *out)
@@ -1567,6 +1568,10 @@
  * have changed hands. Nothing that was written under the last epoch can come after the map. */
 static void new_epoch(struct part *p)
 {
+    /* If the view shows several new epochs at once, a machine may have had another owner in
+     * between, whose commands may still be on their way: it is as if it were taken over only now.
+     */
+    bool skipped = p->view->epoch.v != p->epoch.v + 1;
     p->epoch = p->view->epoch;
     p->generation++;
     p->last_deal = 0;
@@ -1580,12 +1585,17 @@
             g_hash_table_iter_remove(&it);
             continue;
         }
-        for (guint i = 0; i < h->runs->len;) {
+        if (skipped) {
+            h->owned_since = p->epoch;
+            h->owned_at = loop_now(p->loop);
+        }
+        for (guint i = 0; i < h->runs->len; i++) {
             struct run *r = h->runs->pdata[i];
             r->in_txn = false;
+            if (skipped)
+                r->sent_helm.v = p->epoch.v - 1;
             if (r->phase == RUN_FREEING)
                 r->phase = RUN_RECORDED; /* proven again by the next report */
-            i++;
         }
         h->in_txn = false;
         host_sync(p, h);
--- a/src/peers.c
+++ b/src/peers.c
@@ -13,9 +13,10 @@
     struct loop *loop;
     struct bus *bus;
     struct store *store;
+    struct view *view;
     const struct settings *settings;
     mono_time started, told; /* told: of a cancellation */
-    mono_time troubled_since, asked, quiet_until;
+    mono_time asked, quiet_until;
     GHashTable *peers; /* label -> struct peer */
     guint out;
     struct timer ask;
@@ -37,13 +38,14 @@
     return 200;
 }
 
-struct peers *peers_new(struct loop *loop, struct bus *bus, struct store *store,
+struct peers *peers_new(struct loop *loop, struct bus *bus, struct store *store, struct view *view,
                         const struct settings *settings)
 {
     struct peers *p = g_new0(struct peers, 1);
     p->loop = loop;
     p->bus = bus;
     p->store = store;
+    p->view = view;
     p->settings = settings;
     p->started = loop_now(loop);
     p->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -89,12 +91,13 @@
 }
 
 /* All peers must say that they are not served either, and that none has told of a cancellation
- * since this node was last served itself. One that was started again meanwhile cannot know. */
+ * since this node's view was last known to be new, which may lag behind what the node was served
+ * otherwise. A peer that was started again meanwhile cannot know. */
 static void conclude(struct peers *p)
 {
     GHashTableIter it;
     struct peer *x;
-    int64_t away = time_ms_since(loop_now(p->loop), p->troubled_since) + MARGIN_MS;
+    int64_t away = time_ms_since(loop_now(p->loop), p->view->fresh) + MARGIN_MS;
     bool all = g_hash_table_size(p->peers) == p->settings->siblings->len;
     g_hash_table_iter_init(&it, p->peers);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&x))
@@ -131,7 +134,6 @@
     timer_start(p->loop, &p->ask, store_troubled(p->store) ? ASK_MS : ASK_MS / 2);
     mono_time now = loop_now(p->loop);
     if (!store_troubled(p->store)) {
-        p->troubled_since = now;
         g_hash_table_remove_all(p->peers);
         return;
     }
--- a/src/peers.h
+++ b/src/peers.h
@@ -4,11 +4,11 @@
 #define LL_PEERS_H
 
 #include "bus.h"
-#include "store.h"
+#include "view.h"
 
 struct peers;
 
-struct peers *peers_new(struct loop *loop, struct bus *bus, struct store *store,
+struct peers *peers_new(struct loop *loop, struct bus *bus, struct store *store, struct view *view,
                         const struct settings *settings);
 void peers_free(struct peers *p);
 void peers_start(struct peers *p);
@@ -18,7 +18,7 @@
 /* Until that moment no node can have told a user of a cancellation that this node does not know of,
  * as all of them said so: see docs/safety.md. {0}: nothing is known. */
 mono_time peers_quiet_until(const struct peers *p);
-/* This node has told a user that a job is cancelled. */
+/* This node tells a user that a job is cancelled. */
 void peers_told_cancel(struct peers *p);
 
 #endif
