--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -206,8 +206,7 @@
         return 0;
     if (within(t->used, j->room, t->team->cpus, t->team->gpus))
         return s->urgency;
-    struct job *v = view_job(l->view, j->id.s);
-    return (still_in_time(l, v) ? 4 : 8) + s->urgency;
+    return (j->in_time ? 4 : 8) + s->urgency;
 }
 
 /* Tasks that wait and that the team's limit leaves room for. */
@@ -513,9 +512,8 @@
     struct leader *l = leader;
     const struct ljob *x = *(struct ljob *const *)a, *y = *(struct ljob *const *)b;
     const struct job *vx = view_job(l->view, x->id.s), *vy = view_job(l->view, y->id.s);
-    bool tx = still_in_time(l, vx), ty = still_in_time(l, vy);
-    if (tx != ty)
-        return tx ? -1 : 1;
+    if (x->in_time != y->in_time)
+        return x->in_time ? -1 : 1;
     if (vx->submitted.ms != vy->submitted.ms)
         return vx->submitted.ms < vy->submitted.ms ? -1 : 1;
     return strcmp(x->id.s, y->id.s);
@@ -576,6 +574,7 @@
             continue;
         if (v->spec->form != FORM_GANG && next_waiting(j, v) >= v->tasks)
             continue;
+        j->in_time = still_in_time(l, v);
         g_ptr_array_add(l->teams[j->team].ready, j);
         any = true;
     }
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -32,6 +32,7 @@
     uint32_t cursor;             /* no task below it waits */
     bool finishing;
     bool blocked; /* in this pass: no machine has room */
+    bool in_time; /* in this pass: what its class is expected to do can still be done */
     mono_time not_before, preempted_at;
     int failures;
     GHashTable *failed_on;
