--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -417,6 +417,58 @@
     world_free(w);
 }
 
+/* A watch that fell too far behind: everything is read again, and as changes in between were lost,
+ * what was dealt is void. */
+static void a_view_that_lost_changes_is_read_again(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    world_submit(w, 0, "wk-1", "sweep", 4);
+    world_run(w, 8000);
+    uint64_t epoch = w->nodes[0]->view->epoch.v;
+    w->too_old = 6;
+    for (int i = 0; i < 4; i++) {
+        char id[16];
+        g_snprintf(id, sizeof id, "wk-1%d", i);
+        world_submit(w, i % 3, id, "sweep", 2);
+        world_run(w, 300);
+    }
+    world_run(w, 12000);
+    assert_int_equal(w->too_old, 0);
+    assert_true(w->nodes[0]->view->epoch.v > epoch);
+    assert_int_equal(world_on_machines(w, "wk-1"), 4);
+    for (int i = 0; i < 4; i++) {
+        char id[16];
+        g_snprintf(id, sizeof id, "wk-1%d", i);
+        assert_int_equal(world_on_machines(w, id), 2);
+    }
+    assert_false(world_ran_twice(w));
+    world_free(w);
+}
+
+/* Two processes of one label: the old one's late writes count for nothing, and the new one need not
+ * wait for the old lease to end. */
+static void a_node_that_is_back_at_once_takes_its_place(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    world_submit(w, 0, "wk-1", "daemon", 6);
+    world_run(w, 8000);
+    for (int i = 0; i < WORLD_NODES; i++) {
+        world_kill(w, i);
+        world_run(w, 100);
+        world_start(w, i);
+        world_run(w, 3000);
+        assert_non_null(world_leader(w));
+        assert_int_equal(world_on_machines(w, "wk-1"), 6);
+    }
+    assert_int_equal(world_submit(w, 1, "wk-2", "sweep", 2).status, 201);
+    world_run(w, 8000);
+    assert_int_equal(world_on_machines(w, "wk-2"), 2);
+    assert_false(world_ran_twice(w));
+    world_free(w);
+}
+
 static void all_nodes_may_die_and_nothing_accepted_is_lost(void **state)
 {
     (void)state;
@@ -750,6 +802,8 @@
         cmocka_unit_test(a_long_outage_for_all_stops_no_task),
         cmocka_unit_test(a_cancel_told_before_an_outage_holds),
         cmocka_unit_test(a_node_that_is_deaf_to_workers_keeps_their_leases),
+        cmocka_unit_test(a_view_that_lost_changes_is_read_again),
+        cmocka_unit_test(a_node_that_is_back_at_once_takes_its_place),
         cmocka_unit_test(all_nodes_may_die_and_nothing_accepted_is_lost),
         cmocka_unit_test(apart_is_kept_on_records),
         cmocka_unit_test(a_gang_starts_whole_or_not_at_all),
--- a/tests/world.c
+++ b/tests/world.c
@@ -308,8 +308,13 @@
         f->from = g_ascii_strtoull(from + 5, NULL, 10);
         f->watch_end =
             time_add_ms(loop_now(w->loop), (int64_t)g_ascii_strtoull(block + 8, NULL, 10));
-        g_array_append_val(w->watches, f);
-        serve_watches(w);
+        if (w->too_old > 0 && !w->state_down) {
+            w->too_old--;
+            flight_result(f, 410, json_object_new_object());
+        } else {
+            g_array_append_val(w->watches, f);
+            serve_watches(w);
+        }
     } else if (w->state_down) {
         flight_result(f, 503, json_object_new_object());
     } else if (strcmp(f->path, "/txn") == 0) {
--- a/tests/world.h
+++ b/tests/world.h
@@ -59,6 +59,7 @@
     struct node *nodes[WORLD_NODES];
     fate_fn fate;
     bool state_down;
+    int too_old;   /* watches that are answered 410 */
     int deaf_node; /* neither hears workers nor reaches them; -1: none */
     /* state service */
     GTree *keys;
