Tests: a node's processes are told apart by number, not by address

A new process of a node could get the address of the one before, and then answers to that one; builds without a sanitizer showed it as a crash of the test.

--- a/tests/world.c
+++ b/tests/world.c
@@ -34,7 +34,7 @@
 struct flight {
     struct world *world;
     int node;
-    struct node *process;
+    int process; /* of the node that asked; 0: nobody waits */
     char *addr, *method, *path, *body;
     net_done done;
     void *arg;
@@ -45,14 +45,6 @@
     mono_time watch_end; /* 0: not a watch that waits */
 };
 
-struct wreply {
-    struct worker *worker; /* or a user */
-    mono_time sent;
-    uint64_t shift;
-    struct user_answer answer;
-    bool done;
-};
-
 static void carry_out(struct flight *f);
 
 /* ---- the network ---- */
@@ -69,7 +61,7 @@
 
 static void flight_answer(struct flight *f, int status, const char *body)
 {
-    bool alive = f->process && f->world->nodes[f->node] == f->process;
+    bool alive = f->process && f->world->nodes[f->node] && f->world->process[f->node] == f->process;
     if (alive && f->done)
         f->done(f->arg, &(struct net_answer){status, body, strlen(body), 0});
     flight_free(f);
@@ -114,7 +106,7 @@
     struct flight *f = g_new0(struct flight, 1);
     *f = (struct flight){.world = n->world,
                          .node = n->node,
-                         .process = n->world->nodes[n->node],
+                         .process = n->world->process[n->node],
                          .addr = g_strdup(r->addr),
                          .method = g_strdup(r->method),
                          .path = g_strdup(r->path),
@@ -854,6 +846,7 @@
 void world_start(struct world *w, int node)
 {
     assert_null(w->nodes[node]);
+    w->process[node]++;
     w->nodes[node] = node_new(w->loop, &w->nets[node].net, w->settings[node], w->policy);
     node_start(w->nodes[node]);
 }
@@ -876,7 +869,7 @@
     for (guint i = 0; i < w->held->len; i++) {
         struct flight *f = w->held->pdata[i];
         f->fate = FATE_NORMAL;
-        f->process = NULL; /* nobody waits for the answer any more */
+        f->process = 0; /* nobody waits for the answer any more */
         carry_out(f);
     }
     g_ptr_array_set_size(w->held, 0);
--- a/tests/world.h
+++ b/tests/world.h
@@ -57,6 +57,7 @@
     struct wnet nets[WORLD_NODES];
     struct policy *policy;
     struct node *nodes[WORLD_NODES];
+    int process[WORLD_NODES]; /* counts a node's processes: an address may be used again */
     fate_fn fate;
     bool state_down;
     int too_old;   /* watches that are answered 410 */
