--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -515,6 +515,53 @@
     world_free(w);
 }
 
+static enum fate hold_first_deals(struct world *w, int node, const struct net_request *r)
+{
+    (void)node;
+    return strcmp(r->path, "/bus/deal") == 0 && strstr(r->body, "\"deal\"") && !w->held->len
+               ? FATE_HELD
+               : FATE_NORMAL;
+}
+
+/* A deal message that was given up and sent again arrives once more, late: what it deals has long
+ * run. */
+static void a_late_copy_of_a_deal_deals_nothing(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    w->capacity = 0;
+    /* Machines of parts other than the leader's, which are reached by messages. */
+    for (int i = 0; i < WORLD_WORKERS; i++) {
+        world_worker(w, i, i % 2 ? "a" : "b", true);
+        if (strcmp(map_owner(w->nodes[0]->view, w->workers[i].id),
+                   w->nodes[leader_index(w)]->settings->label) == 0) {
+            w->workers[i].up = false;
+            timer_stop(w->loop, &w->workers[i].report);
+        }
+    }
+    world_run(w, 4000);
+    w->fate = hold_first_deals;
+    world_submit(w, 0, "wk-1", "sweep", 4);
+    world_run(w, 6000);
+    assert_int_equal(w->held->len, 1);
+    assert_int_equal(world_on_machines(w, "wk-1"), 4);
+    for (int i = 0; i < WORLD_WORKERS; i++) /* three are done, one goes on */
+        for (uint32_t t = 0; t < 3; t++)
+            if (w->workers[i].up && worker_task(&w->workers[i], "wk-1", t))
+                worker_exit(&w->workers[i], "wk-1", t, "done");
+    world_run(w, 3000);
+    int starts = 0;
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        starts += w->workers[i].starts;
+    world_deliver_held(w);
+    world_run(w, 3000);
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        starts -= w->workers[i].starts;
+    assert_int_equal(starts, 0);
+    assert_false(world_ran_twice(w));
+    world_free(w);
+}
+
 static void a_gang_starts_whole_or_not_at_all(void **state)
 {
     (void)state;
@@ -832,6 +879,7 @@
         cmocka_unit_test(a_node_that_is_back_at_once_takes_its_place),
         cmocka_unit_test(all_nodes_may_die_and_nothing_accepted_is_lost),
         cmocka_unit_test(apart_is_kept_on_records),
+        cmocka_unit_test(a_late_copy_of_a_deal_deals_nothing),
         cmocka_unit_test(a_gang_starts_whole_or_not_at_all),
         cmocka_unit_test(a_lost_answer_of_the_cloud_rents_nothing_twice),
         cmocka_unit_test(late_jobs_stand_behind_those_in_time),
