--- a/src/bus.c
+++ b/src/bus.c
@@ -224,3 +224,23 @@
     const cJSON *x = cJSON_GetObjectItemCaseSensitive(o, field);
     return cJSON_IsString(x) ? x->valuestring : NULL;
 }
+
+cJSON *bus_task(job_id job, uint32_t index, attempt_no attempt)
+{
+    cJSON *o = cJSON_CreateObject();
+    cJSON_AddStringToObject(o, "j", job.s);
+    cJSON_AddNumberToObject(o, "i", index);
+    bus_put_u64(o, "a", attempt.v);
+    return o;
+}
+
+bool bus_task_read(const cJSON *o, job_id *job, uint32_t *index, attempt_no *attempt)
+{
+    const char *name = bus_text(o, "j");
+    const cJSON *i = cJSON_GetObjectItemCaseSensitive(o, "i");
+    if (!name || !job_id_from(job, name) || !cJSON_IsNumber(i) || i->valuedouble < 0 ||
+        i->valuedouble > UINT32_MAX || !bus_u64(o, "a", &attempt->v))
+        return false;
+    *index = (uint32_t)i->valuedouble;
+    return true;
+}
--- a/src/bus.h
+++ b/src/bus.h
@@ -5,6 +5,7 @@
 
 #include "http.h"
 #include "settings.h"
+#include "types.h"
 
 #include <cjson/cJSON.h>
 
@@ -35,5 +36,8 @@
 bool bus_u64(const cJSON *o, const char *field, uint64_t *out);
 bool bus_item_u64(const cJSON *item, uint64_t *out);
 const char *bus_text(const cJSON *o, const char *field);
+/* One start of a task, as messages name it; more fields may be added. */
+cJSON *bus_task(job_id job, uint32_t index, attempt_no attempt);
+bool bus_task_read(const cJSON *o, job_id *job, uint32_t *index, attempt_no *attempt);
 
 #endif
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -22,7 +22,6 @@
     struct bus *bus;
     struct peers *peers;
     int waiting;
-    bool relayed; /* the request at hand was handed on by another node */
 };
 
 enum action { ACTION_SUBMIT, ACTION_POLL, ACTION_CANCEL };
@@ -41,15 +40,13 @@
 
 static void serve_relayed(void *ctx, struct http_replier *r, conn_ref from,
                           const struct http_request *q);
-static void serve_here(void *ctx, struct http_replier *r, conn_ref from,
-                       const struct http_request *q);
 
 struct frontend *frontend_new(struct loop *loop, struct store *store, struct view *view,
                               struct membership *members, const struct settings *settings,
                               struct part *part, struct bus *bus, struct peers *peers)
 {
     struct frontend *f = g_new0(struct frontend, 1);
-    *f = (struct frontend){loop, store, view, members, settings, part, bus, peers, 0, false};
+    *f = (struct frontend){loop, store, view, members, settings, part, bus, peers, 0};
     bus_on_relay(bus, serve_relayed, f);
     return f;
 }
@@ -337,30 +334,15 @@
     return true;
 }
 
-void frontend_serve(void *ctx, struct http_replier *r, conn_ref from, const struct http_request *q)
-{
-    if (!hand_on(ctx, r, from, q))
-        serve_here(ctx, r, from, q);
-}
-
-static void serve_relayed(void *ctx, struct http_replier *r, conn_ref from,
-                          const struct http_request *q)
-{
-    struct frontend *f = ctx;
-    f->relayed = true;
-    serve_here(f, r, from, q);
-    f->relayed = false;
-}
-
-static void serve_here(void *ctx, struct http_replier *r, conn_ref from,
-                       const struct http_request *q)
+/* relayed: another node has handed it on. */
+static void serve_here(struct frontend *f, struct http_replier *r, conn_ref from,
+                       const struct http_request *q, bool relayed)
 {
-    struct frontend *f = ctx;
     if (is_work(q->path)) {
         route_work(f, r, from, q);
     } else if (strcmp(q->path, "/agent/beat") == 0) {
         if (strcmp(q->method, "POST") == 0)
-            part_report(f->part, r, from, q, f->relayed);
+            part_report(f->part, r, from, q, relayed);
         else
             reply_error(r, from, 405, "method not allowed");
     } else if (strcmp(q->path, "/ready") == 0) {
@@ -374,3 +356,15 @@
         reply_error(r, from, 404, "not found");
     }
 }
+
+static void serve_relayed(void *ctx, struct http_replier *r, conn_ref from,
+                          const struct http_request *q)
+{
+    serve_here(ctx, r, from, q, true);
+}
+
+void frontend_serve(void *ctx, struct http_replier *r, conn_ref from, const struct http_request *q)
+{
+    if (!hand_on(ctx, r, from, q))
+        serve_here(ctx, r, from, q, false);
+}
--- a/src/leader.c
+++ b/src/leader.c
@@ -250,6 +250,13 @@
     return p;
 }
 
+void lpart_put(cJSON **list, cJSON *item)
+{
+    if (!*list)
+        *list = cJSON_CreateArray();
+    cJSON_AddItemToArray(*list, item);
+}
+
 /* A new epoch, or this node has just come to lead: everything is taken from the view. What was
  * dealt under an earlier epoch and is not on record by now never will be, as every record is
  * conditioned on the map. */
@@ -519,38 +526,42 @@
 
 /* A task that fails is mostly its machine's fault; a job that fails on one machine after the other
  * is at fault itself, and tries again ever more seldom until its user cancels it. */
-static void on_fault(struct leader *l, const cJSON *f)
+static void on_fault(struct leader *l, struct ljob *j, struct lhost *h, enum cause cause)
 {
-    const char *host = bus_text(f, "h"), *job = bus_text(f, "j");
-    const cJSON *c = cJSON_GetObjectItemCaseSensitive(f, "c");
-    struct ljob *j = job ? ljob_get(l, job) : NULL;
-    struct lhost *h = host ? lhost_get(l, host) : NULL;
-    const cJSON *took = cJSON_GetObjectItemCaseSensitive(f, "took");
-    if (job && h && cJSON_IsNumber(took))
-        learn_pace(l, job, h, took->valuedouble);
-    if (!j || !h || !cJSON_IsNumber(c))
-        return;
-    if ((int)c->valuedouble != CAUSE_ERROR) {
+    if (cause != CAUSE_ERROR) {
         h->avoid_until = time_add_ms(loop_now(l->loop), 5000);
         return;
     }
-    struct job *v = view_job(l->view, job);
+    struct job *v = view_job(l->view, j->id.s);
     if (!j->failed_on)
         j->failed_on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    g_hash_table_add(j->failed_on, g_strdup(host));
+    g_hash_table_add(j->failed_on, g_strdup(h->id.s));
     bool at_fault = g_hash_table_size(j->failed_on) >= 3 && v && v->n_done == 0;
     if (at_fault) {
         j->failures++;
         int64_t pause = MIN(120000, 4000LL << MIN(j->failures, 5));
         j->not_before = time_add_ms(loop_now(l->loop), pause);
-        LOG_INFO("job_failing", "job=%s machines=%u pause_ms=%" G_GINT64_FORMAT, job,
+        LOG_INFO("job_failing", "job=%s machines=%u pause_ms=%" G_GINT64_FORMAT, j->id.s,
                  g_hash_table_size(j->failed_on), pause);
         return;
     }
-    host_failed(l, h, job);
+    host_failed(l, h, j->id.s);
     h->avoid_until = time_add_ms(loop_now(l->loop), 10000);
 }
 
+static void on_news(struct leader *l, const cJSON *n)
+{
+    const char *host = bus_text(n, "h"), *job = bus_text(n, "j");
+    const cJSON *cause = cJSON_GetObjectItemCaseSensitive(n, "c");
+    const cJSON *took = cJSON_GetObjectItemCaseSensitive(n, "took");
+    struct ljob *j = job ? ljob_get(l, job) : NULL;
+    struct lhost *h = host ? lhost_get(l, host) : NULL;
+    if (job && h && cJSON_IsNumber(took))
+        learn_pace(l, job, h, took->valuedouble);
+    if (j && h && cJSON_IsNumber(cause))
+        on_fault(l, j, h, (enum cause)cause->valuedouble);
+}
+
 static void on_host(struct leader *l, const char *from, const cJSON *x)
 {
     const cJSON *id = cJSON_GetArrayItem(x, 0), *build = cJSON_GetArrayItem(x, 1);
@@ -570,13 +581,12 @@
 
 static void on_back(struct leader *l, const cJSON *x)
 {
-    const char *job = bus_text(x, "j");
-    const cJSON *index = cJSON_GetObjectItemCaseSensitive(x, "i");
+    job_id job;
+    uint32_t i;
     attempt_no attempt;
-    struct ljob *j = job ? ljob_get(l, job) : NULL;
-    if (!j || !cJSON_IsNumber(index) || !bus_u64(x, "a", &attempt.v))
+    struct ljob *j = bus_task_read(x, &job, &i, &attempt) ? ljob_get(l, job.s) : NULL;
+    if (!j)
         return;
-    uint32_t i = (uint32_t)index->valuedouble;
     struct deal *d = g_hash_table_lookup(j->deals, leader_key_of(i));
     if (!d || d->attempt.v != attempt.v)
         return;
@@ -618,7 +628,7 @@
     const cJSON *x;
     cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "hosts")) on_host(l, from, x);
     cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "back")) on_back(l, x);
-    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "faults")) on_fault(l, x);
+    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "news")) on_news(l, x);
     /* Machines that nobody tells of any more, and that hold nothing, are forgotten. */
     g_hash_table_iter_init(&it, l->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
@@ -708,6 +718,8 @@
     g_hash_table_iter_init(&it, l->jobs);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&j))
         consider_end(l, j);
-    pass(l);
-    fleet_step(l->fleet);
+    if (leader_ready_to_deal(l))
+        pass(l);
+    else
+        fleet_step(l->fleet);
 }
--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -61,6 +61,8 @@
 /* OneZone and Apart are decided here, on records and deals; the zone is part of the deal. */
 static bool zone_allowed(struct leader *l, struct ljob *j, const struct spec *s, const char *yard)
 {
+    if (!s->one_zone && !s->apart)
+        return true;
     uint32_t there = leader_in_zone(l, j, yard);
     if (s->one_zone) {
         uint32_t all = g_hash_table_size(j->entries) + g_hash_table_size(j->deals);
@@ -70,6 +72,13 @@
     return !s->apart || there < (s->tasks + 1) / 2;
 }
 
+/* Whether a task of the job may be dealt to the machine, if there is room. */
+static bool host_allowed(struct leader *l, struct ljob *j, const struct spec *s, struct lhost *h)
+{
+    return spec_allows(s, h->build, h->yard, h->loaners) && leader_host_takes(l, h) &&
+           zone_allowed(l, j, s, h->yard);
+}
+
 /* The processors of a zone's ordinary machines beside those of the largest zone. */
 static double zone_roomy(struct leader *l, const char *yard)
 {
@@ -98,14 +107,10 @@
 {
     struct lhost *best = NULL, *h;
     double best_score = 0;
-    bool zoned = s->one_zone || s->apart;
     GHashTableIter it;
     g_hash_table_iter_init(&it, l->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
-        if (!spec_allows(s, h->build, h->yard, h->loaners) || !leader_host_takes(l, h) ||
-            !room_holds(leader_host_free_room(h), j->room))
-            continue;
-        if (zoned && !zone_allowed(l, j, s, h->yard))
+        if (!room_holds(leader_host_free_room(h), j->room) || !host_allowed(l, j, s, h))
             continue;
         struct room taken = h->booked;
         room_add(&taken, h->dealt);
@@ -130,8 +135,9 @@
     return (attempt_no){l->epoch.v << ATTEMPT_BITS | (l->attempts & ((1 << ATTEMPT_BITS) - 1))};
 }
 
-static void deal_to(struct leader *l, struct ljob *j, uint32_t index, attempt_no attempt,
-                    struct lhost *h, bool bound)
+/* Counts a task as dealt. */
+static void book(struct leader *l, struct ljob *j, uint32_t index, attempt_no attempt,
+                 struct lhost *h)
 {
     struct deal *d = g_new0(struct deal, 1);
     d->attempt = attempt;
@@ -140,19 +146,19 @@
     g_hash_table_insert(j->deals, leader_key_of(index), d);
     room_add(&h->dealt, j->room);
     room_add(&l->teams[j->team].used, j->room);
+}
+
+/* Tells the part of what was booked; bound: to that machine and no other. */
+static void deal_to(struct leader *l, struct ljob *j, uint32_t index, bool bound)
+{
+    struct deal *d = g_hash_table_lookup(j->deals, leader_key_of(index));
     struct job *v = view_job(l->view, j->id.s);
-    struct lpart *p = lpart_make(l, h->owner);
-    cJSON *x = cJSON_CreateObject();
-    cJSON_AddStringToObject(x, "j", j->id.s);
-    cJSON_AddNumberToObject(x, "i", index);
-    bus_put_u64(x, "a", attempt.v);
+    cJSON *x = bus_task(j->id, index, d->attempt);
     if (v->spec->one_zone || v->spec->apart)
-        cJSON_AddStringToObject(x, "y", h->yard);
+        cJSON_AddStringToObject(x, "y", d->yard);
     if (bound)
-        cJSON_AddStringToObject(x, "h", h->id.s);
-    if (!p->deal)
-        p->deal = cJSON_CreateArray();
-    cJSON_AddItemToArray(p->deal, x);
+        cJSON_AddStringToObject(x, "h", d->host->id.s);
+    lpart_put(&lpart_make(l, d->host->owner)->deal, x);
 }
 
 static bool task_waits(const struct ljob *j, const struct job *v, uint32_t index)
@@ -227,16 +233,10 @@
     if (!e->halted)
         room_add(&l->teams[j->team].halting, j->room);
     e->halted = true;
-    struct lpart *p = lpart_make(l, h->owner);
-    cJSON *x = cJSON_CreateObject();
+    cJSON *x = bus_task(j->id, index, e->attempt);
     cJSON_AddStringToObject(x, "h", e->host.s);
-    cJSON_AddStringToObject(x, "j", j->id.s);
-    cJSON_AddNumberToObject(x, "i", index);
-    bus_put_u64(x, "a", e->attempt.v);
     cJSON_AddNumberToObject(x, "g", grace_s);
-    if (!p->halt)
-        p->halt = cJSON_CreateArray();
-    cJSON_AddItemToArray(p->halt, x);
+    lpart_put(&lpart_make(l, h->owner)->halt, x);
 }
 
 struct victim {
@@ -261,14 +261,21 @@
     return within(t->used, all, t->team->cpus, t->team->gpus);
 }
 
-/* Whether a task may be stopped for the job: it has a lower priority, or its team runs it above its
- * guarantee while the job's team lacks its own. Services are not stopped for a guarantee. */
-static bool may_stop(struct leader *l, struct ljob *victim, struct ljob *j, struct job *v)
+/* A job that finds no room, and what it may have stopped: work of lower priority, and what other
+ * teams run above their guarantee while its own lacks it. */
+struct claim {
+    struct ljob *job;
+    struct job *view;
+    bool over_lower, over_borrowed;
+};
+
+/* Services are not stopped for a guarantee. */
+static bool may_stop(struct leader *l, struct ljob *victim, const struct claim *c)
 {
-    if (victim->urgency > j->urgency)
-        return leader_may_preempt(l, v->spec);
+    if (victim->urgency > c->job->urgency)
+        return c->over_lower;
     const struct lteam *t = &l->teams[victim->team];
-    return victim->team != j->team && !victim->service && guaranteed(l, j, v) &&
+    return victim->team != c->job->team && !victim->service && c->over_borrowed &&
            (t->used.cpus.milli - t->halting.cpus.milli - victim->room.cpus.milli >=
                 t->team->cpus.milli &&
             t->used.gpus.milli - t->halting.gpus.milli - victim->room.gpus.milli >=
@@ -277,8 +284,7 @@
 
 /* Tasks on a machine that may be stopped for a job, youngest first. Gangs are let be: one task
  * stopped stops them all. */
-static GArray *victims_on(struct leader *l, struct lhost *h, struct ljob *for_job,
-                          struct job *v_for)
+static GArray *victims_on(struct leader *l, struct lhost *h, const struct claim *c)
 {
     GArray *out = g_array_new(FALSE, FALSE, sizeof(struct victim));
     struct host_record *rec = view_host(l->view, h->id.s);
@@ -287,7 +293,7 @@
         struct ljob *j = ljob_get(l, t->job->id.s);
         struct entry *e = j ? g_hash_table_lookup(j->entries, leader_key_of(t->index)) : NULL;
         if (!e || e->attempt.v != t->attempt.v || !host_eq(e->host, h->id) || e->halted ||
-            !t->job->spec || t->job->spec->form == FORM_GANG || !may_stop(l, j, for_job, v_for))
+            !t->job->spec || t->job->spec->form == FORM_GANG || !may_stop(l, j, c))
             continue;
         struct victim v = {j, t->index, e};
         g_array_append_val(out, v);
@@ -303,9 +309,8 @@
     struct lhost *h;
     g_hash_table_iter_init(&it, l->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
-        if (strcmp(h->yard, yard) != 0 && spec_allows(s, h->build, h->yard, h->loaners) &&
-            leader_host_takes(l, h) && room_holds(leader_host_free_room(h), j->room) &&
-            (!(s->one_zone || s->apart) || zone_allowed(l, j, s, h->yard)))
+        if (strcmp(h->yard, yard) != 0 && room_holds(leader_host_free_room(h), j->room) &&
+            host_allowed(l, j, s, h))
             return true;
     return false;
 }
@@ -320,8 +325,7 @@
     g_hash_table_iter_init(&it, l->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
         struct host_record *rec = view_host(l->view, h->id.s);
-        if (!rec || !spec_allows(v->spec, h->build, h->yard, h->loaners) ||
-            !leader_host_takes(l, h) || !zone_allowed(l, j, v->spec, h->yard))
+        if (!rec || !host_allowed(l, j, v->spec, h))
             continue;
         for (guint i = 0; i < rec->tasks->len; i++) {
             struct placed *t = rec->tasks->pdata[i];
@@ -344,20 +348,19 @@
 }
 
 /* The machine where room for one task costs the least work of lower priority. */
-static struct lhost *cheapest_to_clear(struct leader *l, struct ljob *j, struct job *v,
-                                       GHashTable *cleared)
+static struct lhost *cheapest_to_clear(struct leader *l, const struct claim *c, GHashTable *cleared)
 {
+    struct ljob *j = c->job;
     mono_time now = loop_now(l->loop);
-    const struct spec *s = v->spec;
+    const struct spec *s = c->view->spec;
     GHashTableIter it;
     struct lhost *h, *best = NULL;
     double least = 0;
     g_hash_table_iter_init(&it, l->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
-        if (!spec_allows(s, h->build, h->yard, h->loaners) || !leader_host_takes(l, h) ||
-            ((s->one_zone || s->apart) && !zone_allowed(l, j, s, h->yard)))
+        if (!host_allowed(l, j, s, h))
             continue;
-        GArray *victims = victims_on(l, h, j, v);
+        GArray *victims = victims_on(l, h, c);
         struct room free = leader_host_free_room(h), *more = g_hash_table_lookup(cleared, h);
         double loss = 0;
         if (more)
@@ -384,7 +387,10 @@
  * least. What is stopped is off the record a moment later, and ranks behind. */
 static void preempt(struct leader *l, struct ljob *j, struct job *v)
 {
+    struct claim c = {j, v, leader_may_preempt(l, v->spec), guaranteed(l, j, v)};
     mono_time now = loop_now(l->loop);
+    if (!c.over_lower && !c.over_borrowed)
+        return;
     /* Just after a change of epoch much of the room is not known yet. */
     if ((j->preempted_at.us && time_ms_since(now, j->preempted_at) < PREEMPT_MS) ||
         time_ms_since(now, l->epoch_at) < (int64_t)(l->settings->report_s * 1250))
@@ -393,7 +399,7 @@
     GHashTable *cleared = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     int64_t n = MIN(leader_count_allowed(l, j, v), PREEMPT_TASKS);
     for (int64_t k = 0; k < n; k++) {
-        struct lhost *best = cheapest_to_clear(l, j, v, cleared);
+        struct lhost *best = cheapest_to_clear(l, &c, cleared);
         if (!best) {
             if (k == 0 && v->spec->form == FORM_SERVICE && v->spec->apart)
                 make_way(l, j, v);
@@ -404,7 +410,7 @@
             more = g_new0(struct room, 1);
             g_hash_table_insert(cleared, best, more);
         }
-        GArray *victims = victims_on(l, best, j, v);
+        GArray *victims = victims_on(l, best, &c);
         struct room free = leader_host_free_room(best);
         room_add(&free, *more);
         for (guint i = 0; i < victims->len && !room_holds(free, j->room); i++) {
@@ -432,11 +438,11 @@
     struct lhost *h = choose_host(l, j, v->spec);
     if (!h) {
         j->blocked = true;
-        if (leader_may_preempt(l, v->spec) || guaranteed(l, j, v))
-            preempt(l, j, v);
+        preempt(l, j, v);
         return false;
     }
-    deal_to(l, j, index, next_attempt(l), h, false);
+    book(l, j, index, next_attempt(l), h);
+    deal_to(l, j, index, false);
     return true;
 }
 
@@ -474,8 +480,8 @@
     struct room all = {{j->room.cpus.milli * left}, {j->room.gpus.milli * left}, {0}};
     if (!left || !within(t->used, all, t->team->cpus_max, t->team->gpus_max))
         return false;
-    GArray *undo = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-    GPtrArray *hosts = g_ptr_array_new();
+    GArray *booked = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    attempt_no attempt = next_attempt(l);
     bool whole = true;
     for (uint32_t i = 0; i < v->tasks && whole; i++) {
         if (job_task_done(v, i))
@@ -484,24 +490,18 @@
         whole = h != NULL;
         if (!h)
             break;
-        /* Stands in for the deal, so that rooms and zones are counted. */
-        struct deal *d = g_new0(struct deal, 1);
-        d->host = h;
-        g_strlcpy(d->yard, h->yard, sizeof d->yard);
-        g_hash_table_insert(j->deals, leader_key_of(i), d);
-        room_add(&h->dealt, j->room);
-        room_add(&t->used, j->room);
-        g_array_append_val(undo, i);
-        g_ptr_array_add(hosts, h);
+        book(l, j, i, attempt, h);
+        g_array_append_val(booked, i);
+    }
+    for (guint i = 0; i < booked->len; i++) {
+        uint32_t index = g_array_index(booked, uint32_t, i);
+        if (whole)
+            deal_to(l, j, index, true);
+        else
+            leader_deal_drop(l, j, index);
     }
-    for (guint i = 0; i < undo->len; i++)
-        leader_deal_drop(l, j, g_array_index(undo, uint32_t, i));
-    attempt_no attempt = next_attempt(l);
-    for (guint i = 0; whole && i < undo->len; i++)
-        deal_to(l, j, g_array_index(undo, uint32_t, i), attempt, hosts->pdata[i], true);
     j->blocked = !whole;
-    g_array_unref(undo);
-    g_ptr_array_unref(hosts);
+    g_array_unref(booked);
     return whole;
 }
 
--- a/src/leader_scale.c
+++ b/src/leader_scale.c
@@ -12,12 +12,10 @@
 };
 
 /* Room that is there or on its way, and not needed yet. */
-struct virtual
-{
+struct planned {
     const char *build, *yard;
     bool loaners;
     struct room free;
-    bool exists;
 };
 
 struct offer {
@@ -27,10 +25,10 @@
     int number;
 };
 
-static void add_virtual(GArray *rooms, const char *build, const char *yard, bool loaners,
-                        struct room free, bool exists)
+static void add_planned(GArray *rooms, const char *build, const char *yard, bool loaners,
+                        struct room free)
 {
-    struct virtual v = {build, yard, loaners, free, exists};
+    struct planned v = {build, yard, loaners, free};
     g_array_append_val(rooms, v);
 }
 
@@ -49,22 +47,22 @@
             continue;
         if (time_ms_since(now, m->rented) > (int64_t)(t->ready_s * 1700))
             continue;
-        add_virtual(rooms, m->build, m->yard, m->loaners, room_of_type(t), true);
+        add_planned(rooms, m->build, m->yard, m->loaners, room_of_type(t));
     }
     for (guint i = 0; i < leader_types_now(l)->len; i++) {
         const struct machine_type *t = &g_array_index(leader_types_now(l), struct machine_type, i);
         for (int y = 0; t->yards[y]; y++)
             for (int spot = 0; spot < 2; spot++)
                 for (int n = fleet_requested(l->fleet, t->name, t->yards[y], spot); n > 0; n--)
-                    add_virtual(rooms, t->name, t->yards[y], spot, room_of_type(t), true);
+                    add_planned(rooms, t->name, t->yards[y], spot, room_of_type(t));
     }
 }
 
-static bool take_virtual(GArray *rooms, const struct spec *s, struct room ask, const char *yard)
+static bool take_planned(GArray *rooms, const struct spec *s, struct room ask, const char *yard)
 {
-    struct virtual *best = NULL;
+    struct planned *best = NULL;
     for (guint i = 0; i < rooms->len; i++) {
-        struct virtual *v = &g_array_index(rooms, struct virtual, i);
+        struct planned *v = &g_array_index(rooms, struct planned, i);
         if (!spec_allows(s, v->build, v->yard, v->loaners) || !room_holds(v->free, ask) ||
             (yard && strcmp(yard, v->yard) != 0))
             continue;
@@ -125,7 +123,7 @@
                     struct room ask, int64_t n, const char *yard, bool spot_only)
 {
     while (n > 0) {
-        if (take_virtual(rooms, s, ask, yard)) {
+        if (take_planned(rooms, s, ask, yard)) {
             n--;
             continue;
         }
@@ -136,7 +134,7 @@
         if (total >= 40 || !best_offer(l, s, ask, n, yard, spot_only, &o))
             return n;
         order_offer(orders, &o);
-        add_virtual(rooms, o.type->name, o.yard, o.loaners, room_of_type(o.type), false);
+        add_planned(rooms, o.type->name, o.yard, o.loaners, room_of_type(o.type));
     }
     return 0;
 }
@@ -194,7 +192,7 @@
         if (h->loaners && h->told)
             cpus += (double)h->total.cpus.milli / 1000;
     for (guint i = 0; i < rooms->len; i++) {
-        struct virtual *v = &g_array_index(rooms, struct virtual, i);
+        struct planned *v = &g_array_index(rooms, struct planned, i);
         if (v->loaners)
             cpus += (double)v->free.cpus.milli / 1000;
     }
@@ -204,7 +202,7 @@
 /* The size of a task of the services that run, and how many of their tasks come in a second. The
  * busiest stretch of time is left out, so that many that come at once do not count for what is
  * usual. */
-static bool service_rate(struct leader *l, struct room *usual, double *rate)
+static void measure_services(struct leader *l)
 {
     int64_t n = 0, slots[RATE_SLOTS] = {0}, sum = 0, most = 0, seen = 2;
     struct room total = {0};
@@ -216,8 +214,9 @@
         struct job *v = view_job(l->view, j->id.s);
         if (!j->service || !v || !v->known)
             continue;
-        for (uint32_t i = 0; i < v->tasks; i++)
-            room_add(&total, j->room);
+        room_add(&total, (struct room){{j->room.cpus.milli * v->tasks},
+                                       {j->room.gpus.milli * v->tasks},
+                                       {j->room.memory.milli * v->tasks}});
         n += v->tasks;
         int64_t slot = (now.ms - v->submitted.ms) / RATE_SLOT_MS;
         seen = MAX(seen, MIN(slot + 1, RATE_SLOTS));
@@ -229,10 +228,10 @@
         most = MAX(most, slots[i]);
     }
     if (n)
-        *usual =
+        l->service_usual =
             (struct room){{total.cpus.milli / n}, {total.gpus.milli / n}, {total.memory.milli / n}};
-    *rate = (double)(sum - most) * 1000 / (double)((seen - 1) * RATE_SLOT_MS);
-    return n > 0;
+    l->service_rate = (double)(sum - most) * 1000 / (double)((seen - 1) * RATE_SLOT_MS);
+    l->services = n > 0;
 }
 
 /* How many more tasks of services a zone's ordinary machines could hold. */
@@ -252,15 +251,14 @@
  * idle: arrays use it and are preempted. */
 static void want_for_services(struct leader *l, GArray *rooms, GArray *orders)
 {
-    struct room usual;
-    double rate;
-    if (!service_rate(l, &usual, &rate))
+    if (!l->services)
         return;
+    struct room usual = l->service_usual;
     struct policy_value in[POLICY_INPUTS] = {0};
     leader_load_inputs(l, in);
     struct spec any = {.form = FORM_SERVICE};
     guint zones = l->settings->zones->len;
-    int64_t each = (int64_t)round(rate * leader_slowest_boot(l) *
+    int64_t each = (int64_t)round(l->service_rate * leader_slowest_boot(l) *
                                   policy_number(l->policy, POLICY_SERVICE_SPARE, in) / zones);
     int64_t unmet = 0;
     for (guint i = 0; i < zones; i++) {
@@ -283,7 +281,7 @@
 {
     if (!leader_types_now(l) || !fleet_listed(l->fleet))
         return;
-    GArray *rooms = g_array_new(FALSE, FALSE, sizeof(struct virtual));
+    GArray *rooms = g_array_new(FALSE, FALSE, sizeof(struct planned));
     GArray *orders = g_array_new(FALSE, FALSE, sizeof(struct offer));
     incoming(l, rooms);
     /* Ordinary machines are rented for work that spot machines could do only when these would not
@@ -327,13 +325,11 @@
 /* Whether the next services would miss the machine. */
 static bool kept_for_services(struct leader *l, struct lhost *h)
 {
-    struct room usual;
-    double rate;
-    if (h->loaners || !service_rate(l, &usual, &rate))
+    if (h->loaners || !l->services)
         return false;
     for (guint i = 0; i < l->settings->zones->len; i++)
         if (strcmp(l->settings->zones->pdata[i], h->yard) == 0) {
-            int64_t holds = room_times(room_left(h->total, h->pinned), usual);
+            int64_t holds = room_times(room_left(h->total, h->pinned), l->service_usual);
             if (l->service_lack[i] + holds > 0)
                 return true;
             l->service_lack[i] += holds;
@@ -410,9 +406,7 @@
             struct lpart *p = lpart_make(l, owner);
             if (p->gone && cJSON_GetArraySize(p->gone) > 100)
                 continue;
-            if (!p->gone)
-                p->gone = cJSON_CreateArray();
-            cJSON_AddItemToArray(p->gone, cJSON_CreateString(h->id.s));
+            lpart_put(&p->gone, cJSON_CreateString(h->id.s));
             h->told = false;
         }
     }
@@ -432,10 +426,10 @@
         used[h->loaners] += (double)(h->booked.cpus.milli + h->dealt.cpus.milli) / 1000;
         idle[h->loaners] += leader_host_idle(h) ? (double)h->total.cpus.milli / 1000 : 0;
     }
-    GArray *rooms = g_array_new(FALSE, FALSE, sizeof(struct virtual));
+    GArray *rooms = g_array_new(FALSE, FALSE, sizeof(struct planned));
     incoming(l, rooms);
     for (guint i = 0; i < rooms->len; i++) {
-        struct virtual *v = &g_array_index(rooms, struct virtual, i);
+        struct planned *v = &g_array_index(rooms, struct planned, i);
         coming[v->loaners] += (double)v->free.cpus.milli / 1000;
     }
     g_array_unref(rooms);
@@ -457,6 +451,7 @@
     l->demand_peak = MAX(used, l->demand_peak + (used - l->demand_peak) * MIN(passed / 60, 1));
     if (log_debug_on())
         log_fleet(l);
+    measure_services(l);
     rent_for_demand(l);
     return_useless(l);
     return_idle(l);
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -101,6 +101,9 @@
     struct timer tick, pass;
     mono_time scaled_at;
     double demand_peak;
+    bool services; /* some run; the next two tell of them */
+    struct room service_usual;
+    double service_rate;
     int64_t *service_lack; /* of tasks, by zone; negative: room to spare */
     double *zone_cpus;     /* of ordinary machines, as in settings->zones */
 };
@@ -112,6 +115,8 @@
 struct lhost *lhost_get(struct leader *l, const char *id);
 void leader_deal_drop(struct leader *l, struct ljob *j, uint32_t index);
 struct lpart *lpart_make(struct leader *l, const char *label);
+/* Adds to one of the lists that go to a part. */
+void lpart_put(cJSON **list, cJSON *item);
 
 /* leader_policy.c: what operators and objectives say */
 const GArray *leader_types_now(struct leader *l);
--- a/src/part.c
+++ b/src/part.c
@@ -57,7 +57,7 @@
     for (int i = 0; i <= ARQ_CLASSES; i++)
         g_queue_init(&p->queues[i]);
     p->back = g_array_new(FALSE, FALSE, sizeof(struct dealt));
-    p->faults = g_ptr_array_new_with_free_func(delete_json);
+    p->news = g_ptr_array_new_with_free_func(delete_json);
     p->marks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, unref_bytes);
     timer_init(&p->tick, tick, p);
     timer_init(&p->flush, part_flush, p);
@@ -85,7 +85,7 @@
     g_hash_table_unref(p->marks);
     g_hash_table_unref(p->redirects);
     g_array_unref(p->back);
-    g_ptr_array_unref(p->faults);
+    g_ptr_array_unref(p->news);
     g_free(p);
 }
 
@@ -106,15 +106,12 @@
 
 static void deal_one(struct part *p, const cJSON *x)
 {
-    const char *job = bus_text(x, "j"), *yard = bus_text(x, "y"), *at = bus_text(x, "h");
-    const cJSON *index = cJSON_GetObjectItemCaseSensitive(x, "i");
+    const char *yard = bus_text(x, "y"), *at = bus_text(x, "h");
     struct dealt d = {0};
-    if (!job || !job_id_from(&d.job, job) || !cJSON_IsNumber(index) ||
-        !bus_u64(x, "a", &d.attempt.v)) {
-        LOG_ERROR("deal_malformed", "job=%s", job ? job : "");
+    if (!bus_task_read(x, &d.job, &d.index, &d.attempt)) {
+        LOG_ERROR("deal_malformed", "at=%s", at ? at : "");
         return;
     }
-    d.index = (uint32_t)index->valuedouble;
     g_strlcpy(d.yard, yard ? yard : "", sizeof d.yard);
     g_strlcpy(d.at, at ? at : "", sizeof d.at);
     d.since = d.queue_since = loop_now(p->loop);
@@ -123,29 +120,24 @@
 
 static void halt_one(struct part *p, const cJSON *x)
 {
-    const char *host = bus_text(x, "h"), *job = bus_text(x, "j");
-    const cJSON *index = cJSON_GetObjectItemCaseSensitive(x, "i");
+    const char *host = bus_text(x, "h");
     const cJSON *grace = cJSON_GetObjectItemCaseSensitive(x, "g");
+    job_id job;
+    uint32_t index;
     attempt_no attempt;
-    job_id id;
     struct host *h = host ? part_host_get(p, host) : NULL;
-    if (!h || !job || !job_id_from(&id, job) || !cJSON_IsNumber(index) ||
-        !bus_u64(x, "a", &attempt.v))
+    if (!h || !bus_task_read(x, &job, &index, &attempt))
         return;
-    struct run *r = part_run_find(h, id, (uint32_t)index->valuedouble, attempt);
+    struct run *r = part_run_find(h, job, index, attempt);
     if (r) {
         part_run_stop(r, cJSON_IsNumber(grace) ? grace->valuedouble : 0);
         part_push(p, h);
     }
 }
 
-static void host_is_gone(struct part *p, const char *id)
+/* What was placed and is in no transaction has not been started, and never will be. */
+static void drop_news(struct host *h)
 {
-    struct host *h = part_host_get(p, id);
-    if (!h || h->gone)
-        return;
-    LOG_INFO("machine_gone", "machine=%s", id);
-    h->gone = true;
     for (guint i = 0; i < h->runs->len;) {
         struct run *r = h->runs->pdata[i];
         if (r->phase == RUN_NEW && !r->in_txn)
@@ -153,6 +145,16 @@
         else
             i++;
     }
+}
+
+static void host_is_gone(struct part *p, const char *id)
+{
+    struct host *h = part_host_get(p, id);
+    if (!h || h->gone)
+        return;
+    LOG_INFO("machine_gone", "machine=%s", id);
+    h->gone = true;
+    drop_news(h);
     part_free_all_runs(p, h, "returned");
     if (h->stamp.v || h->in_txn) {
         h->dirty = true;
@@ -192,7 +194,7 @@
 struct digest_sent {
     struct part *part;
     uint64_t generation;
-    guint back, faults;
+    guint back, news;
 };
 
 /* The leader names the machines that are to get nothing more. */
@@ -219,7 +221,7 @@
     p->digest_out = false;
     if (status == 200 && s->generation == p->generation) {
         g_array_remove_range(p->back, 0, s->back);
-        g_ptr_array_remove_range(p->faults, 0, s->faults);
+        g_ptr_array_remove_range(p->news, 0, s->news);
         p->want_raise = false;
         heed_shut(p, cJSON_GetObjectItemCaseSensitive(answer, "shut"));
     }
@@ -271,19 +273,15 @@
     cJSON *back = cJSON_AddArrayToObject(m, "back");
     for (guint i = 0; i < p->back->len; i++) {
         struct dealt *d = &g_array_index(p->back, struct dealt, i);
-        cJSON *x = cJSON_CreateObject();
-        cJSON_AddStringToObject(x, "j", d->job.s);
-        cJSON_AddNumberToObject(x, "i", d->index);
-        bus_put_u64(x, "a", d->attempt.v);
-        cJSON_AddItemToArray(back, x);
+        cJSON_AddItemToArray(back, bus_task(d->job, d->index, d->attempt));
     }
-    cJSON *faults = cJSON_AddArrayToObject(m, "faults");
-    for (guint i = 0; i < p->faults->len; i++)
-        cJSON_AddItemToArray(faults, cJSON_Duplicate(p->faults->pdata[i], true));
+    cJSON *news = cJSON_AddArrayToObject(m, "news");
+    for (guint i = 0; i < p->news->len; i++)
+        cJSON_AddItemToArray(news, cJSON_Duplicate(p->news->pdata[i], true));
     if (p->want_raise)
         cJSON_AddBoolToObject(m, "raise", true);
     struct digest_sent *s = g_new(struct digest_sent, 1);
-    *s = (struct digest_sent){p, p->generation, p->back->len, p->faults->len};
+    *s = (struct digest_sent){p, p->generation, p->back->len, p->news->len};
     p->digest_out = true;
     bus_send(p->bus, p->view->leader, "digest", m, 2000, digest_answered, s);
 }
@@ -332,13 +330,7 @@
         }
         h->in_txn = false;
         part_host_sync(p, h);
-        for (guint i = 0; i < h->runs->len;) {
-            struct run *r = h->runs->pdata[i];
-            if (r->phase == RUN_NEW)
-                part_run_remove(h, i);
-            else
-                i++;
-        }
+        drop_news(h);
         if (h->gone) {
             h->gone = false;
             host_is_gone(p, h->id.s);
--- a/src/part_host.c
+++ b/src/part_host.c
@@ -182,16 +182,17 @@
     part_flush_soon(p);
 }
 
-static void fault(struct part *p, struct host *h, struct run *r, enum cause why)
+/* Something about a task that the leader should know. */
+static void tell_leader(struct part *p, struct host *h, struct run *r, const char *field,
+                        double value)
 {
-    if (p->faults->len >= MOST_NEWS)
+    if (p->news->len >= MOST_NEWS)
         return;
-    cJSON *f = cJSON_CreateObject();
-    cJSON_AddStringToObject(f, "h", h->id.s);
-    cJSON_AddStringToObject(f, "j", r->job.s);
-    cJSON_AddNumberToObject(f, "c", why);
-    g_ptr_array_add(p->faults, f);
-    part_digest_soon(p);
+    cJSON *n = cJSON_CreateObject();
+    cJSON_AddStringToObject(n, "h", h->id.s);
+    cJSON_AddStringToObject(n, "j", r->job.s);
+    cJSON_AddNumberToObject(n, field, value);
+    g_ptr_array_add(p->news, n);
 }
 
 /* The lease surely ran out: nobody can have renewed it after the moments below. */
@@ -219,19 +220,6 @@
     }
 }
 
-/* Tells the leader how long a task took: beside the others of its job, it shows slow machines. */
-static void tell_time(struct part *p, struct host *h, struct run *r)
-{
-    if (!r->running_at.us || p->faults->len >= MOST_NEWS)
-        return;
-    cJSON *f = cJSON_CreateObject();
-    cJSON_AddStringToObject(f, "h", h->id.s);
-    cJSON_AddStringToObject(f, "j", r->job.s);
-    cJSON_AddNumberToObject(f, "took",
-                            (double)time_ms_since(loop_now(p->loop), r->running_at) / 1000);
-    g_ptr_array_add(p->faults, f);
-}
-
 /* The cloud takes the machine back. What can save its work, or be replaced before it is missed, is
  * stopped now; so is what could not end in time. */
 static void leave_in_time(struct part *p, struct host *h, double left_s)
@@ -266,10 +254,14 @@
     if (t->cause != CAUSE_DONE && t->cause != CAUSE_HALTED)
         LOG_INFO("task_exited", "job=%s task=%u machine=%s cause=%d", r->job.s, r->index, h->id.s,
                  t->cause);
-    if (t->cause != CAUSE_DONE && t->cause != CAUSE_HALTED && t->cause != CAUSE_PEERS)
-        fault(p, h, r, t->cause);
-    if (t->cause == CAUSE_DONE)
-        tell_time(p, h, r);
+    if (t->cause != CAUSE_DONE && t->cause != CAUSE_HALTED && t->cause != CAUSE_PEERS) {
+        tell_leader(p, h, r, "c", t->cause);
+        part_digest_soon(p);
+    }
+    /* Beside the others of its job, it shows slow machines. */
+    if (t->cause == CAUSE_DONE && r->running_at.us)
+        tell_leader(p, h, r, "took",
+                    (double)time_ms_since(loop_now(p->loop), r->running_at) / 1000);
     run_over(p, h, r, t->cause == CAUSE_DONE);
 }
 
@@ -319,33 +311,26 @@
             leave_in_time(p, h, rep->recall_s);
     }
     g_array_set_size(h->strays, 0);
-    GArray *missing = g_array_new(FALSE, TRUE, 1);
     for (guint k = 0; k < h->runs->len; k++)
-        g_array_append_val(missing, (guint8){1});
+        ((struct run *)h->runs->pdata[k])->listed = false;
     for (guint i = 0; i < rep->tasks->len; i++) {
         const struct report_task *t = &g_array_index(rep->tasks, struct report_task, i);
-        struct run *r = NULL;
-        for (guint k = 0; k < h->runs->len && !r; k++) {
-            struct run *x = h->runs->pdata[k];
-            if (x->attempt.v == t->attempt.v && x->index == t->index && job_eq(x->job, t->job)) {
-                r = x;
-                missing->data[k] = 0;
-            }
-        }
-        if (r)
+        struct run *r = part_run_find(h, t->job, t->index, t->attempt);
+        if (r) {
+            r->listed = true;
             run_reported(p, h, r, t);
-        else
+        } else {
             g_array_append_val(h->strays, *t);
+        }
     }
-    for (guint k = missing->len; k-- > 0;) {
+    for (guint k = h->runs->len; k-- > 0;) {
         struct run *r = h->runs->pdata[k];
-        if (!missing->data[k])
+        if (r->listed)
             continue;
         run_missing(p, h, r, rep);
         if (r->phase == RUN_GONE)
             part_run_remove(h, k);
     }
-    g_array_unref(missing);
     if (news)
         part_digest_soon(p);
     part_place_all(p);
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -22,6 +22,7 @@
     bool service;
     enum run_phase phase;
     bool in_txn;
+    bool listed; /* in the report at hand */
     bool seen;
     enum task_state state;
     bool done;           /* with RUN_FREEING: it completed */
@@ -90,7 +91,7 @@
     GQueue queues[ARQ_CLASSES + 1]; /* [0]: jobs not in view yet */
     struct arq_busy busy[ARQ_CLASSES + 1];
     GArray *back;      /* struct dealt: given back to the leader */
-    GPtrArray *faults; /* cJSON: what went wrong, for the leader */
+    GPtrArray *news;   /* cJSON: what went wrong, and how long tasks took, for the leader */
     GHashTable *marks; /* key -> GByteArray: what this node has marked done there */
     bool txn_out;
     bool digest_out, digest_soon, want_raise;
--- a/src/part_worker.c
+++ b/src/part_worker.c
@@ -87,8 +87,7 @@
 struct pushed {
     struct part *part;
     host_id host;
-    uint64_t generation;
-    GArray *orders;
+    GArray *orders; /* of a push */
 };
 
 static bool newer(const struct host *h, const struct report *r)
@@ -154,7 +153,7 @@
         return;
     }
     struct pushed *c = g_new(struct pushed, 1);
-    *c = (struct pushed){p, h->id, p->generation, orders};
+    *c = (struct pushed){p, h->id, orders};
     char *body = codec_orders_write(p->epoch, h->shift, (struct order *)orders->data, orders->len);
     struct net_request q = {h->addr, "POST", "/commands", body, strlen(body), PUSH_TIMEOUT_MS};
     h->push_out = true;
