--- /dev/null
+++ b/daemon/main.c
@@ -0,0 +1,91 @@
+/* linenlandingd: a thin program around the library. */
+#include "log.h"
+#include "node.h"
+
+#include <locale.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+enum { EXIT_USAGE = 2 };
+
+struct options {
+    char *config;
+    gboolean version, check;
+};
+
+static int usage_error(const char *message)
+{
+    fprintf(stderr, "linenlandingd: %s\n", message);
+    return EXIT_USAGE;
+}
+
+static bool parse(int argc, char **argv, struct options *o, GError **error)
+{
+    const GOptionEntry entries[] = {
+        {"config", 'c', 0, G_OPTION_ARG_FILENAME, &o->config, "Settings of this node (TOML)", "FILE"},
+        {"check-config", 0, 0, G_OPTION_ARG_NONE, &o->check, "Check the settings and exit", NULL},
+        {"version", 'V', 0, G_OPTION_ARG_NONE, &o->version, "Print the version and exit", NULL},
+        {0},
+    };
+    GOptionContext *c = g_option_context_new("- run a node of the cluster scheduler");
+    g_option_context_add_main_entries(c, entries, NULL);
+    bool ok = g_option_context_parse(c, &argc, &argv, error);
+    g_option_context_free(c);
+    if (ok && argc > 1) {
+        g_set_error(error, G_OPTION_ERROR, G_OPTION_ERROR_UNKNOWN_OPTION, "unexpected argument %s", argv[1]);
+        ok = false;
+    }
+    return ok;
+}
+
+static int run(const struct settings *s)
+{
+    struct loop *loop = loop_new();
+    int fds = s->fd_limit;
+    struct http_client_limits client = {.connections = fds / 3,
+                                        .per_address = 8,
+                                        .queue = 2000,
+                                        .answer_size = 8 << 20,
+                                        .connect_ms = 1500,
+                                        .idle_ms = 20000};
+    struct net *net = http_client_new(loop, client);
+    struct node *node = node_new(loop, net, s);
+    struct http_limits api = {fds / 2, 64 << 10, 90000, 10000};
+    struct http_limits back = {MAX(fds / 16, 16), 4 << 20, 90000, 10000};
+    char *error = NULL;
+    if (!http_server_new(loop, s->api_addr, api, frontend_serve, node->frontend, &error) ||
+        !http_server_new(loop, s->back_addr, back, bus_serve, node->bus, &error)) {
+        LOG_ERROR("listen", "%s", error);
+        return 1;
+    }
+    LOG_INFO("start", "version=%s api=%s back=%s", LL_VERSION, s->api_addr, s->back_addr);
+    node_start(node);
+    loop_run(loop);
+    return 0;
+}
+
+int main(int argc, char **argv)
+{
+    struct options o = {0};
+    GError *problem = NULL;
+    if (!parse(argc, argv, &o, &problem))
+        return usage_error(problem->message);
+    if (o.version) {
+        puts("linenlandingd " LL_VERSION);
+        return 0;
+    }
+    if (!o.config)
+        return usage_error("--config FILE is missing");
+    char *error = NULL;
+    struct settings *s = settings_load(o.config, &error);
+    if (!s)
+        return usage_error(error);
+    const char *level = g_getenv("LOG_LEVEL");
+    if (!log_setup(level && *level ? level : "info", s->label))
+        return usage_error("LOG_LEVEL: must be error, info or debug");
+    if (o.check) {
+        printf("%s: fine\n", o.config);
+        return 0;
+    }
+    return run(s);
+}
--- /dev/null
+++ b/src/bus.h
@@ -0,0 +1,33 @@
+/* Messages between the service's own nodes, in cJSON over HTTP. A message to the own node takes the
+ * same way, without the socket. */
+#ifndef LL_BUS_H
+#define LL_BUS_H
+
+#include "http.h"
+#include "settings.h"
+
+#include <cjson/cJSON.h>
+
+struct bus;
+
+/* status 200: heard, with an answer that may be NULL; else as in net_answer. */
+typedef void (*bus_done)(void *arg, int status, const cJSON *answer);
+/* Handles a message; *answer, if set, goes back with the status. */
+typedef int (*bus_handler)(void *ctx, const char *from, const cJSON *message, cJSON **answer);
+
+struct bus *bus_new(struct loop *loop, struct net *net, const struct settings *settings);
+void bus_free(struct bus *b);
+void bus_handle(struct bus *b, const char *kind, bus_handler handler, void *ctx);
+/* Takes the message. */
+void bus_send(struct bus *b, const char *to, const char *kind, cJSON *message, int timeout_ms,
+              bus_done done, void *arg);
+/* For the server on the back address. */
+void bus_serve(void *bus, struct http_replier *replier, conn_ref from, const struct http_request *r);
+
+/* Counts and versions as texts: cJSON's numbers are doubles, which round above 2^53. */
+void bus_put_u64(cJSON *o, const char *field, uint64_t value);
+bool bus_u64(const cJSON *o, const char *field, uint64_t *out);
+bool bus_item_u64(const cJSON *item, uint64_t *out);
+const char *bus_text(const cJSON *o, const char *field);
+
+#endif
--- /dev/null
+++ b/src/fleet.h
@@ -0,0 +1,47 @@
+/* The cloud's client: machine types, rentals and returns, within the call budget. Only the leader's
+ * fleet calls the cloud. */
+#ifndef LL_FLEET_H
+#define LL_FLEET_H
+
+#include "http.h"
+#include "membership.h"
+#include "view.h"
+
+struct fleet;
+
+enum { MSG_FLEET = 300 }; /* to the listener: something changed */
+
+struct fleet *fleet_new(struct loop *loop, struct net *net, struct store *store, struct view *view,
+                        struct membership *members, const struct settings *settings,
+                        struct actor *listener);
+void fleet_free(struct fleet *f);
+/* While leading: calls what is due. */
+void fleet_step(struct fleet *f);
+/* Forgets what only a leader can know. */
+void fleet_reset(struct fleet *f);
+
+/* A machine that was rented, whether it is up or not. */
+struct fleet_machine {
+    host_id id;
+    char build[48], yard[48];
+    bool loaners;
+    enum rental_stage stage;
+    mono_time rented;
+    bool returning;
+};
+
+/* Whether the list was read since this node leads. */
+bool fleet_listed(const struct fleet *f);
+GHashTable *fleet_machines(struct fleet *f); /* id -> struct fleet_machine */
+/* Types with the prices of today; NULL before the first answer. */
+const GArray *fleet_types(const struct fleet *f);
+/* Whether the offer was refused lately. */
+bool fleet_refused(struct fleet *f, const char *build, const char *yard, bool loaners);
+/* Requested, with no answer yet. */
+int fleet_requested(struct fleet *f, const char *build, const char *yard, bool loaners);
+void fleet_rent(struct fleet *f, const char *build, const char *yard, bool loaners, int number);
+void fleet_return(struct fleet *f, host_id id, const char *why);
+/* The cloud has confirmed that it is gone, and all that was on it. */
+bool fleet_gone(const struct fleet *f, const char *id);
+
+#endif
--- /dev/null
+++ b/src/frontend.c
@@ -0,0 +1,300 @@
+#include "frontend.h"
+
+#include "log.h"
+#include "room.h"
+
+#include <stdlib.h>
+
+enum {
+    MOST_WAITING = 400,  /* requests that wait for the state service */
+    WRITE_ROUNDS = 4,    /* tries of a conditional write before the user is told to come back */
+    STALE_READY_MS = 8000,
+};
+
+struct frontend {
+    struct loop *loop;
+    struct store *store;
+    struct view *view;
+    struct membership *members;
+    const struct settings *settings;
+    struct part *part;
+    int waiting;
+};
+
+enum action { ACTION_SUBMIT, ACTION_POLL, ACTION_CANCEL };
+
+/* A user's request that waits for the state service. */
+struct ask {
+    struct frontend *frontend;
+    struct http_replier *replier;
+    conn_ref from;
+    enum action action;
+    job_id job;
+    json_object *spec; /* of a submission */
+    bool impossible;   /* it would be refused, were it not known already */
+    int rounds;
+};
+
+struct frontend *frontend_new(struct loop *loop, struct store *store, struct view *view,
+                              struct membership *members, const struct settings *settings,
+                              struct part *part)
+{
+    struct frontend *f = g_new0(struct frontend, 1);
+    *f = (struct frontend){loop, store, view, members, settings, part, 0};
+    return f;
+}
+
+void frontend_free(struct frontend *f)
+{
+    g_free(f);
+}
+
+static void reply(struct http_replier *r, conn_ref to, int status, char *text)
+{
+    r->reply(r, to, status, status == 503 ? "Retry-After: 1\r\n" : NULL, text, strlen(text));
+    g_free(text);
+}
+
+static void reply_error(struct http_replier *r, conn_ref to, int status, const char *error)
+{
+    json_object *o = json_object_new_object();
+    json_put_text(o, "error", error);
+    reply(r, to, status, g_strdup(json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN)));
+    json_object_put(o);
+}
+
+static void ask_end(struct ask *a)
+{
+    a->frontend->waiting--;
+    json_object_put(a->spec);
+    g_free(a);
+}
+
+static const char *stage_of(const struct job *j)
+{
+    if (j->state == JOB_DONE)
+        return "done";
+    if (j->state == JOB_CANCELLED)
+        return "cancelled";
+    return j->placed ? "running" : "queued";
+}
+
+static char *job_text(const struct job *j)
+{
+    return codec_job_answer(j->id, stage_of(j), j->n_done,
+                            j->placed ? (long)g_hash_table_size(j->placed) : 0);
+}
+
+static struct job *known_job(struct frontend *f, job_id id)
+{
+    struct job *j = view_job(f->view, id.s);
+    return j && j->known ? j : NULL;
+}
+
+static void ask_step(void *arg, bool ok);
+
+static void written(void *arg, const struct txn_outcome *o)
+{
+    struct ask *a = arg;
+    struct frontend *f = a->frontend;
+    if (o->result == TXN_DONE) {
+        /* It is on record, so this may be said from now on. */
+        if (a->action == ACTION_SUBMIT)
+            reply(a->replier, a->from, 201, codec_job_answer(a->job, "queued", -1, 0));
+        else
+            reply(a->replier, a->from, 200, codec_job_answer(a->job, "cancelled", -1, 0));
+        ask_end(a);
+    } else if (o->result == TXN_CONFLICT && ++a->rounds < WRITE_ROUNDS) {
+        view_await(f->view, o->at, ask_step, a);
+    } else if (o->result == TXN_UNKNOWN && ++a->rounds < WRITE_ROUNDS) {
+        view_barrier(f->view, ask_step, a);
+    } else {
+        reply_error(a->replier, a->from, 503, "the state service does not answer");
+        ask_end(a);
+    }
+}
+
+static json_object *job_value(json_object *spec, int64_t submitted_ms, bool cancelled)
+{
+    json_object *o = json_object_new_object();
+    json_put_u64(o, "t", (uint64_t)submitted_ms);
+    json_object_object_add(o, "w", json_object_get(spec));
+    if (cancelled)
+        json_object_object_add(o, "c", json_object_new_boolean(true));
+    return o;
+}
+
+static void write_job(struct ask *a, revision stamp, json_object *value)
+{
+    struct txn *t = txn_new();
+    char *key = key_job(a->job);
+    txn_when(t, key, stamp);
+    txn_set(t, key, value, (lease_id){0});
+    g_free(key);
+    store_txn(a->frontend->store, LANE_URGENT, t, written, a);
+}
+
+static void write_cancel(struct ask *a, struct job *j)
+{
+    json_object *spec = codec_spec_write(j->spec);
+    write_job(a, j->stamp, job_value(spec, j->submitted.ms, true));
+    json_object_put(spec);
+}
+
+/* The view is now at a moment after the request came: what it shows may be told. */
+static void ask_step(void *arg, bool ok)
+{
+    struct ask *a = arg;
+    struct frontend *f = a->frontend;
+    struct job *j = known_job(f, a->job);
+    if (!ok) {
+        reply_error(a->replier, a->from, 503, "the state service does not answer");
+    } else if (a->action == ACTION_SUBMIT && !j && a->impossible) {
+        reply_error(a->replier, a->from, 422, "can never run");
+    } else if (a->action == ACTION_SUBMIT && !j) {
+        write_job(a, (revision){0}, job_value(a->spec, loop_wall(f->loop).ms, false));
+        return;
+    } else if (!j) {
+        reply_error(a->replier, a->from, 404, "no such job");
+    } else if (a->action == ACTION_CANCEL && j->state == JOB_LIVE) {
+        write_cancel(a, j);
+        return;
+    } else {
+        reply(a->replier, a->from, 200, job_text(j));
+    }
+    ask_end(a);
+}
+
+static struct ask *ask_new(struct frontend *f, struct http_replier *r, conn_ref from, enum action action,
+                           job_id job)
+{
+    if (f->waiting >= MOST_WAITING || !f->view->ready) {
+        reply_error(r, from, 503, f->view->ready ? "too many requests at once" : "starting");
+        return NULL;
+    }
+    f->waiting++;
+    struct ask *a = g_new0(struct ask, 1);
+    *a = (struct ask){.frontend = f, .replier = r, .from = from, .action = action, .job = job};
+    return a;
+}
+
+/* ---- submissions ---- */
+
+/* Whether the job can ever run: its team is known, a machine type fits, the limit suffices. */
+static bool can_run(struct frontend *f, const struct spec *s)
+{
+    int team = settings_team(f->settings, s->crew);
+    if (team < 0 || !type_smallest(f->view->types, s))
+        return false;
+    const struct team *t = &g_array_index(f->settings->teams, struct team, team);
+    int64_t n = s->form == FORM_ARRAY ? 1 : s->tasks;
+    return s->cpus.milli * n <= t->cpus_max.milli && s->gpus.milli * n <= t->gpus_max.milli;
+}
+
+static void submit(struct frontend *f, struct http_replier *r, conn_ref from, const struct http_request *q)
+{
+    struct spec s;
+    json_object *o = json_read(q->body, q->body_len);
+    bool ok = codec_spec_read(o, &s);
+    json_object_put(o);
+    if (!ok) {
+        reply_error(r, from, 400, "malformed");
+        return;
+    }
+    struct job *known = f->view->ready ? known_job(f, s.id) : NULL;
+    struct ask *a = NULL;
+    if (!f->view->types && !known)
+        reply_error(r, from, 503, "the machine types are not known yet");
+    else
+        a = ask_new(f, r, from, ACTION_SUBMIT, s.id);
+    if (a) {
+        a->spec = codec_spec_write(&s);
+        a->impossible = !known && !can_run(f, &s);
+        if (known || a->impossible)
+            view_barrier(f->view, ask_step, a);
+        else
+            ask_step(a, true); /* the write tells if it was there */
+    }
+    spec_clear(&s);
+}
+
+/* ---- the rest ---- */
+
+static void get_or_cancel(struct frontend *f, struct http_replier *r, conn_ref from, enum action action,
+                          const char *id)
+{
+    job_id job;
+    if (!job_id_from(&job, id)) {
+        reply_error(r, from, 404, "no such job");
+        return;
+    }
+    struct job *j = f->view->ready ? known_job(f, job) : NULL;
+    if (j && j->state != JOB_LIVE) { /* final: nothing newer can be told */
+        reply(r, from, 200, job_text(j));
+        return;
+    }
+    struct ask *a = ask_new(f, r, from, action, job);
+    if (!a)
+        return;
+    if (action == ACTION_CANCEL && j)
+        ask_step(a, true); /* the write is conditioned on what is seen here */
+    else
+        view_barrier(f->view, ask_step, a);
+}
+
+/* Ready as long as requests can be answered. A short outage of the state service hits all nodes
+ * alike, and taking them all out would only add to it. */
+static bool is_ready(struct frontend *f)
+{
+    return f->view->ready && f->view->types &&
+           time_ms_since(loop_now(f->loop), f->view->fresh) < STALE_READY_MS;
+}
+
+static void route_work(struct frontend *f, struct http_replier *r, conn_ref from,
+                       const struct http_request *q)
+{
+    bool post = strcmp(q->method, "POST") == 0, get = strcmp(q->method, "GET") == 0;
+    const char *rest = q->path + strlen("/work");
+    if (!*rest) {
+        if (post)
+            submit(f, r, from, q);
+        else
+            reply_error(r, from, 405, "method not allowed");
+        return;
+    }
+    char *id = g_strdup(rest + 1);
+    char *slash = strchr(id, '/');
+    if (slash)
+        *slash++ = 0;
+    if (!slash && get)
+        get_or_cancel(f, r, from, ACTION_POLL, id);
+    else if (slash && strcmp(slash, "abort") == 0 && post)
+        get_or_cancel(f, r, from, ACTION_CANCEL, id);
+    else if (!slash || strcmp(slash, "abort") == 0)
+        reply_error(r, from, 405, "method not allowed");
+    else
+        reply_error(r, from, 404, "not found");
+    g_free(id);
+}
+
+void frontend_serve(void *ctx, struct http_replier *r, conn_ref from, const struct http_request *q)
+{
+    struct frontend *f = ctx;
+    if (strcmp(q->path, "/work") == 0 || g_str_has_prefix(q->path, "/work/")) {
+        route_work(f, r, from, q);
+    } else if (strcmp(q->path, "/agent/beat") == 0) {
+        if (strcmp(q->method, "POST") == 0)
+            part_report(f->part, r, from, q->body, q->body_len);
+        else
+            reply_error(r, from, 405, "method not allowed");
+    } else if (strcmp(q->path, "/ready") == 0) {
+        if (strcmp(q->method, "GET") != 0)
+            reply_error(r, from, 405, "method not allowed");
+        else if (is_ready(f))
+            reply(r, from, 200, g_strdup("{}"));
+        else
+            reply_error(r, from, 503, "not ready");
+    } else {
+        reply_error(r, from, 404, "not found");
+    }
+}
--- /dev/null
+++ b/src/frontend.h
@@ -0,0 +1,17 @@
+/* The users' side: submissions, polls, cancellations, health. Every node has one. */
+#ifndef LL_FRONTEND_H
+#define LL_FRONTEND_H
+
+#include "part.h"
+
+struct frontend;
+
+struct frontend *frontend_new(struct loop *loop, struct store *store, struct view *view,
+                              struct membership *members, const struct settings *settings,
+                              struct part *part);
+void frontend_free(struct frontend *f);
+/* For the server on the API's address. */
+void frontend_serve(void *frontend, struct http_replier *replier, conn_ref from,
+                    const struct http_request *r);
+
+#endif
--- /dev/null
+++ b/src/loop.h
@@ -0,0 +1,61 @@
+/* The event loop: epoll, timers, and the mailboxes of the actors.
+ *
+ * An actor owns its state. Others reach it by a message, which it receives later, from the loop,
+ * never inside the sender's call. Time is the loop's: with a fake clock it moves by loop_advance
+ * only, and everything built on the loop can be tested without waiting. */
+#ifndef LL_LOOP_H
+#define LL_LOOP_H
+
+#include "types.h"
+
+struct loop;
+
+struct message {
+    int kind;
+    void *body;
+    GDestroyNotify free_body;
+};
+
+struct actor {
+    const char *name;
+    void (*receive)(struct actor *self, const struct message *m);
+};
+
+struct loop_io {
+    int fd;
+    void (*ready)(struct loop_io *io, uint32_t events);
+};
+
+struct timer {
+    void (*fire)(void *arg);
+    void *arg;
+    mono_time at;
+    GSequenceIter *place; /* NULL: not running */
+    uint64_t order;
+};
+
+struct loop *loop_new(void);
+struct loop *loop_new_fake(void);
+void loop_free(struct loop *loop);
+
+mono_time loop_now(const struct loop *loop);
+wall_time loop_wall(const struct loop *loop);
+
+void loop_watch(struct loop *loop, struct loop_io *io, uint32_t events);
+void loop_rewatch(struct loop *loop, struct loop_io *io, uint32_t events);
+void loop_unwatch(struct loop *loop, struct loop_io *io);
+/* Frees once the events at hand are handled: one of them may still point to it. */
+void loop_free_later(struct loop *loop, void *memory);
+
+void timer_init(struct timer *t, void (*fire)(void *arg), void *arg);
+void timer_start(struct loop *loop, struct timer *t, int64_t ms);
+void timer_stop(struct loop *loop, struct timer *t);
+
+void actor_send(struct loop *loop, struct actor *to, int kind, void *body, GDestroyNotify free_body);
+
+void loop_run(struct loop *loop);
+void loop_stop(struct loop *loop);
+/* Fake clock: lets the time pass, firing timers and delivering messages in their order. */
+void loop_advance(struct loop *loop, int64_t ms);
+
+#endif
--- /dev/null
+++ b/src/membership.h
@@ -0,0 +1,32 @@
+/* Which nodes live, who leads, and the map. */
+#ifndef LL_MEMBERSHIP_H
+#define LL_MEMBERSHIP_H
+
+#include "settings.h"
+#include "view.h"
+
+struct membership;
+
+struct membership *membership_new(struct loop *loop, struct store *store, struct view *view,
+                                  const struct settings *settings);
+void membership_free(struct membership *m);
+void membership_start(struct membership *m);
+
+/* Whether this node may start and write: its own lease surely holds. */
+bool membership_valid(const struct membership *m);
+/* Whether it leads, surely at this moment. */
+bool membership_leads(const struct membership *m);
+/* The version of this node's own key, on which its writes are conditioned. */
+revision membership_stamp(const struct membership *m);
+lease_id membership_incarnation(const struct membership *m);
+
+/* Asks the leader's node to raise the epoch; what was dealt under the old one is void. */
+void membership_raise(struct membership *m, const char *why);
+/* The leader leaves a node out of the map for a while. */
+void membership_exclude(struct membership *m, const char *label, int64_t ms);
+
+/* The owner of a machine by rendezvous hashing over the map's nodes; NULL when there is no map. */
+const char *map_owner(const struct view *v, const char *host);
+bool map_names(const struct view *v, const char *label, lease_id incarnation);
+
+#endif
--- /dev/null
+++ b/src/node.c
@@ -0,0 +1,39 @@
+#include "node.h"
+
+struct node *node_new(struct loop *loop, struct net *net, const struct settings *s)
+{
+    struct node *n = g_new0(struct node, 1);
+    struct store_limits limits = {s->state_rps, s->state_write_rps, s->state_txn_ops,
+                                  (size_t)(s->state_value_kb * 1024), s->size};
+    n->settings = s;
+    n->loop = loop;
+    n->net = net;
+    n->store = store_new(loop, net, s->state_addr, limits);
+    n->view = view_new(loop, n->store);
+    n->members = membership_new(loop, n->store, n->view, s);
+    n->bus = bus_new(loop, net, s);
+    n->part = part_new(loop, net, n->store, n->view, n->members, n->bus, s);
+    n->leader = leader_new(loop, net, n->store, n->view, n->members, n->bus, s);
+    n->frontend = frontend_new(loop, n->store, n->view, n->members, s, n->part);
+    return n;
+}
+
+void node_start(struct node *n)
+{
+    view_start(n->view);
+    membership_start(n->members);
+    part_start(n->part);
+    leader_start(n->leader);
+}
+
+void node_free(struct node *n)
+{
+    frontend_free(n->frontend);
+    leader_free(n->leader);
+    part_free(n->part);
+    bus_free(n->bus);
+    membership_free(n->members);
+    view_free(n->view);
+    store_free(n->store);
+    g_free(n);
+}
--- /dev/null
+++ b/src/part.h
@@ -0,0 +1,29 @@
+/* A node's machines: their workers' reports, the queues of what was dealt here, placement by ARQ,
+ * commands and run records. */
+#ifndef LL_PART_H
+#define LL_PART_H
+
+#include "bus.h"
+#include "membership.h"
+#include "view.h"
+
+struct part;
+
+struct part *part_new(struct loop *loop, struct net *net, struct store *store, struct view *view,
+                      struct membership *members, struct bus *bus, const struct settings *settings);
+void part_free(struct part *p);
+void part_start(struct part *p);
+
+/* POST /agent/beat */
+void part_report(struct part *p, struct http_replier *replier, conn_ref from, const char *body,
+                 size_t len);
+
+/* What a machine's flags say in the digest that a part sends to the leader. */
+enum host_flag {
+    HOST_KNOWN = 1,    /* its worker has reported to this owner */
+    HOST_LOST = 2,     /* silent, and it does not answer either */
+    HOST_RECALLED = 4, /* the cloud takes it back */
+    HOST_QUIET = 8,    /* not heard of for longer than usual */
+};
+
+#endif
--- /dev/null
+++ b/src/room.h
@@ -0,0 +1,60 @@
+/* What tasks take of machines. */
+#ifndef LL_ROOM_H
+#define LL_ROOM_H
+
+#include "codec.h"
+
+struct room {
+    amount cpus, gpus, memory;
+};
+
+static inline struct room room_of_spec(const struct spec *s)
+{
+    return (struct room){s->cpus, s->gpus, s->memory};
+}
+
+static inline struct room room_of_type(const struct machine_type *t)
+{
+    return (struct room){t->cpus, t->gpus, t->memory};
+}
+
+static inline void room_add(struct room *a, struct room b)
+{
+    a->cpus.milli += b.cpus.milli;
+    a->gpus.milli += b.gpus.milli;
+    a->memory.milli += b.memory.milli;
+}
+
+static inline void room_sub(struct room *a, struct room b)
+{
+    a->cpus.milli -= b.cpus.milli;
+    a->gpus.milli -= b.gpus.milli;
+    a->memory.milli -= b.memory.milli;
+}
+
+static inline struct room room_left(struct room total, struct room booked)
+{
+    room_sub(&total, booked);
+    return total;
+}
+
+static inline bool room_holds(struct room free, struct room ask)
+{
+    return ask.cpus.milli <= free.cpus.milli && ask.gpus.milli <= free.gpus.milli &&
+           ask.memory.milli <= free.memory.milli;
+}
+
+/* The largest share that is asked of any one resource; over 1 when it does not fit. */
+double room_share(struct room ask, struct room total);
+/* How many of ask fit into free. */
+int64_t room_times(struct room free, struct room ask);
+
+/* The machine type of that name, or NULL. */
+const struct machine_type *type_named(const GArray *types, const char *name);
+/* Whether a job's tasks may ever run on machines of a type, in a zone, of a kind. */
+bool spec_allows(const struct spec *s, const char *build, const char *yard, bool loaners);
+/* The smallest machine type that the job may use, by the share a task asks of it; NULL when no
+ * type can hold a task. */
+const struct machine_type *type_smallest(const GArray *types, const struct spec *s);
+
+#endif
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,41 @@
+/* The settings file that the platform hands over. */
+#ifndef LL_SETTINGS_H
+#define LL_SETTINGS_H
+
+#include "types.h"
+
+struct team {
+    char *name;
+    amount cpus, cpus_max, gpus, gpus_max;
+};
+
+struct sibling {
+    char *label, *zone, *endpoint;
+};
+
+struct settings {
+    char *label, *zone, *api_addr, *back_addr;
+    GArray *siblings; /* struct sibling */
+    char *cloud_addr, *state_addr;
+    int size;
+    GPtrArray *zones;
+    double clock_error_ms;
+    GArray *teams; /* struct team */
+    double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
+    double state_rps, state_write_rps, state_value_kb;
+    int state_txn_ops;
+    double cloud_rps, cloud_list_lag_s;
+    double core_share, ram_mb;
+    int fd_limit;
+};
+
+/* NULL, with a message that names the field, when the text cannot be used. */
+struct settings *settings_parse(const char *toml, char **error);
+struct settings *settings_load(const char *path, char **error);
+void settings_free(struct settings *s);
+
+int settings_team(const struct settings *s, const char *name);
+/* Splits "10.0.0.1:8080"; false when it is not an IPv4 address with a port. */
+bool address_split(const char *text, uint32_t *ip_be, uint16_t *port);
+
+#endif
--- /dev/null
+++ b/src/store.h
@@ -0,0 +1,72 @@
+/* The state service's client: transactions, requests within the budgets, and the read barrier. */
+#ifndef LL_STORE_H
+#define LL_STORE_H
+
+#include "codec.h"
+#include "http.h"
+
+struct store;
+
+struct store_limits {
+    double rps, write_rps;
+    int txn_ops;
+    size_t value_bytes;
+    int nodes; /* that share the budgets */
+};
+
+struct store *store_new(struct loop *loop, struct net *net, const char *addr,
+                        struct store_limits limits);
+void store_free(struct store *s);
+const struct store_limits *store_limits(const struct store *s);
+
+/* ---- plain requests ---- */
+
+enum store_lane { LANE_LEASE, LANE_URGENT, LANE_WATCH, LANE_NORMAL, LANES };
+
+/* Waits for its turn within the budget. After 429 it is sent again; status NET_NOT_SENT when that
+ * took longer than wait_ms. */
+void store_request(struct store *s, enum store_lane lane, const char *method, const char *path,
+                   const char *body, int timeout_ms, int wait_ms, int writes, net_done done,
+                   void *arg);
+
+/* ---- transactions ---- */
+
+struct txn;
+
+enum txn_result {
+    TXN_DONE,
+    TXN_CONFLICT, /* a condition did not hold */
+    TXN_NO_LEASE,
+    TXN_REFUSED, /* surely not carried out */
+    TXN_UNKNOWN, /* it may have been carried out, or may be later */
+};
+
+struct txn_outcome {
+    enum txn_result result;
+    revision at;       /* with TXN_DONE and TXN_CONFLICT */
+    GPtrArray *failed; /* keys, with TXN_CONFLICT */
+};
+
+typedef void (*txn_done)(void *arg, const struct txn_outcome *outcome);
+
+struct txn *txn_new(void);
+void txn_free(struct txn *t);
+void txn_when(struct txn *t, const char *key, revision stamp);
+/* Takes the value. lease 0: not attached. */
+void txn_set(struct txn *t, const char *key, json_object *value, lease_id lease);
+void txn_remove(struct txn *t, const char *key);
+guint txn_writes(const struct txn *t);
+guint txn_conditions(const struct txn *t);
+size_t txn_bytes(const struct txn *t);
+bool txn_failed(const struct txn_outcome *o, const char *key);
+/* Takes the transaction. */
+void store_txn(struct store *s, enum store_lane lane, struct txn *t, txn_done done, void *arg);
+
+/* ---- read barrier ---- */
+
+typedef void (*barrier_done)(void *arg, bool ok, revision at);
+/* Tells a revision that was the newest at some moment after this call. Calls that come together
+ * share one transaction without writes. */
+void store_barrier(struct store *s, barrier_done done, void *arg);
+
+#endif
--- /dev/null
+++ b/src/toml_read.cpp
@@ -0,0 +1,23 @@
+#include "toml_read.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <sstream>
+#include <toml++/toml.h>
+
+extern "C" char *toml_read_json(const char *text, char *error, unsigned error_size)
+{
+    try {
+        toml::table table = toml::parse(std::string_view(text));
+        std::ostringstream out;
+        out << toml::json_formatter(table);
+        return strdup(out.str().c_str());
+    } catch (const toml::parse_error &e) {
+        std::snprintf(error, error_size, "line %u, column %u: %s", unsigned(e.source().begin.line),
+                      unsigned(e.source().begin.column), std::string(e.description()).c_str());
+    } catch (const std::exception &e) {
+        std::snprintf(error, error_size, "%s", e.what());
+    }
+    return nullptr;
+}
--- /dev/null
+++ b/src/toml_read.h
@@ -0,0 +1,16 @@
+/* TOML to JSON text, by toml++: Debian has no C library for TOML. */
+#ifndef LL_TOML_READ_H
+#define LL_TOML_READ_H
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Returns JSON text to be freed with free(), or NULL with a message in error. */
+char *toml_read_json(const char *text, char *error, unsigned error_size);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/view.h
@@ -0,0 +1,136 @@
+/* Every node's replica of our keys, at a revision, kept up by one watch.
+ *
+ * Keys: ll/n/LABEL a live node, ll/leader, ll/map, ll/types, ll/j/JOB, ll/m/HOST the run record of a
+ * machine, ll/d/JOB/CHUNK/LABEL the tasks that LABEL saw done. */
+#ifndef LL_VIEW_H
+#define LL_VIEW_H
+
+#include "store.h"
+
+#define KEY_ROOT "ll/"
+#define KEY_LEADER "ll/leader"
+#define KEY_MAP "ll/map"
+#define KEY_TYPES "ll/types"
+
+enum { DONE_CHUNK = 16384 };
+
+enum job_state { JOB_LIVE, JOB_CANCELLED, JOB_DONE };
+
+struct job {
+    job_id id;
+    bool known; /* its key was seen, not only what hangs on it */
+    enum job_state state;
+    revision stamp;
+    struct spec *spec; /* NULL once it is over for good */
+    wall_time submitted;
+    uint8_t *done; /* a bit a task; NULL when none is */
+    uint32_t tasks, n_done;
+    GHashTable *placed; /* index + 1 -> struct placed; NULL when none is */
+    GHashTable *marks;  /* keys below ll/d/ that exist; NULL when none does */
+};
+
+/* A recorded task: it is on its machine, or may be, until a proof frees it. */
+struct placed {
+    struct job *job;
+    uint32_t index;
+    attempt_no attempt;
+    struct host_record *host;
+};
+
+struct host_record {
+    host_id id;
+    char addr[24], build[48], yard[48];
+    bool loaners;
+    revision stamp;
+    GPtrArray *tasks; /* struct placed */
+    char **images;    /* fetched before, the newest last; NULL: none */
+};
+
+struct node_record {
+    char *label;
+    char back[24];
+    lease_id incarnation;
+    revision stamp;
+};
+
+struct map_entry {
+    char *label;
+    lease_id incarnation;
+};
+
+enum change_kind {
+    CHANGE_JOB,
+    CHANGE_PLACED,
+    CHANGE_FREED,
+    CHANGE_HOST,
+    CHANGE_NODES,
+    CHANGE_LEADER,
+    CHANGE_MAP,
+    CHANGE_TYPES,
+    CHANGE_RELOADED, /* changes in between were lost */
+};
+
+struct change {
+    enum change_kind kind;
+    job_id job;
+    uint32_t index;
+    attempt_no attempt;
+    host_id host;
+};
+
+struct view {
+    struct loop *loop;
+    struct store *store;
+    bool ready;
+    revision at;
+    mono_time fresh; /* the view was the newest then */
+    GHashTable *jobs;  /* id -> struct job */
+    GHashTable *hosts; /* id -> struct host_record */
+    GHashTable *nodes; /* label -> struct node_record */
+    char *leader;      /* label, or NULL */
+    lease_id leader_incarnation;
+    revision leader_stamp;
+    epoch_no epoch;
+    revision map_stamp;
+    GArray *map; /* struct map_entry */
+    GArray *types;
+    revision types_stamp;
+    /* private */
+    GHashTable *stamps; /* key -> revision, of every key */
+    GPtrArray *listeners;
+    GArray *changes;
+    GArray *waiters;
+    struct timer watch_timer, expire_timer;
+    double watch_level;
+    mono_time watch_at, asked;
+    GHashTable *reload_seen;
+    char *reload_from;
+    revision reload_base;
+};
+
+/* The message that listeners get: its body is a GArray of struct change, in their order. */
+enum { MSG_VIEW = 100 };
+
+struct view *view_new(struct loop *loop, struct store *store);
+void view_free(struct view *v);
+void view_listen(struct view *v, struct actor *listener);
+void view_start(struct view *v);
+
+struct job *view_job(struct view *v, const char *id);
+struct host_record *view_host(struct view *v, const char *id);
+struct placed *job_placed(const struct job *j, uint32_t index);
+bool job_task_done(const struct job *j, uint32_t index);
+
+/* Calls back once the view is at or past a revision that was the newest after this call; ok is
+ * false when that takes too long. */
+typedef void (*view_done)(void *arg, bool ok);
+void view_barrier(struct view *v, view_done done, void *arg);
+/* The same for a revision that is known. */
+void view_await(struct view *v, revision at, view_done done, void *arg);
+
+char *key_job(job_id id);
+char *key_host(host_id id);
+char *key_node(const char *label);
+char *key_done(job_id id, uint32_t chunk, const char *label);
+
+#endif
