--- a/daemon/main.c
+++ b/daemon/main.c
@@ -22,7 +22,8 @@
 static bool parse(int argc, char **argv, struct options *o, GError **error)
 {
     const GOptionEntry entries[] = {
-        {"config", 'c', 0, G_OPTION_ARG_FILENAME, &o->config, "Settings of this node (TOML)", "FILE"},
+        {"config", 'c', 0, G_OPTION_ARG_FILENAME, &o->config, "Settings of this node (TOML)",
+         "FILE"},
         {"check-config", 0, 0, G_OPTION_ARG_NONE, &o->check, "Check the settings and exit", NULL},
         {"version", 'V', 0, G_OPTION_ARG_NONE, &o->version, "Print the version and exit", NULL},
         {0},
@@ -32,7 +33,8 @@
     bool ok = g_option_context_parse(c, &argc, &argv, error);
     g_option_context_free(c);
     if (ok && argc > 1) {
-        g_set_error(error, G_OPTION_ERROR, G_OPTION_ERROR_UNKNOWN_OPTION, "unexpected argument %s", argv[1]);
+        g_set_error(error, G_OPTION_ERROR, G_OPTION_ERROR_UNKNOWN_OPTION, "unexpected argument %s",
+                    argv[1]);
         ok = false;
     }
     return ok;
--- a/src/bus.c
+++ b/src/bus.c
@@ -34,7 +34,8 @@
     g_free(l);
 }
 
-static int dispatch(struct bus *b, const char *kind, const char *from, const cJSON *m, cJSON **answer)
+static int dispatch(struct bus *b, const char *kind, const char *from, const cJSON *m,
+                    cJSON **answer)
 {
     struct handler *h = g_hash_table_lookup(b->handlers, kind);
     return h ? h->handle(h->ctx, from, m, answer) : 404;
--- a/src/bus.h
+++ b/src/bus.h
@@ -22,7 +22,8 @@
 void bus_send(struct bus *b, const char *to, const char *kind, cJSON *message, int timeout_ms,
               bus_done done, void *arg);
 /* For the server on the back address. */
-void bus_serve(void *bus, struct http_replier *replier, conn_ref from, const struct http_request *r);
+void bus_serve(void *bus, struct http_replier *replier, conn_ref from,
+               const struct http_request *r);
 
 /* Counts and versions as texts: cJSON's numbers are doubles, which round above 2^53. */
 void bus_put_u64(cJSON *o, const char *field, uint64_t value);
--- a/src/codec.c
+++ b/src/codec.c
@@ -399,8 +399,8 @@
         !amount_field(o, "Cards", &t->gpus) || !amount_field(o, "MemoryGb", &t->memory) ||
         !json_number(o, "LocalGb", &t->local_gb) ||
         !json_number(o, "FetchGbPerS", &t->fetch_gb_per_s) || !json_number(o, "Price", &t->price) ||
-        !json_number(o, "MarketPrice", &t->market_price) || !json_number(o, "ReadyS", &t->ready_s) ||
-        !yards)
+        !json_number(o, "MarketPrice", &t->market_price) ||
+        !json_number(o, "ReadyS", &t->ready_s) || !yards)
         return false;
     size_t n = json_object_array_length(yards);
     t->yards = g_new0(char *, n + 1);
@@ -465,9 +465,8 @@
         int st;
         if (!short_text(x, "Id", id, sizeof id) || !host_id_from(&r.id, id) ||
             !short_text(x, "Build", r.build, sizeof r.build) ||
-            !short_text(x, "Yard", r.yard, sizeof r.yard) ||
-            !json_flag(x, "Loaners", &r.loaners) || !json_text(x, "Stage", &stage) ||
-            (st = WORD(stage_words, stage)) < 0) {
+            !short_text(x, "Yard", r.yard, sizeof r.yard) || !json_flag(x, "Loaners", &r.loaners) ||
+            !json_text(x, "Stage", &stage) || (st = WORD(stage_words, stage)) < 0) {
             g_array_unref(out);
             return NULL;
         }
@@ -500,7 +499,8 @@
     for (size_t i = 0; i < json_object_array_length(list); i++) {
         json_object *x = json_object_array_get_idx(list, i);
         host_id id;
-        if (json_object_is_type(x, json_type_string) && host_id_from(&id, json_object_get_string(x)))
+        if (json_object_is_type(x, json_type_string) &&
+            host_id_from(&id, json_object_get_string(x)))
             g_array_append_val(out, id);
     }
     return out;
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -14,8 +14,8 @@
     PAGE = 500,
 };
 
-/* One request to rent. It is sent again with the same name until there is an answer: a second answer
- * to one name rents nothing, while a new name after a lost answer would pay twice. */
+/* One request to rent. It is sent again with the same name until there is an answer: a second
+ * answer to one name rents nothing, while a new name after a lost answer would pay twice. */
 struct charter {
     char *name;
     char build[48], yard[48];
@@ -166,12 +166,12 @@
     return f->level >= 1;
 }
 
-static void call(struct fleet *f, const char *method, const char *path, const char *body, net_done done,
-                 struct call *c)
+static void call(struct fleet *f, const char *method, const char *path, const char *body,
+                 net_done done, struct call *c)
 {
     f->level -= 1;
-    struct net_request q = {f->settings->cloud_addr, method, path, body, body ? strlen(body) : 0,
-                            CALL_TIMEOUT_MS};
+    struct net_request q = {f->settings->cloud_addr, method,         path, body,
+                            body ? strlen(body) : 0, CALL_TIMEOUT_MS};
     f->net->request(f->net, &q, done, c);
 }
 
@@ -349,8 +349,8 @@
     c->loaners = loaners;
     c->number = MIN(number, MOST_RENTED);
     g_queue_push_tail(&f->charters, c);
-    LOG_INFO("rent", "type=%s zone=%s spot=%d number=%d request=%s", build, yard, loaners, c->number,
-             c->name);
+    LOG_INFO("rent", "type=%s zone=%s spot=%d number=%d request=%s", build, yard, loaners,
+             c->number, c->name);
 }
 
 static void refuse(struct fleet *f, struct charter *c)
@@ -422,7 +422,8 @@
 
 void fleet_return(struct fleet *f, host_id id, const char *why)
 {
-    if (fleet_gone(f, id.s) || g_ptr_array_find_with_equal_func(f->to_return, id.s, g_str_equal, NULL))
+    if (fleet_gone(f, id.s) ||
+        g_ptr_array_find_with_equal_func(f->to_return, id.s, g_str_equal, NULL))
         return;
     LOG_INFO("return", "machine=%s why=%s", id.s, why);
     struct fleet_machine *m = g_hash_table_lookup(f->machines, id.s);
@@ -482,7 +483,8 @@
         return;
     mono_time now = loop_now(f->loop);
     struct charter *c;
-    if (f->to_return->len && !f->return_out && !time_before(now, f->return_not_before) && may_call(f))
+    if (f->to_return->len && !f->return_out && !time_before(now, f->return_not_before) &&
+        may_call(f))
         return_go(f);
     if (!f->types && !f->types_out && may_call(f) &&
         (!f->types_at.us || time_ms_since(now, f->types_at) > TYPES_MS)) {
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -6,8 +6,8 @@
 #include <stdlib.h>
 
 enum {
-    MOST_WAITING = 400,  /* requests that wait for the state service */
-    WRITE_ROUNDS = 4,    /* tries of a conditional write before the user is told to come back */
+    MOST_WAITING = 400, /* requests that wait for the state service */
+    WRITE_ROUNDS = 4,   /* tries of a conditional write before the user is told to come back */
     STALE_READY_MS = 8000,
 };
 
@@ -165,8 +165,8 @@
     ask_end(a);
 }
 
-static struct ask *ask_new(struct frontend *f, struct http_replier *r, conn_ref from, enum action action,
-                           job_id job)
+static struct ask *ask_new(struct frontend *f, struct http_replier *r, conn_ref from,
+                           enum action action, job_id job)
 {
     if (f->waiting >= MOST_WAITING || !f->view->ready) {
         reply_error(r, from, 503, f->view->ready ? "too many requests at once" : "starting");
@@ -191,7 +191,8 @@
     return s->cpus.milli * n <= t->cpus_max.milli && s->gpus.milli * n <= t->gpus_max.milli;
 }
 
-static void submit(struct frontend *f, struct http_replier *r, conn_ref from, const struct http_request *q)
+static void submit(struct frontend *f, struct http_replier *r, conn_ref from,
+                   const struct http_request *q)
 {
     struct spec s;
     json_object *o = json_read(q->body, q->body_len);
@@ -220,8 +221,8 @@
 
 /* ---- the rest ---- */
 
-static void get_or_cancel(struct frontend *f, struct http_replier *r, conn_ref from, enum action action,
-                          const char *id)
+static void get_or_cancel(struct frontend *f, struct http_replier *r, conn_ref from,
+                          enum action action, const char *id)
 {
     job_id job;
     if (!job_id_from(&job, id)) {
--- a/src/http.h
+++ b/src/http.h
@@ -19,7 +19,8 @@
 };
 
 /* The first line and the fields of a request or a response, up to the blank line. */
-enum http_parsed http_parse_head(const char *data, size_t len, bool response, struct http_head *out);
+enum http_parsed http_parse_head(const char *data, size_t len, bool response,
+                                 struct http_head *out);
 /* A chunked body. *used is set once it is whole. */
 enum http_parsed http_parse_chunks(const char *data, size_t len, size_t limit, GString *out,
                                    size_t *used);
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -122,7 +122,8 @@
     }
 }
 
-static void link_answered(struct link *l, struct http_head *h, const char *body, size_t len, size_t used)
+static void link_answered(struct link *l, struct http_head *h, const char *body, size_t len,
+                          size_t used)
 {
     struct client *c = l->client;
     struct place *p = l->place;
@@ -323,7 +324,8 @@
     GString *s = g_string_sized_new(q->len + 160);
     g_string_printf(s, "%s %s HTTP/1.1\r\nHost: %s\r\n", q->method, q->path, q->addr);
     if (q->body)
-        g_string_append_printf(s, "Content-Type: application/json\r\nContent-Length: %zu\r\n", q->len);
+        g_string_append_printf(s, "Content-Type: application/json\r\nContent-Length: %zu\r\n",
+                               q->len);
     g_string_append(s, "\r\n");
     if (q->body)
         g_string_append_len(s, q->body, q->len);
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -105,9 +105,11 @@
         conn_read(c);
 }
 
-static void conn_answer(struct conn *c, int status, const char *fields, const char *body, size_t len)
+static void conn_answer(struct conn *c, int status, const char *fields, const char *body,
+                        size_t len)
 {
-    g_string_printf(c->out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n",
+    g_string_printf(c->out,
+                    "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n",
                     status, http_status_text(status), len);
     if (fields)
         g_string_append(c->out, fields);
@@ -149,7 +151,8 @@
     size_t body_len = 0, used = 0;
     if (h.chunked) {
         unchunked = g_string_new(NULL);
-        enum http_parsed r = http_parse_chunks(body, c->in->len - h.size, s->limits.body, unchunked, &used);
+        enum http_parsed r =
+            http_parse_chunks(body, c->in->len - h.size, s->limits.body, unchunked, &used);
         if (r != HTTP_DONE) {
             g_string_free(unchunked, TRUE);
             if (r == HTTP_TOO_LARGE || c->in->len > h.size + s->limits.body * 2)
--- a/src/leader.c
+++ b/src/leader.c
@@ -36,11 +36,11 @@
 struct ljob {
     job_id id;
     int team;
-    struct room room; /* of one task */
+    struct room room;            /* of one task */
     GHashTable *entries, *deals; /* index + 1 -> */
-    uint32_t cursor; /* no task below it waits */
+    uint32_t cursor;             /* no task below it waits */
     bool finishing, compacting;
-    bool blocked;    /* in this pass: no machine has room */
+    bool blocked; /* in this pass: no machine has room */
     mono_time not_before;
     int failures;
     GHashTable *failed_on;
@@ -150,8 +150,8 @@
     g_free(p);
 }
 
-struct leader *leader_new(struct loop *loop, struct net *net, struct store *store, struct view *view,
-                          struct membership *members, struct bus *bus,
+struct leader *leader_new(struct loop *loop, struct net *net, struct store *store,
+                          struct view *view, struct membership *members, struct bus *bus,
                           const struct settings *settings)
 {
     struct leader *l = g_new0(struct leader, 1);
@@ -267,7 +267,8 @@
     j->cursor = MIN(j->cursor, index);
 }
 
-static void entry_add(struct leader *l, job_id job, uint32_t index, attempt_no attempt, host_id host)
+static void entry_add(struct leader *l, job_id job, uint32_t index, attempt_no attempt,
+                      host_id host)
 {
     struct ljob *j = ljob_make(l, job);
     if (!j || g_hash_table_contains(j->entries, key_of(index)))
@@ -314,9 +315,9 @@
     return p;
 }
 
-/* A new epoch, or this node has just come to lead: everything is taken from the view. What was dealt
- * under an earlier epoch and is not on record by now never will be, as every record is conditioned
- * on the map. */
+/* A new epoch, or this node has just come to lead: everything is taken from the view. What was
+ * dealt under an earlier epoch and is not on record by now never will be, as every record is
+ * conditioned on the map. */
 static void rebuild(struct leader *l)
 {
     l->epoch = l->view->epoch;
@@ -360,7 +361,8 @@
         }
     }
     g_hash_table_unref(old);
-    LOG_INFO("leading", "jobs=%u machines=%u", g_hash_table_size(l->jobs), g_hash_table_size(l->hosts));
+    LOG_INFO("leading", "jobs=%u machines=%u", g_hash_table_size(l->jobs),
+             g_hash_table_size(l->hosts));
 }
 
 /* ---- ends of jobs ---- */
@@ -390,7 +392,8 @@
         view_barrier(f->leader->view, finish_seen, f);
 }
 
-/* The marks of a finished job go in the same transaction as far as they fit, and later otherwise. */
+/* The marks of a finished job go in the same transaction as far as they fit, and later otherwise.
+ */
 static void remove_marks(struct leader *l, struct job *v, struct txn *t)
 {
     if (!v->marks)
@@ -460,8 +463,9 @@
     mono_time now = loop_now(l->loop);
     struct fleet_machine *m = g_hash_table_lookup(fleet_machines(l->fleet), h->id.s);
     return h->told && !h->sick && (h->flags & HOST_KNOWN) &&
-           !(h->flags & (HOST_LOST | HOST_RECALLED | HOST_QUIET)) && !fleet_gone(l->fleet, h->id.s) &&
-           !(m && m->returning) && !time_before(now, h->avoid_until);
+           !(h->flags & (HOST_LOST | HOST_RECALLED | HOST_QUIET)) &&
+           !fleet_gone(l->fleet, h->id.s) && !(m && m->returning) &&
+           !time_before(now, h->avoid_until);
 }
 
 static struct room host_free_room(const struct lhost *h)
@@ -525,7 +529,8 @@
         room_add(&taken, h->dealt);
         double score = (host_has_image(l, h, s->image) ? 4 : 0) + (h->loaners ? 2 : 0) +
                        room_share(taken, h->total);
-        if (!best || score > best_score || (score == best_score && strcmp(h->id.s, best->id.s) < 0)) {
+        if (!best || score > best_score ||
+            (score == best_score && strcmp(h->id.s, best->id.s) < 0)) {
             best = h;
             best_score = score;
         }
@@ -599,8 +604,8 @@
     return within(t->used, j->room, t->team->cpus_max, t->team->gpus_max);
 }
 
-/* Classes of precedence: services first, as people wait on them; then what a team was promised; then
- * what it borrows. */
+/* Classes of precedence: services first, as people wait on them; then what a team was promised;
+ * then what it borrows. */
 static int rank_of(struct leader *l, struct ljob *j, const struct spec *s)
 {
     struct lteam *t = &l->teams[j->team];
@@ -625,7 +630,8 @@
     return true;
 }
 
-static void halt(struct leader *l, struct ljob *j, uint32_t index, const struct entry *e, double grace_s)
+static void halt(struct leader *l, struct ljob *j, uint32_t index, const struct entry *e,
+                 double grace_s)
 {
     struct lhost *h = lhost_get(l, e->host.s);
     if (!h || !h->owner)
@@ -642,8 +648,8 @@
     cJSON_AddItemToArray(p->halt, x);
 }
 
-/* A gang that lost a task cannot go on: what is left of it is stopped, and it starts whole again once
- * nothing of it is on record. */
+/* A gang that lost a task cannot go on: what is left of it is stopped, and it starts whole again
+ * once nothing of it is on record. */
 static void gang_mend(struct leader *l, struct ljob *j, struct job *v)
 {
     mono_time now = loop_now(l->loop);
@@ -797,7 +803,8 @@
 /* ---- renting and returning ---- */
 
 /* Room that is there or on its way, and not needed yet. */
-struct virtual {
+struct virtual
+{
     const char *build, *yard;
     bool loaners;
     struct room free;
@@ -833,7 +840,8 @@
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&m)) {
         struct lhost *h = lhost_get(l, m->id.s);
         const struct machine_type *t = type_named(types_now(l), m->build);
-        if (m->returning || m->stage == RENTAL_FAILED || !t || (h && h->told && (h->flags & HOST_KNOWN)))
+        if (m->returning || m->stage == RENTAL_FAILED || !t ||
+            (h && h->told && (h->flags & HOST_KNOWN)))
             continue;
         if (time_ms_since(now, m->rented) > (int64_t)(t->ready_s * 1700))
             continue;
@@ -883,7 +891,8 @@
                     (yard && strcmp(yard, t->yards[y]) != 0) ||
                     fleet_refused(l->fleet, t->name, t->yards[y], spot))
                     continue;
-                double price = (spot ? t->market_price : t->price) / (double)per * (1 + t->ready_s / 300);
+                double price =
+                    (spot ? t->market_price : t->price) / (double)per * (1 + t->ready_s / 300);
                 if (!out->type || price < least) {
                     least = price;
                     *out = (struct offer){t, t->yards[y], spot, 0};
@@ -908,8 +917,8 @@
 }
 
 /* Finds room for n more tasks: what is on its way first, then new machines. */
-static void want(struct leader *l, GArray *rooms, GArray *orders, const struct spec *s, struct room ask,
-                 int64_t n, const char *yard)
+static void want(struct leader *l, GArray *rooms, GArray *orders, const struct spec *s,
+                 struct room ask, int64_t n, const char *yard)
 {
     while (n > 0) {
         if (take_virtual(rooms, s, ask, yard)) {
@@ -972,7 +981,7 @@
 
 static double spare_cpus(struct leader *l)
 {
-    return 0.12 * l->demand_peak;
+    return floor(0.12 * l->demand_peak);
 }
 
 static void rent_for_demand(struct leader *l)
@@ -1019,7 +1028,8 @@
     g_hash_table_iter_init(&it, l->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
         double cpus = (double)h->total.cpus.milli / 1000;
-        if (!host_takes(l, h) || !host_idle(h) || time_ms_since(now, h->idle_since) < 40000 || cpus > spare)
+        if (!host_takes(l, h) || !host_idle(h) || time_ms_since(now, h->idle_since) < 40000 ||
+            cpus > spare)
             continue;
         spare -= cpus;
         fleet_return(l->fleet, h->id, "idle");
@@ -1152,8 +1162,8 @@
                 part_send(l, p);
         } else if (!p->failing_since.us) {
             p->failing_since = now;
-        } else if (time_ms_since(now, p->failing_since) > UNREACHABLE_MS && membership_leads(l->members) &&
-                   strcmp(p->label, l->settings->label) != 0) {
+        } else if (time_ms_since(now, p->failing_since) > UNREACHABLE_MS &&
+                   membership_leads(l->members) && strcmp(p->label, l->settings->label) != 0) {
             p->failing_since = now;
             membership_exclude(l->members, p->label, EXCLUDE_MS);
         }
@@ -1180,7 +1190,8 @@
     struct part_out *o = g_new(struct part_out, 1);
     *o = (struct part_out){l, l->generation, g_strdup(p->label)};
     p->out = true;
-    bus_send(l->bus, p->label, "deal", cJSON_Duplicate(p->sending, true), OUT_TIMEOUT_MS, part_answered, o);
+    bus_send(l->bus, p->label, "deal", cJSON_Duplicate(p->sending, true), OUT_TIMEOUT_MS,
+             part_answered, o);
 }
 
 static void host_failed(struct lhost *h, const char *job)
@@ -1194,8 +1205,8 @@
     }
 }
 
-/* A task that fails is mostly its machine's fault; a job that fails on one machine after the other is
- * at fault itself, and tries again ever more seldom until its user cancels it. */
+/* A task that fails is mostly its machine's fault; a job that fails on one machine after the other
+ * is at fault itself, and tries again ever more seldom until its user cancels it. */
 static void on_fault(struct leader *l, const cJSON *f)
 {
     const char *host = bus_text(f, "h"), *job = bus_text(f, "j");
@@ -1234,7 +1245,8 @@
     if (!cJSON_IsString(id) || !host_id_from(&hid, id->valuestring) || !cJSON_IsString(build) ||
         !cJSON_IsString(yard) || !cJSON_IsBool(loaners) || !cJSON_IsNumber(flags))
         return;
-    struct lhost *h = lhost_make(l, hid, build->valuestring, yard->valuestring, cJSON_IsTrue(loaners));
+    struct lhost *h =
+        lhost_make(l, hid, build->valuestring, yard->valuestring, cJSON_IsTrue(loaners));
     g_free(h->owner);
     h->owner = g_strdup(from);
     h->flags = (int)flags->valuedouble;
--- a/src/leader.h
+++ b/src/leader.h
@@ -1,5 +1,5 @@
-/* The leader: team queues by shares, the only quota ledger, dealing to parts, renting and returning.
- * On every node; it acts only while its node leads. */
+/* The leader: team queues by shares, the only quota ledger, dealing to parts, renting and
+ * returning. On every node; it acts only while its node leads. */
 #ifndef LL_LEADER_H
 #define LL_LEADER_H
 
@@ -8,8 +8,8 @@
 
 struct leader;
 
-struct leader *leader_new(struct loop *loop, struct net *net, struct store *store, struct view *view,
-                          struct membership *members, struct bus *bus,
+struct leader *leader_new(struct loop *loop, struct net *net, struct store *store,
+                          struct view *view, struct membership *members, struct bus *bus,
                           const struct settings *settings);
 void leader_free(struct leader *l);
 void leader_start(struct leader *l);
--- a/src/log.h
+++ b/src/log.h
@@ -10,7 +10,8 @@
 void log_set_epoch(guint64 epoch);
 gboolean log_debug_on(void);
 
-void log_event(GLogLevelFlags level, const char *event, const char *format, ...) G_GNUC_PRINTF(3, 4);
+void log_event(GLogLevelFlags level, const char *event, const char *format, ...)
+    G_GNUC_PRINTF(3, 4);
 
 #define LOG_ERROR(event, ...) log_event(G_LOG_LEVEL_WARNING, event, __VA_ARGS__)
 #define LOG_INFO(event, ...) log_event(G_LOG_LEVEL_MESSAGE, event, __VA_ARGS__)
--- a/src/loop.h
+++ b/src/loop.h
@@ -51,7 +51,8 @@
 void timer_start(struct loop *loop, struct timer *t, int64_t ms);
 void timer_stop(struct loop *loop, struct timer *t);
 
-void actor_send(struct loop *loop, struct actor *to, int kind, void *body, GDestroyNotify free_body);
+void actor_send(struct loop *loop, struct actor *to, int kind, void *body,
+                GDestroyNotify free_body);
 
 void loop_run(struct loop *loop);
 void loop_stop(struct loop *loop);
--- a/src/part.c
+++ b/src/part.c
@@ -66,7 +66,7 @@
     revision stamp;
     bool dirty, in_txn;
     bool removing; /* the transaction under way removes its record */
-    bool gone; /* the cloud has taken it: a proof for all that ran on it */
+    bool gone;     /* the cloud has taken it: a proof for all that ran on it */
     GPtrArray *runs;
     GArray *strays; /* struct report_task: reported, not ours */
     GPtrArray *images;
@@ -101,7 +101,7 @@
     GHashTable *hosts;
     GQueue queues[ARQ_CLASSES + 1]; /* [0]: jobs not in view yet */
     struct arq_busy busy[ARQ_CLASSES + 1];
-    GArray *back;    /* struct dealt: given back to the leader */
+    GArray *back;      /* struct dealt: given back to the leader */
     GPtrArray *faults; /* cJSON: what went wrong, for the leader */
     GHashTable *marks; /* key -> GByteArray: what this node has marked done there */
     bool txn_out;
@@ -404,7 +404,8 @@
     for (guint i = 0; i < h->runs->len; i++) {
         struct run *r = h->runs->pdata[i];
         if (r->phase == RUN_RECORDED) {
-            LOG_INFO("task_lost", "job=%s task=%u machine=%s why=%s", r->job.s, r->index, h->id.s, why);
+            LOG_INFO("task_lost", "job=%s task=%u machine=%s why=%s", r->job.s, r->index, h->id.s,
+                     why);
             run_over(p, h, r, false);
         }
     }
@@ -477,8 +478,8 @@
         h->recalled_until = time_add_ms(now, (int64_t)(rep->recall_s * 1000));
     g_array_set_size(h->strays, 0);
     GArray *missing = g_array_new(FALSE, TRUE, 1);
-    g_array_set_size(missing, h->runs->len);
-    memset(missing->data, 1, missing->len);
+    for (guint k = 0; k < h->runs->len; k++)
+        g_array_append_val(missing, (guint8){1});
     for (guint i = 0; i < rep->tasks->len; i++) {
         const struct report_task *t = &g_array_index(rep->tasks, struct report_task, i);
         struct run *r = NULL;
@@ -677,7 +678,8 @@
 static void probe(struct part *p, struct host *h)
 {
     mono_time now = loop_now(p->loop);
-    if (h->probe_out || !h->addr[0] || (h->probed.us && time_ms_since(now, h->probed) < PROBE_EVERY_MS))
+    if (h->probe_out || !h->addr[0] ||
+        (h->probed.us && time_ms_since(now, h->probed) < PROBE_EVERY_MS))
         return;
     struct pushed *c = g_new0(struct pushed, 1);
     c->part = p;
@@ -820,8 +822,8 @@
         bits = g_byte_array_new();
         g_hash_table_insert(p->marks, g_strdup(key), bits);
     }
-    /* Everything known to be done goes in, so that what an earlier process of this label wrote under
-     * the same key is not lost. */
+    /* Everything known to be done goes in, so that what an earlier process of this label wrote
+     * under the same key is not lost. */
     size_t base = (size_t)chunk * DONE_CHUNK / 8, total = (j->tasks + 7) / 8;
     size_t size = MIN((size_t)DONE_CHUNK / 8, total - base), old = bits->len;
     if (old < size) {
@@ -873,7 +875,8 @@
 }
 
 /* Puts a machine's changes into the transaction; false when they no longer fit. */
-static bool batch_host(struct part *p, struct txn *t, struct host *h, GHashTable *jobs, GHashTable *marks)
+static bool batch_host(struct part *p, struct txn *t, struct host *h, GHashTable *jobs,
+                       GHashTable *marks)
 {
     const struct store_limits *l = store_limits(p->store);
     drop_dead_news(p, h);
@@ -888,9 +891,9 @@
     }
     g_hash_table_unref(seen);
     guint writes = txn_writes(t) + g_hash_table_size(marks) + new_marks + 1;
-    if (txn_writes(t) && (writes > (guint)l->txn_ops ||
-                          txn_conditions(t) + new_jobs + 1 > 4 * (guint)l->txn_ops ||
-                          txn_bytes(t) + l->value_bytes > 48 * 1024))
+    if (txn_writes(t) &&
+        (writes > (guint)l->txn_ops || txn_conditions(t) + new_jobs + 1 > 4 * (guint)l->txn_ops ||
+         txn_bytes(t) + l->value_bytes > 48 * 1024))
         return false;
     for (guint i = 0; i < h->runs->len; i++) {
         struct run *r = h->runs->pdata[i];
@@ -1059,7 +1062,8 @@
 static bool host_open(struct part *p, struct host *h)
 {
     return h->known && !h->gone && !h->recalled && h->probe_fails == 0 && h->total.cpus.milli > 0 &&
-           time_ms_since(loop_now(p->loop), h->heard) < (int64_t)(p->settings->report_s * 1250) + 1500;
+           time_ms_since(loop_now(p->loop), h->heard) <
+               (int64_t)(p->settings->report_s * 1250) + 1500;
 }
 
 static double host_booked(const struct host *h)
@@ -1092,7 +1096,8 @@
 
 /* Among the machines in the pools from low to high that suit: one that has the image, then a cheap
  * one if the job may use it, then the busiest. */
-static struct host *choose(struct part *p, const struct dealt *d, const struct spec *s, int low, int high)
+static struct host *choose(struct part *p, const struct dealt *d, const struct spec *s, int low,
+                           int high)
 {
     struct host *best = NULL, *h;
     double best_score = 0;
@@ -1106,7 +1111,8 @@
         if (pool < low || pool > high)
             continue;
         double score = (host_has_image(h, s->image) ? 4 : 0) + (h->loaners ? 2 : 0) + booked;
-        if (!best || score > best_score || (score == best_score && strcmp(h->id.s, best->id.s) < 0)) {
+        if (!best || score > best_score ||
+            (score == best_score && strcmp(h->id.s, best->id.s) < 0)) {
             best = h;
             best_score = score;
         }
@@ -1163,7 +1169,8 @@
 
 /* The order that docs/design.md gives: the own pool; one class up while nobody waits there; then
  * the busiest machine that fits, at once unless it belongs to an emptier pool. */
-static struct host *place(struct part *p, const struct dealt *d, const struct spec *s, enum arq_move move)
+static struct host *place(struct part *p, const struct dealt *d, const struct spec *s,
+                          enum arq_move move)
 {
     bool at_once = s->form == FORM_SERVICE || d->at[0] || move == ARQ_TAKE;
     if (!at_once) {
@@ -1264,7 +1271,8 @@
     const char *job = bus_text(x, "j"), *yard = bus_text(x, "y"), *at = bus_text(x, "h");
     const cJSON *index = cJSON_GetObjectItemCaseSensitive(x, "i");
     struct dealt d = {0};
-    if (!job || !job_id_from(&d.job, job) || !cJSON_IsNumber(index) || !bus_u64(x, "a", &d.attempt.v)) {
+    if (!job || !job_id_from(&d.job, job) || !cJSON_IsNumber(index) ||
+        !bus_u64(x, "a", &d.attempt.v)) {
         LOG_ERROR("deal_malformed", "job=%s", job ? job : "");
         return;
     }
@@ -1283,7 +1291,8 @@
     attempt_no attempt;
     job_id id;
     struct host *h = host ? host_get(p, host) : NULL;
-    if (!h || !job || !job_id_from(&id, job) || !cJSON_IsNumber(index) || !bus_u64(x, "a", &attempt.v))
+    if (!h || !job || !job_id_from(&id, job) || !cJSON_IsNumber(index) ||
+        !bus_u64(x, "a", &attempt.v))
         return;
     struct run *r = run_find(h, id, (uint32_t)index->valuedouble, attempt);
     if (r) {
@@ -1315,8 +1324,8 @@
     }
 }
 
-/* Messages come in an order, counted within an epoch. A copy that was held back must not deal a task
- * once more after it was given back. */
+/* Messages come in an order, counted within an epoch. A copy that was held back must not deal a
+ * task once more after it was given back. */
 static int on_deal(void *ctx, const char *from, const cJSON *m, cJSON **answer)
 {
     (void)answer;
@@ -1431,8 +1440,8 @@
            map_names(p->view, p->settings->label, membership_incarnation(p->members));
 }
 
-/* A new epoch: what was dealt under the last one and is not on record is void, and machines may have
- * changed hands. Nothing that was written under the last epoch can come after the map. */
+/* A new epoch: what was dealt under the last one and is not on record is void, and machines may
+ * have changed hands. Nothing that was written under the last epoch can come after the map. */
 static void new_epoch(struct part *p)
 {
     p->epoch = p->view->epoch;
@@ -1557,7 +1566,8 @@
             continue;
         if (!h->known || age > (int64_t)(p->settings->report_s * 1250) + 1000)
             probe(p, h);
-        if (age > (int64_t)(p->settings->lease_s * 1000) && host_has_run(h) && lease_surely_over(p, h))
+        if (age > (int64_t)(p->settings->lease_s * 1000) && host_has_run(h) &&
+            lease_surely_over(p, h))
             free_all_runs(p, h, "lease");
         for (guint i = 0; i < h->runs->len; i++) {
             struct run *r = h->runs->pdata[i];
--- a/src/settings.c
+++ b/src/settings.c
@@ -53,7 +53,8 @@
     return text;
 }
 
-static double number_at(struct reading *r, json_object *o, const char *path, double low, double high)
+static double number_at(struct reading *r, json_object *o, const char *path, double low,
+                        double high)
 {
     json_object *v = member(o, path);
     if (!v) {
@@ -109,7 +110,8 @@
     char *end;
     unsigned long p = strtoul(colon + 1, &end, 10);
     struct in_addr a;
-    if (*end || p == 0 || p > 65535 || !g_ascii_isdigit(colon[1]) || inet_pton(AF_INET, host, &a) != 1)
+    if (*end || p == 0 || p > 65535 || !g_ascii_isdigit(colon[1]) ||
+        inet_pton(AF_INET, host, &a) != 1)
         return false;
     *ip_be = a.s_addr;
     *port = (uint16_t)p;
--- a/src/store.c
+++ b/src/store.c
@@ -131,8 +131,8 @@
 {
     s->requests.level -= 1;
     s->changes.level -= c->writes;
-    struct net_request q = {s->addr,  c->method, c->path, c->body, c->body ? strlen(c->body) : 0,
-                            c->timeout_ms};
+    struct net_request q = {
+        s->addr, c->method, c->path, c->body, c->body ? strlen(c->body) : 0, c->timeout_ms};
     s->net->request(s->net, &q, call_answered, c);
 }
 
--- a/src/types.h
+++ b/src/types.h
@@ -17,7 +17,8 @@
     int64_t ms;
 } wall_time;
 
-/* A revision of the state service; a key's version is the revision of its last change. 0: no key. */
+/* A revision of the state service; a key's version is the revision of its last change. 0: no key.
+ */
 typedef struct {
     uint64_t v;
 } revision;
--- a/src/view.c
+++ b/src/view.c
@@ -353,7 +353,8 @@
     return false;
 }
 
-static bool on_host(const struct host_record *h, const struct job *j, uint32_t index, uint64_t attempt)
+static bool on_host(const struct host_record *h, const struct job *j, uint32_t index,
+                    uint64_t attempt)
 {
     const struct placed *p = job_placed(j, index);
     return p && p->host == h && p->attempt.v == attempt;
@@ -400,7 +401,8 @@
     json_object_object_foreach(jobs, name, pairs)
     {
         struct job *j = job_make(v, name);
-        size_t n = j && json_object_is_type(pairs, json_type_array) ? json_object_array_length(pairs) : 0;
+        size_t n =
+            j && json_object_is_type(pairs, json_type_array) ? json_object_array_length(pairs) : 0;
         for (size_t i = 0; i + 1 < n; i += 2) {
             uint32_t index = (uint32_t)json_object_get_uint64(json_object_array_get_idx(pairs, i));
             uint64_t attempt = json_object_get_uint64(json_object_array_get_idx(pairs, i + 1));
@@ -599,9 +601,9 @@
 
 static void reload_page(struct view *v)
 {
-    char *path = v->reload_from
-                     ? g_strdup_printf("/keys?Starts=" KEY_ROOT "&From=%s&Page=%d", v->reload_from, PAGE)
-                     : g_strdup_printf("/keys?Starts=" KEY_ROOT "&Page=%d", PAGE);
+    char *path = v->reload_from ? g_strdup_printf("/keys?Starts=" KEY_ROOT "&From=%s&Page=%d",
+                                                  v->reload_from, PAGE)
+                                : g_strdup_printf("/keys?Starts=" KEY_ROOT "&Page=%d", PAGE);
     store_request(v->store, LANE_WATCH, "GET", path, NULL, ANSWER_MS, 10000, 0, reload_answered, v);
     g_free(path);
 }
@@ -676,6 +678,7 @@
     v->asked = now;
     char *path = g_strdup_printf("/watch?Starts=" KEY_ROOT "&From=%" G_GUINT64_FORMAT "&BlockMs=%d",
                                  v->at.v, BLOCK_MS);
-    store_request(v->store, LANE_WATCH, "GET", path, NULL, BLOCK_MS + 1500, 10000, 0, watch_answered, v);
+    store_request(v->store, LANE_WATCH, "GET", path, NULL, BLOCK_MS + 1500, 10000, 0,
+                  watch_answered, v);
     g_free(path);
 }
--- a/src/view.h
+++ b/src/view.h
@@ -1,7 +1,7 @@
 /* Every node's replica of our keys, at a revision, kept up by one watch.
  *
- * Keys: ll/n/LABEL a live node, ll/leader, ll/map, ll/types, ll/j/JOB, ll/m/HOST the run record of a
- * machine, ll/d/JOB/CHUNK/LABEL the tasks that LABEL saw done. */
+ * Keys: ll/n/LABEL a live node, ll/leader, ll/map, ll/types, ll/j/JOB, ll/m/HOST the run record of
+ * a machine, ll/d/JOB/CHUNK/LABEL the tasks that LABEL saw done. */
 #ifndef LL_VIEW_H
 #define LL_VIEW_H
 
@@ -83,7 +83,7 @@
     struct store *store;
     bool ready;
     revision at;
-    mono_time fresh; /* the view was the newest then */
+    mono_time fresh;   /* the view was the newest then */
     GHashTable *jobs;  /* id -> struct job */
     GHashTable *hosts; /* id -> struct host_record */
     GHashTable *nodes; /* label -> struct node_record */
--- /dev/null
+++ b/tests/test_world.c
@@ -0,0 +1,472 @@
+/* Whole nodes against a scripted world: the arguments of docs/safety.md, each with its failure. */
+#include "world.h"
+
+static struct world *start_all(void)
+{
+    struct world *w = world_new();
+    w->capacity = 6;
+    for (int i = 0; i < WORLD_NODES; i++)
+        world_start(w, i);
+    world_run(w, 3000);
+    assert_non_null(world_leader(w));
+    return w;
+}
+
+static int leader_index(struct world *w)
+{
+    for (int i = 0; i < WORLD_NODES; i++)
+        if (w->nodes[i] && w->nodes[i] == world_leader(w))
+            return i;
+    return -1;
+}
+
+static void expect_stage(struct world *w, int node, const char *job, const char *stage)
+{
+    char *path = g_strconcat("/work/", job, NULL),
+         *want = g_strdup_printf("\"Stage\":\"%s\"", stage);
+    struct user_answer a = world_ask(w, node, "GET", path, NULL);
+    if (a.status != 200 || !strstr(a.body, want))
+        fail_msg("%s: %d %s, wanted %s", path, a.status, a.body, stage);
+    g_free(path);
+    g_free(want);
+}
+
+static void an_array_runs_and_is_done_everywhere(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    assert_int_equal(world_submit(w, 0, "wk-1", "sweep", 6).status, 201);
+    assert_int_equal(world_submit(w, 1, "wk-1", "sweep", 6).status, 200);
+    world_run(w, 8000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 6);
+    expect_stage(w, 2, "wk-1", "running");
+    worker_exit_all(w, "wk-1", "done");
+    world_run(w, 2500);
+    for (int i = 0; i < WORLD_NODES; i++)
+        expect_stage(w, i, "wk-1", "done");
+    /* What is over is forgotten by workers and by the records. */
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        assert_true(!w->workers[i].up || w->workers[i].tasks->len == 0);
+    assert_false(world_ran_twice(w));
+    world_free(w);
+}
+
+static void unknown_jobs_get_404_and_bad_ones_are_refused(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    assert_int_equal(world_ask(w, 0, "GET", "/work/wk-404", NULL).status, 404);
+    assert_int_equal(world_ask(w, 1, "POST", "/work/wk-404/abort", NULL).status, 404);
+    assert_int_equal(world_ask(w, 0, "POST", "/work", "{").status, 400);
+    char *big = world_job("wk-5", "sweep", 1, "blue", 9.0, "");
+    assert_int_equal(world_ask(w, 0, "POST", "/work", big).status, 422);
+    g_free(big);
+    char *limit = world_job("wk-6", "daemon", 9, "red", 2.0, "");
+    assert_int_equal(world_ask(w, 0, "POST", "/work", limit).status, 422);
+    g_free(limit);
+    char *nobody = world_job("wk-7", "sweep", 1, "green", 2.0, "");
+    assert_int_equal(world_ask(w, 0, "POST", "/work", nobody).status, 422);
+    g_free(nobody);
+    assert_int_equal(world_ask(w, 0, "PUT", "/work", "{}").status, 405);
+    assert_int_equal(world_ask(w, 0, "GET", "/nowhere", NULL).status, 404);
+    world_free(w);
+}
+
+static void a_team_never_passes_its_limit(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    char *job = world_job("wk-1", "sweep", 30, "red", 2.0, "");
+    assert_int_equal(world_ask(w, 0, "POST", "/work", job).status, 201);
+    g_free(job);
+    world_run(w, 15000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 8); /* 16 processors at most */
+    /* A change of the leader: its ledger is the records, not what it remembers. */
+    int old = leader_index(w);
+    world_kill(w, old);
+    for (int i = 0; i < 20; i++) {
+        world_run(w, 500);
+        assert_true(world_on_machines(w, "wk-1") <= 8);
+    }
+    assert_non_null(world_leader(w));
+    assert_int_equal(world_on_machines(w, "wk-1"), 8);
+    world_free(w);
+}
+
+static void a_cancelled_job_is_gone_and_stays_cancelled(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    world_submit(w, 0, "wk-1", "daemon", 4);
+    world_run(w, 8000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 4);
+    assert_int_equal(world_ask(w, 1, "POST", "/work/wk-1/abort", NULL).status, 200);
+    world_run(w, 2000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 0);
+    for (int i = 0; i < WORLD_NODES; i++)
+        expect_stage(w, i, "wk-1", "cancelled");
+    assert_int_equal(world_submit(w, 2, "wk-1", "daemon", 4).status, 200);
+    world_run(w, 5000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 0);
+    world_free(w);
+}
+
+static enum fate lose_commands(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    return strcmp(r->path, "/commands") == 0 ? FATE_HELD : FATE_NORMAL;
+}
+
+/* The direct command is held back; the task is started by the answer to a report. Once it is over,
+ * clear must wait until the copy on its way can do no harm, or the copy would start it again. */
+static void a_late_run_after_its_task_is_over_starts_nothing(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    w->fate = lose_commands;
+    world_submit(w, 0, "wk-1", "sweep", 3);
+    world_run(w, 12000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 3);
+    assert_true(w->held->len > 0);
+    worker_exit_all(w, "wk-1", "done");
+    world_run(w, 4000);
+    expect_stage(w, 0, "wk-1", "done");
+    world_deliver_held(w);
+    assert_int_equal(world_on_machines(w, "wk-1"), 0);
+    world_free(w);
+}
+
+/* Cancelled while the only copy of the command hangs in a cut: its record stays, and counts, until
+ * the epoch has been raised and no worker would heed it any more. */
+static enum fate hold_starts(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    return strcmp(r->path, "/commands") == 0 && strstr(r->body, "\"run\"") ? FATE_HELD
+                                                                           : FATE_NORMAL;
+}
+
+static void a_cancel_in_a_cut_ends_late_starts(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    struct worker *k = world_worker(w, 7, "a", true);
+    w->capacity = 0;
+    world_run(w, 3000);
+    w->fate = hold_starts;
+    world_submit(w, 0, "wk-1", "sweep", 1);
+    for (int i = 0; i < 100 && !w->held->len; i++)
+        world_run(w, 10);
+    assert_int_equal(w->held->len, 1);
+    assert_int_equal(world_ask(w, 1, "POST", "/work/wk-1/abort", NULL).status, 200);
+    world_run(w, 15000);
+    world_deliver_held(w);
+    world_run(w, 3000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 0);
+    assert_int_equal(k->starts, 0);
+    world_free(w);
+}
+
+/* The node dies between writing the record and sending the command: whoever takes its machines over
+ * finds the record and sends it. */
+static enum fate no_commands_from_leader(struct world *w, int node, const struct net_request *r)
+{
+    (void)node;
+    (void)w;
+    return strcmp(r->path, "/commands") == 0 ? FATE_LOST : FATE_NORMAL;
+}
+
+static void a_crash_between_record_and_command_loses_nothing(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    world_worker(w, 7, "a", true);
+    w->capacity = 0;
+    world_run(w, 3000);
+    w->fate = no_commands_from_leader;
+    world_submit(w, 0, "wk-1", "sweep", 1);
+    struct view *v = w->nodes[0]->view;
+    for (int i = 0; i < 300 && !(view_job(v, "wk-1") && view_job(v, "wk-1")->placed); i++)
+        world_run(w, 10);
+    const char *owner = map_owner(v, w->workers[7].id);
+    world_kill(w, owner[5] - '0');
+    w->fate = NULL;
+    world_run(w, 12000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 1);
+    assert_false(world_ran_twice(w));
+    world_free(w);
+}
+
+/* A machine falls silent: its tasks start elsewhere only after a proof, here the cloud's return. */
+static void a_silent_machine_is_replaced_after_proof(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    world_submit(w, 0, "wk-1", "daemon", 1);
+    world_run(w, 8000);
+    struct worker *k = NULL;
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        if (w->workers[i].up && worker_task(&w->workers[i], "wk-1", 0))
+            k = &w->workers[i];
+    assert_non_null(k);
+    k->silent = true;
+    w->cloud_down = true;
+    int rented = w->rented;
+    world_run(w, 8000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 1); /* nobody knows: it stays where it is */
+    w->cloud_down = false;
+    world_run(w, 6000);
+    assert_true(w->rented > rented && w->returned == 1);
+    assert_int_equal(world_on_machines(w, "wk-1"), 1);
+    assert_false(world_ran_twice(w));
+    world_free(w);
+}
+
+/* With the cloud away there is no return; then the lease must surely have run out. */
+static void without_the_cloud_the_lease_is_the_proof(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    world_worker(w, 7, "a", true);
+    world_worker(w, 6, "b", true);
+    w->capacity = 0;
+    world_run(w, 3000);
+    w->cloud_down = true;
+    world_submit(w, 0, "wk-1", "sweep", 1);
+    world_run(w, 3000);
+    struct worker *k = worker_task(&w->workers[7], "wk-1", 0) ? &w->workers[7] : &w->workers[6];
+    k->silent = true;
+    world_run(w, 9000);
+    assert_int_equal(w->workers[6].starts + w->workers[7].starts, 1);
+    world_run(w, 8000);
+    assert_int_equal(w->workers[6].starts + w->workers[7].starts, 2);
+    assert_false(world_ran_twice(w));
+    world_free(w);
+}
+
+static int lose_next;
+static enum fate lose_txn_answers(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    if (strcmp(r->path, "/txn") == 0 && strstr(r->body, "ll/j/") && lose_next > 0) {
+        lose_next--;
+        return FATE_ANSWER_LOST;
+    }
+    return FATE_NORMAL;
+}
+
+static void a_lost_answer_to_a_transaction_accepts_once(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    w->fate = lose_txn_answers;
+    lose_next = 3;
+    int status = 0;
+    for (int i = 0; i < 4 && status != 200 && status != 201; i++)
+        status = world_submit(w, i % 3, "wk-1", "sweep", 2).status;
+    assert_true(status == 200 || status == 201);
+    lose_next = 3; /* now those of the records */
+    world_run(w, 20000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 2);
+    assert_false(world_ran_twice(w));
+    world_free(w);
+}
+
+static int cut_node = -1;
+static enum fate cut_from_state(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    return node == cut_node && strcmp(r->addr, "10.2.0.1:2379") == 0 ? FATE_LOST : FATE_NORMAL;
+}
+
+/* A node cut off from the state service: others take its machines over, and it neither writes nor
+ * lets its workers' tasks live longer than a cancellation may take. */
+static void a_node_cut_from_the_state_service_harms_nobody(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    world_submit(w, 0, "wk-1", "daemon", 6);
+    world_run(w, 8000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 6);
+    cut_node = leader_index(w);
+    w->fate = cut_from_state;
+    world_run(w, 9000);
+    int now = leader_index(w);
+    assert_true(now >= 0 && now != cut_node);
+    assert_int_equal(world_on_machines(w, "wk-1"), 6);
+    int other = (cut_node + 1) % 3;
+    assert_int_equal(world_ask(w, other, "POST", "/work/wk-1/abort", NULL).status, 200);
+    world_run(w, 25000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 0);
+    /* It answers nothing that might be old. */
+    struct user_answer a = world_ask(w, cut_node, "GET", "/work/wk-1", NULL);
+    assert_true(a.status == 503 || a.status == 0);
+    w->fate = NULL;
+    world_run(w, 8000);
+    expect_stage(w, cut_node, "wk-1", "cancelled");
+    assert_false(world_ran_twice(w));
+    world_free(w);
+}
+
+static void an_outage_of_the_state_service_stops_no_task(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    world_submit(w, 0, "wk-1", "daemon", 6);
+    world_run(w, 8000);
+    w->state_down = true;
+    world_run(w, 15000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 6);
+    assert_int_equal(world_submit(w, 0, "wk-2", "sweep", 1).status, 503);
+    w->state_down = false;
+    world_run(w, 6000);
+    assert_int_equal(world_submit(w, 0, "wk-2", "sweep", 1).status, 201);
+    world_run(w, 3000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 6);
+    assert_int_equal(world_on_machines(w, "wk-2"), 1);
+    assert_false(world_ran_twice(w));
+    world_free(w);
+}
+
+static void all_nodes_may_die_and_nothing_accepted_is_lost(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    world_submit(w, 0, "wk-1", "sweep", 4);
+    world_submit(w, 1, "wk-2", "sweep", 4);
+    world_run(w, 8000);
+    worker_exit_all(w, "wk-1", "done");
+    world_run(w, 2500);
+    for (int i = 0; i < WORLD_NODES; i++)
+        world_kill(w, i);
+    world_run(w, 2000);
+    for (int i = 0; i < WORLD_NODES; i++)
+        world_start(w, i);
+    world_run(w, 8000);
+    expect_stage(w, 0, "wk-1", "done");
+    assert_int_equal(world_on_machines(w, "wk-2"), 4);
+    assert_false(world_ran_twice(w));
+    world_free(w);
+}
+
+/* Services that must sit apart: at most half, rounded up, in a zone. */
+static void apart_is_kept_on_records(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    char *job = g_strdup(
+        "{\"Id\":\"wk-1\",\"Lot\":\"l\",\"Crew\":\"blue\",\"Form\":\"daemon\",\"Urgency\":\"prod\","
+        "\"Pieces\":5,\"Vcpus\":1.0,\"Cards\":0.0,\"MemoryGb\":1.0,\"Mould\":\"i\",\"ImageGb\":1.0,"
+        "\"OneZone\":false,\"Apart\":true,\"Loaners\":false,\"ExpectedS\":0.0,"
+        "\"MarkEveryS\":0.0,\"StowS\":0.0}");
+    assert_int_equal(world_ask(w, 0, "POST", "/work", job).status, 201);
+    g_free(job);
+    world_run(w, 12000);
+    int zone[2] = {0, 0};
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        for (uint32_t t = 0; w->workers[i].up && t < 5; t++)
+            if (worker_task(&w->workers[i], "wk-1", t)) {
+                assert_false(w->workers[i].loaners);
+                zone[w->workers[i].yard[0] - 'a']++;
+            }
+    assert_int_equal(zone[0] + zone[1], 5);
+    assert_true(zone[0] <= 3 && zone[1] <= 3);
+    world_free(w);
+}
+
+static void a_gang_starts_whole_or_not_at_all(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    w->capacity = 0;
+    world_worker(w, 7, "a", true);
+    world_run(w, 3000);
+    char *job = world_job("wk-1", "gang", 6, "blue", 2.0, "");
+    assert_int_equal(world_ask(w, 0, "POST", "/work", job).status, 201);
+    g_free(job);
+    world_run(w, 6000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 0); /* room for four */
+    world_worker(w, 6, "b", true);
+    world_run(w, 6000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 6);
+    uint64_t attempt = worker_task(&w->workers[6], "wk-1", 0)
+                           ? worker_task(&w->workers[6], "wk-1", 0)->attempt
+                           : worker_task(&w->workers[7], "wk-1", 0)->attempt;
+    for (int k = 6; k <= 7; k++)
+        for (guint i = 0; i < w->workers[k].tasks->len; i++)
+            assert_true(g_array_index(w->workers[k].tasks, struct wtask, i).attempt == attempt);
+    /* One task fails: the rest are stopped, and all start again under another attempt. */
+    struct worker *k = worker_task(&w->workers[6], "wk-1", 1) ? &w->workers[6] : &w->workers[7];
+    worker_exit(k, "wk-1", 1, "error");
+    world_run(w, 20000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 6);
+    struct wtask *t = worker_task(&w->workers[6], "wk-1", 1)
+                          ? worker_task(&w->workers[6], "wk-1", 1)
+                          : worker_task(&w->workers[7], "wk-1", 1);
+    assert_true(t->attempt > attempt);
+    world_free(w);
+}
+
+/* An answer that is lost is asked for again under the same name, or the rent would be paid twice.
+ */
+static enum fate lose_first_rent(struct world *w, int node, const struct net_request *r)
+{
+    (void)node;
+    if (strcmp(r->path, "/rentals") == 0 && strcmp(r->method, "POST") == 0 && w->charters->len == 0)
+        return FATE_ANSWER_LOST;
+    return FATE_NORMAL;
+}
+
+static void a_lost_answer_of_the_cloud_rents_nothing_twice(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    w->fate = lose_first_rent;
+    world_submit(w, 0, "wk-1", "daemon", 1);
+    world_run(w, 20000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 1);
+    assert_int_equal(w->rented, 1);
+    world_free(w);
+}
+
+static void idle_machines_are_returned(void **state)
+{
+    (void)state;
+    struct world *w = start_all();
+    world_submit(w, 0, "wk-1", "sweep", 8);
+    world_run(w, 8000);
+    worker_exit_all(w, "wk-1", "done");
+    world_run(w, 120000);
+    int up = 0;
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        up += w->workers[i].up;
+    assert_int_equal(up, 0);
+    assert_int_equal(w->returned, w->rented);
+    world_free(w);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(an_array_runs_and_is_done_everywhere),
+        cmocka_unit_test(unknown_jobs_get_404_and_bad_ones_are_refused),
+        cmocka_unit_test(a_team_never_passes_its_limit),
+        cmocka_unit_test(a_cancelled_job_is_gone_and_stays_cancelled),
+        cmocka_unit_test(a_late_run_after_its_task_is_over_starts_nothing),
+        cmocka_unit_test(a_cancel_in_a_cut_ends_late_starts),
+        cmocka_unit_test(a_crash_between_record_and_command_loses_nothing),
+        cmocka_unit_test(a_silent_machine_is_replaced_after_proof),
+        cmocka_unit_test(without_the_cloud_the_lease_is_the_proof),
+        cmocka_unit_test(a_lost_answer_to_a_transaction_accepts_once),
+        cmocka_unit_test(a_node_cut_from_the_state_service_harms_nobody),
+        cmocka_unit_test(an_outage_of_the_state_service_stops_no_task),
+        cmocka_unit_test(all_nodes_may_die_and_nothing_accepted_is_lost),
+        cmocka_unit_test(apart_is_kept_on_records),
+        cmocka_unit_test(a_gang_starts_whole_or_not_at_all),
+        cmocka_unit_test(a_lost_answer_of_the_cloud_rents_nothing_twice),
+        cmocka_unit_test(idle_machines_are_returned),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/world.c
@@ -0,0 +1,921 @@
+#include "world.h"
+
+#include "log.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+/* A killed process takes what it was waiting for with it; here that is left behind. */
+const char *__asan_default_options(void);
+const char *__asan_default_options(void)
+{
+    return "detect_leaks=0";
+}
+
+enum { LATENCY_MS = 3, TICK_MS = 10, REPORT_MS = 1000 };
+
+struct wkey {
+    char *text;
+    uint64_t stamp, lease;
+};
+
+struct wevent {
+    char *key, *text; /* text NULL: removed */
+    uint64_t rev;
+};
+
+struct wlease {
+    uint64_t id;
+    int64_t ttl_ms;
+    mono_time end;
+};
+
+/* A request on its way. */
+struct flight {
+    struct world *world;
+    int node;
+    struct node *process;
+    char *addr, *method, *path, *body;
+    net_done done;
+    void *arg;
+    struct timer timer;
+    enum fate fate;
+    int timeout_ms;
+    uint64_t from;       /* of a watch */
+    mono_time watch_end; /* 0: not a watch that waits */
+};
+
+struct wreply {
+    struct worker *worker; /* or a user */
+    mono_time sent;
+    uint64_t shift;
+    struct user_answer answer;
+    bool done;
+};
+
+static void carry_out(struct flight *f);
+
+/* ---- the network ---- */
+
+static void flight_free(struct flight *f)
+{
+    timer_stop(f->world->loop, &f->timer);
+    g_free(f->addr);
+    g_free(f->method);
+    g_free(f->path);
+    g_free(f->body);
+    g_free(f);
+}
+
+static void flight_answer(struct flight *f, int status, const char *body)
+{
+    bool alive = f->process && f->world->nodes[f->node] == f->process;
+    if (alive && f->done)
+        f->done(f->arg, &(struct net_answer){status, body, strlen(body), 0});
+    flight_free(f);
+}
+
+static void timed_out(void *arg)
+{
+    flight_answer(arg, NET_NO_ANSWER, "");
+}
+
+static void arrived(void *arg)
+{
+    struct flight *f = arg;
+    struct world *w = f->world;
+    switch (f->fate) {
+    case FATE_REFUSED:
+        flight_answer(f, 503, "{\"error\":\"trouble\"}");
+        return;
+    case FATE_HELD: {
+        struct flight *copy = g_memdup2(f, sizeof *f);
+        copy->addr = g_strdup(f->addr);
+        copy->method = g_strdup(f->method);
+        copy->path = g_strdup(f->path);
+        copy->body = g_strdup(f->body);
+        copy->done = NULL;
+        timer_init(&copy->timer, timed_out, copy);
+        g_ptr_array_add(w->held, copy);
+    }
+        /* fall through */
+    case FATE_LOST:
+        timer_init(&f->timer, timed_out, f);
+        timer_start(w->loop, &f->timer, f->timeout_ms);
+        return;
+    default:
+        carry_out(f);
+    }
+}
+
+static void net_request_fn(struct net *net, const struct net_request *r, net_done done, void *arg)
+{
+    struct wnet *n = (struct wnet *)net;
+    struct flight *f = g_new0(struct flight, 1);
+    *f = (struct flight){.world = n->world,
+                         .node = n->node,
+                         .process = n->world->nodes[n->node],
+                         .addr = g_strdup(r->addr),
+                         .method = g_strdup(r->method),
+                         .path = g_strdup(r->path),
+                         .body = g_strndup(r->body ? r->body : "", r->len),
+                         .done = done,
+                         .arg = arg,
+                         .timeout_ms = r->timeout_ms};
+    f->fate = n->world->fate ? n->world->fate(n->world, n->node, r) : FATE_NORMAL;
+    timer_init(&f->timer, arrived, f);
+    timer_start(n->world->loop, &f->timer, LATENCY_MS);
+}
+
+static void flight_result(struct flight *f, int status, json_object *o)
+{
+    char *text = g_strdup(json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
+    json_object_put(o);
+    if (f->fate == FATE_ANSWER_LOST) {
+        timer_init(&f->timer, timed_out, f);
+        timer_start(f->world->loop, &f->timer, f->timeout_ms);
+    } else {
+        flight_answer(f, status, text);
+    }
+    g_free(text);
+}
+
+/* ---- the state service ---- */
+
+static void wkey_free(gpointer q)
+{
+    struct wkey *k = q;
+    g_free(k->text);
+    g_free(k);
+}
+
+static void event(struct world *w, const char *key, const char *text)
+{
+    struct wevent e = {g_strdup(key), g_strdup(text), w->ledger};
+    g_array_append_val(w->events, e);
+}
+
+static json_object *ledger_answer(struct world *w)
+{
+    json_object *o = json_object_new_object();
+    json_put_u64(o, "Ledger", w->ledger);
+    return o;
+}
+
+static void watch_answer(struct flight *f)
+{
+    struct world *w = f->world;
+    json_object *o = ledger_answer(w), *news = json_object_new_array();
+    for (guint i = 0; i < w->events->len; i++) {
+        struct wevent *e = &g_array_index(w->events, struct wevent, i);
+        if (e->rev <= f->from)
+            continue;
+        json_object *x = json_object_new_object();
+        json_put_text(x, e->text ? "Set" : "Remove", e->key);
+        if (e->text)
+            json_object_object_add(x, "V", json_tokener_parse(e->text));
+        json_put_u64(x, "Stamp", e->rev);
+        json_object_array_add(news, x);
+    }
+    json_object_object_add(o, "News", news);
+    flight_result(f, 200, o);
+}
+
+static void serve_watches(struct world *w)
+{
+    for (guint i = 0; i < w->watches->len;) {
+        struct flight *f = g_array_index(w->watches, struct flight *, i);
+        bool due = w->ledger > f->from || time_before(f->watch_end, loop_now(w->loop));
+        if (due && !w->state_down) {
+            g_array_remove_index(w->watches, i);
+            watch_answer(f);
+        } else {
+            i++;
+        }
+    }
+}
+
+static uint64_t stamp_of(struct world *w, const char *key)
+{
+    struct wkey *k = g_tree_lookup(w->keys, key);
+    return k ? k->stamp : 0;
+}
+
+static void txn(struct flight *f, json_object *body)
+{
+    struct world *w = f->world;
+    json_object *when = json_list(body, "When"), *writes = json_list(body, "Writes");
+    json_object *failed = json_object_new_array();
+    for (size_t i = 0; i < json_object_array_length(when); i++) {
+        json_object *x = json_object_array_get_idx(when, i);
+        const char *key;
+        uint64_t stamp;
+        assert_true(json_text(x, "K", &key) && json_u64(x, "Stamp", &stamp));
+        if (stamp_of(w, key) != stamp)
+            json_object_array_add(failed, json_object_new_string(key));
+    }
+    size_t n = json_object_array_length(writes);
+    w->writes += (int)n;
+    assert_true(n <= (size_t)w->settings[0]->state_txn_ops);
+    assert_true(json_object_array_length(when) <= 4 * (size_t)w->settings[0]->state_txn_ops);
+    for (size_t i = 0; i < n; i++) {
+        uint64_t lease = 0;
+        if (json_u64(json_object_array_get_idx(writes, i), "Mooring", &lease) &&
+            !g_hash_table_contains(w->leases, &lease)) {
+            json_object_put(failed);
+            json_object *o = json_object_new_object();
+            json_put_text(o, "error", "no such lease");
+            flight_result(f, 400, o);
+            return;
+        }
+    }
+    if (json_object_array_length(failed)) {
+        json_object *o = ledger_answer(w);
+        json_object_object_add(o, "failed", failed);
+        flight_result(f, 409, o);
+        return;
+    }
+    json_object_put(failed);
+    w->ledger += n > 0;
+    for (size_t i = 0; i < n; i++) {
+        json_object *x = json_object_array_get_idx(writes, i), *v = NULL;
+        const char *key;
+        if (json_text(x, "Set", &key)) {
+            struct wkey *k = g_new0(struct wkey, 1);
+            json_object_object_get_ex(x, "V", &v);
+            k->text = g_strdup(json_object_to_json_string_ext(v, JSON_C_TO_STRING_PLAIN));
+            assert_true(strlen(k->text) <= w->settings[0]->state_value_kb * 1024);
+            k->stamp = w->ledger;
+            json_u64(x, "Mooring", &k->lease);
+            g_tree_replace(w->keys, g_strdup(key), k);
+            event(w, key, k->text);
+        } else if (json_text(x, "Remove", &key) && g_tree_lookup(w->keys, key)) {
+            event(w, key, NULL);
+            g_tree_remove(w->keys, key);
+        }
+    }
+    flight_result(f, 200, ledger_answer(w));
+    serve_watches(w);
+}
+
+struct listing {
+    struct world *world;
+    json_object *items;
+};
+
+static gboolean list_key(gpointer key, gpointer value, gpointer data)
+{
+    struct listing *l = data;
+    struct wkey *k = value;
+    json_object *x = json_object_new_object();
+    json_put_text(x, "K", key);
+    json_object_object_add(x, "V", json_tokener_parse(k->text));
+    json_put_u64(x, "Stamp", k->stamp);
+    json_object_array_add(l->items, x);
+    return FALSE;
+}
+
+static void lease_new(struct flight *f, json_object *body)
+{
+    struct world *w = f->world;
+    struct wlease *l = g_new0(struct wlease, 1);
+    uint64_t ttl = 0;
+    json_u64(body, "TtlMs", &ttl);
+    *l = (struct wlease){++w->next_lease, (int64_t)ttl,
+                         time_add_ms(loop_now(w->loop), (int64_t)ttl)};
+    g_hash_table_replace(w->leases, &l->id, l);
+    json_object *o = json_object_new_object();
+    json_put_u64(o, "Mooring", l->id);
+    flight_result(f, 200, o);
+}
+
+static void serve_state(struct flight *f)
+{
+    struct world *w = f->world;
+    json_object *body = *f->body ? json_read(f->body, strlen(f->body)) : NULL;
+    if (g_str_has_prefix(f->path, "/watch")) {
+        const char *from = strstr(f->path, "From="), *block = strstr(f->path, "BlockMs=");
+        f->from = g_ascii_strtoull(from + 5, NULL, 10);
+        f->watch_end =
+            time_add_ms(loop_now(w->loop), (int64_t)g_ascii_strtoull(block + 8, NULL, 10));
+        g_array_append_val(w->watches, f);
+        serve_watches(w);
+    } else if (w->state_down) {
+        flight_result(f, 503, json_object_new_object());
+    } else if (strcmp(f->path, "/txn") == 0) {
+        txn(f, body);
+    } else if (strcmp(f->path, "/grants") == 0) {
+        lease_new(f, body);
+    } else if (g_str_has_prefix(f->path, "/grants/")) {
+        uint64_t id = g_ascii_strtoull(f->path + 8, NULL, 10);
+        struct wlease *l = g_hash_table_lookup(w->leases, &id);
+        if (l)
+            l->end = time_add_ms(loop_now(w->loop), l->ttl_ms);
+        flight_result(f, l ? 200 : 404, json_object_new_object());
+    } else {
+        struct listing l = {w, json_object_new_array()};
+        g_tree_foreach(w->keys, list_key, &l);
+        json_object *o = ledger_answer(w);
+        json_object_object_add(o, "Items", l.items);
+        json_object_object_add(o, "More", json_object_new_boolean(false));
+        flight_result(f, 200, o);
+    }
+    json_object_put(body);
+}
+
+static gboolean of_lease(gpointer key, gpointer value, gpointer data)
+{
+    void **q = data;
+    struct wkey *k = value;
+    if (k->lease == *(uint64_t *)q[0])
+        g_ptr_array_add(q[1], g_strdup(key));
+    return FALSE;
+}
+
+static void end_leases(struct world *w)
+{
+    GHashTableIter it;
+    struct wlease *l;
+    g_hash_table_iter_init(&it, w->leases);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&l)) {
+        if (!time_before(l->end, loop_now(w->loop)))
+            continue;
+        GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
+        void *q[] = {&l->id, keys};
+        g_tree_foreach(w->keys, of_lease, q);
+        w->ledger += keys->len > 0;
+        for (guint i = 0; i < keys->len; i++) {
+            event(w, keys->pdata[i], NULL);
+            g_tree_remove(w->keys, keys->pdata[i]);
+        }
+        g_ptr_array_unref(keys);
+        g_hash_table_iter_remove(&it);
+    }
+}
+
+/* ---- workers ---- */
+
+struct wtask *worker_task(struct worker *k, const char *job, uint32_t index)
+{
+    for (guint i = 0; i < k->tasks->len; i++) {
+        struct wtask *t = &g_array_index(k->tasks, struct wtask, i);
+        if (t->index == index && strcmp(t->job.s, job) == 0)
+            return t;
+    }
+    return NULL;
+}
+
+static json_object *worker_state(struct worker *k)
+{
+    json_object *o = json_object_new_object(), *list = json_object_new_array();
+    k->tally++;
+    json_put_text(o, "Mast", k->id);
+    json_put_text(o, "Address", k->addr);
+    json_put_text(o, "Build", k->build);
+    json_put_text(o, "Yard", k->yard);
+    json_object_object_add(o, "Loaners", json_object_new_boolean(k->loaners));
+    json_put_u64(o, "Shift", k->shift);
+    json_put_u64(o, "Tally", k->tally);
+    json_put_u64(o, "Helm", k->helm);
+    for (guint i = 0; i < k->tasks->len; i++) {
+        struct wtask *t = &g_array_index(k->tasks, struct wtask, i);
+        json_object *x = json_object_new_object();
+        char name[64];
+        snprintf(name, sizeof name, "%s/%u", t->job.s, t->index);
+        json_put_text(x, "Piece", name);
+        json_put_u64(x, "Try", t->attempt);
+        json_put_text(x, "Stage", t->stage);
+        if (*t->cause)
+            json_put_text(x, "Cause", t->cause);
+        json_object_array_add(list, x);
+    }
+    json_object_object_add(o, "Pieces", list);
+    return o;
+}
+
+static bool twice;
+
+static void worker_order(struct worker *k, json_object *o)
+{
+    const char *verb, *name;
+    job_id job;
+    uint32_t index;
+    uint64_t attempt;
+    assert_true(json_text(o, "Verb", &verb) && json_text(o, "Piece", &name) &&
+                task_name_read(name, &job, &index) && json_u64(o, "Try", &attempt));
+    struct wtask *t = worker_task(k, job.s, index);
+    if (strcmp(verb, "run") == 0) {
+        if (t && t->attempt == attempt)
+            return;
+        assert_null(t); /* the service does not start a task where its worker still shows it */
+        struct wtask n = {job, index, attempt, "running", ""};
+        for (int i = 0; i < WORLD_WORKERS; i++) {
+            struct worker *other = &k->world->workers[i];
+            struct wtask *x = other->up && other != k ? worker_task(other, job.s, index) : NULL;
+            twice = twice || (x && strcmp(x->stage, "exited") != 0);
+        }
+        g_array_append_val(k->tasks, n);
+        k->starts++;
+    } else if (strcmp(verb, "halt") == 0) {
+        if (t && t->attempt == attempt && strcmp(t->stage, "exited") != 0)
+            worker_exit(k, job.s, index, "halted");
+    } else if (t && t->attempt == attempt && strcmp(t->stage, "exited") == 0) {
+        g_array_remove_index(k->tasks, (guint)(t - (struct wtask *)k->tasks->data));
+    }
+}
+
+static void worker_orders(struct worker *k, json_object *o)
+{
+    json_object *list = json_list(o, "Orders");
+    for (size_t i = 0; list && i < json_object_array_length(list); i++)
+        worker_order(k, json_object_array_get_idx(list, i));
+}
+
+static void serve_worker(struct flight *f, struct worker *k)
+{
+    if (!k->up || k->silent) {
+        f->fate = FATE_LOST;
+        arrived(f);
+        return;
+    }
+    if (strcmp(f->path, "/status") == 0) {
+        flight_result(f, 200, worker_state(k));
+        return;
+    }
+    json_object *o = json_read(f->body, strlen(f->body));
+    uint64_t helm = 0, shift = 0;
+    assert_true(json_u64(o, "Helm", &helm) && json_u64(o, "Shift", &shift));
+    bool ok = helm >= k->helm && shift == k->shift;
+    k->helm = MAX(k->helm, helm);
+    if (ok)
+        worker_orders(k, o);
+    json_object_put(o);
+    flight_result(f, ok ? 200 : 409, worker_state(k));
+}
+
+void worker_exit(struct worker *k, const char *job, uint32_t index, const char *cause)
+{
+    struct wtask *t = worker_task(k, job, index);
+    assert_non_null(t);
+    strcpy(t->stage, "exited");
+    g_strlcpy(t->cause, cause, sizeof t->cause);
+}
+
+void worker_exit_all(struct world *w, const char *job, const char *cause)
+{
+    for (int i = 0; i < WORLD_WORKERS; i++) {
+        struct worker *k = &w->workers[i];
+        for (guint n = 0; k->up && n < k->tasks->len; n++) {
+            struct wtask *t = &g_array_index(k->tasks, struct wtask, n);
+            if (strcmp(t->job.s, job) == 0 && strcmp(t->stage, "exited") != 0)
+                worker_exit(k, job, t->index, cause);
+        }
+    }
+}
+
+struct wconn {
+    struct worker *worker; /* NULL: a user */
+    mono_time sent;
+    uint64_t shift;
+    struct user_answer *answer;
+};
+
+static void report_timer(void *arg)
+{
+    struct worker *k = arg;
+    timer_start(k->world->loop, &k->report, REPORT_MS);
+    worker_report(k);
+}
+
+/* The lease: counted from when the last report that got an answer was sent. */
+static void worker_lease(struct worker *k)
+{
+    struct world *w = k->world;
+    int64_t lease_ms = (int64_t)(w->settings[0]->lease_s * 1000);
+    if (time_ms_since(loop_now(w->loop), k->lease_from) <= lease_ms)
+        return;
+    g_array_set_size(k->tasks, 0);
+    k->shift++;
+    k->lease_from = loop_now(w->loop);
+}
+
+static struct wconn *conn_new(struct world *w, conn_ref *ref)
+{
+    struct wconn *c = g_new0(struct wconn, 1);
+    ref->v = ++w->next_conn;
+    c->sent = loop_now(w->loop);
+    g_hash_table_insert(w->answers, g_memdup2(&ref->v, sizeof ref->v), c);
+    return c;
+}
+
+void worker_report(struct worker *k)
+{
+    struct world *w = k->world;
+    worker_lease(k);
+    if (!k->up || k->silent)
+        return;
+    struct node *n = w->nodes[k->node];
+    if (!n) {
+        k->node = (k->node + 1) % WORLD_NODES;
+        return;
+    }
+    conn_ref ref;
+    struct wconn *c = conn_new(w, &ref);
+    c->worker = k;
+    c->shift = k->shift;
+    json_object *o = worker_state(k);
+    const char *text = json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN);
+    struct http_request q = {"POST", "/agent/beat", "", text, strlen(text)};
+    frontend_serve(n->frontend, &w->replier, ref, &q);
+    json_object_put(o);
+}
+
+static void worker_answered(struct worker *k, struct wconn *c, int status, const char *body,
+                            size_t len)
+{
+    json_object *o = json_read(body, len);
+    const char *to = NULL;
+    uint64_t helm = 0;
+    if (status == 421 && json_text(o, "Harbour", &to)) {
+        k->node = to[strlen(to) - 1] - '0';
+    } else if (status != 200) {
+        k->node = (k->node + 1) % WORLD_NODES;
+    } else if (json_u64(o, "Helm", &helm) && helm >= k->helm && c->shift == k->shift) {
+        k->helm = helm;
+        k->lease_from = c->sent;
+        worker_orders(k, o);
+    }
+    json_object_put(o);
+}
+
+static void world_reply(struct http_replier *self, conn_ref to, int status, const char *fields,
+                        const char *body, size_t len)
+{
+    (void)fields;
+    struct world *w = (struct world *)((char *)self - offsetof(struct world, replier));
+    struct wconn *c = g_hash_table_lookup(w->answers, &to.v);
+    if (!c)
+        return;
+    if (c->worker) {
+        worker_answered(c->worker, c, status, body, len);
+    } else {
+        c->answer->status = status;
+        g_strlcpy(c->answer->body, body, MIN(sizeof c->answer->body, len + 1));
+    }
+    g_hash_table_remove(w->answers, &to.v);
+}
+
+struct worker *world_worker(struct world *w, int i, const char *yard, bool loaners)
+{
+    struct worker *k = &w->workers[i];
+    snprintf(k->id, sizeof k->id, "host-%06d", ++w->rented);
+    snprintf(k->addr, sizeof k->addr, "10.1.0.%d:9000", i + 1);
+    strcpy(k->build, "g8");
+    g_strlcpy(k->yard, yard, sizeof k->yard);
+    k->loaners = loaners;
+    k->up = true;
+    k->silent = false;
+    k->shift = 1;
+    k->tally = k->helm = 0;
+    k->world = w;
+    k->lease_from = loop_now(w->loop);
+    g_array_set_size(k->tasks, 0);
+    timer_init(&k->report, report_timer, k);
+    timer_start(w->loop, &k->report, 10 + i);
+    return k;
+}
+
+/* ---- the cloud ---- */
+
+static const char types_text[] =
+    "{\"Builds\":[{\"Label\":\"g8\",\"Vcpus\":8,\"Cards\":0,\"MemoryGb\":32,\"LocalGb\":100,"
+    "\"FetchGbPerS\":1.0,\"Price\":1.0,\"MarketPrice\":0.4,\"ReadyS\":5,\"Yards\":[\"a\",\"b\"]}]}";
+
+static void cloud_return(struct world *w, json_object *body)
+{
+    json_object *list = json_list(body, "Masts");
+    for (size_t i = 0; i < json_object_array_length(list); i++)
+        for (int k = 0; k < WORLD_WORKERS; k++) {
+            struct worker *x = &w->workers[k];
+            if (x->up &&
+                strcmp(x->id, json_object_get_string(json_object_array_get_idx(list, i))) == 0) {
+                x->up = false;
+                g_array_set_size(x->tasks, 0);
+                timer_stop(w->loop, &x->report);
+                w->returned++;
+            }
+        }
+}
+
+static json_object *cloud_rent(struct world *w, json_object *body)
+{
+    const char *charter, *yard;
+    bool loaners;
+    uint64_t number = 0;
+    assert_true(json_text(body, "Charter", &charter) && json_text(body, "Yard", &yard) &&
+                json_flag(body, "Loaners", &loaners) && json_u64(body, "Number", &number));
+    for (guint i = 0; i < w->charters->len; i += 2)
+        if (strcmp(w->charters->pdata[i], charter) == 0)
+            return json_tokener_parse(w->charters->pdata[i + 1]);
+    json_object *o = json_object_new_object(), *list = json_object_new_array();
+    for (int i = 0; i < WORLD_WORKERS && number > 0 && w->capacity > 0; i++)
+        if (!w->workers[i].up) {
+            struct worker *k = world_worker(w, i, yard, loaners);
+            json_object_array_add(list, json_object_new_string(k->id));
+            w->capacity--;
+            number--;
+        }
+    if (json_object_array_length(list) == 0) {
+        json_object_put(list);
+        json_object_put(o);
+        return NULL;
+    }
+    json_object_object_add(o, "Masts", list);
+    g_ptr_array_add(w->charters, g_strdup(charter));
+    g_ptr_array_add(w->charters, g_strdup(json_object_to_json_string(o)));
+    return o;
+}
+
+static json_object *cloud_list(struct world *w)
+{
+    json_object *o = json_object_new_object(), *list = json_object_new_array();
+    for (int i = 0; i < WORLD_WORKERS; i++) {
+        struct worker *k = &w->workers[i];
+        if (!k->up)
+            continue;
+        json_object *x = json_object_new_object();
+        json_put_text(x, "Id", k->id);
+        json_put_text(x, "Address", k->addr);
+        json_put_text(x, "Build", k->build);
+        json_put_text(x, "Yard", k->yard);
+        json_object_object_add(x, "Loaners", json_object_new_boolean(k->loaners));
+        json_put_text(x, "Stage", "running");
+        json_object_object_add(x, "HeldS", json_object_new_double(1));
+        json_object_array_add(list, x);
+    }
+    json_object_object_add(o, "Masts", list);
+    json_object_object_add(o, "More", json_object_new_boolean(false));
+    return o;
+}
+
+static void serve_cloud(struct flight *f)
+{
+    struct world *w = f->world;
+    json_object *body = *f->body ? json_read(f->body, strlen(f->body)) : NULL, *o = NULL;
+    int status = 200;
+    if (w->cloud_down) {
+        status = 503;
+        o = json_tokener_parse("{\"error\":\"trouble\"}");
+    } else if (strcmp(f->path, "/machine_types") == 0) {
+        o = json_tokener_parse(types_text);
+    } else if (strcmp(f->path, "/rentals/return") == 0) {
+        cloud_return(w, body);
+        o = json_object_new_object();
+    } else if (strcmp(f->path, "/rentals") == 0) {
+        o = cloud_rent(w, body);
+        if (!o) {
+            status = 503;
+            o = json_tokener_parse("{\"error\":\"no capacity\"}");
+        }
+    } else {
+        o = cloud_list(w);
+    }
+    json_object_put(body);
+    flight_result(f, status, o);
+}
+
+/* ---- between nodes ---- */
+
+struct bus_reply {
+    struct http_replier replier;
+    struct flight *flight;
+};
+
+static void bus_replied(struct http_replier *self, conn_ref to, int status, const char *fields,
+                        const char *body, size_t len)
+{
+    (void)to;
+    (void)fields;
+    char *text = g_strndup(body, len);
+    flight_answer(((struct bus_reply *)self)->flight, status, text);
+    g_free(text);
+}
+
+static void carry_out(struct flight *f)
+{
+    struct world *w = f->world;
+    if (strcmp(f->addr, "10.2.0.1:2379") == 0) {
+        serve_state(f);
+        return;
+    }
+    if (strcmp(f->addr, "10.2.0.2:8443") == 0) {
+        serve_cloud(f);
+        return;
+    }
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        if (strcmp(f->addr, w->workers[i].addr) == 0) {
+            serve_worker(f, &w->workers[i]);
+            return;
+        }
+    int to = f->addr[7] - '1';
+    if (to < 0 || to >= WORLD_NODES || !w->nodes[to]) {
+        flight_answer(f, NET_NOT_SENT, "");
+        return;
+    }
+    struct bus_reply r = {{bus_replied}, f};
+    struct http_request q = {f->method, f->path, "", f->body, strlen(f->body)};
+    bus_serve(w->nodes[to]->bus, &r.replier, (conn_ref){1}, &q);
+}
+
+/* ---- the whole ---- */
+
+static char *settings_text(int node)
+{
+    GString *s = g_string_new(NULL);
+    g_string_append_printf(s,
+                           "label = \"mast-%d\"\ndomain = \"%s\"\napi_addr = \"10.0.0.%d:8080\"\n"
+                           "back = \"10.0.0.%d:8081\"\n",
+                           node, node == 1 ? "b" : "a", node + 1, node + 1);
+    for (int i = 0; i < WORLD_NODES; i++)
+        if (i != node)
+            g_string_append_printf(s,
+                                   "[[siblings]]\nlabel = \"mast-%d\"\ndomain = \"a\"\nendpoint = "
+                                   "\"10.0.0.%d:8081\"\n",
+                                   i, i + 1);
+    g_string_append(
+        s, "[outside]\ncloud = \"10.2.0.2:8443\"\nstate = \"10.2.0.1:2379\"\n"
+           "[deployment]\nsize = 3\nzones = [\"a\", \"b\"]\nclock_error_ms = 25.0\n"
+           "[[deployment.teams]]\nname = \"red\"\ncpus = 8.0\ncpus_max = 16.0\n"
+           "gpus = 0.0\ngpus_max = 0.0\n"
+           "[[deployment.teams]]\nname = \"blue\"\ncpus = 16.0\ncpus_max = 64.0\n"
+           "gpus = 0.0\ngpus_max = 0.0\n"
+           "[deployment.workers]\nreport_s = 1.0\nlease_s = 10.0\ngang_wait_s = 20.0\n"
+           "gang_peer_s = 4.0\ncancel_s = 30.0\n"
+           "[deployment.state]\nrps = 400.0\nwrite_rps = 200.0\nvalue_kb = 8.0\ntxn_ops = 16\n"
+           "[deployment.cloud]\nrps = 3.0\nlist_lag_s = 2.0\n"
+           "[deployment.machine_limits]\ncore_share = 0.1\nram_mb = 64.0\nfd_limit = 800\n");
+    return g_string_free(s, FALSE);
+}
+
+static void world_tick(void *arg)
+{
+    struct world *w = arg;
+    timer_start(w->loop, &w->tick, TICK_MS);
+    if (w->state_down) {
+        /* When an outage is over, every lease has its full time again. */
+        GHashTableIter it;
+        struct wlease *l;
+        g_hash_table_iter_init(&it, w->leases);
+        while (g_hash_table_iter_next(&it, NULL, (gpointer *)&l))
+            l->end = time_add_ms(loop_now(w->loop), l->ttl_ms);
+        return;
+    }
+    end_leases(w);
+    serve_watches(w);
+}
+
+static int compare_keys(gconstpointer a, gconstpointer b, gpointer unused)
+{
+    (void)unused;
+    return strcmp(a, b);
+}
+
+struct world *world_new(void)
+{
+    struct world *w = g_new0(struct world, 1);
+    log_setup(g_getenv("LOG_LEVEL") ? g_getenv("LOG_LEVEL") : "error", "test");
+    twice = false;
+    w->loop = loop_new_fake();
+    w->keys = g_tree_new_full(compare_keys, NULL, g_free, wkey_free);
+    w->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    w->events = g_array_new(FALSE, TRUE, sizeof(struct wevent));
+    w->watches = g_array_new(FALSE, TRUE, sizeof(struct flight *));
+    w->held = g_ptr_array_new();
+    w->charters = g_ptr_array_new_with_free_func(g_free);
+    w->answers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    w->replier.reply = world_reply;
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        w->workers[i].tasks = g_array_new(FALSE, TRUE, sizeof(struct wtask));
+    for (int i = 0; i < WORLD_NODES; i++) {
+        char *text = settings_text(i), *error = NULL;
+        w->settings[i] = settings_parse(text, &error);
+        if (error)
+            fail_msg("%s", error);
+        g_free(text);
+        w->nets[i] = (struct wnet){{net_request_fn}, w, i};
+    }
+    timer_init(&w->tick, world_tick, w);
+    world_tick(w);
+    return w;
+}
+
+void world_free(struct world *w)
+{
+    for (int i = 0; i < WORLD_NODES; i++) {
+        world_kill(w, i);
+        settings_free(w->settings[i]);
+    }
+    for (int i = 0; i < WORLD_WORKERS; i++) {
+        if (w->workers[i].up)
+            timer_stop(w->loop, &w->workers[i].report);
+        g_array_unref(w->workers[i].tasks);
+    }
+    g_tree_unref(w->keys);
+    g_hash_table_unref(w->leases);
+    g_hash_table_unref(w->answers);
+    g_ptr_array_unref(w->charters);
+    loop_free(w->loop);
+    g_free(w);
+}
+
+void world_start(struct world *w, int node)
+{
+    assert_null(w->nodes[node]);
+    w->nodes[node] = node_new(w->loop, &w->nets[node].net, w->settings[node]);
+    node_start(w->nodes[node]);
+}
+
+void world_kill(struct world *w, int node)
+{
+    struct node *n = w->nodes[node];
+    w->nodes[node] = NULL;
+    if (n)
+        node_free(n);
+}
+
+void world_run(struct world *w, int64_t ms)
+{
+    loop_advance(w->loop, ms);
+}
+
+void world_deliver_held(struct world *w)
+{
+    for (guint i = 0; i < w->held->len; i++) {
+        struct flight *f = w->held->pdata[i];
+        f->fate = FATE_NORMAL;
+        f->process = NULL; /* nobody waits for the answer any more */
+        carry_out(f);
+    }
+    g_ptr_array_set_size(w->held, 0);
+}
+
+struct user_answer world_ask(struct world *w, int node, const char *method, const char *path,
+                             const char *body)
+{
+    struct user_answer answer = {0};
+    conn_ref ref;
+    struct wconn *c = conn_new(w, &ref);
+    c->answer = &answer;
+    struct http_request q = {method, path, "", body ? body : "", body ? strlen(body) : 0};
+    assert_non_null(w->nodes[node]);
+    frontend_serve(w->nodes[node]->frontend, &w->replier, ref, &q);
+    for (int i = 0; i < 500 && !answer.status; i++)
+        world_run(w, 10);
+    g_hash_table_remove(w->answers, &ref.v);
+    return answer;
+}
+
+char *world_job(const char *id, const char *form, int tasks, const char *crew, double cpus,
+                const char *more)
+{
+    return g_strdup_printf(
+        "{\"Id\":\"%s\",\"Lot\":\"lot\",\"Crew\":\"%s\",\"Form\":\"%s\",\"Urgency\":\"high\","
+        "\"Pieces\":%d,\"Vcpus\":%.1f,\"Cards\":0.0,\"MemoryGb\":1.0,\"Mould\":\"img-1\","
+        "\"ImageGb\":1.0,\"OneZone\":false,\"Apart\":false,\"Loaners\":true,\"ExpectedS\":%s,"
+        "\"MarkEveryS\":0.0,\"StowS\":0.0%s}",
+        id, crew, form, tasks, cpus, strcmp(form, "daemon") == 0 ? "0.0" : "10.0", more);
+}
+
+struct user_answer world_submit(struct world *w, int node, const char *id, const char *form,
+                                int tasks)
+{
+    char *body = world_job(id, form, tasks, "blue", 2.0, "");
+    struct user_answer a = world_ask(w, node, "POST", "/work", body);
+    g_free(body);
+    return a;
+}
+
+int world_on_machines(struct world *w, const char *job)
+{
+    int n = 0;
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        for (guint k = 0; w->workers[i].up && k < w->workers[i].tasks->len; k++) {
+            struct wtask *t = &g_array_index(w->workers[i].tasks, struct wtask, k);
+            n += strcmp(t->job.s, job) == 0 && strcmp(t->stage, "exited") != 0;
+        }
+    return n;
+}
+
+bool world_ran_twice(struct world *w)
+{
+    (void)w;
+    return twice;
+}
+
+struct node *world_leader(struct world *w)
+{
+    for (int i = 0; i < WORLD_NODES; i++)
+        if (w->nodes[i] && membership_leads(w->nodes[i]->members))
+            return w->nodes[i];
+    return NULL;
+}
--- /dev/null
+++ b/tests/world.h
@@ -0,0 +1,108 @@
+/* A world for tests: a fake clock, a state service of our own, and workers and a cloud that do what
+ * the test scripts. Nothing here opens a socket. */
+#ifndef LL_TEST_WORLD_H
+#define LL_TEST_WORLD_H
+
+#include "node.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+/* What becomes of a request: answered, refused, or lost before or after it was carried out. */
+enum fate { FATE_NORMAL, FATE_REFUSED, FATE_LOST, FATE_ANSWER_LOST, FATE_HELD };
+
+struct world;
+typedef enum fate (*fate_fn)(struct world *w, int node, const struct net_request *r);
+
+enum { WORLD_NODES = 3, WORLD_WORKERS = 8 };
+
+struct wnet {
+    struct net net;
+    struct world *world;
+    int node;
+};
+
+/* A worker as the protocol describes it, as far as tests need one. */
+struct wtask {
+    job_id job;
+    uint32_t index;
+    uint64_t attempt;
+    char stage[16], cause[16];
+};
+
+struct worker {
+    char id[16], addr[24], build[16], yard[8];
+    bool loaners, up, silent;
+    uint64_t shift, tally, helm;
+    GArray *tasks; /* struct wtask */
+    int node;      /* that it reports to */
+    int starts;
+    mono_time lease_from;
+    struct timer report;
+    struct world *world;
+};
+
+struct user_answer {
+    int status;
+    char body[512];
+};
+
+struct world {
+    struct loop *loop;
+    struct settings *settings[WORLD_NODES];
+    struct wnet nets[WORLD_NODES];
+    struct node *nodes[WORLD_NODES];
+    fate_fn fate;
+    bool state_down;
+    /* state service */
+    GTree *keys;
+    uint64_t ledger, next_lease;
+    GHashTable *leases;
+    GArray *events, *watches;
+    struct timer tick;
+    int writes;
+    GPtrArray *held; /* requests that a cut holds back */
+    /* cloud */
+    bool cloud_down;
+    int capacity, rented, returned;
+    GPtrArray *charters;
+    struct worker workers[WORLD_WORKERS];
+    /* replies to what the test asked */
+    struct http_replier replier;
+    GHashTable *answers;
+    uint64_t next_conn;
+};
+
+struct world *world_new(void);
+void world_free(struct world *w);
+/* Starts and kills the process of a node. */
+void world_start(struct world *w, int node);
+void world_kill(struct world *w, int node);
+void world_run(struct world *w, int64_t ms);
+/* A machine that nobody rented: it is just there. */
+struct worker *world_worker(struct world *w, int i, const char *yard, bool loaners);
+/* Carries out what was held back, late. */
+void world_deliver_held(struct world *w);
+
+/* A user's request at a node; runs the world until it is answered, for five seconds at most. */
+struct user_answer world_ask(struct world *w, int node, const char *method, const char *path,
+                             const char *body);
+struct user_answer world_submit(struct world *w, int node, const char *id, const char *form,
+                                int tasks);
+char *world_job(const char *id, const char *form, int tasks, const char *crew, double cpus,
+                const char *more);
+
+/* Tasks of a job that are on machines and have not exited. */
+int world_on_machines(struct world *w, const char *job);
+struct wtask *worker_task(struct worker *k, const char *job, uint32_t index);
+void worker_exit(struct worker *k, const char *job, uint32_t index, const char *cause);
+void worker_exit_all(struct world *w, const char *job, const char *cause);
+void worker_report(struct worker *k);
+/* How many tasks were ever on two machines at once. */
+bool world_ran_twice(struct world *w);
+struct node *world_leader(struct world *w);
+
+#endif
