--- a/src/bus.c
+++ b/src/bus.c
@@ -16,6 +16,8 @@
     struct net *net;
     const struct settings *settings;
     GHashTable *handlers;
+    http_handler relayed;
+    void *relayed_ctx;
 };
 
 /* A message to the own node, waiting in the mailbox. */
@@ -126,6 +128,46 @@
     free(body);
 }
 
+void bus_relay(struct bus *b, const char *to, const struct http_request *r, int timeout_ms,
+               net_done done, void *arg)
+{
+    const char *addr = endpoint(b, to);
+    cJSON *m = cJSON_CreateObject();
+    cJSON_AddStringToObject(m, "from", b->settings->label);
+    cJSON_AddStringToObject(m, "method", r->method);
+    cJSON_AddStringToObject(m, "path", r->path);
+    char *text = g_strndup(r->body, r->body_len);
+    cJSON_AddStringToObject(m, "body", text);
+    char *body = cJSON_PrintUnformatted(m);
+    struct net_request q = {addr, "POST", "/bus/relay", body, strlen(body), timeout_ms};
+    if (addr)
+        b->net->request(b->net, &q, done, arg);
+    else
+        done(arg, &(struct net_answer){.status = NET_NOT_SENT});
+    free(body);
+    g_free(text);
+    cJSON_Delete(m);
+}
+
+void bus_on_relay(struct bus *b, http_handler serve, void *ctx)
+{
+    b->relayed = serve;
+    b->relayed_ctx = ctx;
+}
+
+static void serve_relayed(struct bus *b, struct http_replier *replier, conn_ref from,
+                          const cJSON *m)
+{
+    const char *method = bus_text(m, "method"), *path = bus_text(m, "path"),
+               *body = bus_text(m, "body");
+    if (!b->relayed || !method || !path || !body) {
+        replier->reply(replier, from, 400, NULL, "{}", 2);
+        return;
+    }
+    struct http_request r = {method, path, "", body, strlen(body)};
+    b->relayed(b->relayed_ctx, replier, from, &r);
+}
+
 void bus_serve(void *ctx, struct http_replier *replier, conn_ref from, const struct http_request *r)
 {
     struct bus *b = ctx;
@@ -141,6 +183,11 @@
         replier->reply(replier, from, 400, NULL, "{}", 2);
         return;
     }
+    if (strcmp(r->path, "/bus/relay") == 0) {
+        serve_relayed(b, replier, from, m);
+        cJSON_Delete(m);
+        return;
+    }
     cJSON *answer = NULL;
     int status = dispatch(b, r->path + 5, who, m, &answer);
     char *text = answer ? cJSON_PrintUnformatted(answer) : NULL;
--- a/src/bus.h
+++ b/src/bus.h
@@ -21,6 +21,11 @@
 /* Takes the message. */
 void bus_send(struct bus *b, const char *to, const char *kind, cJSON *message, int timeout_ms,
               bus_done done, void *arg);
+/* Hands a request of a user or a worker on to another node, whose answer comes back as it is. */
+void bus_relay(struct bus *b, const char *to, const struct http_request *r, int timeout_ms,
+               net_done done, void *arg);
+/* Who serves requests that other nodes hand on. */
+void bus_on_relay(struct bus *b, http_handler serve, void *ctx);
 /* For the server on the back address. */
 void bus_serve(void *bus, struct http_replier *replier, conn_ref from,
                const struct http_request *r);
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -9,6 +9,7 @@
     MOST_WAITING = 400, /* requests that wait for the state service */
     WRITE_ROUNDS = 4,   /* tries of a conditional write before the user is told to come back */
     STALE_READY_MS = 8000,
+    RELAY_MS = 1800,
 };
 
 struct frontend {
@@ -18,7 +19,10 @@
     struct membership *members;
     const struct settings *settings;
     struct part *part;
+    struct bus *bus;
+    struct peers *peers;
     int waiting;
+    bool relayed; /* the request at hand was handed on by another node */
 };
 
 enum action { ACTION_SUBMIT, ACTION_POLL, ACTION_CANCEL };
@@ -35,12 +39,18 @@
     int rounds;
 };
 
+static void serve_relayed(void *ctx, struct http_replier *r, conn_ref from,
+                          const struct http_request *q);
+static void serve_here(void *ctx, struct http_replier *r, conn_ref from,
+                       const struct http_request *q);
+
 struct frontend *frontend_new(struct loop *loop, struct store *store, struct view *view,
                               struct membership *members, const struct settings *settings,
-                              struct part *part)
+                              struct part *part, struct bus *bus, struct peers *peers)
 {
     struct frontend *f = g_new0(struct frontend, 1);
-    *f = (struct frontend){loop, store, view, members, settings, part, 0};
+    *f = (struct frontend){loop, store, view, members, settings, part, bus, peers, 0, false};
+    bus_on_relay(bus, serve_relayed, f);
     return f;
 }
 
@@ -104,6 +114,8 @@
             reply(a->replier, a->from, 201, codec_job_answer(a->job, "queued", -1, 0));
         else
             reply(a->replier, a->from, 200, codec_job_answer(a->job, "cancelled", -1, 0));
+        if (a->action == ACTION_CANCEL)
+            peers_told_cancel(f->peers);
         ask_end(a);
     } else if (o->result == TXN_CONFLICT && ++a->rounds < WRITE_ROUNDS) {
         view_await(f->view, o->at, ask_step, a);
@@ -161,6 +173,8 @@
         write_cancel(a, j);
         return;
     } else {
+        if (a->action == ACTION_CANCEL)
+            peers_told_cancel(f->peers);
         reply(a->replier, a->from, 200, job_text(j));
     }
     ask_end(a);
@@ -248,7 +262,9 @@
  * alike, and taking them all out would only add to it. */
 static bool is_ready(struct frontend *f)
 {
-    return f->view->ready && f->view->types &&
+    if (!f->view->ready || !f->view->types)
+        return false;
+    return peers_served(f->peers) ||
            time_ms_since(loop_now(f->loop), f->view->fresh) < STALE_READY_MS;
 }
 
@@ -279,14 +295,66 @@
     g_free(id);
 }
 
+struct relay {
+    struct frontend *frontend;
+    struct http_replier *replier;
+    conn_ref from;
+};
+
+static void relay_answered(void *arg, const struct net_answer *a)
+{
+    struct relay *x = arg;
+    x->frontend->waiting--;
+    if (a->status > 0)
+        reply(x->replier, x->from, a->status, g_strndup(a->body, a->len));
+    else
+        reply_error(x->replier, x->from, 503, "the state service does not answer");
+    g_free(x);
+}
+
+static bool is_work(const char *path)
+{
+    return strcmp(path, "/work") == 0 || g_str_has_prefix(path, "/work/");
+}
+
+/* While the state service answers other nodes and not this one, they answer for it. */
+static bool hand_on(struct frontend *f, struct http_replier *r, conn_ref from,
+                    const struct http_request *q)
+{
+    const char *peer = peers_served(f->peers);
+    if (!peer || !is_work(q->path) || f->waiting >= MOST_WAITING)
+        return false;
+    struct relay *x = g_new(struct relay, 1);
+    *x = (struct relay){f, r, from};
+    f->waiting++;
+    bus_relay(f->bus, peer, q, RELAY_MS, relay_answered, x);
+    return true;
+}
+
 void frontend_serve(void *ctx, struct http_replier *r, conn_ref from, const struct http_request *q)
+{
+    if (!hand_on(ctx, r, from, q))
+        serve_here(ctx, r, from, q);
+}
+
+static void serve_relayed(void *ctx, struct http_replier *r, conn_ref from,
+                          const struct http_request *q)
+{
+    struct frontend *f = ctx;
+    f->relayed = true;
+    serve_here(f, r, from, q);
+    f->relayed = false;
+}
+
+static void serve_here(void *ctx, struct http_replier *r, conn_ref from,
+                       const struct http_request *q)
 {
     struct frontend *f = ctx;
-    if (strcmp(q->path, "/work") == 0 || g_str_has_prefix(q->path, "/work/")) {
+    if (is_work(q->path)) {
         route_work(f, r, from, q);
     } else if (strcmp(q->path, "/agent/beat") == 0) {
         if (strcmp(q->method, "POST") == 0)
-            part_report(f->part, r, from, q->body, q->body_len);
+            part_report(f->part, r, from, q, f->relayed);
         else
             reply_error(r, from, 405, "method not allowed");
     } else if (strcmp(q->path, "/ready") == 0) {
--- a/src/node.c
+++ b/src/node.c
@@ -13,9 +13,10 @@
     n->view = view_new(loop, n->store);
     n->members = membership_new(loop, n->store, n->view, s);
     n->bus = bus_new(loop, net, s);
-    n->part = part_new(loop, net, n->store, n->view, n->members, n->bus, s);
+    n->peers = peers_new(loop, n->bus, n->store, s);
+    n->part = part_new(loop, net, n->store, n->view, n->members, n->bus, n->peers, s);
     n->leader = leader_new(loop, net, n->store, n->view, n->members, n->bus, s, policy);
-    n->frontend = frontend_new(loop, n->store, n->view, n->members, s, n->part);
+    n->frontend = frontend_new(loop, n->store, n->view, n->members, s, n->part, n->bus, n->peers);
     return n;
 }
 
@@ -23,6 +24,7 @@
 {
     view_start(n->view);
     membership_start(n->members);
+    peers_start(n->peers);
     part_start(n->part);
     leader_start(n->leader);
 }
@@ -32,6 +34,7 @@
     frontend_free(n->frontend);
     leader_free(n->leader);
     part_free(n->part);
+    peers_free(n->peers);
     bus_free(n->bus);
     membership_free(n->members);
     view_free(n->view);
--- a/src/node.h
+++ b/src/node.h
@@ -13,6 +13,7 @@
     struct view *view;
     struct membership *members;
     struct bus *bus;
+    struct peers *peers;
     struct part *part;
     struct leader *leader;
     struct frontend *frontend;
--- a/src/part.c
+++ b/src/part.c
@@ -20,6 +20,8 @@
     RESEND_MS = 1500,
     GIVE_BACK_MS = 3000,
     LAPSED_MS = 20000,
+    REDIRECT_MS = 45000, /* a worker is sent to the owner again only so often */
+    MOST_REDIRECTS = 5000,
     IMAGES_KEPT = 12,
 };
 
@@ -98,6 +100,8 @@
     struct view *view;
     struct membership *members;
     struct bus *bus;
+    struct peers *peers;
+    GHashTable *redirects; /* machine -> struct redirect */
     const struct settings *settings;
     epoch_no epoch;
     uint64_t generation, last_deal;
@@ -148,7 +152,8 @@
 }
 
 struct part *part_new(struct loop *loop, struct net *net, struct store *store, struct view *view,
-                      struct membership *members, struct bus *bus, const struct settings *settings)
+                      struct membership *members, struct bus *bus, struct peers *peers,
+                      const struct settings *settings)
 {
     struct part *p = g_new0(struct part, 1);
     p->actor = (struct actor){"part", receive};
@@ -158,6 +163,8 @@
     p->view = view;
     p->members = members;
     p->bus = bus;
+    p->peers = peers;
+    p->redirects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     p->settings = settings;
     p->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, host_free);
     for (int i = 0; i <= ARQ_CLASSES; i++)
@@ -189,6 +196,7 @@
     drop_queues(p);
     g_hash_table_unref(p->hosts);
     g_hash_table_unref(p->marks);
+    g_hash_table_unref(p->redirects);
     g_array_unref(p->back);
     g_ptr_array_unref(p->faults);
     g_free(p);
@@ -717,7 +725,51 @@
 
 static bool may_keep_leases(struct part *p)
 {
-    return time_ms_since(loop_now(p->loop), p->view->fresh) < keeping_bound_ms(p->settings);
+    mono_time known = p->view->fresh, quiet = peers_quiet_until(p->peers);
+    if (time_before(known, quiet))
+        known = quiet;
+    return time_ms_since(loop_now(p->loop), known) < keeping_bound_ms(p->settings);
+}
+
+/* Where a worker was sent that reported to the wrong node. */
+struct redirect {
+    char owner[64];
+    mono_time at;
+};
+
+struct handed_on {
+    struct http_replier *replier;
+    conn_ref from;
+};
+
+static void owner_answered(void *arg, const struct net_answer *a)
+{
+    struct handed_on *x = arg;
+    reply_text(x->replier, x->from, a->status > 0 ? a->status : 503,
+               a->status > 0 ? g_strndup(a->body, a->len) : g_strdup("{}"));
+    g_free(x);
+}
+
+/* Sends a worker to its machine's owner. One that is back soon could not reach it: its report is
+ * handed on instead, so that its lease is renewed although the owner cannot hear it. */
+static void redirect(struct part *p, struct http_replier *replier, conn_ref from, const char *host,
+                     const char *owner, const struct http_request *q)
+{
+    mono_time now = loop_now(p->loop);
+    struct redirect *r = g_hash_table_lookup(p->redirects, host);
+    if (r && strcmp(r->owner, owner) == 0 && time_ms_since(now, r->at) < REDIRECT_MS && q) {
+        struct handed_on *x = g_new(struct handed_on, 1);
+        *x = (struct handed_on){replier, from};
+        bus_relay(p->bus, owner, q, PROBE_TIMEOUT_MS, owner_answered, x);
+        return;
+    }
+    if (g_hash_table_size(p->redirects) > MOST_REDIRECTS)
+        g_hash_table_remove_all(p->redirects);
+    r = g_new0(struct redirect, 1);
+    g_strlcpy(r->owner, owner, sizeof r->owner);
+    r->at = now;
+    g_hash_table_replace(p->redirects, g_strdup(host), r);
+    reply_text(replier, from, 421, codec_harbour_write(owner));
 }
 
 static struct host *host_of_report(struct part *p, const struct report *rep)
@@ -754,15 +806,15 @@
     g_array_unref(orders);
 }
 
-void part_report(struct part *p, struct http_replier *replier, conn_ref from, const char *body,
-                 size_t len)
+void part_report(struct part *p, struct http_replier *replier, conn_ref from,
+                 const struct http_request *q, bool relayed)
 {
     struct report rep;
-    json_object *o = json_read(body, len);
+    json_object *o = json_read(q->body, q->body_len);
     bool ok = codec_report_read(o, &rep);
     json_object_put(o);
     if (!ok) {
-        LOG_ERROR("report_malformed", "bytes=%zu", len);
+        LOG_ERROR("report_malformed", "bytes=%zu", q->body_len);
         reply_text(replier, from, 400, g_strdup("{}"));
         return;
     }
@@ -770,7 +822,7 @@
     if (!owner || p->epoch.v != p->view->epoch.v || !may_keep_leases(p) || rep.helm > p->epoch.v)
         reply_text(replier, from, 503, g_strdup("{}"));
     else if (strcmp(owner, p->settings->label) != 0)
-        reply_text(replier, from, 421, codec_harbour_write(owner));
+        redirect(p, replier, from, rep.host.s, owner, relayed ? NULL : q);
     else
         report_owned(p, replier, from, &rep);
     report_clear(&rep);
--- a/src/part.h
+++ b/src/part.h
@@ -5,18 +5,20 @@
 
 #include "bus.h"
 #include "membership.h"
+#include "peers.h"
 #include "view.h"
 
 struct part;
 
 struct part *part_new(struct loop *loop, struct net *net, struct store *store, struct view *view,
-                      struct membership *members, struct bus *bus, const struct settings *settings);
+                      struct membership *members, struct bus *bus, struct peers *peers,
+                      const struct settings *settings);
 void part_free(struct part *p);
 void part_start(struct part *p);
 
-/* POST /agent/beat */
-void part_report(struct part *p, struct http_replier *replier, conn_ref from, const char *body,
-                 size_t len);
+/* POST /agent/beat; relayed: another node has handed it on. */
+void part_report(struct part *p, struct http_replier *replier, conn_ref from,
+                 const struct http_request *q, bool relayed);
 
 /* What a machine's flags say in the digest that a part sends to the leader. */
 enum host_flag {
--- /dev/null
+++ b/src/peers.c
@@ -0,0 +1,148 @@
+#include "peers.h"
+
+#include "log.h"
+
+enum { ASK_MS = 500, ASK_TIMEOUT_MS = 450, MARGIN_MS = 1000 };
+
+struct peer {
+    bool answered, served;
+    int64_t quiet_ms; /* it has told of no cancellation for so long */
+};
+
+struct peers {
+    struct loop *loop;
+    struct bus *bus;
+    struct store *store;
+    const struct settings *settings;
+    mono_time started, told; /* told: of a cancellation */
+    mono_time troubled_since, asked, quiet_until;
+    GHashTable *peers; /* label -> struct peer */
+    guint out;
+    struct timer ask;
+};
+
+static void ask(void *arg);
+
+/* The answer to another node's question. */
+static int on_health(void *ctx, const char *from, const cJSON *m, cJSON **answer)
+{
+    (void)from;
+    (void)m;
+    struct peers *p = ctx;
+    mono_time now = loop_now(p->loop),
+              since = time_before(p->told, p->started) ? p->started : p->told;
+    *answer = cJSON_CreateObject();
+    cJSON_AddBoolToObject(*answer, "served", !store_troubled(p->store));
+    cJSON_AddNumberToObject(*answer, "quiet_ms", (double)time_ms_since(now, since));
+    return 200;
+}
+
+struct peers *peers_new(struct loop *loop, struct bus *bus, struct store *store,
+                        const struct settings *settings)
+{
+    struct peers *p = g_new0(struct peers, 1);
+    p->loop = loop;
+    p->bus = bus;
+    p->store = store;
+    p->settings = settings;
+    p->started = loop_now(loop);
+    p->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    timer_init(&p->ask, ask, p);
+    bus_handle(bus, "health", on_health, p);
+    return p;
+}
+
+void peers_free(struct peers *p)
+{
+    timer_stop(p->loop, &p->ask);
+    g_hash_table_unref(p->peers);
+    g_free(p);
+}
+
+void peers_start(struct peers *p)
+{
+    timer_start(p->loop, &p->ask, ASK_MS);
+}
+
+const char *peers_served(const struct peers *p)
+{
+    if (!store_troubled(p->store))
+        return NULL;
+    GHashTableIter it;
+    char *label;
+    struct peer *x;
+    g_hash_table_iter_init(&it, p->peers);
+    while (g_hash_table_iter_next(&it, (gpointer *)&label, (gpointer *)&x))
+        if (x->answered && x->served)
+            return label;
+    return NULL;
+}
+
+mono_time peers_quiet_until(const struct peers *p)
+{
+    return p->quiet_until;
+}
+
+void peers_told_cancel(struct peers *p)
+{
+    p->told = loop_now(p->loop);
+}
+
+/* All peers must say that they are not served either, and that none has told of a cancellation
+ * since this node was last served itself. One that was started again meanwhile cannot know. */
+static void conclude(struct peers *p)
+{
+    GHashTableIter it;
+    struct peer *x;
+    int64_t away = time_ms_since(loop_now(p->loop), p->troubled_since) + MARGIN_MS;
+    bool all = g_hash_table_size(p->peers) == p->settings->siblings->len;
+    g_hash_table_iter_init(&it, p->peers);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&x))
+        all = all && x->answered && !x->served && x->quiet_ms > away + away / 1000;
+    if (all)
+        p->quiet_until = p->asked;
+}
+
+struct asked {
+    struct peers *peers;
+    char *label;
+};
+
+static void answered(void *arg, int status, const cJSON *m)
+{
+    struct asked *a = arg;
+    struct peers *p = a->peers;
+    const cJSON *served = cJSON_GetObjectItemCaseSensitive(m, "served");
+    const cJSON *quiet = cJSON_GetObjectItemCaseSensitive(m, "quiet_ms");
+    struct peer *x = g_new0(struct peer, 1);
+    x->answered = status == 200 && cJSON_IsBool(served) && cJSON_IsNumber(quiet);
+    x->served = x->answered && cJSON_IsTrue(served);
+    x->quiet_ms = x->answered ? (int64_t)quiet->valuedouble : 0;
+    g_hash_table_replace(p->peers, g_strdup(a->label), x);
+    if (--p->out == 0)
+        conclude(p);
+    g_free(a->label);
+    g_free(a);
+}
+
+static void ask(void *arg)
+{
+    struct peers *p = arg;
+    timer_start(p->loop, &p->ask, store_troubled(p->store) ? ASK_MS : ASK_MS / 2);
+    mono_time now = loop_now(p->loop);
+    if (!store_troubled(p->store)) {
+        p->troubled_since = now;
+        g_hash_table_remove_all(p->peers);
+        return;
+    }
+    if (p->out)
+        return;
+    p->asked = now;
+    p->out = p->settings->siblings->len;
+    for (guint i = 0; i < p->settings->siblings->len; i++) {
+        const char *label = g_array_index(p->settings->siblings, struct sibling, i).label;
+        struct asked *a = g_new(struct asked, 1);
+        *a = (struct asked){p, g_strdup(label)};
+        bus_send(p->bus, label, "health", cJSON_CreateObject(), ASK_TIMEOUT_MS, answered, a);
+    }
+}
--- /dev/null
+++ b/src/peers.h
@@ -0,0 +1,24 @@
+/* What the other nodes say of the state service while it does not answer this one: whether they are
+ * served, so that they can answer in its place, or whether it is away for all. */
+#ifndef LL_PEERS_H
+#define LL_PEERS_H
+
+#include "bus.h"
+#include "store.h"
+
+struct peers;
+
+struct peers *peers_new(struct loop *loop, struct bus *bus, struct store *store,
+                        const struct settings *settings);
+void peers_free(struct peers *p);
+void peers_start(struct peers *p);
+
+/* A node that the state service serves while it does not serve this one; NULL: none is known. */
+const char *peers_served(const struct peers *p);
+/* Until that moment no node can have told a user of a cancellation that this node does not know of,
+ * as all of them said so: see docs/safety.md. {0}: nothing is known. */
+mono_time peers_quiet_until(const struct peers *p);
+/* This node has told a user that a job is cancelled. */
+void peers_told_cancel(struct peers *p);
+
+#endif
--- a/tests/world.h
+++ b/tests/world.h
@@ -58,6 +58,7 @@
     struct node *nodes[WORLD_NODES];
     fate_fn fate;
     bool state_down;
+    int deaf_node; /* neither hears workers nor reaches them; -1: none */
     /* state service */
     GTree *keys;
     uint64_t ledger, next_lease;
