--- a/src/codec.c
+++ b/src/codec.c
@@ -157,7 +157,8 @@
 {
     g_free(s->lot);
     g_free(s->crew);
-    g_free(s->image);
+    if (s->image)
+        g_ref_string_release(s->image);
     g_free(s->yard);
     g_strfreev(s->builds);
     memset(s, 0, sizeof *s);
@@ -172,6 +173,17 @@
     return true;
 }
 
+/* Compared by address: images are looked up for every machine that might be chosen. */
+static bool image_field(json_object *o, char **out)
+{
+    char *name = NULL;
+    if (!name_field(o, "Mould", &name))
+        return false;
+    *out = g_ref_string_new_intern(name);
+    g_free(name);
+    return true;
+}
+
 static bool amount_field(json_object *o, const char *field, amount *out)
 {
     double x;
@@ -228,7 +240,7 @@
     int form = 0, urgency = 0;
     uint64_t pieces = 0;
     bool ok = user_id(o, &s->id) && name_field(o, "Lot", &s->lot) &&
-              name_field(o, "Crew", &s->crew) && name_field(o, "Mould", &s->image) &&
+              name_field(o, "Crew", &s->crew) && image_field(o, &s->image) &&
               word_field(o, "Form", form_words, G_N_ELEMENTS(form_words), &form) &&
               word_field(o, "Urgency", urgency_words, G_N_ELEMENTS(urgency_words), &urgency) &&
               json_u64(o, "Pieces", &pieces) && pieces >= 1 && pieces <= 100000 &&
--- a/src/codec.h
+++ b/src/codec.h
@@ -12,7 +12,8 @@
 /* What a user submitted. */
 struct spec {
     job_id id;
-    char *lot, *crew, *image;
+    char *lot, *crew;
+    char *image; /* interned */
     enum form form;
     enum urgency urgency;
     uint32_t tasks;
--- a/src/leader.c
+++ b/src/leader.c
@@ -14,6 +14,7 @@
     UNREACHABLE_MS = 4000,
     EXCLUDE_MS = 20000,
     AVOID_MS = 1500,
+    SWEEP_MS = 5000,
 };
 
 /* A machine is slow when its tasks take so many times as long as the others of their jobs. */
@@ -333,20 +334,6 @@
         view_barrier(f->leader->view, finish_seen, f);
 }
 
-/* The marks of a finished job go in the same transaction as far as they fit, and later otherwise.
- */
-static void remove_marks(struct leader *l, struct job *v, struct txn *t)
-{
-    if (!v->marks)
-        return;
-    GHashTableIter it;
-    char *key;
-    g_hash_table_iter_init(&it, v->marks);
-    while (g_hash_table_iter_next(&it, (gpointer *)&key, NULL) &&
-           txn_writes(t) < (guint)store_limits(l->store)->txn_ops)
-        txn_remove(t, key);
-}
-
 static void finish(struct leader *l, struct ljob *j, struct job *v, const char *final)
 {
     struct txn *t = txn_new();
@@ -358,7 +345,6 @@
     txn_when(t, KEY_LEADER, l->view->leader_stamp);
     txn_set(t, key, o, (lease_id){0});
     g_free(key);
-    remove_marks(l, v, t);
     j->finishing = true;
     struct finish *f = g_new(struct finish, 1);
     *f = (struct finish){l, j->id};
@@ -384,17 +370,44 @@
 
 static void swept(void *arg, const struct txn_outcome *o)
 {
-    (void)arg;
     (void)o;
+    ((struct leader *)arg)->sweeping = false;
 }
 
-/* Marks that a part wrote for a job that had just been finished. */
-static void sweep_marks(struct leader *l, struct job *v)
+static void still_live(void *ctx, job_id job, uint32_t chunk, const GByteArray *bits)
 {
-    struct txn *t = txn_new();
-    txn_when(t, KEY_LEADER, l->view->leader_stamp);
-    remove_marks(l, v, t);
-    store_txn(l->store, LANE_NORMAL, t, swept, l);
+    void **c = ctx;
+    (void)chunk;
+    (void)bits;
+    struct job *j = view_job(c[0], job.s);
+    *(bool *)c[1] = *(bool *)c[1] || (j && j->spec);
+}
+
+/* A page of a node that is away is removed once others have taken its machines over and the jobs
+ * are over of which it says what is done. */
+static void sweep_pages(struct leader *l)
+{
+    GHashTableIter it;
+    struct page *g;
+    g_hash_table_iter_init(&it, l->view->pages);
+    while (!l->sweeping && g_hash_table_iter_next(&it, NULL, (gpointer *)&g)) {
+        bool away = true, live = false;
+        void *ctx[] = {l->view, &live};
+        for (guint i = 0; i < l->view->map->len; i++)
+            away = away &&
+                   strcmp(g_array_index(l->view->map, struct map_entry, i).label, g->label) != 0;
+        if (!away || g->tasks->len)
+            continue;
+        page_read_done(g->done ? g->done : "", still_live, ctx);
+        if (live)
+            continue;
+        struct txn *t = txn_new();
+        txn_when(t, KEY_LEADER, l->view->leader_stamp);
+        txn_when(t, g->key, g->stamp);
+        txn_remove(t, g->key);
+        l->sweeping = true;
+        store_txn(l->store, LANE_NORMAL, t, swept, l);
+    }
 }
 
 /* ---- the pass ---- */
@@ -680,8 +693,6 @@
             v = view_job(l->view, c->job.s);
             if (v && v->known && v->spec)
                 ljob_make(l, c->job);
-            if (v && v->known && !v->spec && v->marks)
-                sweep_marks(l, v);
             break;
         case CHANGE_RELOADED:
             /* A task may have been placed and freed again unseen, and its deal would stay open. */
@@ -717,6 +728,10 @@
     g_hash_table_iter_init(&it, l->jobs);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&j))
         consider_end(l, j);
+    if (time_ms_since(loop_now(l->loop), l->swept_at) > SWEEP_MS) {
+        l->swept_at = loop_now(l->loop);
+        sweep_pages(l);
+    }
     if (leader_ready_to_deal(l))
         pass(l);
     else
--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -34,7 +34,10 @@
 static bool host_has_image(struct leader *l, const struct lhost *h, const char *image)
 {
     struct host_record *rec = view_host(l->view, h->id.s);
-    return rec && rec->images && g_strv_contains((const char *const *)rec->images, image);
+    for (guint i = 0; rec && i < rec->images->len; i++)
+        if (rec->images->pdata[i] == image)
+            return true;
+    return false;
 }
 
 /* How many of a job's tasks are in a zone, or are about to be. */
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -99,7 +99,8 @@
     int n_teams;
     int first_team; /* that this pass begins with */
     struct timer tick, pass;
-    mono_time scaled_at;
+    mono_time scaled_at, swept_at;
+    bool sweeping;
     double demand_peak;
     bool services; /* some run; the next two tell of them */
     struct room service_usual;
--- a/src/part.c
+++ b/src/part.c
@@ -30,11 +30,6 @@
     g_free(h);
 }
 
-static void unref_bytes(gpointer q)
-{
-    g_byte_array_unref(q);
-}
-
 static void delete_json(gpointer q)
 {
     cJSON_Delete(q);
@@ -59,7 +54,9 @@
         g_queue_init(&p->queues[i]);
     p->back = g_array_new(FALSE, FALSE, sizeof(struct dealt));
     p->news = g_ptr_array_new_with_free_func(delete_json);
-    p->marks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, unref_bytes);
+    p->pages = g_ptr_array_new_with_free_func(part_page_free);
+    p->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, part_done_free);
+    p->write_at = loop_now(p->loop);
     timer_init(&p->tick, tick, p);
     timer_init(&p->flush, part_flush, p);
     timer_init(&p->digest, digest, p);
@@ -83,7 +80,8 @@
     timer_stop(p->loop, &p->digest);
     drop_queues(p);
     g_hash_table_unref(p->hosts);
-    g_hash_table_unref(p->marks);
+    g_hash_table_unref(p->done);
+    g_ptr_array_unref(p->pages);
     g_hash_table_unref(p->redirects);
     g_hash_table_unref(p->buried);
     g_array_unref(p->back);
@@ -167,9 +165,8 @@
     h->gone = true;
     drop_news(h);
     part_free_all_runs(p, h, "returned");
-    if (h->stamp.v || h->in_txn) {
-        h->dirty = true;
-        part_flush_soon(p);
+    if (h->stamp.v || h->in_txn || part_host_has_run(h)) {
+        part_host_dirty(p, h);
     } else {
         g_hash_table_remove(p->hosts, id);
     }
@@ -339,23 +336,30 @@
             if (r->phase == RUN_FREEING)
                 r->phase = RUN_RECORDED; /* proven again by the next report */
         }
-        h->in_txn = false;
-        part_host_sync(p, h);
-        drop_news(h);
-        if (h->gone) {
-            h->gone = false;
-            host_is_gone(p, h->id.s);
-        }
+        h->in_txn = h->described = h->removing = false;
     }
     struct host_record *rec;
     g_hash_table_iter_init(&it, p->view->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&rec)) {
         if (!owns(p, rec->id.s) || part_host_get(p, rec->id.s))
             continue;
-        h = part_host_make(p, rec->id);
-        part_host_sync(p, h);
-        part_probe(p, h); /* its answer shows what runs there */
+        part_host_make(p, rec->id);
     }
+    part_records_sync(p);
+    GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
+    g_hash_table_iter_init(&it, p->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
+        drop_news(h);
+        if (h->gone)
+            g_ptr_array_add(gone, g_strdup(h->id.s));
+        else if (!h->known)
+            part_probe(p, h); /* its answer shows what runs there */
+    }
+    for (guint i = 0; i < gone->len; i++) {
+        part_host_get(p, gone->pdata[i])->gone = false;
+        host_is_gone(p, gone->pdata[i]);
+    }
+    g_ptr_array_unref(gone);
     part_digest_soon(p);
 }
 
@@ -364,11 +368,6 @@
     struct job *j = view_job(p->view, id.s);
     if (!j || !j->known || j->state == JOB_LIVE)
         return;
-    for (uint32_t c = 0; c <= j->tasks / DONE_CHUNK; c++) {
-        char *key = key_done(id, c, p->settings->label);
-        g_hash_table_remove(p->marks, key);
-        g_free(key);
-    }
     GHashTableIter it;
     struct host *h;
     g_hash_table_iter_init(&it, p->hosts);
@@ -399,11 +398,13 @@
             heed_job(p, c->job);
             break;
         case CHANGE_HOST:
-            /* Somebody wrote the record: it was us, with an answer that got lost. */
             h = part_host_get(p, c->host.s);
             rec = view_host(p->view, c->host.s);
             if (h && !h->in_txn && rec && rec->stamp.v > h->stamp.v)
-                part_host_sync(p, h);
+                h->stamp = rec->stamp;
+            break;
+        case CHANGE_PAGE:
+            part_page_changed(p, c->page);
             break;
         case CHANGE_TYPES: {
             GHashTableIter it;
--- a/src/part_host.c
+++ b/src/part_host.c
@@ -62,12 +62,18 @@
     return g_hash_table_lookup(p->hosts, id);
 }
 
+static void release_image(gpointer q)
+{
+    g_ref_string_release(q);
+}
+
 struct host *part_host_make(struct part *p, host_id id)
 {
     struct host *h = g_new0(struct host, 1);
     h->id = id;
     h->runs = g_ptr_array_new_with_free_func(g_free);
-    h->images = g_ptr_array_new_with_free_func(g_free);
+    h->images = g_ptr_array_new_with_free_func(release_image);
+    h->page = -1;
     h->strays = g_array_new(FALSE, FALSE, sizeof(struct report_task));
     h->owned_since = p->epoch;
     h->owned_at = h->heard = h->reached = loop_now(p->loop);
@@ -82,14 +88,16 @@
         h->total = room_of_type(t);
 }
 
-static void host_image(struct host *h, const char *image)
+/* image: interned. */
+static void host_image(struct host *h, char *image)
 {
     for (guint i = 0; i < h->images->len; i++)
-        if (strcmp(h->images->pdata[i], image) == 0) {
+        if (h->images->pdata[i] == image) {
             g_ptr_array_add(h->images, g_ptr_array_steal_index(h->images, i));
             return;
         }
-    g_ptr_array_add(h->images, g_strdup(image));
+    g_ptr_array_add(h->images, g_ref_string_acquire(image));
+    h->new_images = true;
     if (h->images->len > IMAGES_KEPT)
         g_ptr_array_remove_index(h->images, 0);
 }
@@ -97,7 +105,7 @@
 bool part_host_has_image(const struct host *h, const char *image)
 {
     for (guint i = 0; i < h->images->len; i++)
-        if (strcmp(h->images->pdata[i], image) == 0)
+        if (h->images->pdata[i] == image)
             return true;
     return false;
 }
@@ -132,16 +140,25 @@
 void part_host_sync(struct part *p, struct host *h)
 {
     struct host_record *rec = view_host(p->view, h->id.s);
-    if (rec && !h->addr[0]) {
+    if (rec && rec->stamp.v && !h->addr[0]) {
         g_strlcpy(h->addr, rec->addr, sizeof h->addr);
         g_strlcpy(h->build, rec->build, sizeof h->build);
         g_strlcpy(h->yard, rec->yard, sizeof h->yard);
         h->loaners = rec->loaners;
         part_host_typed(p, h);
-        for (int i = 0; rec->images && rec->images[i]; i++)
-            host_image(h, rec->images[i]);
+        for (guint i = 0; i < rec->images->len; i++)
+            host_image(h, rec->images->pdata[i]);
+        h->new_images = false;
     }
     h->stamp = rec ? rec->stamp : (revision){0};
+    *h->foreign = 0;
+    if (rec && rec->tasks->len) {
+        struct page *g = ((struct placed *)rec->tasks->pdata[0])->page;
+        if (strcmp(g->label, p->settings->label) == 0)
+            h->page = g->number;
+        else
+            g_strlcpy(h->foreign, g->key, sizeof h->foreign);
+    }
     for (guint i = 0; rec && i < rec->tasks->len; i++) {
         struct placed *t = rec->tasks->pdata[i];
         struct run *r = part_run_find(h, t->job->id, t->index, t->attempt);
@@ -175,11 +192,12 @@
         return;
     r->phase = RUN_FREEING;
     r->done = done;
-    h->dirty = true;
+    if (done)
+        part_mark_done(p, r);
+    part_host_dirty(p, h);
     double busy = (double)time_ms_since(loop_now(p->loop), r->placed_at) / 1000;
     if (r->pool > 0)
         arq_busy_add(&p->busy[r->pool], busy);
-    part_flush_soon(p);
 }
 
 /* Something about a task that the leader should know. */
--- a/src/part_place.c
+++ b/src/part_place.c
@@ -29,7 +29,8 @@
     if (d->yard[0] && strcmp(d->yard, h->yard) != 0)
         return false;
     if (!spec_allows(s, h->build, h->yard, h->loaners) || !part_host_open(p, h) ||
-        !room_holds(room_left(h->total, h->booked), room_of_spec(s)) || !part_record_has_room(p, h))
+        !room_holds(room_left(h->total, h->booked), room_of_spec(s)) ||
+        !part_record_has_room(p, h, d->job))
         return false;
     /* An attempt that its worker still shows would have the new one refused. */
     for (guint i = 0; i < h->runs->len; i++) {
@@ -149,14 +150,13 @@
 static void take_host(struct part *p, struct dealt *d, struct host *h, const struct spec *s)
 {
     int pool = arq_pool(host_booked(h));
+    part_record_new(p, h, d->job);
     struct run *r = part_run_add(h, d->job, d->index, d->attempt, s);
     r->phase = RUN_NEW;
     r->placed_at = loop_now(p->loop);
     r->pool = pool;
-    h->dirty = true;
     LOG_DEBUG("placed", "job=%s task=%u machine=%s class=%d pool=%d image=%d", d->job.s, d->index,
               h->id.s, d->class, pool, part_host_has_image(h, s->image));
-    part_flush_soon(p);
 }
 
 static void give_back(struct part *p, struct dealt *d)
--- a/src/part_record.c
+++ b/src/part_record.c
@@ -2,105 +2,324 @@
 
 #include "log.h"
 
+#include <math.h>
+
 enum {
     FLUSH_MS = 4,
     RETRY_MS = 120,
+    PAGE_MARGIN = 400, /* bytes of a page's value besides its texts */
+    NUMBER_BYTES = 30, /* of an attempt and an index */
+    TXN_BYTES = 48 * 1024,
+    DESCRIBE_MS = 30000, /* a machine's images are written again no sooner */
+    BURST = 6,           /* writes that may be made at once after a pause */
 };
 
+/* Of the writes that the state service allows, as much as all nodes' records may use. */
+static const double RECORDS_SHARE = 0.8;
+
 void part_flush_soon(struct part *p)
 {
     if (!p->txn_out && !p->flush.place)
         timer_start(p->loop, &p->flush, FLUSH_MS);
 }
 
-static json_object *record_value(struct host *h)
+/* ---- pages ---- */
+
+void part_page_free(gpointer q)
 {
-    json_object *o = json_object_new_object(), *jobs = json_object_new_object();
-    json_put_text(o, "a", h->addr);
-    json_put_text(o, "b", h->build);
-    json_put_text(o, "y", h->yard);
-    json_object_object_add(o, "l", json_object_new_boolean(h->loaners));
-    json_object *images = json_object_new_array();
-    for (guint i = 0; i < h->images->len; i++)
-        json_object_array_add(images, json_object_new_string(h->images->pdata[i]));
-    json_object_object_add(o, "i", images);
-    for (guint i = 0; i < h->runs->len; i++) {
-        struct run *r = h->runs->pdata[i];
-        if (r->phase != RUN_NEW && r->phase != RUN_RECORDED)
-            continue;
-        json_object *list = NULL;
-        if (!json_object_object_get_ex(jobs, r->job.s, &list)) {
-            list = json_object_new_array();
-            json_object_object_add(jobs, r->job.s, list);
-        }
-        json_object_array_add(list, json_object_new_uint64(r->index));
-        json_object_array_add(list, json_object_new_uint64(r->attempt.v));
+    struct own_page *g = q;
+    g_array_unref(g->leftover);
+    g_free(g);
+}
+
+void part_done_free(gpointer q)
+{
+    struct done_chunk *d = q;
+    g_byte_array_unref(d->bits);
+    g_free(d);
+}
+
+static struct own_page *page_at(struct part *p, int number)
+{
+    while ((int)p->pages->len <= number) {
+        struct own_page *g = g_new0(struct own_page, 1);
+        g->bytes = PAGE_MARGIN;
+        g->leftover = g_array_new(FALSE, FALSE, sizeof(struct leftover));
+        g_ptr_array_add(p->pages, g);
     }
-    json_object_object_add(o, "t", jobs);
-    return o;
+    return p->pages->pdata[number];
+}
+
+static bool page_has_room(struct part *p, const struct own_page *g, gsize more)
+{
+    return g->bytes + more <= store_limits(p->store)->value_bytes;
+}
+
+/* A page with room for so much more, and some to grow, if there is one; else a new one. */
+static int page_with_room(struct part *p, gsize more)
+{
+    for (guint i = 0; i < p->pages->len; i++)
+        if (page_has_room(p, p->pages->pdata[i], more + store_limits(p->store)->value_bytes / 4))
+            return (int)i;
+    for (guint i = 0; i < p->pages->len; i++)
+        if (page_has_room(p, p->pages->pdata[i], more))
+            return (int)i;
+    page_at(p, (int)p->pages->len);
+    return (int)p->pages->len - 1;
 }
 
-/* Room for one more task in the record's value. */
-bool part_record_has_room(struct part *p, struct host *h)
+/* What one more task of a job takes on a page, at most. */
+static gsize task_bytes(const struct host *h, job_id job)
 {
-    size_t size = 200 + h->images->len * 30, n = 0;
     for (guint i = 0; i < h->runs->len; i++)
-        n += ((struct run *)h->runs->pdata[i])->phase != RUN_GONE;
-    return size + n * 40 + 100 < store_limits(p->store)->value_bytes;
+        if (job_eq(((struct run *)h->runs->pdata[i])->job, job))
+            return NUMBER_BYTES;
+    return strlen(h->id.s) + strlen(job.s) + 4 + NUMBER_BYTES;
 }
 
-static void mark_done(struct part *p, GHashTable *marks, struct run *r)
+static gsize host_bytes(const struct host *h)
+{
+    gsize n = 0;
+    for (guint i = 0; i < h->runs->len; i++)
+        n += strlen(h->id.s) + strlen(((struct run *)h->runs->pdata[i])->job.s) + 4 + NUMBER_BYTES;
+    return n;
+}
+
+void part_host_dirty(struct part *p, struct host *h)
+{
+    if (h->page < 0) {
+        h->page = page_with_room(p, host_bytes(h));
+        page_at(p, h->page)->bytes += host_bytes(h);
+    }
+    page_at(p, h->page)->dirty = true;
+    part_flush_soon(p);
+}
+
+/* Room for one more task on the machine's page. */
+bool part_record_has_room(struct part *p, struct host *h, job_id job)
+{
+    return h->page < 0 || page_has_room(p, page_at(p, h->page), task_bytes(h, job));
+}
+
+void part_record_new(struct part *p, struct host *h, job_id job)
+{
+    gsize more = h->page < 0 ? 0 : task_bytes(h, job);
+    part_host_dirty(p, h);
+    page_at(p, h->page)->bytes += more;
+}
+
+/* ---- what is done ---- */
+
+static char *chunk_key(job_id job, uint32_t chunk)
+{
+    return g_strdup_printf("%s %u", job.s, chunk);
+}
+
+/* size: of the chunk when all its tasks are done; its room on the page is kept from the start. */
+static struct done_chunk *done_make(struct part *p, job_id job, uint32_t chunk, guint size,
+                                    int page)
+{
+    char *key = chunk_key(job, chunk);
+    struct done_chunk *d = g_hash_table_lookup(p->done, key);
+    if (d) {
+        g_free(key);
+        return d;
+    }
+    gsize bytes = sizeof job.s + 16 + 2 * (gsize)size;
+    d = g_new0(struct done_chunk, 1);
+    d->job = job;
+    d->chunk = chunk;
+    d->bits = g_byte_array_new();
+    d->page = page < 0 ? page_with_room(p, bytes) : page;
+    page_at(p, d->page)->bytes += bytes;
+    g_hash_table_insert(p->done, key, d);
+    return d;
+}
+
+static void bits_merge(GByteArray *to, const guint8 *from, guint len)
+{
+    guint old = to->len;
+    if (old < len) {
+        g_byte_array_set_size(to, len);
+        memset(to->data + old, 0, len - old);
+    }
+    for (guint i = 0; i < len; i++)
+        to->data[i] |= from[i];
+}
+
+void part_mark_done(struct part *p, struct run *r)
 {
     struct job *j = part_live_job(p, r->job);
     if (!j)
         return; /* cancelled: nobody has any use for what its tasks did */
     uint32_t chunk = r->index / DONE_CHUNK, bit = r->index % DONE_CHUNK;
-    char *key = key_done(r->job, chunk, p->settings->label);
-    GByteArray *bits = g_hash_table_lookup(p->marks, key);
-    if (!bits) {
-        bits = g_byte_array_new();
-        g_hash_table_insert(p->marks, g_strdup(key), bits);
+    guint size = MIN((guint)DONE_CHUNK, j->tasks - chunk * DONE_CHUNK) / 8 + 1;
+    struct done_chunk *d = done_make(p, r->job, chunk, size, -1);
+    guint8 byte = (guint8)(1 << (bit % 8));
+    guint old = d->bits->len;
+    if (old <= bit / 8) {
+        g_byte_array_set_size(d->bits, bit / 8 + 1);
+        memset(d->bits->data + old, 0, d->bits->len - old);
     }
-    /* Everything known to be done goes in, so that what an earlier process of this label wrote
-     * under the same key is not lost. */
-    size_t base = (size_t)chunk * DONE_CHUNK / 8, total = (j->tasks + 7) / 8;
-    size_t size = MIN((size_t)DONE_CHUNK / 8, total - base), old = bits->len;
-    if (old < size) {
-        g_byte_array_set_size(bits, size);
-        memset(bits->data + old, 0, size - old);
+    d->bits->data[bit / 8] |= byte;
+    page_at(p, d->page)->dirty = true;
+}
+
+/* The page that says that a task is done; -1: none does. */
+static int page_of_mark(struct part *p, const struct run *r)
+{
+    char *key = chunk_key(r->job, r->index / DONE_CHUNK);
+    struct done_chunk *d = g_hash_table_lookup(p->done, key);
+    g_free(key);
+    return d ? d->page : -1;
+}
+
+struct done_reader {
+    struct part *part;
+    int page;
+};
+
+/* What an earlier process of this label wrote stays on its page. */
+static void read_chunk(void *ctx, job_id job, uint32_t chunk, const GByteArray *bits)
+{
+    struct done_reader *r = ctx;
+    struct job *j = part_live_job(r->part, job);
+    if (!j || chunk * DONE_CHUNK >= j->tasks)
+        return;
+    guint size = MIN((guint)DONE_CHUNK, j->tasks - chunk * DONE_CHUNK) / 8 + 1;
+    struct done_chunk *d = done_make(r->part, job, chunk, size, r->page);
+    bits_merge(d->bits, bits->data, bits->len);
+}
+
+/* ---- agreement with the view ---- */
+
+static void page_sync(struct part *p, int number)
+{
+    struct own_page *g = page_at(p, number);
+    char *key = key_page(p->settings->label, number);
+    struct page *v = g_hash_table_lookup(p->view->pages, key);
+    g_free(key);
+    g->stamp = v ? v->stamp : (revision){0};
+    g_array_set_size(g->leftover, 0);
+    for (guint i = 0; v && i < v->tasks->len; i++) {
+        struct placed *t = v->tasks->pdata[i];
+        if (part_host_get(p, t->host->id.s))
+            continue;
+        struct leftover x = {t->host->id, t->job->id, t->attempt, t->index};
+        g_array_append_val(g->leftover, x);
+    }
+    if (v && v->done) {
+        struct done_reader r = {p, number};
+        page_read_done(v->done, read_chunk, &r);
     }
-    for (size_t i = 0; j->done && i < size; i++)
-        bits->data[i] |= j->done[base + i];
-    bits->data[bit / 8] |= (uint8_t)(1 << (bit % 8));
-    g_hash_table_add(marks, key);
 }
 
-static json_object *mark_value(const GByteArray *bits)
+void part_records_sync(struct part *p)
 {
-    GString *s = g_string_new(NULL);
-    guint n = bits->len;
-    while (n && !bits->data[n - 1])
-        n--;
-    for (guint i = 0; i < n; i++)
-        g_string_append_printf(s, "%02x", bits->data[i]);
-    json_object *o = json_object_new_object();
-    json_put_text(o, "d", s->str);
-    g_string_free(s, TRUE);
-    return o;
+    GHashTableIter it;
+    struct page *v;
+    struct host *h;
+    g_hash_table_iter_init(&it, p->view->pages);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&v))
+        if (strcmp(v->label, p->settings->label) == 0)
+            page_at(p, v->number);
+    for (guint i = 0; i < p->pages->len; i++)
+        page_sync(p, (int)i);
+    g_hash_table_iter_init(&it, p->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+        part_host_sync(p, h);
+}
+
+/* Somebody wrote a page of ours: another owner took machines over, or it was us, with an answer
+ * that got lost. */
+void part_page_changed(struct part *p, const char *key)
+{
+    struct page *v = g_hash_table_lookup(p->view->pages, key);
+    if (p->txn_out || !v || strcmp(v->label, p->settings->label) != 0 ||
+        v->stamp.v <= page_at(p, v->number)->stamp.v)
+        return;
+    page_sync(p, v->number);
+    GHashTableIter it;
+    struct host *h;
+    g_hash_table_iter_init(&it, p->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+        if (h->page == v->number && !*h->foreign)
+            part_host_sync(p, h);
 }
 
+/* ---- transactions ---- */
+
 struct batch {
     struct part *part;
     uint64_t generation;
     GPtrArray *hosts; /* char *: ids */
+    struct txn *txn;  /* while it is made */
+    GHashTable *jobs; /* that it is conditioned on */
+    GString *foreign; /* key of the page that machines are taken over from; empty: none */
+    GPtrArray *texts; /* of the pages that it writes, by number; NULL: not that one */
 };
 
 static void batch_free(struct batch *b)
 {
     g_ptr_array_unref(b->hosts);
+    g_hash_table_unref(b->jobs);
+    g_string_free(b->foreign, TRUE);
+    g_ptr_array_unref(b->texts);
     g_free(b);
 }
 
+static json_object *host_value(const struct host *h)
+{
+    json_object *o = json_object_new_object();
+    json_put_text(o, "a", h->addr);
+    json_put_text(o, "b", h->build);
+    json_put_text(o, "y", h->yard);
+    json_object_object_add(o, "l", json_object_new_boolean(h->loaners));
+    json_object *images = json_object_new_array();
+    for (guint i = 0; i < h->images->len; i++)
+        json_object_array_add(images, json_object_new_string(h->images->pdata[i]));
+    json_object_object_add(o, "i", images);
+    return o;
+}
+
+/* Says what the machine is, if that is not on record; false when it no longer fits. */
+static bool batch_describe(struct batch *b, struct host *h)
+{
+    struct part *p = b->part;
+    mono_time now = loop_now(p->loop);
+    bool due = !h->stamp.v || (h->new_images && time_ms_since(now, h->stored) > DESCRIBE_MS);
+    /* Half of the writes are kept for pages. */
+    const struct store_limits *l = store_limits(p->store);
+    bool fits = (int)txn_writes(b->txn) < l->txn_ops / 2 - 1 && txn_bytes(b->txn) < TXN_BYTES / 4;
+    if (h->gone || h->described || !due)
+        return true;
+    if (!fits)
+        return h->stamp.v != 0;
+    char *key = key_host(h->id);
+    txn_when(b->txn, key, h->stamp);
+    txn_set(b->txn, key, host_value(h), (lease_id){0});
+    g_free(key);
+    h->described = true;
+    h->new_images = false;
+    h->stored = now;
+    return true;
+}
+
+/* A start may be recorded while its job is as it was seen. */
+static bool batch_job(struct batch *b, const struct job *j)
+{
+    if (g_hash_table_contains(b->jobs, j->id.s))
+        return true;
+    guint most = 4 * (guint)store_limits(b->part->store)->txn_ops;
+    if (txn_conditions(b->txn) + b->part->pages->len + 3 > most)
+        return false;
+    char *key = key_job(j->id);
+    txn_when(b->txn, key, j->stamp);
+    g_free(key);
+    g_hash_table_add(b->jobs, g_strdup(j->id.s));
+    return true;
+}
+
 /* Runs of jobs that were cancelled before their record was written: nothing was started. */
 static void drop_dead_news(struct part *p, struct host *h)
 {
@@ -113,56 +332,195 @@
     }
 }
 
-/* Puts a machine's changes into the transaction; false when they no longer fit. */
-static bool batch_host(struct part *p, struct txn *t, struct host *h, GHashTable *jobs,
-                       GHashTable *marks)
+/* Puts a machine's run records on its page. */
+static void batch_host(struct batch *b, struct host *h, struct page_writer *w)
 {
-    const struct store_limits *l = store_limits(p->store);
+    struct part *p = b->part;
+    bool any = false, described = batch_describe(b, h);
     drop_dead_news(p, h);
-    guint new_jobs = 0, new_marks = 0;
-    GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
     for (guint i = 0; i < h->runs->len; i++) {
         struct run *r = h->runs->pdata[i];
-        if (r->phase != RUN_GONE && g_hash_table_add(seen, r->job.s)) {
-            new_jobs += !g_hash_table_contains(jobs, r->job.s);
-            new_marks++;
-        }
+        struct job *j = r->phase == RUN_NEW ? part_live_job(p, r->job) : NULL;
+        /* A task that is done leaves the records together with its mark, or later. */
+        int mark = r->phase == RUN_FREEING && r->done ? page_of_mark(p, r) : -1;
+        r->in_txn = (r->phase == RUN_FREEING && (mark < 0 || b->texts->pdata[mark])) ||
+                    (r->phase == RUN_NEW && described && j && batch_job(b, j));
+        any = any || r->in_txn;
+        if (r->phase == RUN_RECORDED || (r->phase == RUN_NEW && r->in_txn) ||
+            (r->phase == RUN_FREEING && !r->in_txn))
+            page_write_task(w, h->id, r->job, r->attempt, r->index);
+        if (!r->in_txn && (r->phase == RUN_NEW || r->phase == RUN_FREEING))
+            page_at(p, h->page)->dirty = true; /* with the next one */
     }
-    g_hash_table_unref(seen);
-    guint writes = txn_writes(t) + g_hash_table_size(marks) + new_marks + 1;
-    if (txn_writes(t) &&
-        (writes > (guint)l->txn_ops || txn_conditions(t) + new_jobs + 1 > 4 * (guint)l->txn_ops ||
-         txn_bytes(t) + l->value_bytes > 48 * 1024))
-        return false;
-    for (guint i = 0; i < h->runs->len; i++) {
-        struct run *r = h->runs->pdata[i];
-        r->in_txn = r->phase == RUN_NEW || r->phase == RUN_FREEING;
-        if (r->phase == RUN_NEW && !g_hash_table_contains(jobs, r->job.s)) {
-            struct job *j = part_live_job(p, r->job);
-            char *key = key_job(r->job);
-            txn_when(t, key, j->stamp);
-            g_free(key);
-            g_hash_table_add(jobs, r->job.s);
-        }
-        if (r->phase == RUN_FREEING && r->done)
-            mark_done(p, marks, r);
+    if (h->gone && h->stamp.v) {
+        char *key = key_host(h->id);
+        txn_when(b->txn, key, h->stamp);
+        txn_remove(b->txn, key);
+        g_free(key);
+        h->removing = true;
+    }
+    if (any || h->described || h->gone || *h->foreign) {
+        h->in_txn = true;
+        g_ptr_array_add(b->hosts, g_strdup(h->id.s));
+    }
+}
+
+static json_object *page_value(const char *tasks, const char *done)
+{
+    json_object *o = json_object_new_object();
+    json_put_text(o, "t", tasks);
+    json_put_text(o, "d", done);
+    return o;
+}
+
+static char *done_text(struct part *p, int number)
+{
+    struct page_writer w = {.text = g_string_new(NULL)};
+    GHashTableIter it;
+    struct done_chunk *d;
+    g_hash_table_iter_init(&it, p->done);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d)) {
+        if (d->page != number)
+            continue;
+        if (part_live_job(p, d->job))
+            page_write_done(&w, d->job, d->chunk, d->bits);
+        else
+            g_hash_table_iter_remove(&it);
+    }
+    return g_string_free(w.text, FALSE);
+}
+
+/* What stays kept for chunks that may still grow. */
+static gsize done_growth(struct part *p, int number)
+{
+    gsize n = 0;
+    GHashTableIter it;
+    struct done_chunk *d;
+    g_hash_table_iter_init(&it, p->done);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d)) {
+        struct job *j = part_live_job(p, d->job);
+        if (d->page == number && j)
+            n += 2 * (MIN((guint)DONE_CHUNK, j->tasks - d->chunk * DONE_CHUNK) / 8 + 1 -
+                      MIN(d->bits->len, DONE_CHUNK / 8));
+    }
+    return n;
+}
+
+/* One page as it is to be, with all that lies on it. */
+static void batch_page(struct batch *b, int number)
+{
+    struct part *p = b->part;
+    struct own_page *g = page_at(p, number);
+    struct page_writer w = {.text = b->texts->pdata[number]};
+    g->dirty = false;
+    g->in_txn = true;
+    for (guint i = 0; i < g->leftover->len; i++) {
+        struct leftover *x = &g_array_index(g->leftover, struct leftover, i);
+        page_write_task(&w, x->host, x->job, x->attempt, x->index);
+    }
+    GHashTableIter it;
+    struct host *h;
+    g_hash_table_iter_init(&it, p->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+        if (h->page == number && (!*h->foreign || strcmp(h->foreign, b->foreign->str) == 0))
+            batch_host(b, h, &w);
+}
+
+/* The page of another node without the machines that this transaction takes over. */
+static void batch_foreign(struct batch *b)
+{
+    struct part *p = b->part;
+    struct page *v = g_hash_table_lookup(p->view->pages, b->foreign->str);
+    if (!v)
+        return;
+    struct page_writer w = {.text = g_string_new(NULL)};
+    for (guint i = 0; i < v->tasks->len; i++) {
+        struct placed *t = v->tasks->pdata[i];
+        struct host *h = part_host_get(p, t->host->id.s);
+        if (!h || !h->in_txn || strcmp(h->foreign, v->key) != 0)
+            page_write_task(&w, t->host->id, t->job->id, t->attempt, t->index);
+    }
+    txn_when(b->txn, v->key, v->stamp);
+    txn_set(b->txn, v->key, page_value(w.text->str, v->done ? v->done : ""), (lease_id){0});
+    g_string_free(w.text, TRUE);
+}
+
+/* Machines whose records an earlier owner's page still holds come first, all from one page. */
+static void batch_adopt(struct batch *b)
+{
+    struct part *p = b->part;
+    GHashTableIter it;
+    struct host *h;
+    g_hash_table_iter_init(&it, p->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
+        if (!*h->foreign)
+            continue;
+        if (!b->foreign->len)
+            g_string_assign(b->foreign, h->foreign);
+        if (strcmp(b->foreign->str, h->foreign) == 0)
+            part_host_dirty(p, h);
+    }
+}
+
+static void free_text(gpointer q)
+{
+    if (q)
+        g_string_free(q, TRUE);
+}
+
+/* Chooses the pages to be written, beginning with another one each time. */
+static void batch_choose(struct batch *b)
+{
+    struct part *p = b->part;
+    const struct store_limits *l = store_limits(p->store);
+    gsize bytes = b->foreign->len ? l->value_bytes : 0;
+    guint n = p->pages->len, most = MAX(l->txn_ops / 2, 1);
+    g_ptr_array_set_size(b->texts, (int)n);
+    p->first_page++;
+    for (guint k = 0; k < n && most > 0; k++) {
+        guint i = (p->first_page + k) % n;
+        if (!page_at(p, (int)i)->dirty || bytes + l->value_bytes > TXN_BYTES)
+            continue;
+        b->texts->pdata[i] = g_string_new(NULL);
+        bytes += l->value_bytes;
+        most--;
     }
-    char *key = key_host(h->id);
-    txn_when(t, key, h->stamp);
-    h->removing = h->gone;
-    if (h->gone)
-        txn_remove(t, key);
-    else
-        txn_set(t, key, record_value(h), (lease_id){0});
-    g_free(key);
-    h->dirty = false;
-    h->in_txn = true;
-    return true;
+}
+
+/* Puts what has changed into a transaction: what machines are, then pages, then the page of another
+ * node without what was taken over from it. In this order whoever reads it never misses a task. */
+static void batch_fill(struct batch *b)
+{
+    struct part *p = b->part;
+    batch_adopt(b);
+    batch_choose(b);
+    for (guint i = 0; i < b->texts->len; i++)
+        if (b->texts->pdata[i])
+            batch_page(b, (int)i);
+    for (guint i = 0; i < b->texts->len; i++) {
+        GString *text = b->texts->pdata[i];
+        if (!text)
+            continue;
+        struct own_page *g = page_at(p, (int)i);
+        char *key = key_page(p->settings->label, (int)i), *done = done_text(p, (int)i);
+        txn_when(b->txn, key, g->stamp);
+        g->bytes = PAGE_MARGIN + text->len + strlen(done) + done_growth(p, (int)i);
+        txn_set(b->txn, key, page_value(text->str, done), (lease_id){0});
+        g_free(key);
+        g_free(done);
+    }
+    if (b->foreign->len)
+        batch_foreign(b);
 }
 
 static void batch_settled(struct part *p, struct host *h, const struct txn_outcome *o)
 {
-    h->stamp = h->removing ? (revision){0} : o->at;
+    if (h->removing)
+        h->stamp = (revision){0};
+    else if (h->described)
+        h->stamp = o->at;
+    h->described = h->removing = false;
+    *h->foreign = 0;
     for (guint i = 0; i < h->runs->len;) {
         struct run *r = h->runs->pdata[i];
         bool in = r->in_txn;
@@ -180,42 +538,74 @@
         }
         i++;
     }
-    if (h->removing) {
+    if (h->gone && !h->stamp.v && !part_host_has_run(h)) {
         g_hash_table_remove(p->hosts, h->id.s);
     } else if (h->gone) {
         /* It went while this was being written; what was just recorded went with it. */
         part_free_all_runs(p, h, "returned");
-        h->dirty = true;
+        part_host_dirty(p, h);
     } else {
         part_push(p, h);
     }
 }
 
+static void batch_over(struct batch *b)
+{
+    struct part *p = b->part;
+    p->txn_out = false;
+    for (guint i = 0; i < p->pages->len; i++)
+        page_at(p, (int)i)->in_txn = false;
+    for (guint i = 0; i < b->hosts->len; i++) {
+        struct host *h = part_host_get(p, b->hosts->pdata[i]);
+        if (h)
+            h->in_txn = false;
+    }
+}
+
+static void batch_done(struct batch *b, const struct txn_outcome *o)
+{
+    struct part *p = b->part;
+    for (guint i = 0; i < p->pages->len; i++)
+        if (page_at(p, (int)i)->in_txn)
+            page_at(p, (int)i)->stamp = o->at;
+    batch_over(b);
+    for (guint i = 0; i < b->hosts->len; i++) {
+        struct host *h = part_host_get(p, b->hosts->pdata[i]);
+        if (h)
+            batch_settled(p, h, o);
+    }
+    batch_free(b);
+    part_place_all(p);
+    part_flush_soon(p);
+}
+
 /* The view is past the moment of the conflict, or the unknown end: take what is on record. */
 static void batch_resync(void *arg, bool ok)
 {
     struct batch *b = arg;
     struct part *p = b->part;
-    if (b->generation == p->generation) {
-        for (guint i = 0; i < b->hosts->len; i++) {
-            struct host *h = part_host_get(p, b->hosts->pdata[i]);
-            if (!h)
-                continue;
-            h->in_txn = false;
-            h->dirty = true;
-            for (guint k = 0; k < h->runs->len; k++)
-                ((struct run *)h->runs->pdata[k])->in_txn = false;
-            struct host_record *rec = view_host(p->view, h->id.s);
-            if (ok && (rec ? rec->stamp.v : 0) >= h->stamp.v)
-                part_host_sync(p, h);
+    bool current = b->generation == p->generation;
+    for (guint i = 0; current && i < p->pages->len; i++)
+        if (page_at(p, (int)i)->in_txn)
+            page_at(p, (int)i)->dirty = true;
+    batch_over(b);
+    for (guint i = 0; current && i < b->hosts->len; i++) {
+        struct host *h = part_host_get(p, b->hosts->pdata[i]);
+        if (!h)
+            continue;
+        h->new_images = h->new_images || h->described;
+        h->described = h->removing = false;
+        for (guint k = 0; k < h->runs->len; k++)
+            ((struct run *)h->runs->pdata[k])->in_txn = false;
+    }
+    if (current && ok)
+        part_records_sync(p);
+    for (guint i = 0; current && i < b->hosts->len; i++) {
+        struct host *h = part_host_get(p, b->hosts->pdata[i]);
+        if (h)
             part_push(p, h);
-        }
-        p->txn_out = false;
-        timer_start(p->loop, &p->flush, ok ? FLUSH_MS : RETRY_MS);
-    } else {
-        p->txn_out = false;
-        part_flush_soon(p);
     }
+    timer_start(p->loop, &p->flush, ok ? FLUSH_MS : RETRY_MS);
     batch_free(b);
 }
 
@@ -230,17 +620,7 @@
     }
     switch (o->result) {
     case TXN_DONE:
-        p->txn_out = false;
-        for (guint i = 0; i < b->hosts->len; i++) {
-            struct host *h = part_host_get(p, b->hosts->pdata[i]);
-            if (!h)
-                continue;
-            h->in_txn = false;
-            batch_settled(p, h, o);
-        }
-        batch_free(b);
-        part_place_all(p);
-        part_flush_soon(p);
+        batch_done(b, o);
         return;
     case TXN_CONFLICT:
         LOG_DEBUG("record_conflict", "hosts=%u first=%s", b->hosts->len,
@@ -256,42 +636,50 @@
     }
 }
 
+/* The longer writes wait for this node's share of them, the more goes into one. */
+static bool write_due(struct part *p)
+{
+    const struct store_limits *l = store_limits(p->store);
+    double rate = l->write_rps * RECORDS_SHARE / MAX(l->nodes, 1);
+    mono_time now = loop_now(p->loop);
+    p->write_level = MIN(BURST, p->write_level + rate * (double)(now.us - p->write_at.us) / 1e6);
+    p->write_at = now;
+    if (p->write_level >= 1)
+        return true;
+    timer_start(p->loop, &p->flush, (int64_t)ceil((1 - p->write_level) / rate * 1000));
+    return false;
+}
+
 void part_flush(void *arg)
 {
     struct part *p = arg;
     if (p->txn_out || !membership_valid(p->members) || p->epoch.v != p->view->epoch.v ||
         !map_names(p->view, p->settings->label, membership_incarnation(p->members)))
         return;
-    struct txn *t = txn_new();
-    char *self = key_node(p->settings->label);
-    txn_when(t, self, membership_stamp(p->members));
-    txn_when(t, KEY_MAP, p->view->map_stamp);
-    g_free(self);
-    GHashTable *jobs = g_hash_table_new(g_str_hash, g_str_equal);
-    GHashTable *marks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    struct batch *b = g_new(struct batch, 1);
-    *b = (struct batch){p, p->generation, g_ptr_array_new_with_free_func(g_free)};
+    bool any = false;
     GHashTableIter it;
     struct host *h;
     g_hash_table_iter_init(&it, p->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
-        if (!h->dirty)
-            continue;
-        if (!batch_host(p, t, h, jobs, marks))
-            break;
-        g_ptr_array_add(b->hosts, g_strdup(h->id.s));
-    }
-    char *key;
-    g_hash_table_iter_init(&it, marks);
-    while (g_hash_table_iter_next(&it, (gpointer *)&key, NULL))
-        txn_set(t, key, mark_value(g_hash_table_lookup(p->marks, key)), (lease_id){0});
-    g_hash_table_unref(jobs);
-    g_hash_table_unref(marks);
-    if (b->hosts->len == 0) {
-        batch_free(b);
-        txn_free(t);
+    while (!any && g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+        any = *h->foreign;
+    for (guint i = 0; i < p->pages->len; i++)
+        any = any || page_at(p, (int)i)->dirty;
+    if (!any || !write_due(p))
         return;
-    }
+    struct batch *b = g_new0(struct batch, 1);
+    *b = (struct batch){.part = p,
+                        .generation = p->generation,
+                        .hosts = g_ptr_array_new_with_free_func(g_free),
+                        .txn = txn_new(),
+                        .jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+                        .foreign = g_string_new(NULL),
+                        .texts = g_ptr_array_new_with_free_func(free_text)};
+    char *self = key_node(p->settings->label);
+    txn_when(b->txn, self, membership_stamp(p->members));
+    txn_when(b->txn, KEY_MAP, p->view->map_stamp);
+    g_free(self);
+    batch_fill(b);
+    p->write_level -= txn_writes(b->txn);
     p->txn_out = true;
-    store_txn(p->store, LANE_URGENT, t, batch_answered, b);
+    store_txn(p->store, LANE_URGENT, b->txn, batch_answered, b);
 }
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -55,14 +55,19 @@
     mono_time reached;   /* when it last did */
     mono_time helm_seen; /* when its worker first showed a token that only we can give */
     bool recalled;
-    revision stamp;
-    bool dirty, in_txn;
-    bool removing; /* the transaction under way removes its record */
-    bool gone;     /* the cloud has taken it: a proof for all that ran on it */
+    revision stamp;   /* of the record that says what it is */
+    mono_time stored; /* when that was last written here */
+    int page;         /* that its run records are on; -1: none yet */
+    char foreign[72]; /* the page of an earlier owner that they are still on; "": none */
+    bool in_txn;
+    bool described; /* the transaction under way writes what it is */
+    bool removing;  /* or removes that */
+    bool gone;      /* the cloud has taken it: a proof for all that ran on it */
     GPtrArray *runs;
-    GArray *strays; /* struct report_task: reported, not ours */
-    GPtrArray *images;
-    bool shut; /* the leader wants nothing more placed there: it is slow, or sick */
+    GArray *strays;    /* struct report_task: reported, not ours */
+    GPtrArray *images; /* interned names, the newest last */
+    bool new_images;   /* its record does not name them all */
+    bool shut;         /* the leader wants nothing more placed there: it is slow, or sick */
     bool push_out, push_wanted, probe_out;
     mono_time probed;
     int probe_fails;
@@ -80,6 +85,30 @@
     mono_time since, queue_since;
 };
 
+/* A run record on one of our pages that is another node's now and not taken over yet. */
+struct leftover {
+    host_id host;
+    job_id job;
+    attempt_no attempt;
+    uint32_t index;
+};
+
+/* One of this node's pages: see view.h. */
+struct own_page {
+    revision stamp;
+    bool dirty, in_txn;
+    gsize bytes; /* at most, once what is booked for it is written */
+    GArray *leftover;
+};
+
+/* Tasks of a chunk of a job that this node saw done. */
+struct done_chunk {
+    job_id job;
+    uint32_t chunk;
+    GByteArray *bits;
+    int page;
+};
+
 struct part {
     struct actor actor;
     struct loop *loop;
@@ -97,10 +126,14 @@
     GHashTable *hosts;
     GQueue queues[ARQ_CLASSES + 1]; /* [0]: jobs not in view yet */
     struct arq_busy busy[ARQ_CLASSES + 1];
-    GArray *back;      /* struct dealt: given back to the leader */
-    GPtrArray *news;   /* cJSON: what went wrong, and how long tasks took, for the leader */
-    GHashTable *marks; /* key -> GByteArray: what this node has marked done there */
+    GArray *back;     /* struct dealt: given back to the leader */
+    GPtrArray *news;  /* cJSON: what went wrong, and how long tasks took, for the leader */
+    GPtrArray *pages; /* struct own_page, by number */
+    guint first_page; /* to be looked at by the next transaction */
+    GHashTable *done; /* "JOB CHUNK" -> struct done_chunk */
     bool txn_out;
+    double write_level; /* of this node's share of the writes */
+    mono_time write_at;
     bool digest_out, digest_soon, want_raise;
     struct timer tick, flush, digest;
     mono_time last_switch;
@@ -137,8 +170,19 @@
 
 /* part_record.c: run records */
 void part_flush_soon(struct part *p);
-bool part_record_has_room(struct part *p, struct host *h);
+/* Its runs have changed. */
+void part_host_dirty(struct part *p, struct host *h);
+bool part_record_has_room(struct part *p, struct host *h, job_id job);
+/* One more task, which is to be recorded. */
+void part_record_new(struct part *p, struct host *h, job_id job);
+/* A task is done: to be recorded, in the same transaction as its end or before. */
+void part_mark_done(struct part *p, struct run *r);
+void part_page_changed(struct part *p, const char *key);
+/* Makes all pages and machines agree with the view. */
+void part_records_sync(struct part *p);
 void part_flush(void *arg);
+void part_done_free(gpointer q);
+void part_page_free(gpointer q);
 
 /* part_place.c: queues and placement */
 bool part_host_open(struct part *p, struct host *h);
--- a/src/view.c
+++ b/src/view.c
@@ -21,7 +21,7 @@
 
 char *key_host(host_id id)
 {
-    return g_strconcat("ll/m/", id.s, NULL);
+    return g_strconcat("ll/h/", id.s, NULL);
 }
 
 char *key_node(const char *label)
@@ -29,9 +29,9 @@
     return g_strconcat("ll/n/", label, NULL);
 }
 
-char *key_done(job_id id, uint32_t chunk, const char *label)
+char *key_page(const char *label, int number)
 {
-    return g_strdup_printf("ll/d/%s/%u/%s", id.s, chunk, label);
+    return g_strdup_printf("ll/p/%s/%d", label, number);
 }
 
 static void job_free(gpointer p)
@@ -41,11 +41,10 @@
         spec_clear(j->spec);
         g_free(j->spec);
     }
-    g_free(j->done);
+    if (j->done)
+        g_byte_array_unref(j->done);
     if (j->placed)
         g_hash_table_unref(j->placed);
-    if (j->marks)
-        g_hash_table_unref(j->marks);
     g_free(j);
 }
 
@@ -53,10 +52,20 @@
 {
     struct host_record *h = p;
     g_ptr_array_unref(h->tasks);
-    g_strfreev(h->images);
+    g_ptr_array_unref(h->images);
     g_free(h);
 }
 
+static void page_free(gpointer p)
+{
+    struct page *g = p;
+    g_ptr_array_unref(g->tasks);
+    g_free(g->key);
+    g_free(g->label);
+    g_free(g->done);
+    g_free(g);
+}
+
 static void node_free(gpointer p)
 {
     struct node_record *n = p;
@@ -80,6 +89,7 @@
     v->store = store;
     v->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
     v->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, host_free);
+    v->pages = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, page_free);
     v->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, node_free);
     v->map = g_array_new(FALSE, FALSE, sizeof(struct map_entry));
     g_array_set_clear_func(v->map, clear_entry);
@@ -97,6 +107,7 @@
 {
     timer_stop(v->loop, &v->watch_timer);
     timer_stop(v->loop, &v->expire_timer);
+    g_hash_table_unref(v->pages);
     g_hash_table_unref(v->hosts);
     g_hash_table_unref(v->jobs);
     g_hash_table_unref(v->nodes);
@@ -142,7 +153,7 @@
 
 bool job_task_done(const struct job *j, uint32_t index)
 {
-    return j->done && index < j->tasks && (j->done[index / 8] >> (index % 8) & 1);
+    return j->done && index / 8 < j->done->len && (j->done->data[index / 8] >> (index % 8) & 1);
 }
 
 static void note(struct view *v, struct change c)
@@ -248,17 +259,11 @@
         g_free(j->spec);
     }
     j->spec = NULL;
-    g_free(j->done);
+    if (j->done)
+        g_byte_array_unref(j->done);
     j->done = NULL;
 }
 
-static void count_done(struct job *j)
-{
-    j->n_done = 0;
-    for (uint32_t i = 0; j->done && i < (j->tasks + 7) / 8; i++)
-        j->n_done += __builtin_popcount(j->done[i]);
-}
-
 static void apply_job(struct view *v, const char *id, json_object *value, revision stamp)
 {
     struct job *j = job_make(v, id);
@@ -288,8 +293,6 @@
             }
             j->spec = g_memdup2(&s, sizeof s);
             j->tasks = s.tasks;
-            if (j->done) /* marks that were read before the job itself */
-                count_done(j);
         }
     }
     j->known = value != NULL;
@@ -297,30 +300,39 @@
     note(v, (struct change){.kind = CHANGE_JOB, .job = j->id});
 }
 
-static void placed_add(struct view *v, struct host_record *h, struct job *j, uint32_t index,
-                       attempt_no attempt)
+static void placed_add(struct view *v, struct page *g, struct host_record *h, struct job *j,
+                       uint32_t index, attempt_no attempt)
 {
     struct placed *p = g_new(struct placed, 1);
-    *p = (struct placed){j, index, attempt, h};
+    *p = (struct placed){j, index, attempt, h, g, g->read};
     g_ptr_array_add(h->tasks, p);
+    g_ptr_array_add(g->tasks, p);
     if (!j->placed)
         j->placed = g_hash_table_new(NULL, NULL);
     g_hash_table_insert(j->placed, GUINT_TO_POINTER(index + 1), p);
-    note(v, (struct change){CHANGE_PLACED, j->id, index, attempt, h->id});
+    note(v, (struct change){.kind = CHANGE_PLACED,
+                            .job = j->id,
+                            .index = index,
+                            .attempt = attempt,
+                            .host = h->id});
 }
 
-static void placed_remove(struct view *v, struct host_record *h, guint at)
+static void placed_remove(struct view *v, struct placed *p)
 {
-    struct placed *p = h->tasks->pdata[at];
     struct job *j = p->job;
+    struct host_record *h = p->host;
     if (job_placed(j, p->index) == p)
         g_hash_table_remove(j->placed, GUINT_TO_POINTER(p->index + 1));
     if (j->placed && g_hash_table_size(j->placed) == 0) {
         g_hash_table_unref(j->placed);
         j->placed = NULL;
     }
-    note(v, (struct change){CHANGE_FREED, j->id, p->index, p->attempt, h->id});
-    g_ptr_array_remove_index_fast(h->tasks, at); /* frees p */
+    note(v, (struct change){.kind = CHANGE_FREED,
+                            .job = j->id,
+                            .index = p->index,
+                            .attempt = p->attempt,
+                            .host = h->id});
+    g_ptr_array_remove_fast(h->tasks, p); /* frees p */
 }
 
 static void host_copy(json_object *value, const char *field, char *out, size_t size)
@@ -330,122 +342,246 @@
         g_strlcpy(out, s, size);
 }
 
-static void host_images(struct host_record *h, json_object *value)
+static void release_image(gpointer p)
 {
-    g_strfreev(h->images);
-    h->images = NULL;
-    json_object *list = json_list(value, "i");
-    size_t n = list ? json_object_array_length(list) : 0;
-    if (!n)
-        return;
-    h->images = g_new0(char *, n + 1);
-    for (size_t i = 0; i < n; i++)
-        h->images[i] = g_strdup(json_object_get_string(json_object_array_get_idx(list, i)));
-}
-
-static bool listed(json_object *pairs, const struct placed *p)
-{
-    size_t n = pairs ? json_object_array_length(pairs) : 0;
-    for (size_t i = 0; i + 1 < n; i += 2)
-        if (json_object_get_uint64(json_object_array_get_idx(pairs, i)) == p->index &&
-            json_object_get_uint64(json_object_array_get_idx(pairs, i + 1)) == p->attempt.v)
-            return true;
-    return false;
+    g_ref_string_release(p);
 }
 
-static bool on_host(const struct host_record *h, const struct job *j, uint32_t index,
-                    uint64_t attempt)
+static struct host_record *host_make(struct view *v, const char *id)
 {
-    const struct placed *p = job_placed(j, index);
-    return p && p->host == h && p->attempt.v == attempt;
+    struct host_record *h = view_host(v, id);
+    if (h)
+        return h;
+    host_id hid;
+    if (!host_id_from(&hid, id))
+        return NULL;
+    h = g_new0(struct host_record, 1);
+    h->id = hid;
+    h->tasks = g_ptr_array_new_with_free_func(g_free);
+    h->images = g_ptr_array_new_with_free_func(release_image);
+    g_hash_table_insert(v->hosts, h->id.s, h);
+    return h;
 }
 
-/* {"a":ADDRESS,"b":TYPE,"y":ZONE,"l":SPOT,"i":[IMAGE...],"t":{JOB:[INDEX,ATTEMPT,...]}} */
+/* {"a":ADDRESS,"b":TYPE,"y":ZONE,"l":SPOT,"i":[IMAGE...]} */
 static void apply_host(struct view *v, const char *id, json_object *value, revision stamp)
 {
-    struct host_record *h = view_host(v, id);
-    if (!h && !value)
+    struct host_record *h = value ? host_make(v, id) : view_host(v, id);
+    if (!h)
         return;
-    if (!h) {
-        h = g_new0(struct host_record, 1);
-        if (!host_id_from(&h->id, id)) {
-            g_free(h);
-            return;
-        }
-        h->tasks = g_ptr_array_new_with_free_func(g_free);
-        g_hash_table_insert(v->hosts, h->id.s, h);
-    }
-    json_object *jobs = NULL;
-    if (value)
-        json_object_object_get_ex(value, "t", &jobs);
-    for (guint i = 0; i < h->tasks->len;) {
-        struct placed *p = h->tasks->pdata[i];
-        if (listed(json_list(jobs, p->job->id.s), p))
-            i++;
-        else
-            placed_remove(v, h, i);
-    }
     note(v, (struct change){.kind = CHANGE_HOST, .host = h->id});
-    if (!value) {
+    h->stamp = value ? stamp : (revision){0};
+    if (!value && !h->tasks->len) {
         g_hash_table_remove(v->hosts, id);
         return;
     }
-    h->stamp = stamp;
     host_copy(value, "a", h->addr, sizeof h->addr);
     host_copy(value, "b", h->build, sizeof h->build);
     host_copy(value, "y", h->yard, sizeof h->yard);
     json_flag(value, "l", &h->loaners);
-    host_images(h, value);
-    if (!json_object_is_type(jobs, json_type_object))
+    json_object *list = json_list(value, "i");
+    g_ptr_array_set_size(h->images, 0);
+    for (size_t i = 0; list && i < json_object_array_length(list); i++)
+        g_ptr_array_add(h->images, g_ref_string_new_intern(
+                                       json_object_get_string(json_object_array_get_idx(list, i))));
+}
+
+/* ---- pages ---- */
+
+void page_write_task(struct page_writer *w, host_id host, job_id job, attempt_no attempt,
+                     uint32_t index)
+{
+    bool same_host = w->text->len && host_eq(w->host, host);
+    bool same_job = same_host && job_eq(w->job, job);
+    if (!same_host)
+        g_string_append_printf(w->text, "@%s ", host.s);
+    if (!same_job)
+        g_string_append_printf(w->text, "#%s ", job.s);
+    if (!same_job || w->attempt.v != attempt.v)
+        g_string_append_printf(w->text, "*%" G_GUINT64_FORMAT " ", attempt.v);
+    g_string_append_printf(w->text, "%u ", index);
+    w->host = host;
+    w->job = job;
+    w->attempt = attempt;
+}
+
+void page_write_done(struct page_writer *w, job_id job, uint32_t chunk, const GByteArray *bits)
+{
+    static const char digits[] = "0123456789abcdef";
+    guint n = bits->len;
+    while (n && !bits->data[n - 1])
+        n--;
+    if (!w->text->len || !job_eq(w->job, job))
+        g_string_append_printf(w->text, "#%s ", job.s);
+    g_string_append_printf(w->text, "%u:", chunk);
+    for (guint i = 0; i < n; i++) {
+        g_string_append_c(w->text, digits[bits->data[i] >> 4]);
+        g_string_append_c(w->text, digits[bits->data[i] & 15]);
+    }
+    g_string_append_c(w->text, ' ');
+    w->job = job;
+}
+
+/* The next word of a page's text, up to the blank that ends it. */
+static bool next_word(const char **at, char *word, size_t size)
+{
+    while (**at == ' ')
+        (*at)++;
+    size_t n = strcspn(*at, " ");
+    if (!n)
+        return false;
+    g_strlcpy(word, *at, MIN(n + 1, size));
+    *at += n;
+    return true;
+}
+
+void page_read_done(const char *text, page_chunk take, void *ctx)
+{
+    job_id job;
+    bool named = false;
+    for (const char *at = text; *at;) {
+        size_t n = strcspn(at, " ");
+        if (*at == '#') {
+            char *name = g_strndup(at + 1, n - 1);
+            named = job_id_from(&job, name);
+            g_free(name);
+        } else if (n && named && g_ascii_isdigit(*at)) {
+            char *bits;
+            uint32_t chunk = (uint32_t)strtoul(at, &bits, 10);
+            GByteArray *bytes = g_byte_array_new();
+            for (bits += *bits == ':'; bits + 1 < at + n; bits += 2) {
+                guint8 b =
+                    (guint8)(g_ascii_xdigit_value(bits[0]) << 4 | g_ascii_xdigit_value(bits[1]));
+                g_byte_array_append(bytes, &b, 1);
+            }
+            take(ctx, job, chunk, bytes);
+            g_byte_array_unref(bytes);
+        }
+        at += n;
+        at += *at == ' ';
+    }
+}
+
+static void merge_done(void *ctx, job_id id, uint32_t chunk, const GByteArray *bits)
+{
+    struct view *v = ctx;
+    struct job *j = job_make(v, id.s);
+    if (!j || chunk > 100000 / DONE_CHUNK || (j->known && !j->spec))
         return;
-    json_object_object_foreach(jobs, name, pairs)
-    {
-        struct job *j = job_make(v, name);
-        size_t n =
-            j && json_object_is_type(pairs, json_type_array) ? json_object_array_length(pairs) : 0;
-        for (size_t i = 0; i + 1 < n; i += 2) {
-            uint32_t index = (uint32_t)json_object_get_uint64(json_object_array_get_idx(pairs, i));
-            uint64_t attempt = json_object_get_uint64(json_object_array_get_idx(pairs, i + 1));
-            if (!on_host(h, j, index, attempt))
-                placed_add(v, h, j, index, (attempt_no){attempt});
+    if (!j->done)
+        j->done = g_byte_array_new();
+    guint base = chunk * DONE_CHUNK / 8, old = j->done->len;
+    if (old < base + bits->len) {
+        g_byte_array_set_size(j->done, base + bits->len);
+        memset(j->done->data + old, 0, j->done->len - old);
+    }
+    bool news = false;
+    for (guint i = 0; i < bits->len; i++) {
+        uint8_t more = bits->data[i] & ~j->done->data[base + i];
+        j->done->data[base + i] |= more;
+        j->n_done += (uint32_t)__builtin_popcount(more);
+        news = news || more;
+    }
+    if (news)
+        note(v, (struct change){.kind = CHANGE_JOB, .job = j->id});
+}
+
+/* A task that was read and is not on record yet. */
+struct fresh {
+    struct host_record *host;
+    struct job *job;
+    attempt_no attempt;
+    uint32_t index;
+};
+
+/* Reads the run records of a page: what is known is marked as read, the rest is put by. */
+static void read_tasks(struct view *v, struct page *g, const char *text, GArray *fresh)
+{
+    struct host_record *h = NULL;
+    struct job *j = NULL;
+    attempt_no attempt = {0};
+    char word[64];
+    for (const char *at = text; next_word(&at, word, sizeof word);) {
+        if (*word == '@') {
+            h = host_make(v, word + 1);
+        } else if (*word == '#') {
+            j = job_make(v, word + 1);
+        } else if (*word == '*') {
+            attempt.v = g_ascii_strtoull(word + 1, NULL, 10);
+        } else if (h && j) {
+            uint32_t index = (uint32_t)strtoul(word, NULL, 10);
+            struct placed *p = job_placed(j, index);
+            if (p && p->host == h && p->attempt.v == attempt.v) {
+                if (p->page != g) { /* it came from another page */
+                    g_ptr_array_remove_fast(p->page->tasks, p);
+                    g_ptr_array_add(g->tasks, p);
+                }
+                p->page = g;
+                p->read = g->read;
+            } else {
+                struct fresh f = {h, j, attempt, index};
+                g_array_append_val(fresh, f);
+            }
         }
     }
 }
 
-/* A value is the bits of a chunk in hexadecimal, eight tasks to two digits, the first task in the
- * lowest bit; zeros at the end are left out. */
-static void apply_done(struct view *v, const char *rest, const char *key, json_object *value)
-{
-    char **parts = g_strsplit(rest, "/", 3);
-    struct job *j = g_strv_length(parts) == 3 ? job_make(v, parts[0]) : NULL;
-    const char *bits;
-    if (j && value && json_text(value, "d", &bits) && j->state != JOB_DONE) {
-        uint32_t chunk = (uint32_t)strtoul(parts[1], NULL, 10);
-        size_t total = (100000 + 7) / 8, base = (size_t)chunk * DONE_CHUNK / 8;
-        if (j->known)
-            total = (j->tasks + 7) / 8;
-        if (!j->done)
-            j->done = g_malloc0(j->known ? total : (100000 + 7) / 8);
-        for (size_t i = 0; bits[2 * i] && bits[2 * i + 1] && base + i < total; i++)
-            j->done[base + i] |= (uint8_t)(g_ascii_xdigit_value(bits[2 * i]) << 4 |
-                                           g_ascii_xdigit_value(bits[2 * i + 1]));
-        if (j->known)
-            count_done(j);
-    }
-    if (j && value) {
-        if (!j->marks)
-            j->marks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-        g_hash_table_add(j->marks, g_strdup(key));
-    } else if (j && j->marks) {
-        g_hash_table_remove(j->marks, key);
-        if (g_hash_table_size(j->marks) == 0) {
-            g_hash_table_unref(j->marks);
-            j->marks = NULL;
+static void apply_page(struct view *v, const char *key, json_object *value, revision stamp)
+{
+    struct page *g = g_hash_table_lookup(v->pages, key);
+    const char *slash = strrchr(key, '/'), *text = "", *done = "";
+    if (!g && (!value || slash <= key + 5))
+        return;
+    if (!g) {
+        g = g_new0(struct page, 1);
+        g->key = g_strdup(key);
+        g->label = g_strndup(key + 5, slash - key - 5);
+        g->number = atoi(slash + 1);
+        g->tasks = g_ptr_array_new();
+        g_hash_table_insert(v->pages, g->key, g);
+    }
+    g->stamp = stamp;
+    g->read++;
+    json_text(value, "t", &text);
+    json_text(value, "d", &done);
+    GArray *fresh = g_array_new(FALSE, FALSE, sizeof(struct fresh));
+    GPtrArray *left = g_ptr_array_new();
+    read_tasks(v, g, text, fresh);
+    for (guint i = 0; i < g->tasks->len;) {
+        struct placed *p = g->tasks->pdata[i];
+        if (p->read == g->read) {
+            i++;
+            continue;
         }
+        g_ptr_array_remove_index_fast(g->tasks, i);
+        g_ptr_array_add(left, p->host);
+        placed_remove(v, p);
     }
-    if (j)
-        note(v, (struct change){.kind = CHANGE_JOB, .job = j->id});
-    g_strfreev(parts);
+    for (guint i = 0; i < fresh->len; i++) {
+        struct fresh *f = &g_array_index(fresh, struct fresh, i);
+        placed_add(v, g, f->host, f->job, f->index, f->attempt);
+    }
+    g_array_unref(fresh);
+    /* Machines whose own record is gone are forgotten with their last task. */
+    for (guint i = 0; i < left->len; i++) {
+        struct host_record *h = left->pdata[i];
+        bool again = false;
+        for (guint k = 0; k < i; k++)
+            again = again || left->pdata[k] == h;
+        if (!again && !h->tasks->len && !h->stamp.v)
+            g_hash_table_remove(v->hosts, h->id.s);
+    }
+    g_ptr_array_unref(left);
+    if (g_strcmp0(done, g->done) != 0) {
+        page_read_done(done, merge_done, v);
+        g_free(g->done);
+        g->done = g_strdup(done);
+    }
+    struct change c = {.kind = CHANGE_PAGE};
+    g_strlcpy(c.page, key, sizeof c.page);
+    note(v, c);
+    if (!value)
+        g_hash_table_remove(v->pages, key);
 }
 
 static void apply_node(struct view *v, const char *label, json_object *value, revision stamp)
@@ -515,10 +651,12 @@
         g_hash_table_remove(v->stamps, key);
     if (g_str_has_prefix(key, "ll/j/"))
         apply_job(v, key + 5, value, stamp);
-    else if (g_str_has_prefix(key, "ll/m/"))
+    else if (g_str_has_prefix(key, "ll/h/"))
         apply_host(v, key + 5, value, stamp);
-    else if (g_str_has_prefix(key, "ll/d/"))
-        apply_done(v, key + 5, key, value);
+    else if (g_str_has_prefix(key, "ll/p/"))
+        apply_page(v, key, value, stamp);
+    else if (g_str_has_prefix(key, "ll/m/") && value)
+        v->older = true;
     else if (g_str_has_prefix(key, "ll/n/"))
         apply_node(v, key + 5, value, stamp);
     else if (strcmp(key, KEY_LEADER) == 0)
@@ -591,7 +729,11 @@
     g_clear_pointer(&v->reload_from, g_free);
     v->at = v->reload_base;
     v->fresh = v->asked;
-    v->ready = true;
+    /* Run records of a version that wrote them otherwise: acting without them would start tasks
+     * twice. */
+    if (v->older)
+        LOG_ERROR("older_records", "keys below ll/m/ are of an earlier version; see operations.md");
+    v->ready = !v->older;
     note(v, (struct change){.kind = CHANGE_RELOADED});
     LOG_INFO("view_read", "revision=%" G_GUINT64_FORMAT " keys=%u", v->at.v,
              g_hash_table_size(v->stamps));
--- a/src/view.h
+++ b/src/view.h
@@ -1,7 +1,9 @@
 /* Every node's replica of our keys, at a revision, kept up by one watch.
  *
- * Keys: ll/n/LABEL a live node, ll/leader, ll/map, ll/types, ll/j/JOB, ll/m/HOST the run record of
- * a machine, ll/d/JOB/CHUNK/LABEL the tasks that LABEL saw done. */
+ * Keys: ll/n/LABEL a live node, ll/leader, ll/map, ll/types, ll/j/JOB, ll/h/HOST what a machine is,
+ * ll/p/LABEL/N the pages on which LABEL keeps the run records of its machines and the tasks that it
+ * saw done. A node's changes go to one page or a few, however many machines they are on: writes are
+ * what the state service has least of. */
 #ifndef LL_VIEW_H
 #define LL_VIEW_H
 
@@ -12,7 +14,7 @@
 #define KEY_MAP "ll/map"
 #define KEY_TYPES "ll/types"
 
-enum { DONE_CHUNK = 16384 };
+enum { DONE_CHUNK = 8192 };
 
 enum job_state { JOB_LIVE, JOB_CANCELLED, JOB_DONE };
 
@@ -23,10 +25,9 @@
     revision stamp;
     struct spec *spec; /* NULL once it is over for good */
     wall_time submitted;
-    uint8_t *done; /* a bit a task; NULL when none is */
+    GByteArray *done; /* a bit a task; NULL when none is */
     uint32_t tasks, n_done;
     GHashTable *placed; /* index + 1 -> struct placed; NULL when none is */
-    GHashTable *marks;  /* keys below ll/d/ that exist; NULL when none does */
 };
 
 /* A recorded task: it is on its machine, or may be, until a proof frees it. */
@@ -35,15 +36,28 @@
     uint32_t index;
     attempt_no attempt;
     struct host_record *host;
+    struct page *page;
+    uint64_t read; /* counts readings of its page */
 };
 
 struct host_record {
     host_id id;
     char addr[24], build[48], yard[48];
     bool loaners;
+    revision stamp;    /* 0: only pages name it */
+    GPtrArray *tasks;  /* struct placed */
+    GPtrArray *images; /* interned names of what was fetched before, the newest last */
+};
+
+/* Part of the run records: of the machines of one node, as that node wrote it. After a change of
+ * owners it may hold records of machines that others own, until these have taken them over. */
+struct page {
+    char *key, *label;
+    int number;
     revision stamp;
     GPtrArray *tasks; /* struct placed */
-    char **images;    /* fetched before, the newest last; NULL: none */
+    char *done;       /* tasks that are done, as they are written */
+    uint64_t read;
 };
 
 struct node_record {
@@ -63,6 +77,7 @@
     CHANGE_PLACED,
     CHANGE_FREED,
     CHANGE_HOST,
+    CHANGE_PAGE,
     CHANGE_NODES,
     CHANGE_LEADER,
     CHANGE_MAP,
@@ -76,16 +91,19 @@
     uint32_t index;
     attempt_no attempt;
     host_id host;
+    char page[72]; /* key */
 };
 
 struct view {
     struct loop *loop;
     struct store *store;
     bool ready;
+    bool older; /* there are records of an earlier version */
     revision at;
     mono_time fresh;   /* the view was the newest then */
     GHashTable *jobs;  /* id -> struct job */
     GHashTable *hosts; /* id -> struct host_record */
+    GHashTable *pages; /* key -> struct page */
     GHashTable *nodes; /* label -> struct node_record */
     char *leader;      /* label, or NULL */
     lease_id leader_incarnation;
@@ -131,6 +149,25 @@
 char *key_job(job_id id);
 char *key_host(host_id id);
 char *key_node(const char *label);
-char *key_done(job_id id, uint32_t chunk, const char *label);
+char *key_page(const char *label, int number);
+
+/* ---- the text of a page ----
+ *
+ * Run records: "@HOST #JOB *ATTEMPT INDEX INDEX ..."; each word holds until the next of its kind.
+ * Done: "#JOB CHUNK:BITS ...", the bits of a chunk in hexadecimal, eight tasks to two digits, the
+ * first task in the lowest bit; zeros at the end are left out. */
+struct page_writer {
+    GString *text;
+    host_id host;
+    job_id job;
+    attempt_no attempt;
+};
+
+void page_write_task(struct page_writer *w, host_id host, job_id job, attempt_no attempt,
+                     uint32_t index);
+void page_write_done(struct page_writer *w, job_id job, uint32_t chunk, const GByteArray *bits);
+/* Calls back for every chunk of a text of done tasks. */
+typedef void (*page_chunk)(void *ctx, job_id job, uint32_t chunk, const GByteArray *bits);
+void page_read_done(const char *text, page_chunk take, void *ctx);
 
 #endif
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -717,19 +717,22 @@
     assert_int_equal(world_submit(w, 0, "wk-1", "sweep", 20000).status, 201);
     world_run(w, 1000);
     GString *bits = g_string_new(NULL);
-    for (int i = 0; i < 2048; i++)
+    for (int i = 0; i < DONE_CHUNK / 8; i++)
         g_string_append(bits, "ff");
-    char *chunk = g_strdup_printf("{\"d\":\"%s\"}", bits->str);
-    g_string_truncate(bits, 2 * (20000 - 16384) / 8);
-    char *last = g_strdup_printf("{\"d\":\"%s\"}", bits->str);
-    world_put(w, "ll/d/wk-1/1/mast-7", last);
+    char *whole = g_strdup_printf("{\"t\":\"\",\"d\":\"#wk-1 0:%s 1:%s \"}", bits->str, bits->str);
+    g_string_truncate(bits, 2 * (20000 - 2 * DONE_CHUNK) / 8);
+    char *last = g_strdup_printf("{\"t\":\"\",\"d\":\"#wk-1 2:%s \"}", bits->str);
+    world_put(w, "ll/p/mast-7/1", last);
     world_run(w, 2000);
     world_expect_stage(w, 1, "wk-1", "queued");
-    world_put(w, "ll/d/wk-1/0/mast-7", chunk);
+    world_put(w, "ll/p/mast-7/0", whole);
     world_run(w, 2000);
     world_expect_stage(w, 1, "wk-1", "done");
+    /* What a node that is away has written is swept once it is of no use. */
+    world_run(w, 15000);
+    assert_int_equal(g_hash_table_size(w->nodes[0]->view->pages), 0);
     g_string_free(bits, TRUE);
-    g_free(chunk);
+    g_free(whole);
     g_free(last);
 }
 
