--- a/src/leader.c
+++ b/src/leader.c
@@ -9,6 +9,7 @@
     MOST_PACES = 1000,
     SICK_MS = 120000, /* then it may try again, if something kept it */
     TICK_MS = 200,
+    PASS_MS = 8,
     DEALS_A_PASS = 64,
     OUT_TIMEOUT_MS = 1500,
     UNREACHABLE_MS = 4000,
@@ -29,7 +30,7 @@
 static void pass_soon(struct leader *l)
 {
     if (!l->pass.place)
-        timer_start(l->loop, &l->pass, 2);
+        timer_start(l->loop, &l->pass, PASS_MS);
 }
 
 static void receive(struct actor *self, const struct message *m)
@@ -55,6 +56,7 @@
 {
     struct lhost *h = q;
     g_free(h->owner);
+    g_ptr_array_unref(h->images);
     if (h->failed_jobs)
         g_hash_table_unref(h->failed_jobs);
     g_free(h);
@@ -90,6 +92,9 @@
     l->parts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lpart_free);
     l->service_lack = g_new0(int64_t, settings->zones->len);
     l->zone_cpus = g_new0(double, settings->zones->len);
+    l->zone_tasks = g_new0(uint32_t, settings->zones->len);
+    l->open = g_ptr_array_new();
+    l->full = g_array_new(FALSE, FALSE, sizeof(struct ask));
     l->n_teams = (int)settings->teams->len;
     l->teams = g_new0(struct lteam, l->n_teams);
     for (int i = 0; i < l->n_teams; i++) {
@@ -117,6 +122,9 @@
     g_free(l->teams);
     g_free(l->service_lack);
     g_free(l->zone_cpus);
+    g_free(l->zone_tasks);
+    g_ptr_array_unref(l->open);
+    g_array_unref(l->full);
     g_free(l);
 }
 
@@ -149,6 +157,7 @@
     j->room = room_of_spec(v->spec);
     j->service = v->spec->form == FORM_SERVICE;
     j->urgency = v->spec->urgency;
+    j->patience_s = leader_patience_s(l, v->spec);
     j->entries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     j->deals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     g_hash_table_insert(l->jobs, j->id.s, j);
@@ -165,6 +174,11 @@
     return g_hash_table_lookup(l->hosts, id);
 }
 
+static void release_image(gpointer q)
+{
+    g_ref_string_release(q);
+}
+
 static struct lhost *lhost_make(struct leader *l, host_id id, const char *build, const char *yard,
                                 bool loaners)
 {
@@ -173,8 +187,13 @@
         h = g_new0(struct lhost, 1);
         h->id = id;
         h->idle_since = loop_now(l->loop);
+        h->images = g_ptr_array_new_with_free_func(release_image);
         g_hash_table_insert(l->hosts, h->id.s, h);
     }
+    h->zone = -1;
+    for (guint i = 0; i < l->settings->zones->len; i++)
+        if (strcmp(l->settings->zones->pdata[i], yard) == 0)
+            h->zone = (int)i;
     g_strlcpy(h->build, build, sizeof h->build);
     g_strlcpy(h->yard, yard, sizeof h->yard);
     h->loaners = loaners;
@@ -184,6 +203,15 @@
     return h;
 }
 
+static void lhost_image(struct lhost *h, const char *image)
+{
+    char *name = g_ref_string_new_intern(image);
+    if (g_ptr_array_find(h->images, name, NULL))
+        g_ref_string_release(name);
+    else
+        g_ptr_array_add(h->images, name);
+}
+
 void leader_deal_drop(struct leader *l, struct ljob *j, uint32_t index)
 {
     struct deal *d = g_hash_table_lookup(j->deals, leader_key_of(index));
@@ -209,6 +237,7 @@
     *e = (struct entry){attempt, host, loop_now(l->loop), false};
     g_hash_table_insert(j->entries, leader_key_of(index), e);
     room_add(&l->teams[j->team].used, j->room);
+    l->running[j->urgency]++;
     struct host_record *rec = view_host(l->view, host.s);
     struct lhost *h = lhost_get(l, host.s);
     if (!h && rec)
@@ -233,6 +262,7 @@
         h->idle_since = loop_now(l->loop);
     }
     room_sub(&l->teams[j->team].used, j->room);
+    l->running[j->urgency]--;
     if (e->halted)
         room_sub(&l->teams[j->team].halting, j->room);
     g_hash_table_remove(j->entries, leader_key_of(index));
@@ -269,6 +299,7 @@
     GHashTable *old = l->jobs;
     l->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ljob_free);
     g_hash_table_remove_all(l->parts);
+    memset(l->running, 0, sizeof l->running);
     for (int i = 0; i < l->n_teams; i++)
         l->teams[i].used = l->teams[i].halting = (struct room){0};
     GHashTableIter it;
@@ -284,7 +315,9 @@
     struct host_record *rec;
     g_hash_table_iter_init(&it, l->view->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&rec)) {
-        lhost_make(l, rec->id, rec->build, rec->yard, rec->loaners);
+        struct lhost *n = lhost_make(l, rec->id, rec->build, rec->yard, rec->loaners);
+        for (guint i = 0; i < rec->images->len && !n->told; i++)
+            lhost_image(n, rec->images->pdata[i]);
         for (guint i = 0; i < rec->tasks->len; i++) {
             struct placed *t = rec->tasks->pdata[i];
             entry_add(l, t->job->id, t->index, t->attempt, rec->id);
@@ -433,7 +466,7 @@
         return;
     int budget = DEALS_A_PASS;
     l->first_team = (l->first_team + 1) % l->n_teams;
-    leader_measure_zones(l);
+    leader_survey(l);
     if (leader_collect_ready(l))
         for (int rank = 0; rank < RANKS && budget > 0; rank++)
             budget -= leader_deal_rank(l, rank, budget);
@@ -589,6 +622,15 @@
     h->owner = g_strdup(from);
     h->flags = (int)flags->valuedouble;
     h->told = true;
+    const cJSON *images = cJSON_GetArrayItem(x, 5), *image;
+    if (!images)
+        return;
+    g_ptr_array_set_size(h->images, 0);
+    cJSON_ArrayForEach(image, images)
+    {
+        if (cJSON_IsString(image))
+            lhost_image(h, image->valuestring);
+    }
 }
 
 static void on_back(struct leader *l, const cJSON *x)
@@ -625,16 +667,18 @@
 static int on_digest(void *ctx, const char *from, const cJSON *m, cJSON **answer)
 {
     struct leader *l = ctx;
-    uint64_t epoch;
-    if (!bus_u64(m, "e", &epoch))
+    uint64_t epoch, seq;
+    if (!bus_u64(m, "e", &epoch) || !bus_u64(m, "s", &seq))
         return 400;
     if (!membership_leads(l->members) || !l->leading || epoch != l->epoch.v ||
-        epoch != l->view->epoch.v)
+        epoch != l->view->epoch.v || seq <= lpart_make(l, from)->digest_seq)
         return 409;
+    lpart_make(l, from)->digest_seq = seq;
     GHashTableIter it;
     struct lhost *h;
+    bool whole = cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(m, "whole"));
     g_hash_table_iter_init(&it, l->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+    while (whole && g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
         if (h->owner && strcmp(h->owner, from) == 0)
             h->told = false;
     const cJSON *x;
@@ -643,7 +687,7 @@
     cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "news")) on_news(l, x);
     /* Machines that nobody tells of any more, and that hold nothing, are forgotten. */
     g_hash_table_iter_init(&it, l->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+    while (whole && g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
         if (!h->told && h->owner && strcmp(h->owner, from) == 0 && leader_host_idle(h) &&
             !view_host(l->view, h->id.s))
             g_hash_table_iter_remove(&it);
@@ -651,7 +695,8 @@
         time_ms_since(loop_now(l->loop), l->epoch_at) > 5000)
         membership_raise(l->members, "a command may still be on its way");
     *answer = shut_hosts(l, from);
-    lpart_make(l, from)->digested = true;
+    if (whole)
+        lpart_make(l, from)->digested = true;
     pass_soon(l);
     return 200;
 }
--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -31,11 +31,10 @@
     return room_left(room_left(h->total, h->booked), h->dealt);
 }
 
-static bool host_has_image(struct leader *l, const struct lhost *h, const char *image)
+static bool host_has_image(const struct lhost *h, const char *image)
 {
-    struct host_record *rec = view_host(l->view, h->id.s);
-    for (guint i = 0; rec && i < rec->images->len; i++)
-        if (rec->images->pdata[i] == image)
+    for (guint i = 0; i < h->images->len; i++)
+        if (h->images->pdata[i] == image)
             return true;
     return false;
 }
@@ -51,7 +50,7 @@
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&e)) {
         struct lhost *h = lhost_get(l, e->host.s);
         struct host_record *rec = view_host(l->view, e->host.s);
-        const char *y = h ? h->yard : rec ? rec->yard : NULL;
+        const char *y = h && h->yard[0] ? h->yard : rec && rec->yard[0] ? rec->yard : NULL;
         /* Where it is cannot be told: it counts everywhere. */
         n += !y || strcmp(y, yard) == 0;
     }
@@ -62,72 +61,117 @@
 }
 
 /* OneZone and Apart are decided here, on records and deals; the zone is part of the deal. */
-static bool zone_allowed(struct leader *l, struct ljob *j, const struct spec *s, const char *yard)
+static bool zone_bound(const struct spec *s)
+{
+    return s->one_zone || s->apart;
+}
+
+static void count_zones(struct leader *l, struct ljob *j, const struct spec *s)
+{
+    for (guint i = 0; zone_bound(s) && i < l->settings->zones->len; i++)
+        l->zone_tasks[i] = leader_in_zone(l, j, l->settings->zones->pdata[i]);
+}
+
+/* By the last count. */
+static bool zone_allowed(struct leader *l, struct ljob *j, const struct spec *s, int zone)
 {
-    if (!s->one_zone && !s->apart)
+    if (!zone_bound(s))
         return true;
-    uint32_t there = leader_in_zone(l, j, yard);
-    if (s->one_zone) {
-        uint32_t all = g_hash_table_size(j->entries) + g_hash_table_size(j->deals);
-        if (there != all)
-            return false;
-    }
+    if (zone < 0)
+        return false;
+    uint32_t there = l->zone_tasks[zone];
+    if (s->one_zone && there != g_hash_table_size(j->entries) + g_hash_table_size(j->deals))
+        return false;
     return !s->apart || there < (s->tasks + 1) / 2;
 }
 
 /* Whether a task of the job may be dealt to the machine, if there is room. */
 static bool host_allowed(struct leader *l, struct ljob *j, const struct spec *s, struct lhost *h)
 {
-    return spec_allows(s, h->build, h->yard, h->loaners) && leader_host_takes(l, h) &&
-           zone_allowed(l, j, s, h->yard);
+    return spec_allows(s, h->build, h->yard, h->loaners) && zone_allowed(l, j, s, h->zone);
+}
+
+void leader_survey(struct leader *l)
+{
+    memset(l->zone_cpus, 0, sizeof *l->zone_cpus * l->settings->zones->len);
+    g_ptr_array_set_size(l->open, 0);
+    g_array_set_size(l->full, 0);
+    GHashTableIter it;
+    struct lhost *h;
+    g_hash_table_iter_init(&it, l->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
+        if (h->told && !h->loaners && h->zone >= 0)
+            l->zone_cpus[h->zone] += (double)h->total.cpus.milli / 1000;
+        if (leader_host_takes(l, h))
+            g_ptr_array_add(l->open, h);
+    }
 }
 
 /* The processors of a zone's ordinary machines beside those of the largest zone. */
-static double zone_roomy(struct leader *l, const char *yard)
+static double zone_roomy(struct leader *l, int zone)
 {
-    double here = 0, most = 0;
-    for (guint i = 0; i < l->settings->zones->len; i++) {
+    double most = 0;
+    for (guint i = 0; i < l->settings->zones->len; i++)
         most = MAX(most, l->zone_cpus[i]);
-        if (strcmp(l->settings->zones->pdata[i], yard) == 0)
-            here = l->zone_cpus[i];
-    }
-    return most > 0 ? here / most : 1;
+    return most > 0 && zone >= 0 ? l->zone_cpus[zone] / most : 1;
 }
 
-void leader_measure_zones(struct leader *l)
+static double host_score(struct leader *l, const struct lhost *h, const struct spec *s)
 {
-    memset(l->zone_cpus, 0, sizeof *l->zone_cpus * l->settings->zones->len);
-    GHashTableIter it;
-    struct lhost *h;
-    g_hash_table_iter_init(&it, l->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
-        for (guint i = 0; i < l->settings->zones->len && h->told && !h->loaners; i++)
-            if (strcmp(l->settings->zones->pdata[i], h->yard) == 0)
-                l->zone_cpus[i] += (double)h->total.cpus.milli / 1000;
+    struct room taken = h->booked;
+    room_add(&taken, h->dealt);
+    struct score_facts facts = {host_has_image(h, s->image), h->loaners,
+                                room_share(taken, h->total), room_share(h->pinned, h->total),
+                                zone_roomy(l, h->zone)};
+    return score_host(s, &facts);
 }
 
-static struct lhost *choose_host(struct leader *l, struct ljob *j, const struct spec *s)
+struct choice {
+    struct lhost *host;
+    double score;
+};
+
+static gint by_score(gconstpointer a, gconstpointer b)
 {
-    struct lhost *best = NULL, *h;
-    double best_score = 0;
-    GHashTableIter it;
-    g_hash_table_iter_init(&it, l->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
+    const struct choice *x = a, *y = b;
+    if (x->score != y->score)
+        return x->score > y->score ? -1 : 1;
+    return strcmp(x->host->id.s, y->host->id.s);
+}
+
+/* The machines that could take a task of the job, the best first. What a machine takes makes it
+ * only better, so the order holds while it is being filled. */
+static GArray *choices(struct leader *l, struct ljob *j, const struct spec *s)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(struct choice));
+    for (guint i = 0; i < l->open->len; i++) {
+        struct lhost *h = l->open->pdata[i];
         if (!room_holds(leader_host_free_room(h), j->room) || !host_allowed(l, j, s, h))
             continue;
-        struct room taken = h->booked;
-        room_add(&taken, h->dealt);
-        struct score_facts facts = {host_has_image(l, h, s->image), h->loaners,
-                                    room_share(taken, h->total), room_share(h->pinned, h->total),
-                                    zone_roomy(l, h->yard)};
-        double score = score_host(s, &facts);
-        if (!best || score > best_score ||
-            (score == best_score && strcmp(h->id.s, best->id.s) < 0)) {
-            best = h;
-            best_score = score;
-        }
+        struct choice c = {h, host_score(l, h, s)};
+        g_array_append_val(out, c);
     }
-    return best;
+    g_array_sort(out, by_score);
+    return out;
+}
+
+/* Room only shrinks in a pass, so what needs at least as much as something that found none finds
+ * none either. */
+static bool is_full(struct leader *l, const struct ljob *j, const struct spec *s)
+{
+    for (guint i = 0; i < l->full->len; i++) {
+        struct ask *a = &g_array_index(l->full, struct ask, i);
+        if (room_holds(j->room, a->room) && (a->loaners || !s->loaners))
+            return true;
+    }
+    return false;
+}
+
+static void note_full(struct leader *l, const struct ljob *j, const struct spec *s)
+{
+    struct ask a = {j->room, s->loaners};
+    if (!zone_bound(s) && !s->builds && !s->yard)
+        g_array_append_val(l->full, a);
 }
 
 static attempt_no next_attempt(struct leader *l)
@@ -191,19 +235,12 @@
            used.gpus.milli + more.gpus.milli <= gpus.milli;
 }
 
-static bool team_allows(struct leader *l, struct ljob *j)
-{
-    struct lteam *t = &l->teams[j->team];
-    return within(t->used, j->room, t->team->cpus_max, t->team->gpus_max);
-}
-
 /* Whether what the job's class is expected to do can still be done. One that has waited for very
  * long has its place back, so that none waits for ever. */
-static bool still_in_time(struct leader *l, const struct job *v)
+static bool still_in_time(struct leader *l, const struct ljob *j, const struct job *v)
 {
     double waited = (double)(loop_wall(l->loop).ms - v->submitted.ms) / 1000;
-    double patience = leader_patience_s(l, v->spec);
-    return waited < patience || waited > patience * VERY_LATE;
+    return waited < j->patience_s || waited > j->patience_s * VERY_LATE;
 }
 
 /* Classes of precedence: services first, as people wait on them; then what a team was promised;
@@ -306,15 +343,15 @@
 }
 
 /* Whether a task of a service could go to another machine that is not in the zone. */
-static bool could_leave(struct leader *l, struct ljob *j, const struct spec *s, const char *yard)
+static bool could_leave(struct leader *l, struct ljob *j, const struct spec *s, int zone)
 {
-    GHashTableIter it;
-    struct lhost *h;
-    g_hash_table_iter_init(&it, l->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
-        if (strcmp(h->yard, yard) != 0 && room_holds(leader_host_free_room(h), j->room) &&
+    count_zones(l, j, s);
+    for (guint i = 0; i < l->open->len; i++) {
+        struct lhost *h = l->open->pdata[i];
+        if (h->zone != zone && room_holds(leader_host_free_room(h), j->room) &&
             host_allowed(l, j, s, h))
             return true;
+    }
     return false;
 }
 
@@ -323,12 +360,11 @@
 static void make_way(struct leader *l, struct ljob *j, struct job *v)
 {
     mono_time now = loop_now(l->loop);
-    GHashTableIter it;
-    struct lhost *h;
-    g_hash_table_iter_init(&it, l->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
+    for (guint k = 0; k < l->open->len; k++) {
+        struct lhost *h = l->open->pdata[k];
         struct host_record *rec = view_host(l->view, h->id.s);
-        if (!rec || !host_allowed(l, j, v->spec, h))
+        count_zones(l, j, v->spec);
+        if (!rec || !h->pinned.cpus.milli || !host_allowed(l, j, v->spec, h))
             continue;
         for (guint i = 0; i < rec->tasks->len; i++) {
             struct placed *t = rec->tasks->pdata[i];
@@ -340,7 +376,7 @@
                 time_ms_since(now, e->since) < MOVE_AFTER_MS)
                 continue;
             room_add(&free, other->room);
-            if (!room_holds(free, j->room) || !could_leave(l, other, t->job->spec, h->yard))
+            if (!room_holds(free, j->room) || !could_leave(l, other, t->job->spec, h->zone))
                 continue;
             LOG_INFO("move", "job=%s task=%u machine=%s for=%s", t->job->id.s, t->index, h->id.s,
                      j->id.s);
@@ -350,103 +386,174 @@
     }
 }
 
-/* The machine where room for one task costs the least work of lower priority. */
-static struct lhost *cheapest_to_clear(struct leader *l, const struct claim *c, GHashTable *cleared)
+/* A machine on which room for a task could be made, and what that would cost. */
+struct clearing {
+    struct lhost *host;
+    struct room more; /* made already, and not used yet */
+    double loss;      /* < 0: there is no more to be had */
+};
+
+static void weigh(struct leader *l, const struct claim *c, struct clearing *x)
 {
     struct ljob *j = c->job;
+    struct lhost *h = x->host;
     mono_time now = loop_now(l->loop);
-    const struct spec *s = c->view->spec;
-    GHashTableIter it;
-    struct lhost *h, *best = NULL;
-    double least = 0;
-    g_hash_table_iter_init(&it, l->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
-        if (!host_allowed(l, j, s, h))
+    struct room free = leader_host_free_room(h);
+    room_add(&free, x->more);
+    x->loss = -1;
+    GArray *victims = victims_on(l, h, c);
+    double loss = 0;
+    for (guint i = 0; i < victims->len && !room_holds(free, j->room); i++) {
+        struct victim *v = &g_array_index(victims, struct victim, i);
+        room_add(&free, v->job->room);
+        loss += (double)v->job->room.cpus.milli * (double)(1 + time_ms_since(now, v->entry->since));
+    }
+    g_array_unref(victims);
+    /* A machine that services hold already is kept anyway, and one without the image is late. */
+    if (room_holds(free, j->room))
+        x->loss = loss * (1.2 - room_share(h->pinned, h->total) +
+                          (host_has_image(h, c->view->spec->image) ? 0 : 1));
+}
+
+/* Every machine where room could be made. */
+static GArray *clearings(struct leader *l, const struct claim *c)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(struct clearing));
+    count_zones(l, c->job, c->view->spec);
+    for (guint i = 0; i < l->open->len; i++) {
+        struct lhost *h = l->open->pdata[i];
+        if (!room_holds(room_left(h->total, h->pinned), c->job->room) ||
+            !host_allowed(l, c->job, c->view->spec, h))
             continue;
-        GArray *victims = victims_on(l, h, c);
-        struct room free = leader_host_free_room(h), *more = g_hash_table_lookup(cleared, h);
-        double loss = 0;
-        if (more)
-            room_add(&free, *more);
-        for (guint i = 0; i < victims->len && !room_holds(free, j->room); i++) {
-            struct victim *x = &g_array_index(victims, struct victim, i);
-            room_add(&free, x->job->room);
-            loss +=
-                (double)x->job->room.cpus.milli * (double)(1 + time_ms_since(now, x->entry->since));
-        }
-        /* A machine that services hold already is kept anyway, and one without the image is late.
-         */
-        loss *= 1.2 - room_share(h->pinned, h->total) + (host_has_image(l, h, s->image) ? 0 : 1);
-        if (room_holds(free, j->room) && (!best || loss < least)) {
-            best = h;
-            least = loss;
-        }
-        g_array_unref(victims);
+        struct clearing x = {.host = h};
+        weigh(l, c, &x);
+        if (x.loss >= 0)
+            g_array_append_val(out, x);
+    }
+    return out;
+}
+
+static struct clearing *cheapest(GArray *all)
+{
+    struct clearing *best = NULL;
+    for (guint i = 0; i < all->len; i++) {
+        struct clearing *x = &g_array_index(all, struct clearing, i);
+        if (x->loss >= 0 && (!best || x->loss < best->loss))
+            best = x;
     }
     return best;
 }
 
+/* Stops what has to be stopped on a machine for one task. */
+static void clear_room(struct leader *l, const struct claim *c, struct clearing *x)
+{
+    GArray *victims = victims_on(l, x->host, c);
+    struct room free = leader_host_free_room(x->host);
+    room_add(&free, x->more);
+    for (guint i = 0; i < victims->len && !room_holds(free, c->job->room); i++) {
+        struct victim *v = &g_array_index(victims, struct victim, i);
+        struct job *vx = view_job(l->view, v->job->id.s);
+        LOG_INFO("preempt", "job=%s task=%u machine=%s for=%s", v->job->id.s, v->index,
+                 x->host->id.s, c->job->id.s);
+        room_add(&free, v->job->room);
+        room_add(&x->more, v->job->room);
+        halt(l, v->job, v->index, v->entry, vx && vx->spec ? vx->spec->stow_s : 0);
+    }
+    room_sub(&x->more, c->job->room);
+    g_array_unref(victims);
+}
+
+/* Whether anything runs that the claim might stop. */
+static bool claim_has_hope(struct leader *l, const struct claim *c)
+{
+    for (int u = c->job->urgency + 1; c->over_lower && u < (int)G_N_ELEMENTS(l->running); u++)
+        if (l->running[u])
+            return true;
+    for (int i = 0; c->over_borrowed && i < l->n_teams; i++) {
+        struct lteam *t = &l->teams[i];
+        if (i != c->job->team &&
+            (t->used.cpus.milli - t->halting.cpus.milli > t->team->cpus.milli ||
+             t->used.gpus.milli - t->halting.gpus.milli > t->team->gpus.milli))
+            return true;
+    }
+    return false;
+}
+
 /* Makes room for tasks that fit nowhere, by stopping work of lower priority where that loses the
  * least. What is stopped is off the record a moment later, and ranks behind. */
 static void preempt(struct leader *l, struct ljob *j, struct job *v)
 {
-    struct claim c = {j, v, leader_may_preempt(l, v->spec), guaranteed(l, j, v)};
     mono_time now = loop_now(l->loop);
-    if (!c.over_lower && !c.over_borrowed)
-        return;
     /* Just after a change of epoch much of the room is not known yet. */
     if ((j->preempted_at.us && time_ms_since(now, j->preempted_at) < PREEMPT_MS) ||
         time_ms_since(now, l->epoch_at) < (int64_t)(l->settings->report_s * 1250))
         return;
     j->preempted_at = now;
-    GHashTable *cleared = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    struct claim c = {j, v, leader_may_preempt(l, v->spec), guaranteed(l, j, v)};
+    bool moves = v->spec->form == FORM_SERVICE && v->spec->apart;
+    if (!claim_has_hope(l, &c) && !moves)
+        return;
+    GArray *all = clearings(l, &c);
     int64_t n = MIN(leader_count_allowed(l, j, v), PREEMPT_TASKS);
     for (int64_t k = 0; k < n; k++) {
-        struct lhost *best = cheapest_to_clear(l, &c, cleared);
+        struct clearing *best = cheapest(all);
         if (!best) {
-            if (k == 0 && v->spec->form == FORM_SERVICE && v->spec->apart)
+            if (k == 0 && moves)
                 make_way(l, j, v);
             break;
         }
-        struct room *more = g_hash_table_lookup(cleared, best);
-        if (!more) {
-            more = g_new0(struct room, 1);
-            g_hash_table_insert(cleared, best, more);
-        }
-        GArray *victims = victims_on(l, best, &c);
-        struct room free = leader_host_free_room(best);
-        room_add(&free, *more);
-        for (guint i = 0; i < victims->len && !room_holds(free, j->room); i++) {
-            struct victim *x = &g_array_index(victims, struct victim, i);
-            struct job *vx = view_job(l->view, x->job->id.s);
-            LOG_INFO("preempt", "job=%s task=%u machine=%s for=%s", x->job->id.s, x->index,
-                     best->id.s, j->id.s);
-            room_add(&free, x->job->room);
-            room_add(more, x->job->room);
-            halt(l, x->job, x->index, x->entry, vx && vx->spec ? vx->spec->stow_s : 0);
-        }
-        room_sub(more, j->room);
-        g_array_unref(victims);
-        if (v->spec->one_zone || v->spec->apart)
+        clear_room(l, &c, best);
+        weigh(l, &c, best);
+        if (zone_bound(v->spec))
             break; /* the zones are counted anew once this one is placed */
     }
-    g_hash_table_unref(cleared);
+    g_array_unref(all);
 }
 
-static bool deal_one(struct leader *l, struct ljob *j, struct job *v)
+/* Deals so many tasks at most, to the best machines; tells how many. */
+static int deal_some(struct leader *l, struct ljob *j, struct job *v, int most)
 {
-    uint32_t index = next_waiting(j, v);
-    if (index >= v->tasks || !team_allows(l, j))
-        return false;
-    struct lhost *h = choose_host(l, j, v->spec);
-    if (!h) {
+    int n = (int)MIN(most, leader_count_allowed(l, j, v)), dealt = 0;
+    if (n <= 0)
+        return 0;
+    if (!is_full(l, j, v->spec)) {
+        count_zones(l, j, v->spec);
+        GArray *hosts = choices(l, j, v->spec);
+        attempt_no attempt = next_attempt(l);
+        for (guint i = 0; i < hosts->len && dealt < n; i++) {
+            struct lhost *h = g_array_index(hosts, struct choice, i).host;
+            while (dealt < n && room_holds(leader_host_free_room(h), j->room) &&
+                   zone_allowed(l, j, v->spec, h->zone)) {
+                uint32_t index = next_waiting(j, v);
+                if (index >= v->tasks)
+                    n = dealt; /* more is on record than the count says */
+                else {
+                    book(l, j, index, attempt, h);
+                    deal_to(l, j, index, false);
+                    if (h->zone >= 0)
+                        l->zone_tasks[h->zone]++;
+                    dealt++;
+                }
+            }
+        }
+        if (!hosts->len)
+            note_full(l, j, v->spec);
+        g_array_unref(hosts);
+    }
+    if (!dealt) {
         j->blocked = true;
         preempt(l, j, v);
-        return false;
     }
-    book(l, j, index, next_attempt(l), h);
-    deal_to(l, j, index, false);
-    return true;
+    return dealt;
+}
+
+static struct lhost *best_host(struct leader *l, struct ljob *j, const struct spec *s)
+{
+    count_zones(l, j, s);
+    GArray *c = choices(l, j, s);
+    struct lhost *h = c->len ? g_array_index(c, struct choice, 0).host : NULL;
+    g_array_unref(c);
+    return h;
 }
 
 /* A gang that lost a task cannot go on: what is left of it is stopped, and it starts whole again
@@ -489,7 +596,7 @@
     for (uint32_t i = 0; i < v->tasks && whole; i++) {
         if (job_task_done(v, i))
             continue;
-        struct lhost *h = choose_host(l, j, v->spec);
+        struct lhost *h = best_host(l, j, v->spec);
         whole = h != NULL;
         if (!h)
             break;
@@ -510,11 +617,10 @@
 
 /* By arrival; but jobs that are late whatever is done now stand behind those that may still be in
  * time. */
-static gint by_arrival(gconstpointer a, gconstpointer b, gpointer leader)
+static gint by_arrival(gconstpointer a, gconstpointer b)
 {
-    struct leader *l = leader;
     const struct ljob *x = *(struct ljob *const *)a, *y = *(struct ljob *const *)b;
-    const struct job *vx = view_job(l->view, x->id.s), *vy = view_job(l->view, y->id.s);
+    const struct job *vx = x->view, *vy = y->view;
     if (x->in_time != y->in_time)
         return x->in_time ? -1 : 1;
     if (vx->submitted.ms != vy->submitted.ms)
@@ -522,40 +628,48 @@
     return strcmp(x->id.s, y->id.s);
 }
 
+/* What a team may deal in its turn. Jobs that have no more to deal in this rank, or no room, are
+ * passed over until the next pass; false when the team is through with the rank. */
+static bool deal_turn(struct leader *l, struct lteam *t, int rank, int budget, int *dealt)
+{
+    while (t->at < t->ready->len && *dealt < budget) {
+        struct ljob *j = t->ready->pdata[t->at];
+        struct job *v = j->view;
+        if (j->blocked || next_waiting(j, v) >= v->tasks || leader_rank_of(l, j, v->spec) != rank) {
+            t->at++;
+            continue;
+        }
+        double cost = CLAMP((double)j->room.cpus.milli, 1, MOST_DEFICIT);
+        int most = (int)MIN(t->deficit / cost, budget - *dealt);
+        if (most < 1)
+            return true;
+        int n = v->spec->form == FORM_GANG ? deal_gang(l, j, v) : deal_some(l, j, v, most);
+        if (n == 0)
+            t->at++;
+        t->deficit -= n * cost;
+        *dealt += n;
+    }
+    if (t->at >= t->ready->len)
+        t->deficit = 0;
+    return t->at < t->ready->len;
+}
+
 /* Deficit round robin over the teams that have something in this rank: each turn a team may deal as
  * much as its share. */
 int leader_deal_rank(struct leader *l, int rank, int budget)
 {
     int dealt = 0;
     bool any = true;
+    for (int i = 0; i < l->n_teams; i++)
+        l->teams[i].at = 0;
     while (any && dealt < budget) {
         any = false;
         for (int i = 0; i < l->n_teams && dealt < budget; i++) {
             struct lteam *t = &l->teams[(l->first_team + i) % l->n_teams];
+            if (t->at >= t->ready->len)
+                continue;
             t->deficit = MIN(t->deficit + MAX(t->team->cpus.milli / 16, 1000), MOST_DEFICIT);
-            bool moved = false;
-            for (guint k = 0; k < t->ready->len && dealt < budget;) {
-                struct ljob *j = t->ready->pdata[k];
-                struct job *v = view_job(l->view, j->id.s);
-                bool mine = !j->blocked && leader_rank_of(l, j, v->spec) == rank;
-                double cost = MIN((double)j->room.cpus.milli, MOST_DEFICIT);
-                if (!mine || t->deficit < cost) {
-                    any = any || (mine && next_waiting(j, v) < v->tasks);
-                    k++;
-                    continue;
-                }
-                bool ok = v->spec->form == FORM_GANG ? deal_gang(l, j, v) : deal_one(l, j, v);
-                if (!ok) {
-                    k++;
-                    continue;
-                }
-                t->deficit -= cost;
-                moved = true;
-                dealt++;
-            }
-            if (!moved && !any)
-                t->deficit = 0;
-            any = any || moved;
+            any = deal_turn(l, t, rank, budget, &dealt) || any;
         }
     }
     return dealt;
@@ -577,12 +691,13 @@
             continue;
         if (v->spec->form != FORM_GANG && next_waiting(j, v) >= v->tasks)
             continue;
-        j->in_time = still_in_time(l, v);
+        j->in_time = still_in_time(l, j, v);
+        j->view = v;
         g_ptr_array_add(l->teams[j->team].ready, j);
         any = true;
     }
     for (int i = 0; i < l->n_teams; i++)
-        g_ptr_array_sort_with_data(l->teams[i].ready, by_arrival, l);
+        g_ptr_array_sort(l->teams[i].ready, by_arrival);
     return any;
 }
 
--- a/src/leader_scale.c
+++ b/src/leader_scale.c
@@ -9,6 +9,7 @@
     SCALE_MS = 500,
     RATE_SLOTS = 8,
     RATE_SLOT_MS = 30000,
+    MOST_ORDERED = 40, /* machines at a time */
 };
 
 /* Room that is there or on its way, and not needed yet. */
@@ -58,21 +59,25 @@
     }
 }
 
-static bool take_planned(GArray *rooms, const struct spec *s, struct room ask, const char *yard)
+/* Takes room that is on its way for so many tasks; tells how many found none. */
+static int64_t take_planned(GArray *rooms, const struct spec *s, struct room ask, const char *yard,
+                            int64_t n)
 {
-    struct planned *best = NULL;
-    for (guint i = 0; i < rooms->len; i++) {
-        struct planned *v = &g_array_index(rooms, struct planned, i);
-        if (!spec_allows(s, v->build, v->yard, v->loaners) || !room_holds(v->free, ask) ||
-            (yard && strcmp(yard, v->yard) != 0))
-            continue;
-        /* Cheap ones first where they will do: services need the others. */
-        if (!best || v->loaners > best->loaners)
-            best = v;
-    }
-    if (best)
-        room_sub(&best->free, ask);
-    return best != NULL;
+    /* Cheap ones first where they will do: services need the others. */
+    for (int loaners = 1; loaners >= 0; loaners--)
+        for (guint i = 0; i < rooms->len && n > 0; i++) {
+            struct planned *v = &g_array_index(rooms, struct planned, i);
+            if (v->loaners != loaners || !room_holds(v->free, ask) ||
+                !spec_allows(s, v->build, v->yard, v->loaners) ||
+                (yard && strcmp(yard, v->yard) != 0))
+                continue;
+            int64_t k = MIN(n, room_times(v->free, ask));
+            room_sub(
+                &v->free,
+                (struct room){{ask.cpus.milli * k}, {ask.gpus.milli * k}, {ask.memory.milli * k}});
+            n -= k;
+        }
+    return n;
 }
 
 /* The offer that holds n tasks at the least price a task, a little in favour of quick boots. */
@@ -122,19 +127,18 @@
 static int64_t want(struct leader *l, GArray *rooms, GArray *orders, const struct spec *s,
                     struct room ask, int64_t n, const char *yard, bool spot_only)
 {
+    int total = 0;
+    for (guint i = 0; i < orders->len; i++)
+        total += g_array_index(orders, struct offer, i).number;
+    n = take_planned(rooms, s, ask, yard, n);
     while (n > 0) {
-        if (take_planned(rooms, s, ask, yard)) {
-            n--;
-            continue;
-        }
         struct offer o;
-        int total = 0;
-        for (guint i = 0; i < orders->len; i++)
-            total += g_array_index(orders, struct offer, i).number;
-        if (total >= 40 || !best_offer(l, s, ask, n, yard, spot_only, &o))
+        if (total >= MOST_ORDERED || !best_offer(l, s, ask, n, yard, spot_only, &o))
             return n;
+        total++;
         order_offer(orders, &o);
         add_planned(rooms, o.type->name, o.yard, o.loaners, room_of_type(o.type));
+        n = take_planned(rooms, s, ask, yard, n);
     }
     return 0;
 }
@@ -293,7 +297,7 @@
         for (int i = 0; i < l->n_teams; i++)
             for (guint k = 0; k < l->teams[i].ready->len; k++) {
                 struct ljob *j = l->teams[i].ready->pdata[k];
-                struct job *v = view_job(l->view, j->id.s);
+                struct job *v = j->view;
                 if (leader_rank_of(l, j, v->spec) != rank)
                     continue;
                 work += (double)leader_count_allowed(l, j, v) * v->spec->expected_s *
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -28,6 +28,8 @@
     struct room room; /* of one task */
     bool service;
     enum urgency urgency;
+    double patience_s;           /* how long it may wait, by what its class is expected to do */
+    struct job *view;            /* in this pass */
     GHashTable *entries, *deals; /* index + 1 -> */
     uint32_t cursor;             /* no task below it waits */
     bool finishing;
@@ -51,6 +53,8 @@
     bool loaners;
     char *owner;
     int flags;
+    GPtrArray *images; /* interned */
+    int zone;          /* in settings->zones, or -1 */
     struct room total, booked, dealt, pinned;
     mono_time idle_since, avoid_until;
     bool told;            /* in its owner's last digest */
@@ -66,6 +70,7 @@
     struct room halting; /* of that, told to stop */
     double deficit;
     GPtrArray *ready; /* struct ljob, in this pass */
+    guint at;         /* in ready: those before it are through with this rank */
 };
 
 /* What goes to one part, one message after the other. */
@@ -77,6 +82,13 @@
     bool out;
     mono_time failing_since;
     bool digested;
+    uint64_t digest_seq;
+};
+
+/* What a task asks of machines, if it asks nothing special. */
+struct ask {
+    struct room room;
+    bool loaners;
 };
 
 struct leader {
@@ -97,7 +109,11 @@
     GHashTable *paces; /* job -> struct job_pace */
     struct lteam *teams;
     int n_teams;
-    int first_team; /* that this pass begins with */
+    int first_team;       /* that this pass begins with */
+    GPtrArray *open;      /* struct lhost: that take work in this pass */
+    GArray *full;         /* struct ask: what found no room in this pass */
+    uint32_t *zone_tasks; /* of the job that is being dealt, by zone */
+    int running[4];       /* tasks on record, by urgency */
     struct timer tick, pass;
     mono_time scaled_at, swept_at;
     bool sweeping;
@@ -134,7 +150,8 @@
 bool leader_host_takes(struct leader *l, struct lhost *h);
 struct room leader_host_free_room(const struct lhost *h);
 uint32_t leader_in_zone(struct leader *l, struct ljob *j, const char *yard);
-void leader_measure_zones(struct leader *l);
+/* The machines that take work in this pass, and what the zones hold. */
+void leader_survey(struct leader *l);
 int leader_rank_of(struct leader *l, struct ljob *j, const struct spec *s);
 int64_t leader_count_allowed(struct leader *l, struct ljob *j, struct job *v);
 int leader_deal_rank(struct leader *l, int rank, int budget);
--- a/src/part.c
+++ b/src/part.c
@@ -8,6 +8,7 @@
     DIGEST_MS = 1000,
     LAPSED_MS = 20000,
     MOST_BURIED = 5000,
+    WHOLE_EVERY = 15, /* digests: one that names all machines */
 };
 
 static void part_view(struct part *p, const GArray *changes);
@@ -115,6 +116,7 @@
     g_strlcpy(d.yard, yard ? yard : "", sizeof d.yard);
     g_strlcpy(d.at, at ? at : "", sizeof d.at);
     d.since = d.queue_since = loop_now(p->loop);
+    p->room_news = true;
     g_queue_push_tail(&p->queues[0], g_memdup2(&d, sizeof d));
 }
 
@@ -136,12 +138,12 @@
 }
 
 /* What was placed and is in no transaction has not been started, and never will be. */
-static void drop_news(struct host *h)
+static void drop_news(struct part *p, struct host *h)
 {
     for (guint i = 0; i < h->runs->len;) {
         struct run *r = h->runs->pdata[i];
         if (r->phase == RUN_NEW && !r->in_txn)
-            part_run_remove(h, i);
+            part_run_remove(p, h, i);
         else
             i++;
     }
@@ -163,7 +165,7 @@
     LOG_INFO("machine_gone", "machine=%s", id);
     bury(p, id);
     h->gone = true;
-    drop_news(h);
+    drop_news(p, h);
     part_free_all_runs(p, h, "returned");
     if (h->stamp.v || h->in_txn || part_host_has_run(h)) {
         part_host_dirty(p, h);
@@ -220,6 +222,7 @@
         if (h)
             h->shut = true;
     }
+    p->room_news = true;
 }
 
 static void digest_answered(void *arg, int status, const cJSON *answer)
@@ -232,6 +235,8 @@
         g_ptr_array_remove_range(p->news, 0, s->news);
         p->want_raise = false;
         heed_shut(p, cJSON_GetObjectItemCaseSensitive(answer, "shut"));
+    } else {
+        p->digest_whole = true;
     }
     timer_start(p->loop, &p->digest, p->digest_soon ? 15 : status == 200 ? DIGEST_MS : 250);
     g_free(s);
@@ -254,6 +259,43 @@
     return f;
 }
 
+/* [name, type, zone, spot, flags, images]; images only when they changed. */
+static cJSON *digest_host(struct host *h, int flags, bool whole)
+{
+    cJSON *x = cJSON_CreateArray();
+    cJSON_AddItemToArray(x, cJSON_CreateString(h->id.s));
+    cJSON_AddItemToArray(x, cJSON_CreateString(h->build));
+    cJSON_AddItemToArray(x, cJSON_CreateString(h->yard));
+    cJSON_AddItemToArray(x, cJSON_CreateBool(h->loaners));
+    cJSON_AddItemToArray(x, cJSON_CreateNumber(flags));
+    if (whole || !h->told_images) {
+        cJSON *images = cJSON_CreateArray();
+        for (guint i = 0; i < h->images->len; i++)
+            cJSON_AddItemToArray(images, cJSON_CreateString(h->images->pdata[i]));
+        cJSON_AddItemToArray(x, images);
+    }
+    h->told_flags = flags;
+    h->told_images = true;
+    return x;
+}
+
+static void digest_hosts(struct part *p, cJSON *m)
+{
+    bool whole = p->digest_whole || p->digests++ % WHOLE_EVERY == 0;
+    cJSON *hosts = cJSON_AddArrayToObject(m, "hosts");
+    if (whole)
+        cJSON_AddTrueToObject(m, "whole");
+    p->digest_whole = false;
+    GHashTableIter it;
+    struct host *h;
+    g_hash_table_iter_init(&it, p->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
+        int flags = host_flags(p, h);
+        if (!h->gone && h->build[0] && (whole || flags != h->told_flags || !h->told_images))
+            cJSON_AddItemToArray(hosts, digest_host(h, flags, whole));
+    }
+}
+
 static void digest(void *arg)
 {
     struct part *p = arg;
@@ -262,22 +304,10 @@
         timer_start(p->loop, &p->digest, 250);
         return;
     }
-    cJSON *m = cJSON_CreateObject(), *hosts = cJSON_AddArrayToObject(m, "hosts");
+    cJSON *m = cJSON_CreateObject();
     bus_put_u64(m, "e", p->epoch.v);
-    GHashTableIter it;
-    struct host *h;
-    g_hash_table_iter_init(&it, p->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
-        if (h->gone)
-            continue;
-        cJSON *x = cJSON_CreateArray();
-        cJSON_AddItemToArray(x, cJSON_CreateString(h->id.s));
-        cJSON_AddItemToArray(x, cJSON_CreateString(h->build));
-        cJSON_AddItemToArray(x, cJSON_CreateString(h->yard));
-        cJSON_AddItemToArray(x, cJSON_CreateBool(h->loaners));
-        cJSON_AddItemToArray(x, cJSON_CreateNumber(host_flags(p, h)));
-        cJSON_AddItemToArray(hosts, x);
-    }
+    bus_put_u64(m, "s", ++p->digest_seq);
+    digest_hosts(p, m);
     cJSON *back = cJSON_AddArrayToObject(m, "back");
     for (guint i = 0; i < p->back->len; i++) {
         struct dealt *d = &g_array_index(p->back, struct dealt, i);
@@ -314,6 +344,7 @@
     p->epoch = p->view->epoch;
     p->generation++;
     p->last_deal = 0;
+    p->digest_whole = true;
     p->want_raise = false;
     drop_queues(p);
     GHashTableIter it;
@@ -349,7 +380,7 @@
     GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
-        drop_news(h);
+        drop_news(p, h);
         if (h->gone)
             g_ptr_array_add(gone, g_strdup(h->id.s));
         else if (!h->known)
@@ -396,6 +427,7 @@
         switch (c->kind) {
         case CHANGE_JOB:
             heed_job(p, c->job);
+            p->room_news = p->room_news || p->queues[0].length;
             break;
         case CHANGE_HOST:
             h = part_host_get(p, c->host.s);
@@ -449,6 +481,7 @@
     }
     if (p->want_raise)
         part_digest_soon(p);
+    p->room_news = true; /* what has waited for too long is given back */
     part_place_all(p);
     part_flush_soon(p);
 }
--- a/src/part_host.c
+++ b/src/part_host.c
@@ -14,18 +14,19 @@
     return j && j->known && j->state == JOB_LIVE && j->spec ? j : NULL;
 }
 
-void part_run_unbook(struct host *h, struct run *r)
+void part_run_unbook(struct part *p, struct host *h, struct run *r)
 {
     if (r->phase == RUN_GONE)
         return;
     room_sub(&h->booked, r->room);
     if (r->service)
         room_sub(&h->pinned, r->room);
+    p->room_news = true;
 }
 
-void part_run_remove(struct host *h, guint at)
+void part_run_remove(struct part *p, struct host *h, guint at)
 {
-    part_run_unbook(h, h->runs->pdata[at]);
+    part_run_unbook(p, h, h->runs->pdata[at]);
     g_ptr_array_remove_index_fast(h->runs, at);
 }
 
@@ -73,7 +74,7 @@
     h->id = id;
     h->runs = g_ptr_array_new_with_free_func(g_free);
     h->images = g_ptr_array_new_with_free_func(release_image);
-    h->page = -1;
+    h->page = h->told_flags = -1;
     h->strays = g_array_new(FALSE, FALSE, sizeof(struct report_task));
     h->owned_since = p->epoch;
     h->owned_at = h->heard = h->reached = loop_now(p->loop);
@@ -98,6 +99,7 @@
         }
     g_ptr_array_add(h->images, g_ref_string_acquire(image));
     h->new_images = true;
+    h->told_images = false;
     if (h->images->len > IMAGES_KEPT)
         g_ptr_array_remove_index(h->images, 0);
 }
@@ -178,7 +180,7 @@
         struct placed *t = j ? job_placed(j, r->index) : NULL;
         bool on_record = t && t->attempt.v == r->attempt.v && host_eq(t->host->id, h->id);
         if (!on_record && (r->phase == RUN_RECORDED || r->phase == RUN_FREEING)) {
-            part_run_unbook(h, r);
+            part_run_unbook(p, h, r);
             r->phase = RUN_GONE;
         }
     }
@@ -311,6 +313,8 @@
 {
     if (h->probe_fails >= 2)
         part_digest_soon(p);
+    if (!h->hears || h->probe_fails)
+        p->room_news = true;
     h->hears = true;
     h->reached = loop_now(p->loop);
     h->probe_fails = 0;
@@ -335,6 +339,7 @@
 {
     mono_time now = loop_now(p->loop);
     bool news = !h->known;
+    p->room_news = p->room_news || news;
     h->known = true;
     h->heard = now;
     h->print = part_report_print(rep);
@@ -370,9 +375,8 @@
             continue;
         run_missing(p, h, r, rep);
         if (r->phase == RUN_GONE)
-            part_run_remove(h, k);
+            part_run_remove(p, h, k);
     }
     if (news)
         part_digest_soon(p);
-    part_place_all(p);
 }
--- a/src/part_place.c
+++ b/src/part_place.c
@@ -46,31 +46,55 @@
     return true;
 }
 
-/* The best of the machines that suit, in the pools from low to high. */
-static struct host *choose(struct part *p, const struct dealt *d, const struct spec *s, int low,
-                           int high, bool image)
+/* The best of the machines that suit, by pool, and the best of those that have the image. */
+struct survey {
+    struct {
+        struct host *host;
+        double score;
+    } any[ARQ_CLASSES + 1], image;
+    bool none;
+};
+
+static void survey(struct part *p, const struct dealt *d, const struct spec *s, struct survey *out)
 {
-    struct host *best = NULL, *h;
-    double best_score = 0;
+    memset(out, 0, sizeof *out);
+    out->none = true;
     GHashTableIter it;
+    struct host *h;
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
         if (!host_suits(p, h, d, s))
             continue;
+        out->none = false;
         double booked = host_booked(h);
         int pool = arq_pool(booked);
-        if (pool < low || pool > high || (image && !part_host_has_image(h, s->image)))
-            continue;
-        struct score_facts facts = {part_host_has_image(h, s->image), h->loaners, booked,
-                                    room_share(h->pinned, h->total), 1};
+        bool image = part_host_has_image(h, s->image);
+        struct score_facts facts = {image, h->loaners, booked, room_share(h->pinned, h->total), 1};
         double score = score_host(s, &facts);
-        if (!best || score > best_score ||
-            (score == best_score && strcmp(h->id.s, best->id.s) < 0)) {
-            best = h;
-            best_score = score;
+        struct host *best = out->any[pool].host;
+        if (!best || score > out->any[pool].score ||
+            (score == out->any[pool].score && strcmp(h->id.s, best->id.s) < 0)) {
+            out->any[pool].host = h;
+            out->any[pool].score = score;
+        }
+        if (image && (!out->image.host || score > out->image.score ||
+                      (score == out->image.score && strcmp(h->id.s, out->image.host->id.s) < 0))) {
+            out->image.host = h;
+            out->image.score = score;
         }
     }
-    return best;
+}
+
+/* The best in the pools up to one. */
+static struct host *best_below(const struct survey *v, int high)
+{
+    int best = 0;
+    for (int pool = 1; pool <= high; pool++)
+        if (v->any[pool].host && (!best || v->any[pool].score > v->any[best].score ||
+                                  (v->any[pool].score == v->any[best].score &&
+                                   strcmp(v->any[pool].host->id.s, v->any[best].host->id.s) < 0)))
+            best = pool;
+    return best ? v->any[best].host : NULL;
 }
 
 static double pool_chance(struct part *p, int pool, double t, double run_s)
@@ -122,29 +146,22 @@
 
 /* The order that docs/design.md gives: the own pool; one class up while nobody waits there; then
  * the busiest machine that fits, at once unless it belongs to an emptier pool. */
-static struct host *place_among(struct part *p, const struct dealt *d, const struct spec *s,
-                                bool at_once, bool image)
-{
-    if (!at_once) {
-        struct host *h = choose(p, d, s, d->queue, d->queue, image);
-        if (!h && d->queue < ARQ_CLASSES && g_queue_is_empty(&p->queues[d->queue + 1]))
-            h = choose(p, d, s, d->queue + 1, d->queue + 1, image);
-        if (h)
-            return h;
-    }
-    return choose(p, d, s, 1, at_once ? ARQ_CLASSES : d->queue, image);
-}
-
 static struct host *place(struct part *p, const struct dealt *d, const struct spec *s,
-                          enum arq_move move)
+                          const struct survey *v, enum arq_move move)
 {
     bool at_once = s->form == FORM_SERVICE || d->at[0] || move == ARQ_TAKE;
     /* Who is in a hurry goes where the image is, whatever the pool: a fetch takes longer than most
      * waits that the switch rule weighs. */
-    struct host *h = NULL;
-    if (s->urgency <= URGENCY_HIGH && !d->at[0])
-        h = place_among(p, d, s, true, true);
-    return h ? h : place_among(p, d, s, at_once, false);
+    if (s->urgency <= URGENCY_HIGH && !d->at[0] && v->image.host)
+        return v->image.host;
+    if (at_once)
+        return best_below(v, ARQ_CLASSES);
+    if (v->any[d->queue].host)
+        return v->any[d->queue].host;
+    if (d->queue < ARQ_CLASSES && g_queue_is_empty(&p->queues[d->queue + 1]) &&
+        v->any[d->queue + 1].host)
+        return v->any[d->queue + 1].host;
+    return best_below(v, d->queue);
 }
 
 static void take_host(struct part *p, struct dealt *d, struct host *h, const struct spec *s)
@@ -188,7 +205,13 @@
         return true;
     }
     enum arq_move move = consult(p, d, s, rule_time);
-    struct host *h = place(p, d, s, move);
+    /* The next task of a job for which there was nothing finds nothing either. */
+    struct survey v = {.none = true};
+    bool alike = p->none_for && job_eq(p->none_for->job, d->job) &&
+                 strcmp(p->none_for->yard, d->yard) == 0 && strcmp(p->none_for->at, d->at) == 0;
+    if (!alike)
+        survey(p, d, s, &v);
+    struct host *h = v.none ? NULL : place(p, d, s, &v, move);
     if (h) {
         take_host(p, d, h, s);
         return true;
@@ -199,8 +222,9 @@
         g_queue_push_tail(&p->queues[d->queue], g_memdup2(d, sizeof *d));
         return true;
     }
-    bool hopeless = !choose(p, d, s, 1, ARQ_CLASSES, false);
-    if (hopeless && (time_ms_since(now, d->since) > GIVE_BACK_MS || d->at[0])) {
+    if (v.none)
+        p->none_for = d;
+    if (v.none && (time_ms_since(now, d->since) > GIVE_BACK_MS || d->at[0])) {
         give_back(p, d);
         return true;
     }
@@ -213,16 +237,22 @@
         return;
     mono_time now = loop_now(p->loop);
     bool rule_time = time_ms_since(now, p->last_switch) >= SWITCH_MS;
+    if (!rule_time && !p->room_news)
+        return;
+    p->room_news = false;
     if (rule_time)
         p->last_switch = now;
     for (int q = 0; q <= ARQ_CLASSES; q++) {
         guint n = p->queues[q].length;
         for (guint i = 0; i < n; i++) {
             struct dealt *d = g_queue_pop_head(&p->queues[q]);
-            if (settle_dealt(p, d, rule_time))
+            if (settle_dealt(p, d, rule_time)) {
+                p->none_for = p->none_for == d ? NULL : p->none_for;
                 g_free(d);
-            else
+            } else {
                 g_queue_push_tail(&p->queues[q], d);
+            }
         }
     }
+    p->none_for = NULL;
 }
--- a/src/part_record.c
+++ b/src/part_record.c
@@ -326,7 +326,7 @@
     for (guint i = 0; i < h->runs->len;) {
         struct run *r = h->runs->pdata[i];
         if (r->phase == RUN_NEW && !part_live_job(p, r->job))
-            part_run_remove(h, i);
+            part_run_remove(p, h, i);
         else
             i++;
     }
@@ -529,7 +529,7 @@
             r->phase = RUN_RECORDED;
             part_run_heed_job(p, r);
         } else if (in && r->phase == RUN_FREEING) {
-            part_run_unbook(h, r);
+            part_run_unbook(p, h, r);
             r->phase = RUN_GONE;
             if (!r->seen) {
                 g_ptr_array_remove_index_fast(h->runs, i);
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -67,6 +67,8 @@
     GArray *strays;    /* struct report_task: reported, not ours */
     GPtrArray *images; /* interned names, the newest last */
     bool new_images;   /* its record does not name them all */
+    int told_flags;    /* in the last digest; -1: not in it */
+    bool told_images;  /* and what it has fetched */
     bool shut;         /* the leader wants nothing more placed there: it is slow, or sick */
     bool push_out, push_wanted, probe_out;
     mono_time probed;
@@ -122,7 +124,7 @@
     GHashTable *buried; /* machines that the cloud took back: what still comes from them is old */
     const struct settings *settings;
     epoch_no epoch;
-    uint64_t generation, last_deal;
+    uint64_t generation, last_deal, digest_seq;
     GHashTable *hosts;
     GQueue queues[ARQ_CLASSES + 1]; /* [0]: jobs not in view yet */
     struct arq_busy busy[ARQ_CLASSES + 1];
@@ -135,8 +137,12 @@
     double write_level; /* of this node's share of the writes */
     mono_time write_at;
     bool digest_out, digest_soon, want_raise;
+    bool digest_whole; /* the next one names all machines, not only those that changed */
+    guint digests;
+    bool room_news; /* a task that waits may find room now */
     struct timer tick, flush, digest;
     mono_time last_switch;
+    struct dealt *none_for; /* in this look at the queues: no machine suits it */
 };
 
 /* part.c: the part's messages with the leader and the view */
@@ -144,8 +150,8 @@
 
 /* part_host.c: machines, and what proves that a task is over */
 struct job *part_live_job(struct part *p, job_id id);
-void part_run_unbook(struct host *h, struct run *r);
-void part_run_remove(struct host *h, guint at);
+void part_run_unbook(struct part *p, struct host *h, struct run *r);
+void part_run_remove(struct part *p, struct host *h, guint at);
 struct run *part_run_add(struct host *h, job_id job, uint32_t index, attempt_no attempt,
                          const struct spec *s);
 struct run *part_run_find(struct host *h, job_id job, uint32_t index, attempt_no attempt);
--- a/src/part_worker.c
+++ b/src/part_worker.c
@@ -127,8 +127,10 @@
     ok = host_eq(rep.host, h->id) && plausible(p, h, &rep);
     if (ok && (!h->known || newer(h, &rep)))
         part_host_reported(p, h, &rep);
-    if (ok)
+    if (ok) {
         part_host_reached(p, h);
+        part_place_all(p);
+    }
     report_clear(&rep);
     return ok;
 }
@@ -327,6 +329,7 @@
     g_strlcpy(h->via, via, sizeof h->via);
     if (!take || !h->hears)
         part_probe(p, h);
+    part_place_all(p);
     return take;
 }
 
--- a/src/view.c
+++ b/src/view.c
@@ -430,7 +430,9 @@
     size_t n = strcspn(*at, " ");
     if (!n)
         return false;
-    g_strlcpy(word, *at, MIN(n + 1, size));
+    size_t fits = MIN(n, size - 1);
+    memcpy(word, *at, fits);
+    word[fits] = 0;
     *at += n;
     return true;
 }
