--- a/src/leader.c
+++ b/src/leader.c
@@ -387,7 +387,7 @@
 static void consider_end(struct leader *l, struct ljob *j)
 {
     struct job *v = view_job(l->view, j->id.s);
-    if (!v || !v->known || j->finishing || !v->spec)
+    if (!v || !v->known || j->finishing || !v->spec || !membership_leads(l->members))
         return;
     if (v->state == JOB_LIVE && v->n_done == v->tasks)
         finish(l, j, v, "done");
@@ -705,8 +705,9 @@
 
 static void on_view(struct leader *l, const GArray *changes)
 {
-    bool leads = membership_leads(l->members);
-    if (!leads) {
+    /* An outage may keep the lead from acting for a while. As long as nobody else takes it, which
+     * would raise the epoch, the ledger is kept up: what was dealt is still with the parts. */
+    if (!membership_holds_lead(l->members)) {
         if (l->leading) {
             LOG_INFO("not_leading", "epoch=%" G_GUINT64_FORMAT, l->epoch.v);
             l->leading = false;
--- a/src/membership.c
+++ b/src/membership.c
@@ -90,13 +90,18 @@
     return m->joined && time_before(loop_now(m->loop), m->lease_end);
 }
 
-bool membership_leads(const struct membership *m)
+bool membership_holds_lead(const struct membership *m)
 {
     const struct view *v = m->view;
-    return membership_valid(m) && v->leader && strcmp(v->leader, m->settings->label) == 0 &&
+    return m->lease.v && v->leader && strcmp(v->leader, m->settings->label) == 0 &&
            v->leader_incarnation.v == m->lease.v;
 }
 
+bool membership_leads(const struct membership *m)
+{
+    return membership_valid(m) && membership_holds_lead(m);
+}
+
 revision membership_stamp(const struct membership *m)
 {
     return m->stamp;
--- a/src/membership.h
+++ b/src/membership.h
@@ -15,6 +15,9 @@
 /* Whether this node may start and write: its own lease surely holds. */
 bool membership_valid(const struct membership *m);
 /* Whether it leads, surely at this moment. */
+/* The leader's key is this process's, whether its lease surely holds or not. */
+bool membership_holds_lead(const struct membership *m);
+/* And the lease surely holds: it may act. */
 bool membership_leads(const struct membership *m);
 /* The version of this node's own key, on which its writes are conditioned. */
 revision membership_stamp(const struct membership *m);
--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -381,6 +381,46 @@
     }
 }
 
+static enum fate lose_renewals(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    return g_str_has_suffix(r->path, "/renew") ? FATE_LOST : FATE_NORMAL;
+}
+
+/* The leader cannot act during an outage, and leads on in the same epoch: it deals on from where it
+ * was. It used to begin its messages anew, which the parts took for copies. */
+static void a_leader_goes_on_after_an_outage(void **state)
+{
+    struct world *w = *state;
+    two_ordinary_machines(w);
+    for (int i = 0; i < 12; i++) {
+        char id[16];
+        g_snprintf(id, sizeof id, "wk-1%d", i);
+        assert_int_equal(world_submit(w, i % 3, id, "sweep", 4).status, 201);
+        world_run(w, 700);
+        worker_exit_all(w, id, "done");
+        world_run(w, 700);
+    }
+    uint64_t epoch = w->nodes[0]->view->epoch.v;
+    w->state_down = true;
+    world_run(w, 9000);
+    w->state_down = false;
+    w->fate = lose_renewals; /* it hears of a change before its lease is renewed */
+    assert_int_equal(world_submit(w, (world_leader_index(w) + 1) % 3, "wk-3", "sweep", 1).status,
+                     503);
+    world_run(w, 300);
+    world_submit(w, 0, "wk-3", "sweep", 1);
+    world_submit(w, 1, "wk-3", "sweep", 1);
+    world_run(w, 1000);
+    w->fate = NULL;
+    world_run(w, 4000);
+    assert_true(w->nodes[0]->view->epoch.v == epoch);
+    assert_int_equal(world_submit(w, 0, "wk-2", "sweep", 4).status, 201);
+    world_run(w, 5000);
+    assert_int_equal(world_on_machines(w, "wk-2"), 4);
+}
+
 /* A machine that hung is back with its next session before anybody missed it: what ran is gone, and
  * starts again at once. */
 static void a_worker_back_with_a_new_session_lost_its_tasks(void **state)
@@ -412,6 +452,7 @@
         WORLD_TEST(who_cannot_be_served_is_told_at_once),
         WORLD_TEST(what_a_dead_process_sent_comes_late),
         WORLD_TEST(all_nodes_back_at_once_go_on),
+        WORLD_TEST(a_leader_goes_on_after_an_outage),
         WORLD_TEST(a_worker_back_with_a_new_session_lost_its_tasks),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
