--- a/src/fleet.c
+++ b/src/fleet.c
@@ -21,6 +21,7 @@
     char *name;
     char build[48], yard[48];
     bool loaners, out;
+    bool sent; /* once, at least: the cloud may know its name */
     int number;
     mono_time not_before;
 };
@@ -354,8 +355,18 @@
     c->loaners = loaners;
     c->number = MIN(number, MOST_RENTED);
     g_queue_push_tail(&f->charters, c);
-    LOG_INFO("rent", "type=%s zone=%s spot=%d number=%d request=%s", build, yard, loaners,
-             c->number, c->name);
+}
+
+void fleet_forget_unsent(struct fleet *f)
+{
+    for (GList *l = f->charters.head, *next; l; l = next) {
+        struct charter *c = l->data;
+        next = l->next;
+        if (!c->sent) {
+            g_queue_delete_link(&f->charters, l);
+            drop_charter(c);
+        }
+    }
 }
 
 static void refuse(struct fleet *f, struct charter *c)
@@ -418,7 +429,9 @@
     char *body = codec_rent_write(c->name, c->build, c->yard, c->loaners, c->number);
     struct call *k = call_new(f);
     k->charter = c;
-    c->out = true;
+    c->out = c->sent = true;
+    LOG_INFO("rent", "type=%s zone=%s spot=%d number=%d request=%s", c->build, c->yard, c->loaners,
+             c->number, c->name);
     call(f, "POST", "/rentals", body, rent_answered, k);
     g_free(body);
 }
@@ -445,9 +458,15 @@
     if (a->status == 200) {
         for (guint i = 0; i < c->ids->len; i++) {
             const char *id = c->ids->pdata[i];
+            struct fleet_machine *m = mine ? g_hash_table_lookup(f->machines, id) : NULL;
             g_hash_table_add(f->gone, g_strdup(id));
-            if (mine)
-                g_hash_table_remove(f->machines, id);
+            if (!m)
+                continue;
+            /* There is room for another of its kind. */
+            char *key = offer_key(m->build, m->yard, m->loaners);
+            g_hash_table_remove(f->refused, key);
+            g_free(key);
+            g_hash_table_remove(f->machines, id);
         }
     }
     if (mine) {
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -39,6 +39,9 @@
 bool fleet_refused(struct fleet *f, const char *build, const char *yard, bool loaners);
 /* Requested, with no answer yet. */
 int fleet_requested(struct fleet *f, const char *build, const char *yard, bool loaners);
+/* Takes back what was ordered and not asked for yet: what is needed is worked out anew all the
+ * time, and calls are few. */
+void fleet_forget_unsent(struct fleet *f);
 void fleet_rent(struct fleet *f, const char *build, const char *yard, bool loaners, int number);
 void fleet_return(struct fleet *f, host_id id, const char *why);
 /* The cloud has confirmed that it is gone, and all that was on it. */
--- a/src/leader_scale.c
+++ b/src/leader_scale.c
@@ -9,7 +9,7 @@
     SCALE_MS = 500,
     RATE_SLOTS = 8,
     RATE_SLOT_MS = 30000,
-    MOST_ORDERED = 40, /* machines at a time */
+    MOST_ORDERED = 200, /* machines at a time */
 };
 
 /* Room that is there or on its way, and not needed yet. */
@@ -287,6 +287,7 @@
         return;
     GArray *rooms = g_array_new(FALSE, FALSE, sizeof(struct planned));
     GArray *orders = g_array_new(FALSE, FALSE, sizeof(struct offer));
+    fleet_forget_unsent(l->fleet);
     incoming(l, rooms);
     /* Ordinary machines are rented for work that spot machines could do only when these would not
      * get to it in time, behind all that goes before it. */
