Jobs stand by arrival and size, aged ones take turns with timely ones; wants stay within teams' limits

Late jobs waited ten times their patience, minutes over the four that the largest have; several jobs of a team each wanted machines for what its limit left.

--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -13,8 +13,13 @@
     MOST_DEFICIT = 10000000,
 };
 
-/* Times its patience, when a late job has its place in the queue again. */
-static const double VERY_LATE = 10;
+/* A job that has waited for so long has its place in the queue again, late or not: the largest,
+ * too, have to begin within a few minutes. */
+static const double AGED_S = 150;
+
+/* A job stands behind those that came up to so many times as long after it as it would keep its
+ * team's whole limit busy: small jobs pass large ones, but none passes for ever. */
+static const double SIZE_COUNTS = 4;
 
 bool leader_host_takes(struct leader *l, struct lhost *h)
 {
@@ -237,10 +242,11 @@
 
 /* Whether what the job's class is expected to do can still be done. One that has waited for very
  * long has its place back, so that none waits for ever. */
-static bool still_in_time(struct leader *l, const struct ljob *j, const struct job *v)
+static bool still_in_time(struct leader *l, struct ljob *j, const struct job *v)
 {
     double waited = (double)(loop_wall(l->loop).ms - v->submitted.ms) / 1000;
-    return waited < j->patience_s || waited > j->patience_s * VERY_LATE;
+    j->aged = waited > AGED_S;
+    return waited < j->patience_s || j->aged;
 }
 
 /* Classes of precedence: services first, as people wait on them; then what a team was promised;
@@ -615,19 +621,53 @@
     return whole;
 }
 
-/* By arrival; but jobs that are late whatever is done now stand behind those that may still be in
- * time. */
-static gint by_arrival(gconstpointer a, gconstpointer b)
+/* How long the job would keep its team's whole limit busy. */
+static double keeps_busy_s(struct leader *l, const struct ljob *j, const struct job *v)
+{
+    const struct team *t = l->teams[j->team].team;
+    double all = (double)j->room.cpus.milli * v->tasks, most = (double)t->cpus_max.milli;
+    double cards = (double)j->room.gpus.milli * v->tasks, most_cards = (double)t->gpus_max.milli;
+    double share = MAX(most > 0 ? all / most : 0, most_cards > 0 ? cards / most_cards : 0);
+    return share * v->spec->expected_s;
+}
+
+/* By arrival and size; but jobs that are late whatever is done now stand behind those that may
+ * still be in time. */
+static gint by_place(gconstpointer a, gconstpointer b)
 {
     const struct ljob *x = *(struct ljob *const *)a, *y = *(struct ljob *const *)b;
-    const struct job *vx = x->view, *vy = y->view;
     if (x->in_time != y->in_time)
         return x->in_time ? -1 : 1;
-    if (vx->submitted.ms != vy->submitted.ms)
-        return vx->submitted.ms < vy->submitted.ms ? -1 : 1;
+    if (x->aged != y->aged)
+        return x->aged ? -1 : 1;
+    if (x->place_ms != y->place_ms)
+        return x->place_ms < y->place_ms ? -1 : 1;
     return strcmp(x->id.s, y->id.s);
 }
 
+/* Aged jobs and those that may be in time take turns: either alone at the front would make all the
+ * others late. */
+static void take_turns(GPtrArray *ready)
+{
+    guint aged = 0, timely = 0;
+    for (guint i = 0; i < ready->len; i++) {
+        struct ljob *j = ready->pdata[i];
+        aged += j->aged;
+        timely += !j->aged && j->in_time;
+    }
+    if (!aged || !timely)
+        return;
+    GPtrArray *out = g_ptr_array_sized_new(ready->len);
+    for (guint i = 0; i < MAX(aged, timely); i++) {
+        if (i < aged)
+            g_ptr_array_add(out, ready->pdata[i]);
+        if (i < timely)
+            g_ptr_array_add(out, ready->pdata[aged + i]);
+    }
+    memcpy(ready->pdata, out->pdata, out->len * sizeof *out->pdata);
+    g_ptr_array_unref(out);
+}
+
 /* What a team may deal in its turn. Jobs that have no more to deal in this rank, or no room, are
  * passed over until the next pass; false when the team is through with the rank. */
 static bool deal_turn(struct leader *l, struct lteam *t, int rank, int budget, int *dealt)
@@ -693,11 +733,14 @@
             continue;
         j->in_time = still_in_time(l, j, v);
         j->view = v;
+        j->place_ms = v->submitted.ms + (int64_t)(SIZE_COUNTS * 1000 * keeps_busy_s(l, j, v));
         g_ptr_array_add(l->teams[j->team].ready, j);
         any = true;
     }
-    for (int i = 0; i < l->n_teams; i++)
-        g_ptr_array_sort(l->teams[i].ready, by_arrival);
+    for (int i = 0; i < l->n_teams; i++) {
+        g_ptr_array_sort(l->teams[i].ready, by_place);
+        take_turns(l->teams[i].ready);
+    }
     return any;
 }
 
--- a/src/leader_scale.c
+++ b/src/leader_scale.c
@@ -154,11 +154,22 @@
         want(l, rooms, orders, s, j->room, n, yard, false);
 }
 
+/* What waits of the job and may run, after all that goes before it in its team. */
+static int64_t count_wanted(struct leader *l, struct ljob *j, struct job *v)
+{
+    struct lteam *t = &l->teams[j->team];
+    struct room left =
+        room_left((struct room){t->team->cpus_max, t->team->gpus_max, {INT64_MAX / 4}}, t->used);
+    int64_t n = MIN(leader_count_allowed(l, j, v), room_times(room_left(left, t->wanted), j->room));
+    room_add(&t->wanted, (struct room){{j->room.cpus.milli * n}, {j->room.gpus.milli * n}, {0}});
+    return n;
+}
+
 static void want_job(struct leader *l, GArray *rooms, GArray *orders, struct ljob *j, struct job *v,
                      bool pressing)
 {
     const struct spec *s = v->spec;
-    int64_t n = leader_count_allowed(l, j, v);
+    int64_t n = count_wanted(l, j, v);
     if (!s->apart) {
         want_tasks(l, rooms, orders, j, s, n, NULL, pressing);
         return;
@@ -288,6 +299,8 @@
     GArray *rooms = g_array_new(FALSE, FALSE, sizeof(struct planned));
     GArray *orders = g_array_new(FALSE, FALSE, sizeof(struct offer));
     fleet_forget_unsent(l->fleet);
+    for (int i = 0; i < l->n_teams; i++)
+        l->teams[i].wanted = (struct room){0};
     incoming(l, rooms);
     /* Ordinary machines are rented for work that spot machines could do only when these would not
      * get to it in time, behind all that goes before it. */
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -33,8 +33,10 @@
     GHashTable *entries, *deals; /* index + 1 -> */
     uint32_t cursor;             /* no task below it waits */
     bool finishing;
-    bool blocked; /* in this pass: no machine has room */
-    bool in_time; /* in this pass: what its class is expected to do can still be done */
+    bool blocked;     /* in this pass: no machine has room */
+    bool in_time;     /* in this pass: what its class is expected to do can still be done */
+    bool aged;        /* in this pass: it has waited for so long that it has its place again */
+    int64_t place_ms; /* in its team's queue */
     mono_time not_before, preempted_at;
     int failures;
     GHashTable *failed_on;
@@ -68,6 +70,7 @@
     const struct team *team;
     struct room used;    /* on record or dealt */
     struct room halting; /* of that, told to stop */
+    struct room wanted;  /* beyond that, by what waits, while it is worked out what to rent */
     double deficit;
     GPtrArray *ready; /* struct ljob, in this pass */
     guint at;         /* in ready: those before it are through with this rank */
