--- a/src/policy.c
+++ b/src/policy.c
@@ -32,7 +32,7 @@
     {"service_spare", "1.0", NUMBER, load_inputs, 0, 100},
     {"idle_s", "40", NUMBER,
      load_inputs | BIT(INPUT_TYPE) | BIT(INPUT_ZONE) | BIT(INPUT_SPOT) | BIT(INPUT_CPUS), 1, 86400},
-    {"rent_ordinary", "backlog_s > 10 * patience_s", FLAG,
+    {"rent_ordinary", "backlog_s > 1.5 * patience_s", FLAG,
      job_inputs | load_inputs | BIT(INPUT_BACKLOG_S) | BIT(INPUT_PATIENCE_S), 0, 0},
     {"preempt", "priority == \"prod\" or priority == \"high\"", FLAG, job_inputs | load_inputs, 0,
      0},
