--- a/src/leader.c
+++ b/src/leader.c
@@ -16,6 +16,7 @@
     EXCLUDE_MS = 20000,
     AVOID_MS = 1500,
     SWEEP_MS = 5000,
+    STUCK_S = 20,
 };
 
 /* A machine is slow when its tasks take so many times as long as the others of their jobs. */
@@ -401,6 +402,29 @@
     return (!v || !v->spec) && !g_hash_table_size(j->entries) && !j->finishing;
 }
 
+/* A task that is neither recorded nor given back for long would wait for ever, whatever became of
+ * it: a new epoch makes all that was dealt void. */
+static void raise_for_stuck_deals(struct leader *l)
+{
+    mono_time now = loop_now(l->loop);
+    GHashTableIter it, deals;
+    struct ljob *j;
+    struct deal *d;
+    g_hash_table_iter_init(&it, l->jobs);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&j)) {
+        struct job *v = view_job(l->view, j->id.s);
+        /* The switch rule may keep a task back for a twentieth of its time. */
+        double most = STUCK_S + (v && v->spec ? v->spec->expected_s * 0.1 : 0);
+        g_hash_table_iter_init(&deals, j->deals);
+        while (g_hash_table_iter_next(&deals, NULL, (gpointer *)&d))
+            if ((double)time_ms_since(now, d->since) > most * 1000) {
+                LOG_INFO("deal_stuck", "job=%s machine=%s", j->id.s, d->host->id.s);
+                membership_raise(l->members, "a deal is stuck");
+                return;
+            }
+    }
+}
+
 static void swept(void *arg, const struct txn_outcome *o)
 {
     (void)o;
@@ -673,10 +697,12 @@
     if (!membership_leads(l->members) || !l->leading || epoch != l->epoch.v ||
         epoch != l->view->epoch.v || seq <= lpart_make(l, from)->digest_seq)
         return 409;
-    lpart_make(l, from)->digest_seq = seq;
     GHashTableIter it;
     struct lhost *h;
     bool whole = cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(m, "whole"));
+    if (!whole && !lpart_make(l, from)->digested)
+        return 409; /* then the next one is whole */
+    lpart_make(l, from)->digest_seq = seq;
     g_hash_table_iter_init(&it, l->hosts);
     while (whole && g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
         if (h->owner && strcmp(h->owner, from) == 0)
@@ -777,6 +803,7 @@
     if (time_ms_since(loop_now(l->loop), l->swept_at) > SWEEP_MS) {
         l->swept_at = loop_now(l->loop);
         sweep_pages(l);
+        raise_for_stuck_deals(l);
     }
     if (leader_ready_to_deal(l))
         pass(l);
--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -194,6 +194,7 @@
     struct deal *d = g_new0(struct deal, 1);
     d->attempt = attempt;
     d->host = h;
+    d->since = loop_now(l->loop);
     g_strlcpy(d->yard, h->yard, sizeof d->yard);
     g_hash_table_insert(j->deals, leader_key_of(index), d);
     room_add(&h->dealt, j->room);
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -19,6 +19,7 @@
 struct deal {
     attempt_no attempt;
     struct lhost *host; /* where there was room; the part may choose another of its machines */
+    mono_time since;
     char yard[48];
 };
 
--- a/src/part.c
+++ b/src/part.c
@@ -137,15 +137,23 @@
     }
 }
 
-/* What was placed and is in no transaction has not been started, and never will be. */
+/* What was placed and is in no transaction has not been started, and never will be: it goes back to
+ * the leader, which would take it for dealt for ever. If it may be recorded by a transaction that
+ * nobody knows the end of, only a new epoch settles it. */
 static void drop_news(struct part *p, struct host *h)
 {
     for (guint i = 0; i < h->runs->len;) {
         struct run *r = h->runs->pdata[i];
-        if (r->phase == RUN_NEW && !r->in_txn)
-            part_run_remove(p, h, i);
-        else
+        if (r->phase != RUN_NEW || r->in_txn) {
             i++;
+            continue;
+        }
+        struct dealt d = {.job = r->job, .index = r->index, .attempt = r->attempt};
+        if (r->tried)
+            p->want_raise = true;
+        else
+            part_give_back(p, &d);
+        part_run_remove(p, h, i);
     }
 }
 
@@ -381,6 +389,7 @@
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
         drop_news(p, h);
+        p->want_raise = false; /* the epoch is new */
         if (h->gone)
             g_ptr_array_add(gone, g_strdup(h->id.s));
         else if (!h->known)
@@ -391,6 +400,7 @@
         host_is_gone(p, gone->pdata[i]);
     }
     g_ptr_array_unref(gone);
+    g_array_set_size(p->back, 0);
     part_digest_soon(p);
 }
 
--- a/src/part_host.c
+++ b/src/part_host.c
@@ -264,6 +264,7 @@
     if (t->state == TASK_RUNNING && !r->running_at.us)
         r->running_at = loop_now(p->loop);
     r->seen = true;
+    r->vanished = false;
     r->state = t->state;
     if (t->state == TASK_RUNNING || (t->state == TASK_EXITED && t->cause == CAUSE_DONE)) {
         struct job *j = view_job(p->view, r->job.s);
@@ -302,10 +303,11 @@
     /* Never sent by us, or sent with a lower token than the worker has seen since: no copy of the
      * command can start it any more. */
     bool proven = rep->helm > r->sent_helm.v;
-    if (r->stop || was_seen) {
+    if (r->stop || was_seen || r->vanished) {
+        r->vanished = r->vanished || was_seen;
         if (proven)
             run_over(p, h, r, false);
-        else if (r->stop && time_ms_since(loop_now(p->loop), r->sent_at) > 1000)
+        else if (time_ms_since(loop_now(p->loop), r->sent_at) > 1000)
             p->want_raise = true;
     }
 }
--- a/src/part_place.c
+++ b/src/part_place.c
@@ -176,7 +176,7 @@
               h->id.s, d->class, pool, part_host_has_image(h, s->image));
 }
 
-static void give_back(struct part *p, struct dealt *d)
+void part_give_back(struct part *p, const struct dealt *d)
 {
     g_array_append_val(p->back, *d);
     part_digest_soon(p);
@@ -193,7 +193,7 @@
             return true;
         if (time_ms_since(now, d->since) < GIVE_BACK_MS)
             return false;
-        give_back(p, d);
+        part_give_back(p, d);
         return true;
     }
     const struct spec *s = j->spec;
@@ -225,7 +225,7 @@
     if (v.none)
         p->none_for = d;
     if (v.none && (time_ms_since(now, d->since) > GIVE_BACK_MS || d->at[0])) {
-        give_back(p, d);
+        part_give_back(p, d);
         return true;
     }
     return false;
--- a/src/part_record.c
+++ b/src/part_record.c
@@ -400,6 +400,7 @@
                     (r->phase == RUN_NEW && described && j &&
                      w->text->len + task_bytes(h, r->job) <= limit && batch_job(b, j));
         any = any || r->in_txn;
+        r->tried = r->tried || r->in_txn;
         if (r->phase == RUN_RECORDED || (r->phase == RUN_NEW && r->in_txn) ||
             (r->phase == RUN_FREEING && !r->in_txn))
             page_write_task(w, h->id, r->job, r->attempt, r->index);
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -22,8 +22,10 @@
     bool service;
     enum run_phase phase;
     bool in_txn;
+    bool tried;  /* it was in a transaction, of which nobody may know what became */
     bool listed; /* in the report at hand */
     bool seen;
+    bool vanished; /* it was seen, and is not any more, with no proof that it is over */
     enum task_state state;
     bool done;           /* with RUN_FREEING: it completed */
     epoch_no sent_helm;  /* the highest token that a run command for it may have carried */
@@ -74,6 +76,7 @@
     bool shut;         /* the leader wants nothing more placed there: it is slow, or sick */
     bool push_out, push_wanted, probe_out;
     mono_time probed;
+    uint64_t probed_shift, probed_tally; /* known when the probe went out */
     int probe_fails;
 };
 
@@ -195,5 +198,7 @@
 /* part_place.c: queues and placement */
 bool part_host_open(struct part *p, struct host *h);
 void part_place_all(struct part *p);
+/* Back to the leader. */
+void part_give_back(struct part *p, const struct dealt *d);
 
 #endif
--- a/src/part_worker.c
+++ b/src/part_worker.c
@@ -114,7 +114,7 @@
     return false;
 }
 
-static bool answer_report(struct part *p, struct host *h, const struct net_answer *a)
+static bool answer_report(struct part *p, struct host *h, const struct net_answer *a, bool probe)
 {
     if (a->status != 200 && a->status != 409)
         return false;
@@ -125,7 +125,14 @@
     if (!ok)
         return false;
     ok = host_eq(rep.host, h->id) && plausible(p, h, &rep);
-    if (ok && (!h->known || newer(h, &rep)))
+    /* An answer is no copy. If it counts less than what was known when it was asked for, the worker
+     * has begun anew: what it lacks is gone, though its session may have the same number. */
+    bool anew = h->known && probe &&
+                (rep.shift < h->probed_shift ||
+                 (rep.shift == h->probed_shift && rep.tally <= h->probed_tally));
+    if (anew)
+        LOG_INFO("worker_anew", "machine=%s", h->id.s);
+    if (ok && (!h->known || newer(h, &rep) || anew))
         part_host_reported(p, h, &rep);
     if (ok) {
         part_host_reached(p, h);
@@ -152,7 +159,7 @@
                     r->sent_at = (mono_time){0};
             }
         }
-        answer_report(p, h, a);
+        answer_report(p, h, a, false);
         if (h->push_wanted) {
             h->push_wanted = false;
             part_push(p, h);
@@ -196,7 +203,7 @@
     struct host *h = part_host_get(p, c->host.s);
     if (h) {
         h->probe_out = false;
-        if (!answer_report(p, h, a))
+        if (!answer_report(p, h, a, true))
             h->probe_fails++;
         else
             part_push(p, h);
@@ -217,6 +224,8 @@
     c->host = h->id;
     h->probe_out = true;
     h->probed = now;
+    h->probed_shift = h->shift;
+    h->probed_tally = h->tally;
     struct net_request q = {h->addr, "GET", "/status", NULL, 0, PROBE_TIMEOUT_MS};
     p->net->request(p->net, &q, probe_answered, c);
 }
@@ -339,8 +348,11 @@
     struct host *h = part_host_get(p, rep->host.s);
     if (g_hash_table_contains(p->buried, rep->host.s) || !plausible(p, h, rep) ||
         (h && (h->gone || (h->known && !newer(h, rep))))) {
-        /* Held back on its way: whoever sent it has long given up. */
+        /* Held back on its way: whoever sent it has long given up. Or its worker has begun anew,
+         * which only its answer can tell. */
         reply_text(replier, from, 503, g_strdup("{}"));
+        if (h && !h->gone)
+            part_probe(p, h);
         return;
     }
     h = host_of_report(p, rep);
--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -422,6 +422,51 @@
     assert_int_equal(world_on_machines(w, "wk-2"), 3);
 }
 
+/* The same, but its sessions are counted from one again, with lower numbers than before. Its
+ * reports cannot be told from old copies; its answer can. */
+static void a_worker_that_counts_anew_is_believed(void **state)
+{
+    struct world *w = *state;
+    two_ordinary_machines(w);
+    world_submit(w, 0, "wk-1", "daemon", 4);
+    world_run(w, 8000);
+    struct worker *k = worker_of(w, "wk-1", 0);
+    g_array_set_size(k->tasks, 0);
+    k->shift = 1;
+    k->tally = k->helm = 0;
+    k->lease_from = loop_now(w->loop);
+    world_run(w, 7000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 4);
+    assert_true(k->shift == 1); /* its lease did not have to run out first */
+}
+
+static enum fate refuse_pages(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    return strcmp(r->path, "/txn") == 0 && strstr(r->body, "ll/p/") ? FATE_REFUSED : FATE_NORMAL;
+}
+
+/* A task is placed on a machine that goes before its start is on record. It used to stay dealt in
+ * the leader's ledger, and so never ran. */
+static void what_was_placed_on_a_machine_that_goes_is_dealt_again(void **state)
+{
+    struct world *w = *state;
+    w->capacity = 0;
+    struct worker *old = world_worker(w, 7, "a", true);
+    world_run(w, 3000);
+    w->fate = refuse_pages;
+    world_submit(w, 0, "wk-1", "sweep", 2);
+    world_run(w, 1000);
+    old->silent = true;
+    world_run(w, 9000);
+    assert_false(old->up);
+    w->fate = NULL;
+    world_worker(w, 6, "b", true);
+    world_run(w, 8000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 2);
+}
+
 /* More records than one page holds, on pages that change hands when nodes go and come: the state
  * service takes no value that is too long, which the world asserts, so a page that is reckoned
  * emptier than it is would stop all that is written. */
@@ -509,6 +554,8 @@
         WORLD_TEST(what_a_dead_process_sent_comes_late),
         WORLD_TEST(all_nodes_back_at_once_go_on),
         WORLD_TEST(a_leader_goes_on_after_an_outage),
+        WORLD_TEST(a_worker_that_counts_anew_is_believed),
+        WORLD_TEST(what_was_placed_on_a_machine_that_goes_is_dealt_again),
         WORLD_TEST(full_pages_change_hands),
         WORLD_TEST(a_worker_back_with_a_new_session_lost_its_tasks),
     };
