--- a/src/policy.c
+++ b/src/policy.c
@@ -30,7 +30,7 @@
 } settings_known[POLICY_SETTINGS] = {
     {"spare_cpus", "0.12 * peak_cpus", NUMBER, load_inputs, 0, 1e6},
     {"service_spare", "1.0", NUMBER, load_inputs, 0, 100},
-    {"idle_s", "40", NUMBER,
+    {"idle_s", "if spot then 40 else 15", NUMBER,
      load_inputs | BIT(INPUT_TYPE) | BIT(INPUT_ZONE) | BIT(INPUT_SPOT) | BIT(INPUT_CPUS), 1, 86400},
     {"rent_ordinary", "backlog_s > 1.5 * patience_s", FLAG,
      job_inputs | load_inputs | BIT(INPUT_BACKLOG_S) | BIT(INPUT_PATIENCE_S), 0, 0},
