--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -440,12 +440,13 @@
     return out;
 }
 
-static struct clearing *cheapest(GArray *all)
+static struct clearing *cheapest(struct leader *l, const struct claim *c, GArray *all)
 {
     struct clearing *best = NULL;
     for (guint i = 0; i < all->len; i++) {
         struct clearing *x = &g_array_index(all, struct clearing, i);
-        if (x->loss >= 0 && (!best || x->loss < best->loss))
+        if (x->loss >= 0 && (!best || x->loss < best->loss) &&
+            zone_allowed(l, c->job, c->view->spec, x->host->zone))
             best = x;
     }
     return best;
@@ -503,7 +504,7 @@
     GArray *all = clearings(l, &c);
     int64_t n = MIN(leader_count_allowed(l, j, v), PREEMPT_TASKS);
     for (int64_t k = 0; k < n; k++) {
-        struct clearing *best = cheapest(all);
+        struct clearing *best = cheapest(l, &c, all);
         if (!best) {
             if (k == 0 && moves)
                 make_way(l, j, v);
@@ -511,8 +512,10 @@
         }
         clear_room(l, &c, best);
         weigh(l, &c, best);
-        if (zone_bound(v->spec))
-            break; /* the zones are counted anew once this one is placed */
+        if (v->spec->one_zone)
+            break; /* the zone is settled once this one is placed */
+        if (best->host->zone >= 0)
+            l->zone_tasks[best->host->zone]++;
     }
     g_array_unref(all);
 }
--- a/src/score.c
+++ b/src/score.c
@@ -10,7 +10,8 @@
     /* Who is in a hurry does not wait for an image; for the others a fetch costs less than the
      * price of an ordinary machine. */
     double image = s->urgency <= URGENCY_HIGH ? 8 : 2;
-    /* An ordinary machine that no service holds was rented for a backlog: it is left to run empty. */
+    /* An ordinary machine that no service holds was rented for a backlog: it is left to run empty.
+     */
     double dear = !f->loaner && f->pinned <= 0 ? 6 : 0;
     return image * f->image + 4 * f->loaner + f->pinned + f->booked - dear;
 }
