Services hold out for a machine with their image for a moment

Cause: a third of the replicas of depot-routes missed 3 s, as a fetch takes 4 to 6 s, while machines with the image ran arrays.

--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -9,6 +9,7 @@
     MOVE_AFTER_MS = 35000, /* a start counts once it has run for a while */
     PREEMPT_TASKS = 32,
     PREEMPT_MS = 1000, /* for what was stopped to be off the record */
+    HOLD_OUT_MS = 1200,
     ATTEMPT_BITS = 20,
     MOST_DEFICIT = 10000000,
 };
@@ -146,12 +147,13 @@
 
 /* The machines that could take a task of the job, the best first. What a machine takes makes it
  * only better, so the order holds while it is being filled. */
-static GArray *choices(struct leader *l, struct ljob *j, const struct spec *s)
+static GArray *choices(struct leader *l, struct ljob *j, const struct spec *s, bool image)
 {
     GArray *out = g_array_new(FALSE, FALSE, sizeof(struct choice));
     for (guint i = 0; i < l->open->len; i++) {
         struct lhost *h = l->open->pdata[i];
-        if (!room_holds(leader_host_free_room(h), j->room) || !host_allowed(l, j, s, h))
+        if (!room_holds(leader_host_free_room(h), j->room) || !host_allowed(l, j, s, h) ||
+            (image && !host_has_image(h, s->image)))
             continue;
         struct choice c = {h, host_score(l, h, s)};
         g_array_append_val(out, c);
@@ -314,6 +316,7 @@
     struct ljob *job;
     struct job *view;
     bool over_lower, over_borrowed;
+    bool image; /* on machines with its image only */
 };
 
 /* Services are not stopped for a guarantee. */
@@ -430,7 +433,8 @@
     for (guint i = 0; i < l->open->len; i++) {
         struct lhost *h = l->open->pdata[i];
         if (!room_holds(room_left(h->total, h->pinned), c->job->room) ||
-            !host_allowed(l, c->job, c->view->spec, h))
+            !host_allowed(l, c->job, c->view->spec, h) ||
+            (c->image && !host_has_image(h, c->view->spec->image)))
             continue;
         struct clearing x = {.host = h};
         weigh(l, c, &x);
@@ -489,7 +493,7 @@
 
 /* Makes room for tasks that fit nowhere, by stopping work of lower priority where that loses the
  * least. What is stopped is off the record a moment later, and ranks behind. */
-static void preempt(struct leader *l, struct ljob *j, struct job *v)
+static void preempt(struct leader *l, struct ljob *j, struct job *v, bool image)
 {
     mono_time now = loop_now(l->loop);
     /* Just after a change of epoch much of the room is not known yet. */
@@ -497,7 +501,7 @@
         time_ms_since(now, l->epoch_at) < (int64_t)(l->settings->report_s * 1250))
         return;
     j->preempted_at = now;
-    struct claim c = {j, v, leader_may_preempt(l, v->spec), guaranteed(l, j, v)};
+    struct claim c = {j, v, leader_may_preempt(l, v->spec), guaranteed(l, j, v), image};
     bool moves = v->spec->form == FORM_SERVICE && v->spec->apart;
     if (!claim_has_hope(l, &c) && !moves)
         return;
@@ -520,15 +524,34 @@
     g_array_unref(all);
 }
 
+/* People wait on a service, and a fetch takes longer than to stop other work where the image is:
+ * for a moment only such machines will do, if there are any. */
+static bool holds_out_for_image(struct leader *l, struct ljob *j, struct job *v)
+{
+    const struct spec *s = v->spec;
+    if (s->urgency != URGENCY_PROD || loop_wall(l->loop).ms - v->submitted.ms > HOLD_OUT_MS ||
+        !leader_may_preempt(l, s))
+        return false;
+    count_zones(l, j, s);
+    for (guint i = 0; i < l->open->len; i++) {
+        struct lhost *h = l->open->pdata[i];
+        if (host_has_image(h, s->image) && room_holds(room_left(h->total, h->pinned), j->room) &&
+            host_allowed(l, j, s, h))
+            return true;
+    }
+    return false;
+}
+
 /* Deals so many tasks at most, to the best machines; tells how many. */
 static int deal_some(struct leader *l, struct ljob *j, struct job *v, int most)
 {
     int n = (int)MIN(most, leader_count_allowed(l, j, v)), dealt = 0;
     if (n <= 0)
         return 0;
+    bool image = holds_out_for_image(l, j, v);
     if (!is_full(l, j, v->spec)) {
         count_zones(l, j, v->spec);
-        GArray *hosts = choices(l, j, v->spec);
+        GArray *hosts = choices(l, j, v->spec, image);
         attempt_no attempt = next_attempt(l);
         for (guint i = 0; i < hosts->len && dealt < n; i++) {
             struct lhost *h = g_array_index(hosts, struct choice, i).host;
@@ -546,13 +569,13 @@
                 }
             }
         }
-        if (!hosts->len)
+        if (!hosts->len && !image)
             note_full(l, j, v->spec);
         g_array_unref(hosts);
     }
     if (!dealt) {
         j->blocked = true;
-        preempt(l, j, v);
+        preempt(l, j, v, image);
     }
     return dealt;
 }
@@ -560,7 +583,7 @@
 static struct lhost *best_host(struct leader *l, struct ljob *j, const struct spec *s)
 {
     count_zones(l, j, s);
-    GArray *c = choices(l, j, s);
+    GArray *c = choices(l, j, s, false);
     struct lhost *h = c->len ? g_array_index(c, struct choice, 0).host : NULL;
     g_array_unref(c);
     return h;
