--- a/src/http_client.c
+++ b/src/http_client.c
@@ -9,6 +9,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+enum { MOST_PLACES = 2000 };
+
 struct client;
 struct place;
 
@@ -76,6 +78,24 @@
     loop_free_later(c->loop, l);
 }
 
+/* Machines come and go: addresses that nothing is sent to any more are forgotten now and then. */
+static void forget_places(struct client *c)
+{
+    if (g_hash_table_size(c->places) < MOST_PLACES)
+        return;
+    GHashTableIter it;
+    struct place *p;
+    g_hash_table_iter_init(&it, c->places);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&p)) {
+        if (p->links->len || p->waiting.head)
+            continue;
+        g_hash_table_iter_remove(&it);
+        g_ptr_array_unref(p->links);
+        g_free(p->addr);
+        g_free(p);
+    }
+}
+
 /* Ends the connection and, with it, what it was carrying. */
 static void link_fail(struct link *l)
 {
@@ -311,6 +331,7 @@
     struct client *c = (struct client *)net;
     struct place *p = g_hash_table_lookup(c->places, q->addr);
     if (!p) {
+        forget_places(c);
         p = g_new0(struct place, 1);
         p->addr = g_strdup(q->addr);
         g_queue_init(&p->waiting);
--- a/src/view.c
+++ b/src/view.c
@@ -7,6 +7,11 @@
 
 enum { BLOCK_MS = 2000, ANSWER_MS = 2500, RETRY_MS = 250, AWAIT_MS = 1800, PAGE = 500 };
 
+enum {
+    PAUSE_MS = 8000,   /* without an answer */
+    MOST_MISSED = 300, /* revisions that are asked for in one answer after that */
+};
+
 struct view_waiter {
     revision at;
     mono_time give_up;
@@ -764,6 +769,28 @@
 
 /* ---- the watch ---- */
 
+static void watch_send(struct view *v);
+
+/* An answer to a watch holds all that has changed, however much that is. After a pause it may be
+ * more than the process has memory for, while the keys themselves come in pages. */
+static void gap_answered(void *arg, const struct net_answer *a)
+{
+    struct view *v = arg;
+    json_object *o = a->status == 200 ? json_read(a->body, a->len) : NULL;
+    uint64_t ledger;
+    bool ok = json_u64(o, "Ledger", &ledger);
+    json_object_put(o);
+    if (!ok) {
+        timer_start(v->loop, &v->watch_timer, RETRY_MS);
+    } else if (ledger > v->at.v + MOST_MISSED) {
+        LOG_INFO("watch_behind", "revision=%" G_GUINT64_FORMAT " newest=%" G_GUINT64_FORMAT,
+                 v->at.v, ledger);
+        reload(v);
+    } else {
+        watch_send(v);
+    }
+}
+
 static void watch_answered(void *arg, const struct net_answer *a)
 {
     struct view *v = arg;
@@ -820,7 +847,16 @@
         return;
     }
     v->watch_level -= 1;
-    v->asked = now;
+    if (time_ms_since(now, v->fresh) > PAUSE_MS)
+        store_request(v->store, LANE_WATCH, "GET", "/keys?Starts=" KEY_MAP "&Page=1", NULL,
+                      ANSWER_MS, 10000, 0, gap_answered, v);
+    else
+        watch_send(v);
+}
+
+static void watch_send(struct view *v)
+{
+    v->asked = loop_now(v->loop);
     char *path = g_strdup_printf("/watch?Starts=" KEY_ROOT "&From=%" G_GUINT64_FORMAT "&BlockMs=%d",
                                  v->at.v, BLOCK_MS);
     store_request(v->store, LANE_WATCH, "GET", path, NULL, BLOCK_MS + 1500, 10000, 0,
--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -423,6 +423,26 @@
     assert_int_equal(world_on_machines(w, "wk-2"), 3);
 }
 
+/* A node is away from the state service while much changes: one answer with all of it could be more
+ * than its memory, so it reads the keys in pages. */
+static void a_node_that_was_away_reads_pages(void **state)
+{
+    struct world *w = *state;
+    lone_node = (world_leader_index(w) + 1) % 3;
+    w->fate = only_workers;
+    world_run(w, 3000);
+    for (int i = 0; i < 900; i++) {
+        world_put(w, "ll/j/wk-1", "{\"f\":\"done\",\"n\":1}");
+        world_run(w, 10);
+    }
+    w->most_news = 0;
+    w->fate = NULL;
+    world_run(w, 6000);
+    assert_in_range(w->most_news, 0, 350);
+    world_expect_stage(w, lone_node, "wk-1", "done");
+    assert_true(w->nodes[lone_node]->view->at.v == w->ledger);
+}
+
 /* The same, but its sessions are counted from one again, with lower numbers than before. Its
  * reports cannot be told from old copies; its answer can. */
 static void a_worker_that_counts_anew_is_believed(void **state)
@@ -557,6 +577,7 @@
         WORLD_TEST(what_a_dead_process_sent_comes_late),
         WORLD_TEST(all_nodes_back_at_once_go_on),
         WORLD_TEST(a_leader_goes_on_after_an_outage),
+        WORLD_TEST(a_node_that_was_away_reads_pages),
         WORLD_TEST(a_worker_that_counts_anew_is_believed),
         WORLD_TEST(what_was_placed_on_a_machine_that_goes_is_dealt_again),
         WORLD_TEST(full_pages_change_hands),
--- a/tests/world.c
+++ b/tests/world.c
@@ -169,6 +169,7 @@
         json_put_u64(x, "Stamp", e->rev);
         json_object_array_add(news, x);
     }
+    w->most_news = MAX(w->most_news, (guint)json_object_array_length(news));
     json_object_object_add(o, "News", news);
     flight_result(f, 200, o);
 }
--- a/tests/world.h
+++ b/tests/world.h
@@ -64,8 +64,9 @@
     int process[WORLD_NODES]; /* counts a node's processes: an address may be used again */
     fate_fn fate;
     bool state_down;
-    int too_old;   /* watches that are answered 410 */
-    int deaf_node; /* neither hears workers nor reaches them; -1: none */
+    int too_old;     /* watches that are answered 410 */
+    guint most_news; /* in one answer to a watch */
+    int deaf_node;   /* neither hears workers nor reaches them; -1: none */
     /* state service */
     GTree *keys;
     uint64_t ledger, next_lease;
