Machines that go at once are taken off the records a few a transaction

A wave of returns put more removals into one transaction than it may hold; it was refused for ever and the part wrote nothing any more.

--- a/src/part_record.c
+++ b/src/part_record.c
@@ -341,6 +341,24 @@
     return true;
 }
 
+/* Takes a machine that is gone off the records. Many may go at once, in a wave of returns, so the
+ * rest wait for the next transaction: one with too many writes is refused for ever. */
+static void batch_forget(struct batch *b, struct host *h)
+{
+    guint pages = b->foreign->len > 0;
+    for (guint i = 0; i < b->texts->len; i++)
+        pages += b->texts->pdata[i] != NULL;
+    if (txn_writes(b->txn) + pages + 1 > (guint)store_limits(b->part->store)->txn_ops) {
+        part_host_dirty(b->part, h);
+        return;
+    }
+    char *key = key_host(h->id);
+    txn_when(b->txn, key, h->stamp);
+    txn_remove(b->txn, key);
+    g_free(key);
+    h->removing = true;
+}
+
 /* A start may be recorded while its job is as it was seen. */
 static bool batch_job(struct batch *b, const struct job *j)
 {
@@ -407,13 +425,8 @@
         if (!r->in_txn && (r->phase == RUN_NEW || r->phase == RUN_FREEING))
             part_host_dirty(p, h); /* with the next one */
     }
-    if (h->gone && h->stamp.v) {
-        char *key = key_host(h->id);
-        txn_when(b->txn, key, h->stamp);
-        txn_remove(b->txn, key);
-        g_free(key);
-        h->removing = true;
-    }
+    if (h->gone && h->stamp.v)
+        batch_forget(b, h);
     h->page_moved = h->page_from >= 0 && page_after(b, h) == h->page;
     if (any || h->described || h->gone || *h->foreign || h->page_moved) {
         h->in_txn = true;
--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -423,6 +423,29 @@
     assert_int_equal(world_on_machines(w, "wk-2"), 3);
 }
 
+/* More machines go at once than a transaction may hold writes for, which the world asserts. */
+static void many_machines_go_at_once(void **state)
+{
+    struct world *w = *state;
+    world_kill(w, 1);
+    world_kill(w, 2);
+    w->capacity = 0;
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        world_worker(w, i, i % 2 ? "a" : "b", true);
+    world_run(w, 6000);
+    world_submit(w, 0, "wk-1", "daemon", 32);
+    world_run(w, 4000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 32);
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        w->workers[i].silent = true;
+    world_run(w, 12000);
+    assert_int_equal(w->returned, WORLD_WORKERS);
+    assert_int_equal(g_hash_table_size(w->nodes[0]->view->hosts), 0);
+    world_worker(w, 3, "a", true);
+    world_run(w, 5000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 4);
+}
+
 /* A node is away from the state service while much changes: one answer with all of it could be more
  * than its memory, so it reads the keys in pages. */
 static void a_node_that_was_away_reads_pages(void **state)
@@ -577,6 +600,7 @@
         WORLD_TEST(what_a_dead_process_sent_comes_late),
         WORLD_TEST(all_nodes_back_at_once_go_on),
         WORLD_TEST(a_leader_goes_on_after_an_outage),
+        WORLD_TEST(many_machines_go_at_once),
         WORLD_TEST(a_node_that_was_away_reads_pages),
         WORLD_TEST(a_worker_that_counts_anew_is_believed),
         WORLD_TEST(what_was_placed_on_a_machine_that_goes_is_dealt_again),
--- a/tests/world.c
+++ b/tests/world.c
@@ -788,7 +788,7 @@
            "gpus = 0.0\ngpus_max = 0.0\n"
            "[deployment.workers]\nreport_s = 1.0\nlease_s = 10.0\ngang_wait_s = 20.0\n"
            "gang_peer_s = 4.0\ncancel_s = 30.0\n"
-           "[deployment.state]\nrps = 400.0\nwrite_rps = 200.0\nvalue_kb = 8.0\ntxn_ops = 16\n"
+           "[deployment.state]\nrps = 400.0\nwrite_rps = 200.0\nvalue_kb = 8.0\ntxn_ops = 6\n"
            "[deployment.cloud]\nrps = 3.0\nlist_lag_s = 2.0\n"
            "[deployment.machine_limits]\ncore_share = 0.1\nram_mb = 64.0\nfd_limit = 800\n");
     return g_string_free(s, FALSE);
