--- a/src/peers.h
+++ b/src/peers.h
@@ -15,13 +15,13 @@
 
 /* A node that the state service serves while it does not serve this one; NULL: none is known. */
 const char *peers_served(const struct peers *p);
-/* Until that moment no node can have told a user of a cancellation that this node does not know of,
- * as all of them said so: see docs/safety.md. {0}: nothing is known. */
 /* Neither the state service nor any other node answers this one: it is this node that is cut off.
  */
 bool peers_alone(const struct peers *p);
+/* Until that moment no node can have told a user of a cancellation that this node does not know of,
+ * as all of them said so: see docs/safety.md. {0}: nothing is known. */
 mono_time peers_quiet_until(const struct peers *p);
-/* This node tells a user that a job is cancelled. */
+/* This node tells a user that a job is cancelled, which its record says since that revision. */
 void peers_told_cancel(struct peers *p, revision of);
 
 #endif
--- a/src/store.c
+++ b/src/store.c
@@ -285,14 +285,6 @@
     return t->bytes;
 }
 
-bool txn_failed(const struct txn_outcome *o, const char *key)
-{
-    for (guint i = 0; o->failed && i < o->failed->len; i++)
-        if (strcmp(o->failed->pdata[i], key) == 0)
-            return true;
-    return false;
-}
-
 static void txn_answered(void *arg, const struct net_answer *a)
 {
     struct txn_call *c = arg;
--- a/src/store.h
+++ b/src/store.h
@@ -61,7 +61,6 @@
 guint txn_writes(const struct txn *t);
 guint txn_conditions(const struct txn *t);
 size_t txn_bytes(const struct txn *t);
-bool txn_failed(const struct txn_outcome *o, const char *key);
 /* Takes the transaction. */
 void store_txn(struct store *s, enum store_lane lane, struct txn *t, txn_done done, void *arg);
 
