--- a/src/fleet.c
+++ b/src/fleet.c
@@ -11,6 +11,7 @@
     REFUSED_MS = 15000,
     TYPES_MS = 60000,
     MOST_RENTED = 50,
+    MOST_GONE = 5000,
     MOST_RETURNED = 100,
     PAGE = 500,
 };
@@ -283,6 +284,13 @@
         if (!g_hash_table_contains(f->list_seen, m->id.s) &&
             time_ms_since(now, m->rented) > (int64_t)(lag * 1000))
             g_hash_table_iter_remove(&it);
+    /* What was returned long ago is not listed any more, and need not be remembered for ever. */
+    char *id;
+    g_hash_table_iter_init(&it, f->gone);
+    while (g_hash_table_size(f->gone) > MOST_GONE &&
+           g_hash_table_iter_next(&it, (gpointer *)&id, NULL))
+        if (!g_hash_table_contains(f->list_seen, id))
+            g_hash_table_iter_remove(&it);
     g_clear_pointer(&f->list_from, g_free);
     g_clear_pointer(&f->list_seen, g_hash_table_unref);
     f->list_at = now;
