--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -96,8 +96,8 @@
     }
     if (g_getenv("LOG_LEVEL"))
         print_message("served %d/%d %d/%d %d/%d %d/%d, largest %d/%d\n", served[0][0], all[0][0],
-                      served[0][1], all[0][1], served[1][0], all[1][0], served[1][1], all[1][1], begun,
-                      largest);
+                      served[0][1], all[0][1], served[1][0], all[1][0], served[1][1], all[1][1],
+                      begun, largest);
     for (int t = 0; t < 2; t++)
         for (int c = 0; c < 2; c++)
             if (served[t][c] * 4 < all[t][c] * 3)
