--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -171,6 +171,15 @@
     world_submit(w, 1, "wk-2", "daemon", 4);
     world_run(w, 3000);
     int starts = world_starts(w);
+    /* One of them from when the cloud had given notice, which was taken back. */
+    for (int m = 6; m <= 7; m++) {
+        char *notice =
+            swapped(w->workers[m].said->pdata[2], "\"Pieces\"", "\"RecallS\":5.0,\"Pieces\"");
+        for (int n = 0; n < WORLD_NODES; n++)
+            world_say_again(w, n, notice);
+        world_run(w, 300);
+        g_free(notice);
+    }
     for (int m = 6; m <= 7; m++)
         for (guint i = 0; i < w->workers[m].said->len; i++) {
             for (int n = 0; n < WORLD_NODES; n++)
