--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -217,7 +217,7 @@
 {
     (void)w;
     (void)node;
-    if (strcmp(r->path, "/txn") == 0 && strstr(r->body, "ll/j/") && lose_next > 0) {
+    if (strcmp(r->path, "/txn") == 0 && strstr(r->body, "ll\\/j\\/") && lose_next > 0) {
         lose_next--;
         return FATE_ANSWER_LOST;
     }
