--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -368,6 +368,49 @@
     assert_true(w->rented <= 6);
 }
 
+static enum fate hold_records_of_old(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    return holding && node == old_node && strcmp(r->path, "/txn") == 0 ? FATE_HELD : FATE_NORMAL;
+}
+
+/* Run records that a dead process wrote arrive when its successor has long written others under the
+ * same keys: they are conditioned on its node key, on the map and on the pages as they were. */
+static void late_records_of_a_dead_process_are_refused(void **state)
+{
+    struct world *w = *state;
+    w->capacity = 0;
+    for (int i = 3; i < WORLD_WORKERS; i++)
+        world_worker(w, i, i % 2 ? "a" : "b", false);
+    world_run(w, 4000);
+    world_submit(w, 0, "wk-0", "sweep", 20); /* the machines' own records are there already */
+    world_run(w, 4000);
+    assert_int_equal(world_on_machines(w, "wk-0"), 20);
+    worker_exit_all(w, "wk-0", "done");
+    world_run(w, 4000);
+    old_node = map_owner(w->nodes[0]->view, w->workers[4].id)[5] - '0';
+    w->fate = hold_records_of_old;
+    holding = true;
+    assert_int_equal(world_submit(w, (old_node + 1) % 3, "wk-1", "sweep", 20).status, 201);
+    world_run(w, 1500); /* the switch rule keeps them back for a moment */
+    assert_true(w->held->len > 0);
+    world_kill(w, old_node);
+    world_run(w, 150);
+    holding = false;
+    world_start(w, old_node);
+    world_run(w, 9000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 20);
+    int starts = world_starts(w);
+    world_deliver_held(w);
+    world_run(w, 9000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 20);
+    assert_int_equal(world_starts(w), starts);
+    worker_exit_all(w, "wk-1", "done");
+    world_run(w, 4000);
+    for (int i = 0; i < WORLD_NODES; i++)
+        world_expect_stage(w, i, "wk-1", "done");
+}
+
 static void all_nodes_back_at_once_go_on(void **state)
 {
     struct world *w = *state;
@@ -643,6 +686,7 @@
         WORLD_TEST(a_leader_with_workers_only_harms_nobody),
         WORLD_TEST(who_cannot_be_served_is_told_at_once),
         WORLD_TEST(what_a_dead_process_sent_comes_late),
+        WORLD_TEST(late_records_of_a_dead_process_are_refused),
         WORLD_TEST(all_nodes_back_at_once_go_on),
         WORLD_TEST(a_leader_goes_on_after_an_outage),
         WORLD_TEST(old_jobs_are_read_when_asked_for),
