--- a/src/bus.c
+++ b/src/bus.c
@@ -156,7 +156,7 @@
 }
 
 static void serve_relayed(struct bus *b, struct http_replier *replier, conn_ref from,
-                          const cJSON *m)
+                          const char *who, const cJSON *m)
 {
     const char *method = bus_text(m, "method"), *path = bus_text(m, "path"),
                *body = bus_text(m, "body");
@@ -164,7 +164,7 @@
         replier->reply(replier, from, 400, NULL, "{}", 2);
         return;
     }
-    struct http_request r = {method, path, "", body, strlen(body)};
+    struct http_request r = {method, path, "", body, strlen(body), who};
     b->relayed(b->relayed_ctx, replier, from, &r);
 }
 
@@ -184,7 +184,7 @@
         return;
     }
     if (strcmp(r->path, "/bus/relay") == 0) {
-        serve_relayed(b, replier, from, m);
+        serve_relayed(b, replier, from, who, m);
         cJSON_Delete(m);
         return;
     }
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -1,6 +1,7 @@
 #include "fleet.h"
 
 #include "log.h"
+#include "node.h"
 
 #include <math.h>
 
@@ -55,25 +56,23 @@
     g_free(c);
 }
 
-struct fleet *fleet_new(struct loop *loop, struct net *net, struct store *store, struct view *view,
-                        struct membership *members, const struct settings *settings,
-                        struct actor *listener)
+struct fleet *fleet_new(const struct node *n, struct actor *listener)
 {
     struct fleet *f = g_new0(struct fleet, 1);
-    f->loop = loop;
-    f->net = net;
-    f->store = store;
-    f->view = view;
-    f->members = members;
-    f->settings = settings;
+    f->loop = n->loop;
+    f->net = n->net;
+    f->store = n->store;
+    f->view = n->view;
+    f->members = n->members;
+    f->settings = n->settings;
     f->listener = listener;
     f->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     f->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     f->refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     f->to_return = g_ptr_array_new_with_free_func(g_free);
     g_queue_init(&f->charters);
-    f->level = settings->cloud_rps;
-    f->level_at = loop_now(loop);
+    f->level = f->settings->cloud_rps;
+    f->level_at = loop_now(f->loop);
     return f;
 }
 
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -11,9 +11,9 @@
 
 enum { MSG_FLEET = 300 }; /* to the listener: something changed */
 
-struct fleet *fleet_new(struct loop *loop, struct net *net, struct store *store, struct view *view,
-                        struct membership *members, const struct settings *settings,
-                        struct actor *listener);
+struct node;
+
+struct fleet *fleet_new(const struct node *n, struct actor *listener);
 void fleet_free(struct fleet *f);
 /* While leading: calls what is due. */
 void fleet_step(struct fleet *f);
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -1,6 +1,7 @@
 #include "frontend.h"
 
 #include "log.h"
+#include "node.h"
 #include "room.h"
 
 #include <stdlib.h>
@@ -9,25 +10,33 @@
     MOST_WAITING = 400, /* requests that wait for the state service */
     WRITE_ROUNDS = 4,   /* tries of a conditional write before the user is told to come back */
     STALE_READY_MS = 8000,
-    RELAY_MS = 1800,
+    RELAY_MS = 1500,
+    /* Users wait 2 s for a poll's answer, so what cannot be told by then is not told at all. */
+    ANSWER_MS = 1500,
+    SWEEP_MS = 50,
 };
 
 struct frontend {
     struct loop *loop;
     struct store *store;
     struct view *view;
-    struct membership *members;
     const struct settings *settings;
     struct part *part;
     struct bus *bus;
     struct peers *peers;
     int waiting;
+    GQueue asks; /* struct ask: not answered yet, oldest first */
+    struct timer sweep;
 };
 
 enum action { ACTION_SUBMIT, ACTION_POLL, ACTION_CANCEL };
 
-/* A user's request that waits for the state service. */
+/* A user's request that waits for the state service. It may be answered before its writes are
+ * settled, with 503: the user asks again, and learns what has become of them. */
 struct ask {
+    GList place; /* in the frontend's list */
+    bool answered;
+    mono_time came;
     struct frontend *frontend;
     struct http_replier *replier;
     conn_ref from;
@@ -41,18 +50,27 @@
 static void serve_relayed(void *ctx, struct http_replier *r, conn_ref from,
                           const struct http_request *q);
 
-struct frontend *frontend_new(struct loop *loop, struct store *store, struct view *view,
-                              struct membership *members, const struct settings *settings,
-                              struct part *part, struct bus *bus, struct peers *peers)
+static void sweep(void *arg);
+
+struct frontend *frontend_new(const struct node *n)
 {
     struct frontend *f = g_new0(struct frontend, 1);
-    *f = (struct frontend){loop, store, view, members, settings, part, bus, peers, 0};
-    bus_on_relay(bus, serve_relayed, f);
+    *f = (struct frontend){.loop = n->loop,
+                           .store = n->store,
+                           .view = n->view,
+                           .settings = n->settings,
+                           .part = n->part,
+                           .bus = n->bus,
+                           .peers = n->peers};
+    g_queue_init(&f->asks);
+    timer_init(&f->sweep, sweep, f);
+    bus_on_relay(n->bus, serve_relayed, f);
     return f;
 }
 
 void frontend_free(struct frontend *f)
 {
+    timer_stop(f->loop, &f->sweep);
     g_free(f);
 }
 
@@ -70,13 +88,43 @@
     json_object_put(o);
 }
 
+static void ask_answered(struct ask *a)
+{
+    if (!a->answered)
+        g_queue_unlink(&a->frontend->asks, &a->place);
+    a->answered = true;
+}
+
+static void ask_refuse(struct ask *a)
+{
+    if (!a->answered)
+        reply_error(a->replier, a->from, 503, "the state service does not answer");
+    ask_answered(a);
+}
+
 static void ask_end(struct ask *a)
 {
+    ask_answered(a);
     a->frontend->waiting--;
     json_object_put(a->spec);
     g_free(a);
 }
 
+/* What cannot be told in time gets its answer while it is still of use, and at once when the state
+ * service answers nobody here. */
+static void sweep(void *arg)
+{
+    struct frontend *f = arg;
+    mono_time now = loop_now(f->loop);
+    bool troubled = store_troubled(f->store);
+    struct ask *a;
+    while ((a = g_queue_peek_head(&f->asks)) &&
+           (troubled || time_ms_since(now, a->came) > ANSWER_MS))
+        ask_refuse(a);
+    if (f->asks.head)
+        timer_start(f->loop, &f->sweep, SWEEP_MS);
+}
+
 static const char *stage_of(const struct job *j)
 {
     if (j->state == JOB_DONE)
@@ -111,7 +159,9 @@
 {
     struct ask *a = arg;
     struct frontend *f = a->frontend;
-    if (o->result == TXN_DONE) {
+    if (a->answered) {
+        ask_end(a); /* its user asks again */
+    } else if (o->result == TXN_DONE) {
         /* It is on record, so this may be said from now on. */
         LOG_DEBUG("answered", "job=%s action=%d", a->job.s, a->action);
         if (a->action == ACTION_SUBMIT)
@@ -126,7 +176,7 @@
     } else if (o->result == TXN_UNKNOWN && ++a->rounds < WRITE_ROUNDS) {
         view_barrier(f->view, ask_step, a);
     } else {
-        reply_error(a->replier, a->from, 503, "the state service does not answer");
+        ask_refuse(a);
         ask_end(a);
     }
 }
@@ -164,8 +214,12 @@
     struct ask *a = arg;
     struct frontend *f = a->frontend;
     struct job *j = known_job(f, a->job);
+    if (a->answered) {
+        ask_end(a);
+        return;
+    }
     if (!ok) {
-        reply_error(a->replier, a->from, 503, "the state service does not answer");
+        ask_refuse(a);
     } else if (a->action == ACTION_SUBMIT && !j && a->impossible) {
         reply_error(a->replier, a->from, 422, "can never run");
     } else if (a->action == ACTION_SUBMIT && !j) {
@@ -185,13 +239,22 @@
 static struct ask *ask_new(struct frontend *f, struct http_replier *r, conn_ref from,
                            enum action action, job_id job)
 {
-    if (f->waiting >= MOST_WAITING || !f->view->ready) {
-        reply_error(r, from, 503, f->view->ready ? "too many requests at once" : "starting");
+    const char *why = !f->view->ready              ? "starting"
+                      : store_troubled(f->store)   ? "the state service does not answer"
+                      : f->waiting >= MOST_WAITING ? "too many requests at once"
+                                                   : NULL;
+    if (why) {
+        reply_error(r, from, 503, why);
         return NULL;
     }
     f->waiting++;
     struct ask *a = g_new0(struct ask, 1);
     *a = (struct ask){.frontend = f, .replier = r, .from = from, .action = action, .job = job};
+    a->came = loop_now(f->loop);
+    a->place.data = a;
+    g_queue_push_tail_link(&f->asks, &a->place);
+    if (!f->sweep.place)
+        timer_start(f->loop, &f->sweep, SWEEP_MS);
     return a;
 }
 
@@ -264,7 +327,7 @@
  * that hits all nodes alike is no reason to take them all out, which would only prolong it. */
 static bool is_ready(struct frontend *f)
 {
-    if (!f->view->ready || !f->view->types)
+    if (!f->view->ready || !f->view->types || peers_alone(f->peers))
         return false;
     mono_time now = loop_now(f->loop), quiet = peers_quiet_until(f->peers);
     return peers_served(f->peers) || (quiet.us && time_ms_since(now, quiet) < STALE_READY_MS / 2) ||
@@ -334,15 +397,14 @@
     return true;
 }
 
-/* relayed: another node has handed it on. */
 static void serve_here(struct frontend *f, struct http_replier *r, conn_ref from,
-                       const struct http_request *q, bool relayed)
+                       const struct http_request *q)
 {
     if (is_work(q->path)) {
         route_work(f, r, from, q);
     } else if (strcmp(q->path, "/agent/beat") == 0) {
         if (strcmp(q->method, "POST") == 0)
-            part_report(f->part, r, from, q, relayed);
+            part_report(f->part, r, from, q);
         else
             reply_error(r, from, 405, "method not allowed");
     } else if (strcmp(q->path, "/ready") == 0) {
@@ -360,11 +422,11 @@
 static void serve_relayed(void *ctx, struct http_replier *r, conn_ref from,
                           const struct http_request *q)
 {
-    serve_here(ctx, r, from, q, true);
+    serve_here(ctx, r, from, q);
 }
 
 void frontend_serve(void *ctx, struct http_replier *r, conn_ref from, const struct http_request *q)
 {
     if (!hand_on(ctx, r, from, q))
-        serve_here(ctx, r, from, q, false);
+        serve_here(ctx, r, from, q);
 }
--- a/src/frontend.h
+++ b/src/frontend.h
@@ -7,9 +7,9 @@
 
 struct frontend;
 
-struct frontend *frontend_new(struct loop *loop, struct store *store, struct view *view,
-                              struct membership *members, const struct settings *settings,
-                              struct part *part, struct bus *bus, struct peers *peers);
+struct node;
+
+struct frontend *frontend_new(const struct node *n);
 void frontend_free(struct frontend *f);
 /* For the server on the API's address. */
 void frontend_serve(void *frontend, struct http_replier *replier, conn_ref from,
--- a/src/http.h
+++ b/src/http.h
@@ -38,6 +38,7 @@
     const char *query; /* "" when there is none */
     const char *body;
     size_t body_len;
+    const char *via; /* the node that has handed it on; NULL: it came directly */
 };
 
 /* Where answers go. The server is one; tests have their own. */
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -183,7 +183,7 @@
     char *query = strchr(h.target, '?');
     if (query)
         *query++ = 0;
-    struct http_request request = {h.method, h.target, query ? query : "", text, body_len};
+    struct http_request request = {h.method, h.target, query ? query : "", text, body_len, NULL};
     s->handler(s->ctx, &s->replier, c->ref, &request);
     g_free(text);
 }
--- a/src/leader.c
+++ b/src/leader.c
@@ -1,7 +1,7 @@
 #include "leader_state.h"
 
 #include "log.h"
-#include "part.h"
+#include "node.h"
 
 enum {
     SLOW_AFTER = 5,
@@ -70,20 +70,19 @@
     g_free(p);
 }
 
-struct leader *leader_new(struct loop *loop, struct net *net, struct store *store,
-                          struct view *view, struct membership *members, struct bus *bus,
-                          const struct settings *settings, const struct policy *policy)
+struct leader *leader_new(const struct node *n, const struct policy *policy)
 {
+    const struct settings *settings = n->settings;
     struct leader *l = g_new0(struct leader, 1);
     l->actor = (struct actor){"leader", receive};
-    l->loop = loop;
-    l->store = store;
-    l->view = view;
-    l->members = members;
-    l->bus = bus;
+    l->loop = n->loop;
+    l->store = n->store;
+    l->view = n->view;
+    l->members = n->members;
+    l->bus = n->bus;
     l->settings = settings;
     l->policy = policy;
-    l->fleet = fleet_new(loop, net, store, view, members, settings, &l->actor);
+    l->fleet = fleet_new(n, &l->actor);
     l->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ljob_free);
     l->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lhost_free);
     l->paces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -98,8 +97,8 @@
     }
     timer_init(&l->tick, tick, l);
     timer_init(&l->pass, pass, l);
-    view_listen(view, &l->actor);
-    bus_handle(bus, "digest", on_digest, l);
+    view_listen(l->view, &l->actor);
+    bus_handle(l->bus, "digest", on_digest, l);
     return l;
 }
 
--- a/src/leader.h
+++ b/src/leader.h
@@ -9,9 +9,9 @@
 
 struct leader;
 
-struct leader *leader_new(struct loop *loop, struct net *net, struct store *store,
-                          struct view *view, struct membership *members, struct bus *bus,
-                          const struct settings *settings, const struct policy *policy);
+struct node;
+
+struct leader *leader_new(const struct node *n, const struct policy *policy);
 void leader_free(struct leader *l);
 void leader_start(struct leader *l);
 
--- a/src/node.c
+++ b/src/node.c
@@ -14,9 +14,9 @@
     n->members = membership_new(loop, n->store, n->view, s);
     n->bus = bus_new(loop, net, s);
     n->peers = peers_new(loop, n->bus, n->store, n->view, s);
-    n->part = part_new(loop, net, n->store, n->view, n->members, n->bus, n->peers, s);
-    n->leader = leader_new(loop, net, n->store, n->view, n->members, n->bus, s, policy);
-    n->frontend = frontend_new(loop, n->store, n->view, n->members, s, n->part, n->bus, n->peers);
+    n->part = part_new(n);
+    n->leader = leader_new(n, policy);
+    n->frontend = frontend_new(n);
     return n;
 }
 
--- a/src/part.c
+++ b/src/part.c
@@ -1,11 +1,13 @@
 #include "part_state.h"
 
 #include "log.h"
+#include "node.h"
 
 enum {
     TICK_MS = 250,
     DIGEST_MS = 1000,
     LAPSED_MS = 20000,
+    MOST_BURIED = 5000,
 };
 
 static void part_view(struct part *p, const GArray *changes);
@@ -38,21 +40,20 @@
     cJSON_Delete(q);
 }
 
-struct part *part_new(struct loop *loop, struct net *net, struct store *store, struct view *view,
-                      struct membership *members, struct bus *bus, struct peers *peers,
-                      const struct settings *settings)
+struct part *part_new(const struct node *n)
 {
     struct part *p = g_new0(struct part, 1);
     p->actor = (struct actor){"part", receive};
-    p->loop = loop;
-    p->net = net;
-    p->store = store;
-    p->view = view;
-    p->members = members;
-    p->bus = bus;
-    p->peers = peers;
+    p->loop = n->loop;
+    p->net = n->net;
+    p->store = n->store;
+    p->view = n->view;
+    p->members = n->members;
+    p->bus = n->bus;
+    p->peers = n->peers;
+    p->settings = n->settings;
     p->redirects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    p->settings = settings;
+    p->buried = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     p->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, host_free);
     for (int i = 0; i <= ARQ_CLASSES; i++)
         g_queue_init(&p->queues[i]);
@@ -62,8 +63,8 @@
     timer_init(&p->tick, tick, p);
     timer_init(&p->flush, part_flush, p);
     timer_init(&p->digest, digest, p);
-    view_listen(view, &p->actor);
-    bus_handle(bus, "deal", on_deal, p);
+    view_listen(p->view, &p->actor);
+    bus_handle(p->bus, "deal", on_deal, p);
     return p;
 }
 
@@ -84,6 +85,7 @@
     g_hash_table_unref(p->hosts);
     g_hash_table_unref(p->marks);
     g_hash_table_unref(p->redirects);
+    g_hash_table_unref(p->buried);
     g_array_unref(p->back);
     g_ptr_array_unref(p->news);
     g_free(p);
@@ -147,12 +149,21 @@
     }
 }
 
+/* Late copies of its reports must not make it a machine again. */
+static void bury(struct part *p, const char *id)
+{
+    if (g_hash_table_size(p->buried) >= MOST_BURIED)
+        g_hash_table_remove_all(p->buried);
+    g_hash_table_add(p->buried, g_strdup(id));
+}
+
 static void host_is_gone(struct part *p, const char *id)
 {
     struct host *h = part_host_get(p, id);
     if (!h || h->gone)
         return;
     LOG_INFO("machine_gone", "machine=%s", id);
+    bury(p, id);
     h->gone = true;
     drop_news(h);
     part_free_all_runs(p, h, "returned");
@@ -231,7 +242,7 @@
 
 static int host_flags(struct part *p, struct host *h)
 {
-    int64_t age = time_ms_since(loop_now(p->loop), h->heard);
+    int64_t age = time_ms_since(loop_now(p->loop), h->reached);
     int f = 0;
     if (h->known)
         f |= HOST_KNOWN;
@@ -422,7 +433,7 @@
         int64_t age = time_ms_since(now, h->heard);
         if (h->gone || !valid)
             continue;
-        if (!h->known || age > (int64_t)(p->settings->report_s * 1250) + 1000)
+        if (!h->known || !h->hears || age > (int64_t)(p->settings->report_s * 1250) + 1000)
             part_probe(p, h);
         if (age > (int64_t)(p->settings->lease_s * 1000) && part_host_has_run(h) &&
             part_lease_surely_over(p, h))
--- a/src/part.h
+++ b/src/part.h
@@ -10,15 +10,15 @@
 
 struct part;
 
-struct part *part_new(struct loop *loop, struct net *net, struct store *store, struct view *view,
-                      struct membership *members, struct bus *bus, struct peers *peers,
-                      const struct settings *settings);
+struct node;
+
+struct part *part_new(const struct node *n);
 void part_free(struct part *p);
 void part_start(struct part *p);
 
-/* POST /agent/beat; relayed: another node has handed it on. */
+/* POST /agent/beat */
 void part_report(struct part *p, struct http_replier *replier, conn_ref from,
-                 const struct http_request *q, bool relayed);
+                 const struct http_request *q);
 
 /* What a machine's flags say in the digest that a part sends to the leader. */
 enum host_flag {
--- a/src/part_host.c
+++ b/src/part_host.c
@@ -70,7 +70,7 @@
     h->images = g_ptr_array_new_with_free_func(g_free);
     h->strays = g_array_new(FALSE, FALSE, sizeof(struct report_task));
     h->owned_since = p->epoch;
-    h->owned_at = h->heard = loop_now(p->loop);
+    h->owned_at = h->heard = h->reached = loop_now(p->loop);
     g_hash_table_insert(p->hosts, h->id.s, h);
     return h;
 }
@@ -289,14 +289,37 @@
     }
 }
 
+void part_host_reached(struct part *p, struct host *h)
+{
+    if (h->probe_fails >= 2)
+        part_digest_soon(p);
+    h->hears = true;
+    h->reached = loop_now(p->loop);
+    h->probe_fails = 0;
+}
+
+/* Tells two lists of tasks apart. */
+uint32_t part_report_print(const struct report *rep)
+{
+    uint32_t print = 1;
+    for (guint i = 0; i < rep->tasks->len; i++) {
+        const struct report_task *t = &g_array_index(rep->tasks, struct report_task, i);
+        uint32_t one = g_str_hash(t->job.s) * 31 + t->index;
+        one =
+            (one * 31 + (uint32_t)t->attempt.v) * 31 + (uint32_t)t->state * 16 + (uint32_t)t->cause;
+        print += one * 2654435761u;
+    }
+    return print;
+}
+
 /* Takes in a report, or a worker's answer to a direct command. */
 void part_host_reported(struct part *p, struct host *h, const struct report *rep)
 {
     mono_time now = loop_now(p->loop);
-    bool news = !h->known || h->probe_fails;
+    bool news = !h->known;
     h->known = true;
     h->heard = now;
-    h->probe_fails = 0;
+    h->print = part_report_print(rep);
     h->shift = rep->shift;
     h->tally = rep->tally;
     if (h->helm < h->owned_since.v && rep->helm >= h->owned_since.v)
--- a/src/part_place.c
+++ b/src/part_place.c
@@ -10,7 +10,8 @@
 
 bool part_host_open(struct part *p, struct host *h)
 {
-    return h->known && !h->gone && !h->recalled && h->probe_fails == 0 && h->total.cpus.milli > 0 &&
+    return h->known && h->hears && !h->gone && !h->recalled && h->probe_fails == 0 &&
+           h->total.cpus.milli > 0 &&
            time_ms_since(loop_now(p->loop), h->heard) <
                (int64_t)(p->settings->report_s * 1250) + 1500 &&
            !h->shut;
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -46,7 +46,13 @@
     mono_time owned_at;
     bool known;
     uint64_t shift, tally, helm;
+    uint32_t print; /* of the tasks that its newest report named */
+    char via[64];   /* the node that its newest report came through; "": none */
     mono_time heard, answered;
+    /* Its newest report shows that our answers and commands reach it. That it reports is no sign of
+     * that: the way back may be cut. */
+    bool hears;
+    mono_time reached;   /* when it last did */
     mono_time helm_seen; /* when its worker first showed a token that only we can give */
     bool recalled;
     revision stamp;
@@ -84,6 +90,7 @@
     struct bus *bus;
     struct peers *peers;
     GHashTable *redirects; /* machine -> struct redirect */
+    GHashTable *buried; /* machines that the cloud took back: what still comes from them is old */
     const struct settings *settings;
     epoch_no epoch;
     uint64_t generation, last_deal;
@@ -119,7 +126,10 @@
 void part_host_sync(struct part *p, struct host *h);
 bool part_lease_surely_over(struct part *p, struct host *h);
 void part_free_all_runs(struct part *p, struct host *h, const char *why);
+/* Its worker has shown that it hears us. */
+void part_host_reached(struct part *p, struct host *h);
 void part_host_reported(struct part *p, struct host *h, const struct report *rep);
+uint32_t part_report_print(const struct report *rep);
 
 /* part_worker.c: orders and reports */
 void part_push(struct part *p, struct host *h);
--- a/src/part_worker.c
+++ b/src/part_worker.c
@@ -95,6 +95,25 @@
     return r->shift > h->shift || (r->shift == h->shift && r->tally > h->tally);
 }
 
+/* A machine keeps its type, its zone and its kind, and both are known here. What says otherwise
+ * counts for nothing. */
+static bool plausible(struct part *p, const struct host *h, const struct report *rep)
+{
+    bool zone = g_ptr_array_find_with_equal_func(p->settings->zones, rep->yard, g_str_equal, NULL);
+    bool type = !p->view->types || type_named(p->view->types, rep->build);
+    bool same = !h || !h->build[0] ||
+                (strcmp(h->build, rep->build) == 0 && strcmp(h->yard, rep->yard) == 0 &&
+                 h->loaners == rep->loaners);
+    bool other = h && h->known && rep->shift == h->shift && rep->tally == h->tally &&
+                 part_report_print(rep) != h->print;
+    if (zone && type && same && !other)
+        return true;
+    LOG_ERROR("report_contradicts",
+              "machine=%s type=%s zone=%s shift=%" G_GUINT64_FORMAT " tally=%" G_GUINT64_FORMAT,
+              rep->host.s, rep->build, rep->yard, rep->shift, rep->tally);
+    return false;
+}
+
 static bool answer_report(struct part *p, struct host *h, const struct net_answer *a)
 {
     if (a->status != 200 && a->status != 409)
@@ -105,10 +124,13 @@
     json_object_put(o);
     if (!ok)
         return false;
-    if (host_eq(rep.host, h->id) && newer(h, &rep))
+    ok = host_eq(rep.host, h->id) && plausible(p, h, &rep);
+    if (ok && (!h->known || newer(h, &rep)))
         part_host_reported(p, h, &rep);
+    if (ok)
+        part_host_reached(p, h);
     report_clear(&rep);
-    return true;
+    return ok;
 }
 
 static void push_answered(void *arg, const struct net_answer *a)
@@ -147,6 +169,10 @@
     }
     if (!h->known || h->gone)
         return;
+    if (!h->hears) { /* once it answers, it gets its orders */
+        part_probe(p, h);
+        return;
+    }
     GArray *orders = host_orders(p, h, true);
     if (orders->len == 0) {
         g_array_unref(orders);
@@ -181,8 +207,8 @@
 void part_probe(struct part *p, struct host *h)
 {
     mono_time now = loop_now(p->loop);
-    if (h->probe_out || !h->addr[0] ||
-        (h->probed.us && time_ms_since(now, h->probed) < PROBE_EVERY_MS))
+    int64_t pause = PROBE_EVERY_MS * (1 + MIN(h->probe_fails / 3, 3));
+    if (h->probe_out || !h->addr[0] || (h->probed.us && time_ms_since(now, h->probed) < pause))
         return;
     struct pushed *c = g_new0(struct pushed, 1);
     c->part = p;
@@ -242,7 +268,7 @@
 {
     mono_time now = loop_now(p->loop);
     struct redirect *r = g_hash_table_lookup(p->redirects, host);
-    if (r && strcmp(r->owner, owner) == 0 && time_ms_since(now, r->at) < REDIRECT_MS && q) {
+    if (r && strcmp(r->owner, owner) == 0 && time_ms_since(now, r->at) < REDIRECT_MS && !q->via) {
         struct handed_on *x = g_new(struct handed_on, 1);
         *x = (struct handed_on){replier, from};
         bus_relay(p->bus, owner, q, PROBE_TIMEOUT_MS, owner_answered, x);
@@ -265,6 +291,8 @@
         part_host_sync(p, h);
         LOG_INFO("machine_up", "machine=%s type=%s zone=%s spot=%d", h->id.s, rep->build, rep->yard,
                  rep->loaners);
+    } else if (h->known) {
+        return h;
     }
     g_strlcpy(h->addr, rep->addr, sizeof h->addr);
     g_strlcpy(h->build, rep->build, sizeof h->build);
@@ -274,25 +302,56 @@
     return h;
 }
 
+/* Whether a report shows that its worker had our answers. A worker stays with a node as long as it
+ * is answered, and counts every report: so the next one comes the same way with the next number. */
+static bool shows_hearing(const struct host *h, const struct report *rep, const char *via)
+{
+    return (rep->shift == h->shift && rep->tally == h->tally + 1 && strcmp(via, h->via) == 0) ||
+           rep->helm > h->helm;
+}
+
+/* A report that is the first from a machine here may be an old copy, as nothing newer is known. It
+ * is heeded only if it shows a token that only we give; else its worker is asked. The answer gives
+ * no orders, but a token. */
+static bool take_report(struct part *p, struct host *h, const struct report *rep, const char *via)
+{
+    bool take = h->known || rep->helm >= h->owned_since.v;
+    if (take) {
+        bool hears = !h->known || shows_hearing(h, rep, via);
+        part_host_reported(p, h, rep);
+        if (hears)
+            part_host_reached(p, h);
+        else
+            h->hears = false;
+    }
+    g_strlcpy(h->via, via, sizeof h->via);
+    if (!take || !h->hears)
+        part_probe(p, h);
+    return take;
+}
+
 static void report_owned(struct part *p, struct http_replier *replier, conn_ref from,
-                         const struct report *rep)
+                         const struct report *rep, const char *via)
 {
-    struct host *h = host_of_report(p, rep);
-    if (h->gone || (h->known && !newer(h, rep))) {
+    struct host *h = part_host_get(p, rep->host.s);
+    if (g_hash_table_contains(p->buried, rep->host.s) || !plausible(p, h, rep) ||
+        (h && (h->gone || (h->known && !newer(h, rep))))) {
         /* Held back on its way: whoever sent it has long given up. */
         reply_text(replier, from, 503, g_strdup("{}"));
         return;
     }
-    part_host_reported(p, h, rep);
+    h = host_of_report(p, rep);
+    bool taken = take_report(p, h, rep, via);
     h->answered = loop_now(p->loop);
-    GArray *orders = host_orders(p, h, false);
+    GArray *orders =
+        taken ? host_orders(p, h, false) : g_array_new(FALSE, TRUE, sizeof(struct order));
     reply_text(replier, from, 200,
                codec_orders_write(p->epoch, 0, (struct order *)orders->data, orders->len));
     g_array_unref(orders);
 }
 
 void part_report(struct part *p, struct http_replier *replier, conn_ref from,
-                 const struct http_request *q, bool relayed)
+                 const struct http_request *q)
 {
     struct report rep;
     json_object *o = json_read(q->body, q->body_len);
@@ -307,8 +366,8 @@
     if (!owner || p->epoch.v != p->view->epoch.v || !may_keep_leases(p) || rep.helm > p->epoch.v)
         reply_text(replier, from, 503, g_strdup("{}"));
     else if (strcmp(owner, p->settings->label) != 0)
-        redirect(p, replier, from, rep.host.s, owner, relayed ? NULL : q);
+        redirect(p, replier, from, rep.host.s, owner, q);
     else
-        report_owned(p, replier, from, &rep);
+        report_owned(p, replier, from, &rep, q->via ? q->via : "");
     report_clear(&rep);
 }
--- a/src/peers.c
+++ b/src/peers.c
@@ -18,6 +18,7 @@
     mono_time started, told; /* told: of a cancellation */
     mono_time asked, quiet_until;
     GHashTable *peers; /* label -> struct peer */
+    bool alone;        /* when last asked, nobody answered */
     guint out;
     struct timer ask;
 };
@@ -80,6 +81,11 @@
     return NULL;
 }
 
+bool peers_alone(const struct peers *p)
+{
+    return p->alone && store_troubled(p->store);
+}
+
 mono_time peers_quiet_until(const struct peers *p)
 {
     return p->quiet_until;
@@ -99,9 +105,12 @@
     struct peer *x;
     int64_t away = time_ms_since(loop_now(p->loop), p->view->fresh) + MARGIN_MS;
     bool all = g_hash_table_size(p->peers) == p->settings->siblings->len;
+    p->alone = p->settings->siblings->len > 0;
     g_hash_table_iter_init(&it, p->peers);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&x))
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&x)) {
         all = all && x->answered && !x->served && x->quiet_ms > away + away / 1000;
+        p->alone = p->alone && !x->answered;
+    }
     if (all)
         p->quiet_until = p->asked;
 }
@@ -135,6 +144,7 @@
     mono_time now = loop_now(p->loop);
     if (!store_troubled(p->store)) {
         g_hash_table_remove_all(p->peers);
+        p->alone = false;
         return;
     }
     if (p->out)
--- a/src/peers.h
+++ b/src/peers.h
@@ -17,6 +17,9 @@
 const char *peers_served(const struct peers *p);
 /* Until that moment no node can have told a user of a cancellation that this node does not know of,
  * as all of them said so: see docs/safety.md. {0}: nothing is known. */
+/* Neither the state service nor any other node answers this one: it is this node that is cut off.
+ */
+bool peers_alone(const struct peers *p);
 mono_time peers_quiet_until(const struct peers *p);
 /* This node tells a user that a job is cancelled. */
 void peers_told_cancel(struct peers *p);
--- /dev/null
+++ b/tests/test_troubles.c
@@ -0,0 +1,418 @@
+/* The troubles of grown deployments: the way back to workers cut, late copies of reports, nodes
+ * that only their workers reach, processes that are back at once. See docs/safety.md. */
+#include "world.h"
+
+#include <string.h>
+
+static struct worker *worker_of(struct world *w, const char *job, uint32_t index)
+{
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        if (w->workers[i].up && worker_task(&w->workers[i], job, index))
+            return &w->workers[i];
+    return NULL;
+}
+
+/* Tasks on record on a machine, as any live node sees them. */
+static guint recorded(struct world *w, const struct worker *k)
+{
+    struct host_record *rec = view_host(world_leader(w)->view, k->id);
+    return rec ? rec->tasks->len : 0;
+}
+
+static void two_ordinary_machines(struct world *w)
+{
+    w->capacity = 0;
+    world_worker(w, 6, "a", false);
+    world_worker(w, 7, "b", false);
+    world_run(w, 3000);
+}
+
+/* ---- reports arrive, answers and commands do not ---- */
+
+/* An answer sent is no proof that it arrived: nothing is placed on a machine that does not show it.
+ * Its tasks start elsewhere once its worker has begun another session. */
+static void a_machine_that_does_not_hear_gets_nothing(void **state)
+{
+    struct world *w = *state;
+    two_ordinary_machines(w);
+    world_submit(w, 0, "wk-1", "daemon", 2);
+    world_run(w, 3000);
+    struct worker *k = worker_of(w, "wk-1", 0);
+    assert_non_null(k);
+    struct worker *other = k == &w->workers[6] ? &w->workers[7] : &w->workers[6];
+    k->deaf = true;
+    world_run(w, 6000);
+    guint before = recorded(w, k);
+    world_submit(w, 0, "wk-2", "sweep", 8); /* more than the other machine holds */
+    for (int i = 0; i < 160; i++) {
+        world_run(w, 100);
+        assert_true(recorded(w, k) <= before);
+    }
+    assert_int_equal(recorded(w, k), 0);
+    worker_exit_all(w, "wk-2", "done");
+    world_run(w, 2000);
+    assert_non_null(worker_task(other, "wk-1", 0));
+    assert_non_null(worker_task(other, "wk-1", 1));
+    int starts = k->starts;
+    k->deaf = false;
+    world_run(w, 8000);
+    assert_true(k->starts > starts); /* healed, it is used again */
+    assert_int_equal(w->returned, 0);
+}
+
+static void a_machine_that_stays_deaf_goes_back(void **state)
+{
+    struct world *w = *state;
+    two_ordinary_machines(w);
+    world_submit(w, 0, "wk-1", "daemon", 1);
+    world_run(w, 3000);
+    struct worker *k = worker_of(w, "wk-1", 0);
+    k->deaf = true;
+    world_run(w, 50000);
+    assert_false(k->up);
+    assert_int_equal(world_on_machines(w, "wk-1"), 1);
+}
+
+/* The halt does not arrive; the lease, which nobody renews, ends the task in time. */
+static void a_cancel_on_a_deaf_machine_ends_in_time(void **state)
+{
+    struct world *w = *state;
+    two_ordinary_machines(w);
+    world_submit(w, 0, "wk-1", "daemon", 1);
+    world_run(w, 3000);
+    worker_of(w, "wk-1", 0)->deaf = true;
+    world_run(w, 500);
+    assert_int_equal(world_ask(w, 1, "POST", "/work/wk-1/abort", NULL).status, 200);
+    world_run(w, 29000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 0);
+    world_expect_stage(w, 2, "wk-1", "cancelled");
+}
+
+/* ---- late copies of reports ---- */
+
+static char *swapped(const char *text, const char *what, const char *by)
+{
+    char **parts = g_strsplit(text, what, 2);
+    assert_int_equal(g_strv_length(parts), 2);
+    char *out = g_strjoinv(by, parts);
+    g_strfreev(parts);
+    return out;
+}
+
+/* After all nodes were started again none knows how new a report is. A copy from before, with a
+ * notice of the cloud that is long over and without the task, comes first. */
+static void a_copy_that_comes_first_is_not_believed(void **state)
+{
+    struct world *w = *state;
+    two_ordinary_machines(w);
+    world_submit(w, 0, "wk-1", "daemon", 1);
+    world_run(w, 3000);
+    struct worker *k = worker_of(w, "wk-1", 0);
+    char *empty = k->said->pdata[0],
+         *copy = swapped(empty, "\"Pieces\"", "\"RecallS\":5.0,\"Pieces\"");
+    for (int i = 0; i < WORLD_NODES; i++)
+        world_kill(w, i);
+    k->silent = true;
+    for (int i = 0; i < WORLD_NODES; i++)
+        world_start(w, i);
+    for (int i = 0; i < 30; i++) {
+        world_run(w, 100);
+        for (int n = 0; n < WORLD_NODES; n++)
+            world_say_again(w, n, copy);
+    }
+    k->silent = false;
+    world_run(w, 6000);
+    assert_int_equal(world_starts(w), 1);
+    assert_non_null(worker_task(k, "wk-1", 0));
+    assert_string_equal(worker_task(k, "wk-1", 0)->stage, "running");
+    g_free(copy);
+}
+
+/* A machine that was given back does not become one again, not even for nodes that were started
+ * since and never heard of it. */
+static void a_copy_from_a_returned_machine_is_nothing(void **state)
+{
+    struct world *w = *state;
+    world_submit(w, 0, "wk-1", "sweep", 2);
+    world_run(w, 8000);
+    struct worker *k = worker_of(w, "wk-1", 0);
+    worker_exit_all(w, "wk-1", "done");
+    world_run(w, 90000);
+    assert_false(k->up);
+    w->capacity = 0;
+    world_submit(w, 0, "wk-2", "sweep", 2);
+    for (int round = 0; round < 2; round++) {
+        for (guint i = 0; i < k->said->len; i++) {
+            for (int n = 0; n < WORLD_NODES; n++)
+                world_say_again(w, n, k->said->pdata[i]);
+            world_run(w, 200);
+            struct job *j = view_job(world_leader(w)->view, "wk-2");
+            assert_true(j && !j->placed);
+        }
+        for (int n = 0; n < WORLD_NODES; n++) {
+            world_kill(w, n);
+            world_start(w, n);
+        }
+        world_run(w, 6000);
+    }
+}
+
+/* Copies of what a worker said while its task ran, after the task was done, cleared and run again
+ * by another job's: nothing is started, stopped or freed by them. */
+static void copies_change_nothing(void **state)
+{
+    struct world *w = *state;
+    two_ordinary_machines(w);
+    world_submit(w, 0, "wk-1", "sweep", 4);
+    world_run(w, 3000);
+    worker_exit_all(w, "wk-1", "done");
+    world_run(w, 3000);
+    world_submit(w, 1, "wk-2", "daemon", 4);
+    world_run(w, 3000);
+    int starts = world_starts(w);
+    for (int m = 6; m <= 7; m++)
+        for (guint i = 0; i < w->workers[m].said->len; i++) {
+            for (int n = 0; n < WORLD_NODES; n++)
+                world_say_again(w, n, w->workers[m].said->pdata[i]);
+            world_run(w, 300);
+        }
+    world_run(w, 12000);
+    assert_int_equal(world_starts(w), starts);
+    assert_int_equal(world_on_machines(w, "wk-2"), 4);
+    world_expect_stage(w, 0, "wk-1", "done");
+}
+
+/* A report with another zone, or with other tasks under the same number, counts for nothing: here
+ * it would prove that the task is gone. */
+static void reports_that_contradict_free_nothing(void **state)
+{
+    struct world *w = *state;
+    two_ordinary_machines(w);
+    world_submit(w, 0, "wk-1", "daemon", 1);
+    world_run(w, 3000);
+    struct worker *k = worker_of(w, "wk-1", 0);
+    const char *zone = strcmp(k->yard, "a") == 0 ? "\"Yard\":\"a\"" : "\"Yard\":\"b\"";
+    char *empty = k->said->pdata[0];
+    char *session = swapped(empty, "\"Shift\":1", "\"Shift\":9");
+    char *wrong_zone = swapped(session, zone, "\"Yard\":\"z\"");
+    char *wrong_type = swapped(session, "\"g8\"", "\"g9\"");
+    for (int n = 0; n < WORLD_NODES; n++) {
+        world_say_again(w, n, wrong_zone);
+        world_say_again(w, n, wrong_type);
+        world_run(w, 3000);
+    }
+    world_run(w, 12000);
+    assert_int_equal(world_starts(w), 1);
+    assert_int_equal(world_on_machines(w, "wk-1"), 1);
+    g_free(session);
+    g_free(wrong_zone);
+    g_free(wrong_type);
+}
+
+/* ---- a node that only its workers reach ---- */
+
+static int lone_node;
+static enum fate only_workers(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    bool state = strcmp(r->addr, "10.2.0.1:2379") == 0;
+    bool back = g_str_has_suffix(r->addr, ":8081");
+    char lone[32];
+    g_snprintf(lone, sizeof lone, "10.0.0.%d:8081", lone_node + 1);
+    return (node == lone_node && (state || back)) || strcmp(r->addr, lone) == 0 ? FATE_LOST
+                                                                                : FATE_NORMAL;
+}
+
+static void lone(struct world *w, int node)
+{
+    world_submit(w, (node + 1) % 3, "wk-1", "daemon", 8);
+    world_run(w, 8000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 8);
+    lone_node = node;
+    w->fate = only_workers;
+    world_run(w, 4000);
+    /* Its users hear at once that they should ask others, and it does not call itself ready. */
+    struct user_answer a = world_ask(w, node, "GET", "/work/wk-1", NULL);
+    assert_int_equal(a.status, 503);
+    assert_non_null(strstr(a.fields, "Retry-After"));
+    assert_in_range(a.took_ms, 0, 50);
+    a = world_submit(w, node, "wk-2", "sweep", 1);
+    assert_int_equal(a.status, 503);
+    assert_in_range(a.took_ms, 0, 50);
+    assert_int_equal(world_ask(w, node, "GET", "/ready", NULL).status, 503);
+    int starts = world_starts(w);
+    world_run(w, 14000); /* past the workers' lease: it keeps them */
+    assert_int_equal(world_on_machines(w, "wk-1"), 8);
+    assert_int_equal(world_starts(w), starts);
+    assert_true(world_leader_index(w) >= 0 && world_leader_index(w) != node);
+    assert_int_equal(world_ask(w, (node + 1) % 3, "POST", "/work/wk-1/abort", NULL).status, 200);
+    world_run(w, 29000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 0);
+    assert_int_equal(world_submit(w, (node + 2) % 3, "wk-3", "sweep", 4).status, 201);
+    world_run(w, 6000);
+    w->fate = NULL;
+    world_run(w, 8000);
+    assert_int_equal(world_on_machines(w, "wk-3"), 4);
+    world_expect_stage(w, node, "wk-1", "cancelled");
+    world_expect_stage(w, node, "wk-3", "running");
+    assert_int_equal(world_ask(w, node, "GET", "/ready", NULL).status, 200);
+}
+
+static void a_follower_with_workers_only_harms_nobody(void **state)
+{
+    struct world *w = *state;
+    lone(w, (world_leader_index(w) + 1) % 3);
+}
+
+static void a_leader_with_workers_only_harms_nobody(void **state)
+{
+    struct world *w = *state;
+    lone(w, world_leader_index(w));
+}
+
+/* ---- answers in time ---- */
+
+static enum fate lose_state(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    return strcmp(r->addr, "10.2.0.1:2379") == 0 ? FATE_LOST : FATE_NORMAL;
+}
+
+static enum fate refuse_state(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    return strcmp(r->addr, "10.2.0.1:2379") == 0 ? FATE_REFUSED : FATE_NORMAL;
+}
+
+/* Whatever the state service does, a user who cannot be served is told so while it is of use, with
+ * when to come back; and at once, when it is known that nobody is served. */
+static void who_cannot_be_served_is_told_at_once(void **state)
+{
+    struct world *w = *state;
+    static const fate_fn troubles[] = {lose_state, refuse_state};
+    world_submit(w, 0, "wk-1", "sweep", 1);
+    for (guint t = 0; t < G_N_ELEMENTS(troubles); t++) {
+        w->fate = troubles[t];
+        int64_t most[] = {1700, 20};
+        for (int round = 0; round < 2; round++) {
+            struct user_answer a[] = {
+                world_submit(w, 0, "wk-2", "sweep", 1),
+                world_ask(w, 1, "GET", "/work/wk-1", NULL),
+                world_ask(w, 2, "POST", "/work/wk-1/abort", NULL),
+                world_ask(w, 0, "GET", "/work/wk-404", NULL),
+            };
+            for (guint i = 0; i < G_N_ELEMENTS(a); i++) {
+                assert_int_equal(a[i].status, 503);
+                assert_non_null(strstr(a[i].fields, "Retry-After: 1"));
+                assert_in_range(a[i].took_ms, 0, most[round]);
+            }
+            world_run(w, 2500);
+        }
+        w->fate = NULL;
+        world_run(w, 6000);
+        assert_int_equal(world_submit(w, 0, "wk-2", "sweep", 1).status, t ? 200 : 201);
+        world_expect_stage(w, 1, "wk-1", "running"); /* no cancel was told, and none is in force */
+    }
+}
+
+/* ---- back at once ---- */
+
+static int old_node;
+static bool holding;
+static enum fate hold_all_of_old(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    return holding && node == old_node && !g_str_has_prefix(r->path, "/watch") ? FATE_HELD
+                                                                               : FATE_NORMAL;
+}
+
+/* The leader dies with everything it sent still on its way, is back within a moment, dies again and
+ * is back again; then all that its earlier processes sent arrives. */
+static void what_a_dead_process_sent_comes_late(void **state)
+{
+    struct world *w = *state;
+    world_submit(w, 0, "wk-1", "daemon", 4);
+    world_run(w, 8000);
+    for (int round = 0; round < 3; round++) {
+        old_node = world_leader_index(w);
+        w->fate = hold_all_of_old;
+        holding = true;
+        char id[16];
+        g_snprintf(id, sizeof id, "wk-2%d", round);
+        assert_int_equal(world_submit(w, (old_node + 1) % 3, id, "sweep", 3).status, 201);
+        world_run(w, 700);
+        for (int again = 0; again < 2; again++) {
+            world_kill(w, old_node);
+            world_run(w, 150);
+            holding = false;
+            world_start(w, old_node);
+            world_run(w, again ? 5000 : 900); /* the second time in the middle of an election */
+        }
+        world_deliver_held(w);
+        world_run(w, 9000);
+        assert_int_equal(world_on_machines(w, "wk-1"), 4);
+        assert_int_equal(world_on_machines(w, id), 3);
+    }
+    assert_true(w->rented <= 6);
+}
+
+static void all_nodes_back_at_once_go_on(void **state)
+{
+    struct world *w = *state;
+    world_submit(w, 0, "wk-1", "daemon", 4);
+    world_submit(w, 0, "wk-2", "sweep", 4);
+    world_run(w, 8000);
+    int starts = world_starts(w);
+    for (int round = 0; round < 4; round++) {
+        for (int i = 0; i < WORLD_NODES; i++)
+            world_kill(w, i);
+        world_run(w, 100 * round);
+        for (int i = 0; i < WORLD_NODES; i++)
+            world_start(w, i);
+        world_run(w, 500 + 900 * round);
+    }
+    world_run(w, 4000);
+    assert_int_equal(world_starts(w), starts);
+    for (int i = 0; i < WORLD_NODES; i++) {
+        world_expect_stage(w, i, "wk-1", "running");
+        world_expect_stage(w, i, "wk-2", "running");
+    }
+}
+
+/* A machine that hung is back with its next session before anybody missed it: what ran is gone, and
+ * starts again at once. */
+static void a_worker_back_with_a_new_session_lost_its_tasks(void **state)
+{
+    struct world *w = *state;
+    two_ordinary_machines(w);
+    world_submit(w, 0, "wk-1", "daemon", 4);
+    world_run(w, 3000);
+    struct worker *k = worker_of(w, "wk-1", 0);
+    g_array_set_size(k->tasks, 0);
+    k->shift++;
+    k->lease_from = loop_now(w->loop);
+    world_run(w, 4000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 4);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        WORLD_TEST(a_machine_that_does_not_hear_gets_nothing),
+        WORLD_TEST(a_machine_that_stays_deaf_goes_back),
+        WORLD_TEST(a_cancel_on_a_deaf_machine_ends_in_time),
+        WORLD_TEST(a_copy_that_comes_first_is_not_believed),
+        WORLD_TEST(a_copy_from_a_returned_machine_is_nothing),
+        WORLD_TEST(copies_change_nothing),
+        WORLD_TEST(reports_that_contradict_free_nothing),
+        WORLD_TEST(a_follower_with_workers_only_harms_nobody),
+        WORLD_TEST(a_leader_with_workers_only_harms_nobody),
+        WORLD_TEST(who_cannot_be_served_is_told_at_once),
+        WORLD_TEST(what_a_dead_process_sent_comes_late),
+        WORLD_TEST(all_nodes_back_at_once_go_on),
+        WORLD_TEST(a_worker_back_with_a_new_session_lost_its_tasks),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
