--- a/src/frontend.c
+++ b/src/frontend.c
@@ -143,7 +143,7 @@
 static void reply_job(struct frontend *f, struct http_replier *r, conn_ref to, const struct job *j)
 {
     if (j->state == JOB_CANCELLED)
-        peers_told_cancel(f->peers);
+        peers_told_cancel(f->peers, j->stamp);
     reply(r, to, 200, job_text(j));
 }
 
@@ -169,7 +169,7 @@
         else
             reply(a->replier, a->from, 200, codec_job_answer(a->job, "cancelled", -1, 0));
         if (a->action == ACTION_CANCEL)
-            peers_told_cancel(f->peers);
+            peers_told_cancel(f->peers, o->at);
         ask_end(a);
     } else if (o->result == TXN_CONFLICT && ++a->rounds < WRITE_ROUNDS) {
         view_await(f->view, o->at, ask_step, a);
--- a/src/peers.c
+++ b/src/peers.c
@@ -6,7 +6,8 @@
 
 struct peer {
     bool answered, served;
-    int64_t quiet_ms; /* it has told of no cancellation for so long */
+    uint64_t told; /* the newest revision of a cancellation that it has told of */
+    int64_t up_ms; /* its process runs for so long */
 };
 
 struct peers {
@@ -15,7 +16,8 @@
     struct store *store;
     struct view *view;
     const struct settings *settings;
-    mono_time started, told; /* told: of a cancellation */
+    mono_time started;
+    revision told; /* the newest of a cancellation that this node has told of */
     mono_time asked, quiet_until;
     GHashTable *peers; /* label -> struct peer */
     bool alone;        /* when last asked, nobody answered */
@@ -31,11 +33,10 @@
     (void)from;
     (void)m;
     struct peers *p = ctx;
-    mono_time now = loop_now(p->loop),
-              since = time_before(p->told, p->started) ? p->started : p->told;
     *answer = cJSON_CreateObject();
     cJSON_AddBoolToObject(*answer, "served", !store_troubled(p->store));
-    cJSON_AddNumberToObject(*answer, "quiet_ms", (double)time_ms_since(now, since));
+    bus_put_u64(*answer, "told", p->told.v);
+    cJSON_AddNumberToObject(*answer, "up_ms", (double)time_ms_since(loop_now(p->loop), p->started));
     return 200;
 }
 
@@ -91,14 +92,14 @@
     return p->quiet_until;
 }
 
-void peers_told_cancel(struct peers *p)
+void peers_told_cancel(struct peers *p, revision of)
 {
-    p->told = loop_now(p->loop);
+    p->told.v = MAX(p->told.v, of.v);
 }
 
-/* All peers must say that they are not served either, and that none has told of a cancellation
- * since this node's view was last known to be new, which may lag behind what the node was served
- * otherwise. A peer that was started again meanwhile cannot know. */
+/* All peers must say that they are not served either, and that this node's view holds every
+ * cancellation that they have told of. A peer that was started again since the view was last known
+ * to be new does not know what its earlier process told. */
 static void conclude(struct peers *p)
 {
     GHashTableIter it;
@@ -108,7 +109,8 @@
     p->alone = p->settings->siblings->len > 0;
     g_hash_table_iter_init(&it, p->peers);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&x)) {
-        all = all && x->answered && !x->served && x->quiet_ms > away + away / 1000;
+        all = all && x->answered && !x->served && x->told <= p->view->at.v &&
+              x->up_ms > away + away / 1000;
         p->alone = p->alone && !x->answered;
     }
     if (all)
@@ -125,11 +127,12 @@
     struct asked *a = arg;
     struct peers *p = a->peers;
     const cJSON *served = cJSON_GetObjectItemCaseSensitive(m, "served");
-    const cJSON *quiet = cJSON_GetObjectItemCaseSensitive(m, "quiet_ms");
+    const cJSON *up = cJSON_GetObjectItemCaseSensitive(m, "up_ms");
     struct peer *x = g_new0(struct peer, 1);
-    x->answered = status == 200 && cJSON_IsBool(served) && cJSON_IsNumber(quiet);
+    x->answered =
+        status == 200 && cJSON_IsBool(served) && cJSON_IsNumber(up) && bus_u64(m, "told", &x->told);
     x->served = x->answered && cJSON_IsTrue(served);
-    x->quiet_ms = x->answered ? (int64_t)quiet->valuedouble : 0;
+    x->up_ms = x->answered ? (int64_t)up->valuedouble : 0;
     g_hash_table_replace(p->peers, g_strdup(a->label), x);
     if (--p->out == 0)
         conclude(p);
--- a/src/peers.h
+++ b/src/peers.h
@@ -22,6 +22,6 @@
 bool peers_alone(const struct peers *p);
 mono_time peers_quiet_until(const struct peers *p);
 /* This node tells a user that a job is cancelled. */
-void peers_told_cancel(struct peers *p);
+void peers_told_cancel(struct peers *p, revision of);
 
 #endif
