--- a/src/leader.c
+++ b/src/leader.c
@@ -17,6 +17,7 @@
     AVOID_MS = 1500,
     SWEEP_MS = 5000,
     STUCK_S = 20,
+    MOST_PAUSE_MS = 40000, /* of a job that fails everywhere */
 };
 
 /* A machine is slow when its tasks take so many times as long as the others of their jobs. */
@@ -417,7 +418,8 @@
         double most = STUCK_S + (v && v->spec ? v->spec->expected_s * 0.1 : 0);
         g_hash_table_iter_init(&deals, j->deals);
         while (g_hash_table_iter_next(&deals, NULL, (gpointer *)&d))
-            if ((double)time_ms_since(now, d->since) > most * 1000) {
+            if ((double)time_ms_since(now, d->since) > most * 1000 &&
+                (double)time_ms_since(now, l->idle_at) > most * 1000) {
                 LOG_INFO("deal_stuck", "job=%s machine=%s", j->id.s, d->host->id.s);
                 membership_raise(l->members, "a deal is stuck");
                 return;
@@ -608,7 +610,7 @@
     bool at_fault = g_hash_table_size(j->failed_on) >= 3 && v && v->n_done == 0;
     if (at_fault) {
         j->failures++;
-        int64_t pause = MIN(120000, 4000LL << MIN(j->failures, 5));
+        int64_t pause = MIN(MOST_PAUSE_MS, 4000LL << MIN(j->failures, 5));
         j->not_before = time_add_ms(loop_now(l->loop), pause);
         LOG_INFO("job_failing", "job=%s machines=%u pause_ms=%" G_GINT64_FORMAT, j->id.s,
                  g_hash_table_size(j->failed_on), pause);
@@ -793,8 +795,10 @@
 {
     struct leader *l = arg;
     timer_start(l->loop, &l->tick, TICK_MS);
-    if (!l->leading || !membership_leads(l->members))
+    if (!l->leading || !membership_leads(l->members) || store_troubled(l->store)) {
+        l->idle_at = loop_now(l->loop);
         return;
+    }
     GHashTableIter it;
     struct ljob *j;
     g_hash_table_iter_init(&it, l->jobs);
--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -18,6 +18,9 @@
  * too, have to begin within a few minutes. */
 static const double AGED_S = 150;
 
+/* And after so long it goes before urgent work, and is not stopped for it. */
+static const double OVERDUE_S = 190;
+
 /* A job stands behind those that came up to so many times as long after it as it would keep its
  * team's whole limit busy: small jobs pass large ones, but none passes for ever. */
 static const double SIZE_COUNTS = 4;
@@ -249,6 +252,7 @@
 {
     double waited = (double)(loop_wall(l->loop).ms - v->submitted.ms) / 1000;
     j->aged = waited > AGED_S;
+    j->overdue = waited > OVERDUE_S;
     return waited < j->patience_s || j->aged;
 }
 
@@ -261,7 +265,9 @@
         return 0;
     if (within(t->used, j->room, t->team->cpus, t->team->gpus))
         return s->urgency;
-    return (j->in_time ? 4 : 8) + s->urgency;
+    /* What is overdue goes before all that is borrowed, or urgent work would hold it back for ever.
+     */
+    return j->overdue ? 4 : (j->in_time ? 4 : 8) + s->urgency;
 }
 
 /* Tasks that wait and that the team's limit leaves room for. */
@@ -322,8 +328,9 @@
 /* Services are not stopped for a guarantee. */
 static bool may_stop(struct leader *l, struct ljob *victim, const struct claim *c)
 {
+    /* What waited for long is not stopped again and again, but for services. */
     if (victim->urgency > c->job->urgency)
-        return c->over_lower;
+        return c->over_lower && (!victim->overdue || c->job->service);
     const struct lteam *t = &l->teams[victim->team];
     return victim->team != c->job->team && !victim->service && c->over_borrowed &&
            (t->used.cpus.milli - t->halting.cpus.milli - victim->room.cpus.milli >=
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -37,6 +37,7 @@
     bool blocked;     /* in this pass: no machine has room */
     bool in_time;     /* in this pass: what its class is expected to do can still be done */
     bool aged;        /* in this pass: it has waited for so long that it has its place again */
+    bool overdue;     /* and for longer still */
     int64_t place_ms; /* in its team's queue */
     mono_time not_before, preempted_at;
     int failures;
@@ -120,6 +121,7 @@
     int running[4];       /* tasks on record, by urgency */
     struct timer tick, pass;
     mono_time scaled_at, swept_at;
+    mono_time idle_at; /* it last could not act: an outage */
     bool sweeping;
     double demand_peak;
     bool services; /* some run; the next two tell of them */
--- /dev/null
+++ b/tests/test_load.c
@@ -0,0 +1,117 @@
+/* A long mixed load on too few machines: nobody is put behind for ever, neither a class nor a team
+ * nor the largest jobs. The load comes from a generator with a fixed seed. */
+#include "world.h"
+
+enum { SECONDS = 900, LARGEST = 24, BEGIN_S = 240 };
+
+struct sent {
+    char id[24];
+    int team, class, tasks;
+    int64_t at_s, began_s; /* began_s: all its tasks had started; -1: not yet */
+    guint started;         /* tasks, one bit each */
+    int left[32];          /* seconds each task still runs; 0: not started or over */
+    guint over;
+};
+
+static const char *const teams[] = {"red", "blue"};
+static const char *const urgencies[] = {"\"high\"", "\"normal\""};
+
+static void submit(struct world *w, struct sent *s, int number)
+{
+    g_snprintf(s->id, sizeof s->id, "wk-%04d", number);
+    char *high = world_job(s->id, "sweep", s->tasks, teams[s->team], 1.0, "");
+    char **parts = g_strsplit(high, "\"high\"", 2), *job = g_strjoinv(urgencies[s->class], parts);
+    assert_int_equal(world_ask(w, number % WORLD_NODES, "POST", "/work", job).status, 201);
+    g_strfreev(parts);
+    g_free(high);
+    g_free(job);
+}
+
+/* Plays a second: tasks run for 10 s each, then they are done. */
+static void second(struct world *w, GArray *jobs, int64_t now)
+{
+    world_run(w, 1000);
+    for (guint n = 0; n < jobs->len; n++) {
+        struct sent *s = &g_array_index(jobs, struct sent, n);
+        for (int t = 0; t < s->tasks; t++) {
+            if (s->over >> t & 1)
+                continue;
+            struct worker *on = NULL;
+            for (int i = 0; i < WORLD_WORKERS && !on; i++)
+                if (w->workers[i].up && worker_task(&w->workers[i], s->id, (uint32_t)t))
+                    on = &w->workers[i];
+            if (!on || strcmp(worker_task(on, s->id, (uint32_t)t)->stage, "running") != 0) {
+                s->left[t] = 0; /* not there, or stopped for other work */
+                continue;
+            }
+            s->started |= 1u << t;
+            if (s->left[t] == 0)
+                s->left[t] = 10;
+            else if (--s->left[t] == 0) {
+                worker_exit(on, s->id, (uint32_t)t, "done");
+                s->over |= 1u << t;
+            }
+        }
+        if (s->began_s < 0 && s->started == (1u << s->tasks) - 1)
+            s->began_s = now;
+    }
+}
+
+static void nobody_is_put_behind_for_ever(void **state)
+{
+    struct world *w = *state;
+    w->capacity = 0;
+    for (int i = 4; i < WORLD_WORKERS; i++) /* 32 processors */
+        world_worker(w, i, i % 2 ? "a" : "b", true);
+    world_run(w, 4000);
+    GRand *luck = g_rand_new_with_seed(20261202);
+    GArray *jobs = g_array_new(FALSE, TRUE, sizeof(struct sent));
+    for (int64_t now = 0; now < SECONDS; now++) {
+        /* A load of nine tenths, and of twice as much in a burst of two minutes. */
+        double rate = now > 300 && now < 420 ? 1.0 : 0.45;
+        if (now < SECONDS - 300 && g_rand_double(luck) < rate) {
+            struct sent s = {.team = g_rand_int_range(luck, 0, 2),
+                             .class = g_rand_int_range(luck, 0, 2),
+                             .tasks = g_rand_int_range(luck, 1, 9),
+                             .at_s = now,
+                             .began_s = -1};
+            if (s.team == 1 && g_rand_double(luck) < 0.1)
+                s.tasks = LARGEST;
+            submit(w, &s, (int)jobs->len);
+            g_array_append_val(jobs, s);
+        }
+        second(w, jobs, now);
+    }
+    int all[2][2] = {{0}}, served[2][2] = {{0}}, largest = 0, begun = 0;
+    for (guint n = 0; n < jobs->len; n++) {
+        struct sent *s = &g_array_index(jobs, struct sent, n);
+        bool ok = s->began_s >= 0 && s->began_s - s->at_s <= BEGIN_S;
+        all[s->team][s->class]++;
+        served[s->team][s->class] += ok;
+        largest += s->tasks == LARGEST;
+        begun += s->tasks == LARGEST && ok;
+        char *path = g_strconcat("/work/", s->id, NULL); /* and all of them stay known */
+        assert_int_equal(world_ask(w, (int)n % WORLD_NODES, "GET", path, NULL).status, 200);
+        g_free(path);
+    }
+    if (g_getenv("LOG_LEVEL"))
+        print_message("served %d/%d %d/%d %d/%d %d/%d, largest %d/%d\n", served[0][0], all[0][0],
+                      served[0][1], all[0][1], served[1][0], all[1][0], served[1][1], all[1][1], begun,
+                      largest);
+    for (int t = 0; t < 2; t++)
+        for (int c = 0; c < 2; c++)
+            if (served[t][c] * 4 < all[t][c] * 3)
+                fail_msg("team %s, priority %s: %d of %d", teams[t], urgencies[c], served[t][c],
+                         all[t][c]);
+    assert_true(largest >= 4);
+    if (begun < largest)
+        fail_msg("of %d largest jobs %d began in time", largest, begun);
+    g_array_unref(jobs);
+    g_rand_free(luck);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {WORLD_TEST(nobody_is_put_behind_for_ever)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
