--- a/src/frontend.c
+++ b/src/frontend.c
@@ -44,6 +44,7 @@
     job_id job;
     json_object *spec; /* of a submission */
     bool impossible;   /* it would be refused, were it not known already */
+    bool read;         /* its key was read, and is not there */
     int rounds;
 };
 
@@ -208,6 +209,49 @@
     json_object_put(spec);
 }
 
+static void key_answered(void *arg, const struct net_answer *answer)
+{
+    struct ask *a = arg;
+    json_object *o = answer->status > 0 ? json_read(answer->body, answer->len) : NULL, *v = NULL;
+    const char *final = NULL;
+    uint64_t n = 0, stamp = 0;
+    json_object_object_get_ex(o, "V", &v);
+    if (answer->status == 404) {
+        a->read = true;
+        ask_step(a, true);
+        json_object_put(o);
+        return;
+    }
+    if (!a->answered && answer->status == 200 && json_text(v, "f", &final) &&
+        json_u64(o, "Stamp", &stamp)) {
+        bool done = strcmp(final, "done") == 0;
+        json_u64(v, "n", &n);
+        if (!done)
+            peers_told_cancel(a->frontend->peers, (revision){stamp});
+        reply(a->replier, a->from, 200,
+              codec_job_answer(a->job, done ? "done" : "cancelled", done ? (long)n : 0, 0));
+    } else {
+        ask_refuse(a);
+    }
+    ask_end(a);
+    json_object_put(o);
+}
+
+/* A job that the view does not hold may have been over for so long that it is not kept in memory. A
+ * submission that is new is found out by its write, without reading. */
+static bool read_key(struct ask *a)
+{
+    struct frontend *f = a->frontend;
+    if (!f->view->forgot || a->read || (a->action == ACTION_SUBMIT && !a->rounds && !a->impossible))
+        return false;
+    char *key = key_job(a->job), *path = g_strconcat("/keys/", key, NULL);
+    store_request(f->store, LANE_URGENT, "GET", path, NULL, ANSWER_MS, ANSWER_MS, 0, key_answered,
+                  a);
+    g_free(path);
+    g_free(key);
+    return true;
+}
+
 /* The view is now at a moment after the request came: what it shows may be told. */
 static void ask_step(void *arg, bool ok)
 {
@@ -218,6 +262,8 @@
         ask_end(a);
         return;
     }
+    if (ok && !j && read_key(a))
+        return;
     if (!ok) {
         ask_refuse(a);
     } else if (a->action == ACTION_SUBMIT && !j && a->impossible) {
--- a/src/view.c
+++ b/src/view.c
@@ -10,6 +10,7 @@
 enum {
     PAUSE_MS = 8000,   /* without an answer */
     MOST_MISSED = 300, /* revisions that are asked for in one answer after that */
+    MOST_OVER = 20000, /* jobs that are over and kept in memory */
 };
 
 struct view_waiter {
@@ -103,6 +104,8 @@
     v->changes = g_array_new(FALSE, TRUE, sizeof(struct change));
     v->waiters = g_array_new(FALSE, FALSE, sizeof(struct view_waiter));
     v->watch_at = loop_now(loop);
+    v->most_over = MOST_OVER;
+    g_queue_init(&v->over);
     timer_init(&v->watch_timer, watch_go, v);
     timer_init(&v->expire_timer, expire, v);
     return v;
@@ -126,6 +129,7 @@
     g_ptr_array_unref(v->listeners);
     g_array_unref(v->changes);
     g_array_unref(v->waiters);
+    g_queue_clear_full(&v->over, g_free);
     g_free(v->leader);
     g_free(v);
 }
@@ -171,9 +175,30 @@
     g_array_unref(p);
 }
 
+static void forget_over(struct view *v)
+{
+    for (guint n = v->over.length; n > v->most_over; n--) {
+        char *id = g_queue_pop_head(&v->over);
+        struct job *j = view_job(v, id);
+        if (j && j->placed) { /* a page still names it */
+            g_queue_push_tail(&v->over, id);
+            continue;
+        }
+        if (j) {
+            char *key = key_job(j->id);
+            g_hash_table_remove(v->stamps, key);
+            g_free(key);
+            g_hash_table_remove(v->jobs, id);
+            v->forgot = true;
+        }
+        g_free(id);
+    }
+}
+
 /* Tells the listeners what changed, and those who wait for a revision that it is here. */
 static void publish(struct view *v)
 {
+    forget_over(v);
     if (v->changes->len && v->ready) {
         for (guint i = 0; i < v->listeners->len; i++)
             actor_send(v->loop, v->listeners->pdata[i], MSG_VIEW, g_array_ref(v->changes),
@@ -283,6 +308,9 @@
         j->tasks = (uint32_t)n;
         job_drop_spec(j);
         j->n_done = j->state == JOB_DONE ? j->tasks : 0;
+        if (!j->over)
+            g_queue_push_tail(&v->over, g_strdup(id));
+        j->over = true;
     } else if (value) {
         json_flag(value, "c", &cancelled);
         json_u64(value, "t", &submitted);
@@ -687,6 +715,12 @@
 
 static void reload_page(struct view *v);
 
+/* Keys of jobs are never removed, and there may be very many. */
+static bool is_job_key(const char *key)
+{
+    return g_str_has_prefix(key, "ll/j/");
+}
+
 static void reload_answered(void *arg, const struct net_answer *a)
 {
     struct view *v = arg;
@@ -708,9 +742,11 @@
         json_object_object_get_ex(x, "V", &value);
         if (!json_text(x, "K", &key) || !json_u64(x, "Stamp", &stamp.v) || !value)
             continue;
-        g_hash_table_add(v->reload_seen, g_strdup(key));
+        if (!is_job_key(key))
+            g_hash_table_add(v->reload_seen, g_strdup(key));
         apply(v, key, value, stamp);
     }
+    forget_over(v);
     if (more && key) {
         g_free(v->reload_from);
         v->reload_from = g_strdup(key);
@@ -725,7 +761,7 @@
     GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
     g_hash_table_iter_init(&it, v->stamps);
     while (g_hash_table_iter_next(&it, (gpointer *)&old, NULL))
-        if (!g_hash_table_contains(v->reload_seen, old))
+        if (!is_job_key(old) && !g_hash_table_contains(v->reload_seen, old))
             g_ptr_array_add(gone, g_strdup(old));
     for (guint i = 0; i < gone->len; i++) {
         revision *have = g_hash_table_lookup(v->stamps, gone->pdata[i]);
--- a/src/view.h
+++ b/src/view.h
@@ -21,6 +21,7 @@
 struct job {
     job_id id;
     bool known; /* its key was seen, not only what hangs on it */
+    bool over;  /* its key will not change any more */
     enum job_state state;
     revision stamp;
     struct spec *spec; /* NULL once it is over for good */
@@ -114,7 +115,12 @@
     GArray *map; /* struct map_entry */
     GArray *types;
     revision types_stamp;
+    /* Jobs that are over stay in the state service; beyond so many the oldest are not kept here,
+     * and whoever asks about one that is not known has to read its key. */
+    guint most_over;
+    bool forgot; /* some were */
     /* private */
+    GQueue over;        /* ids, oldest first */
     GHashTable *stamps; /* key -> revision, of every key */
     GPtrArray *listeners;
     GArray *changes;
--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -423,6 +423,42 @@
     assert_int_equal(world_on_machines(w, "wk-2"), 3);
 }
 
+/* Jobs that are over stay known for good, also those that are not kept in memory any more. */
+static void old_jobs_are_read_when_asked_for(void **state)
+{
+    struct world *w = *state;
+    for (int n = 0; n < WORLD_NODES; n++)
+        w->nodes[n]->view->most_over = 3;
+    char path[32], body[48];
+    for (int i = 0; i < 12; i++) {
+        g_snprintf(path, sizeof path, "ll/j/wk-%02d", i);
+        g_snprintf(body, sizeof body, "{\"f\":\"%s\",\"n\":4}", i % 2 ? "done" : "cancelled");
+        world_put(w, path, body);
+        world_run(w, 200);
+    }
+    assert_null(view_job(w->nodes[0]->view, "wk-00"));
+    for (int i = 0; i < 12; i++) {
+        const char *stage = i % 2 ? "done" : "cancelled";
+        g_snprintf(path, sizeof path, "wk-%02d", i);
+        world_expect_stage(w, i % 3, path, stage);
+        struct user_answer a = world_submit(w, (i + 1) % 3, path, "sweep", 4);
+        assert_int_equal(a.status, 200);
+        assert_non_null(strstr(a.body, stage));
+        char *job = world_job(path, "sweep", 4, "nobody", 2.0, ""); /* 422, were it not known */
+        assert_int_equal(world_ask(w, i % 3, "POST", "/work", job).status, 200);
+        g_free(job);
+        g_snprintf(path, sizeof path, "/work/wk-%02d/abort", i);
+        a = world_ask(w, i % 3, "POST", path, NULL);
+        assert_true(a.status == 200 && strstr(a.body, stage));
+    }
+    assert_int_equal(world_ask(w, 0, "GET", "/work/wk-404", NULL).status, 404);
+    assert_int_equal(world_submit(w, 0, "wk-new", "sweep", 1).status, 201);
+    w->too_old = 3; /* everything is read again */
+    world_submit(w, 1, "wk-new2", "sweep", 1);
+    world_run(w, 5000);
+    world_expect_stage(w, 2, "wk-01", "done");
+}
+
 /* More machines go at once than a transaction may hold writes for, which the world asserts. */
 static void many_machines_go_at_once(void **state)
 {
@@ -600,6 +636,7 @@
         WORLD_TEST(what_a_dead_process_sent_comes_late),
         WORLD_TEST(all_nodes_back_at_once_go_on),
         WORLD_TEST(a_leader_goes_on_after_an_outage),
+        WORLD_TEST(old_jobs_are_read_when_asked_for),
         WORLD_TEST(many_machines_go_at_once),
         WORLD_TEST(a_node_that_was_away_reads_pages),
         WORLD_TEST(a_worker_that_counts_anew_is_believed),
--- a/tests/world.c
+++ b/tests/world.c
@@ -310,6 +310,14 @@
         }
     } else if (w->state_down) {
         flight_result(f, 503, json_object_new_object());
+    } else if (g_str_has_prefix(f->path, "/keys/")) {
+        struct wkey *k = g_tree_lookup(w->keys, f->path + 6);
+        json_object *o = json_object_new_object();
+        if (k) {
+            json_object_object_add(o, "V", json_tokener_parse(k->text));
+            json_put_u64(o, "Stamp", k->stamp);
+        }
+        flight_result(f, k ? 200 : 404, o);
     } else if (strcmp(f->path, "/txn") == 0) {
         txn(f, body);
     } else if (strcmp(f->path, "/grants") == 0) {
