--- a/src/frontend.c
+++ b/src/frontend.c
@@ -48,9 +48,8 @@
     int rounds;
 };
 
-static void serve_relayed(void *ctx, struct http_replier *r, conn_ref from,
-                          const struct http_request *q);
-
+static void serve_here(void *ctx, struct http_replier *r, conn_ref from,
+                       const struct http_request *q);
 static void sweep(void *arg);
 
 struct frontend *frontend_new(const struct node *n)
@@ -65,7 +64,7 @@
                            .peers = n->peers};
     g_queue_init(&f->asks);
     timer_init(&f->sweep, sweep, f);
-    bus_on_relay(n->bus, serve_relayed, f);
+    bus_on_relay(n->bus, serve_here, f);
     return f;
 }
 
@@ -212,29 +211,21 @@
 static void key_answered(void *arg, const struct net_answer *answer)
 {
     struct ask *a = arg;
+    struct job j = {.id = a->job};
     json_object *o = answer->status > 0 ? json_read(answer->body, answer->len) : NULL, *v = NULL;
-    const char *final = NULL;
-    uint64_t n = 0, stamp = 0;
     json_object_object_get_ex(o, "V", &v);
+    bool over = answer->status == 200 && json_u64(o, "Stamp", &j.stamp.v) && job_read_final(&j, v);
+    json_object_put(o);
     if (answer->status == 404) {
         a->read = true;
         ask_step(a, true);
-        json_object_put(o);
         return;
     }
-    if (!a->answered && answer->status == 200 && json_text(v, "f", &final) &&
-        json_u64(o, "Stamp", &stamp)) {
-        bool done = strcmp(final, "done") == 0;
-        json_u64(v, "n", &n);
-        if (!done)
-            peers_told_cancel(a->frontend->peers, (revision){stamp});
-        reply(a->replier, a->from, 200,
-              codec_job_answer(a->job, done ? "done" : "cancelled", done ? (long)n : 0, 0));
-    } else {
+    if (over && !a->answered)
+        reply_job(a->frontend, a->replier, a->from, &j);
+    else
         ask_refuse(a);
-    }
     ask_end(a);
-    json_object_put(o);
 }
 
 /* A job that the view does not hold may have been over for so long that it is not kept in memory. A
@@ -443,9 +434,10 @@
     return true;
 }
 
-static void serve_here(struct frontend *f, struct http_replier *r, conn_ref from,
+static void serve_here(void *ctx, struct http_replier *r, conn_ref from,
                        const struct http_request *q)
 {
+    struct frontend *f = ctx;
     if (is_work(q->path)) {
         route_work(f, r, from, q);
     } else if (strcmp(q->path, "/agent/beat") == 0) {
@@ -465,12 +457,6 @@
     }
 }
 
-static void serve_relayed(void *ctx, struct http_replier *r, conn_ref from,
-                          const struct http_request *q)
-{
-    serve_here(ctx, r, from, q);
-}
-
 void frontend_serve(void *ctx, struct http_replier *r, conn_ref from, const struct http_request *q)
 {
     if (!hand_on(ctx, r, from, q))
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -78,6 +78,13 @@
     loop_free_later(c->loop, l);
 }
 
+static void place_free(struct place *p)
+{
+    g_ptr_array_unref(p->links);
+    g_free(p->addr);
+    g_free(p);
+}
+
 /* Machines come and go: addresses that nothing is sent to any more are forgotten now and then. */
 static void forget_places(struct client *c)
 {
@@ -90,9 +97,7 @@
         if (p->links->len || p->waiting.head)
             continue;
         g_hash_table_iter_remove(&it);
-        g_ptr_array_unref(p->links);
-        g_free(p->addr);
-        g_free(p);
+        place_free(p);
     }
 }
 
@@ -396,9 +401,7 @@
             }
             link_close(l);
         }
-        g_ptr_array_unref(p->links);
-        g_free(p->addr);
-        g_free(p);
+        place_free(p);
     }
     g_hash_table_unref(c->places);
     g_free(c);
--- a/src/leader.c
+++ b/src/leader.c
@@ -1,5 +1,6 @@
 #include "leader_state.h"
 
+#include "images.h"
 #include "log.h"
 #include "node.h"
 
@@ -176,11 +177,6 @@
     return g_hash_table_lookup(l->hosts, id);
 }
 
-static void release_image(gpointer q)
-{
-    g_ref_string_release(q);
-}
-
 static struct lhost *lhost_make(struct leader *l, host_id id, const char *build, const char *yard,
                                 bool loaners)
 {
@@ -189,13 +185,12 @@
         h = g_new0(struct lhost, 1);
         h->id = id;
         h->idle_since = loop_now(l->loop);
-        h->images = g_ptr_array_new_with_free_func(release_image);
+        h->images = images_new();
         g_hash_table_insert(l->hosts, h->id.s, h);
     }
-    h->zone = -1;
-    for (guint i = 0; i < l->settings->zones->len; i++)
-        if (strcmp(l->settings->zones->pdata[i], yard) == 0)
-            h->zone = (int)i;
+    guint zone;
+    bool known = g_ptr_array_find_with_equal_func(l->settings->zones, yard, g_str_equal, &zone);
+    h->zone = known ? (int)zone : -1;
     g_strlcpy(h->build, build, sizeof h->build);
     g_strlcpy(h->yard, yard, sizeof h->yard);
     h->loaners = loaners;
@@ -205,15 +200,6 @@
     return h;
 }
 
-static void lhost_image(struct lhost *h, const char *image)
-{
-    char *name = g_ref_string_new_intern(image);
-    if (g_ptr_array_find(h->images, name, NULL))
-        g_ref_string_release(name);
-    else
-        g_ptr_array_add(h->images, name);
-}
-
 void leader_deal_drop(struct leader *l, struct ljob *j, uint32_t index)
 {
     struct deal *d = g_hash_table_lookup(j->deals, leader_key_of(index));
@@ -319,7 +305,7 @@
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&rec)) {
         struct lhost *n = lhost_make(l, rec->id, rec->build, rec->yard, rec->loaners);
         for (guint i = 0; i < rec->images->len && !n->told; i++)
-            lhost_image(n, rec->images->pdata[i]);
+            images_add(n->images, rec->images->pdata[i]);
         for (guint i = 0; i < rec->tasks->len; i++) {
             struct placed *t = rec->tasks->pdata[i];
             entry_add(l, t->job->id, t->index, t->attempt, rec->id);
@@ -655,7 +641,7 @@
     cJSON_ArrayForEach(image, images)
     {
         if (cJSON_IsString(image))
-            lhost_image(h, image->valuestring);
+            images_add(h->images, image->valuestring);
     }
 }
 
--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -1,5 +1,6 @@
 #include "leader_state.h"
 
+#include "images.h"
 #include "log.h"
 #include "part.h"
 #include "score.h"
@@ -40,14 +41,6 @@
     return room_left(room_left(h->total, h->booked), h->dealt);
 }
 
-static bool host_has_image(const struct lhost *h, const char *image)
-{
-    for (guint i = 0; i < h->images->len; i++)
-        if (h->images->pdata[i] == image)
-            return true;
-    return false;
-}
-
 /* How many of a job's tasks are in a zone, or are about to be. */
 uint32_t leader_in_zone(struct leader *l, struct ljob *j, const char *yard)
 {
@@ -129,7 +122,7 @@
 {
     struct room taken = h->booked;
     room_add(&taken, h->dealt);
-    struct score_facts facts = {host_has_image(h, s->image), h->loaners,
+    struct score_facts facts = {images_hold(h->images, s->image), h->loaners,
                                 room_share(taken, h->total), room_share(h->pinned, h->total),
                                 zone_roomy(l, h->zone)};
     return score_host(s, &facts);
@@ -156,7 +149,7 @@
     for (guint i = 0; i < l->open->len; i++) {
         struct lhost *h = l->open->pdata[i];
         if (!room_holds(leader_host_free_room(h), j->room) || !host_allowed(l, j, s, h) ||
-            (image && !host_has_image(h, s->image)))
+            (image && !images_hold(h->images, s->image)))
             continue;
         struct choice c = {h, host_score(l, h, s)};
         g_array_append_val(out, c);
@@ -270,13 +263,15 @@
     return j->overdue ? 4 : (j->in_time ? 4 : 8) + s->urgency;
 }
 
+struct room leader_limit_left(const struct lteam *t)
+{
+    return room_left((struct room){t->team->cpus_max, t->team->gpus_max, {INT64_MAX / 4}}, t->used);
+}
+
 /* Tasks that wait and that the team's limit leaves room for. */
 int64_t leader_count_allowed(struct leader *l, struct ljob *j, struct job *v)
 {
-    struct lteam *t = &l->teams[j->team];
-    struct room left = {{t->team->cpus_max.milli - t->used.cpus.milli},
-                        {t->team->gpus_max.milli - t->used.gpus.milli},
-                        {INT64_MAX / 4}};
+    struct room left = leader_limit_left(&l->teams[j->team]);
     return MIN((int64_t)count_waiting(j, v), room_times(left, j->room));
 }
 
@@ -380,7 +375,6 @@
     for (guint k = 0; k < l->open->len; k++) {
         struct lhost *h = l->open->pdata[k];
         struct host_record *rec = view_host(l->view, h->id.s);
-        count_zones(l, j, v->spec);
         if (!rec || !h->pinned.cpus.milli || !host_allowed(l, j, v->spec, h))
             continue;
         for (guint i = 0; i < rec->tasks->len; i++) {
@@ -393,7 +387,11 @@
                 time_ms_since(now, e->since) < MOVE_AFTER_MS)
                 continue;
             room_add(&free, other->room);
-            if (!room_holds(free, j->room) || !could_leave(l, other, t->job->spec, h->zone))
+            if (!room_holds(free, j->room))
+                continue;
+            bool leaves = could_leave(l, other, t->job->spec, h->zone);
+            count_zones(l, j, v->spec); /* those of the other job were counted */
+            if (!leaves)
                 continue;
             LOG_INFO("move", "job=%s task=%u machine=%s for=%s", t->job->id.s, t->index, h->id.s,
                      j->id.s);
@@ -429,19 +427,18 @@
     /* A machine that services hold already is kept anyway, and one without the image is late. */
     if (room_holds(free, j->room))
         x->loss = loss * (1.2 - room_share(h->pinned, h->total) +
-                          (host_has_image(h, c->view->spec->image) ? 0 : 1));
+                          (images_hold(h->images, c->view->spec->image) ? 0 : 1));
 }
 
 /* Every machine where room could be made. */
 static GArray *clearings(struct leader *l, const struct claim *c)
 {
     GArray *out = g_array_new(FALSE, FALSE, sizeof(struct clearing));
-    count_zones(l, c->job, c->view->spec);
     for (guint i = 0; i < l->open->len; i++) {
         struct lhost *h = l->open->pdata[i];
         if (!room_holds(room_left(h->total, h->pinned), c->job->room) ||
             !host_allowed(l, c->job, c->view->spec, h) ||
-            (c->image && !host_has_image(h, c->view->spec->image)))
+            (c->image && !images_hold(h->images, c->view->spec->image)))
             continue;
         struct clearing x = {.host = h};
         weigh(l, c, &x);
@@ -539,11 +536,10 @@
     if (s->urgency != URGENCY_PROD || loop_wall(l->loop).ms - v->submitted.ms > HOLD_OUT_MS ||
         !leader_may_preempt(l, s))
         return false;
-    count_zones(l, j, s);
     for (guint i = 0; i < l->open->len; i++) {
         struct lhost *h = l->open->pdata[i];
-        if (host_has_image(h, s->image) && room_holds(room_left(h->total, h->pinned), j->room) &&
-            host_allowed(l, j, s, h))
+        if (images_hold(h->images, s->image) &&
+            room_holds(room_left(h->total, h->pinned), j->room) && host_allowed(l, j, s, h))
             return true;
     }
     return false;
@@ -555,9 +551,9 @@
     int n = (int)MIN(most, leader_count_allowed(l, j, v)), dealt = 0;
     if (n <= 0)
         return 0;
+    count_zones(l, j, v->spec);
     bool image = holds_out_for_image(l, j, v);
     if (!is_full(l, j, v->spec)) {
-        count_zones(l, j, v->spec);
         GArray *hosts = choices(l, j, v->spec, image);
         attempt_no attempt = next_attempt(l);
         for (guint i = 0; i < hosts->len && dealt < n; i++) {
--- a/src/leader_scale.c
+++ b/src/leader_scale.c
@@ -158,9 +158,8 @@
 static int64_t count_wanted(struct leader *l, struct ljob *j, struct job *v)
 {
     struct lteam *t = &l->teams[j->team];
-    struct room left =
-        room_left((struct room){t->team->cpus_max, t->team->gpus_max, {INT64_MAX / 4}}, t->used);
-    int64_t n = MIN(leader_count_allowed(l, j, v), room_times(room_left(left, t->wanted), j->room));
+    struct room left = room_left(leader_limit_left(t), t->wanted);
+    int64_t n = MIN(leader_count_allowed(l, j, v), room_times(left, j->room));
     room_add(&t->wanted, (struct room){{j->room.cpus.milli * n}, {j->room.gpus.milli * n}, {0}});
     return n;
 }
@@ -342,15 +341,12 @@
 /* Whether the next services would miss the machine. */
 static bool kept_for_services(struct leader *l, struct lhost *h)
 {
-    if (h->loaners || !l->services)
+    if (h->loaners || !l->services || h->zone < 0)
         return false;
-    for (guint i = 0; i < l->settings->zones->len; i++)
-        if (strcmp(l->settings->zones->pdata[i], h->yard) == 0) {
-            int64_t holds = room_times(room_left(h->total, h->pinned), l->service_usual);
-            if (l->service_lack[i] + holds > 0)
-                return true;
-            l->service_lack[i] += holds;
-        }
+    int64_t holds = room_times(room_left(h->total, h->pinned), l->service_usual);
+    if (l->service_lack[h->zone] + holds > 0)
+        return true;
+    l->service_lack[h->zone] += holds;
     return false;
 }
 
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -159,6 +159,8 @@
 /* The machines that take work in this pass, and what the zones hold. */
 void leader_survey(struct leader *l);
 int leader_rank_of(struct leader *l, struct ljob *j, const struct spec *s);
+/* What the team may still use. */
+struct room leader_limit_left(const struct lteam *t);
 int64_t leader_count_allowed(struct leader *l, struct ljob *j, struct job *v);
 int leader_deal_rank(struct leader *l, int rank, int budget);
 bool leader_collect_ready(struct leader *l);
--- a/src/part_host.c
+++ b/src/part_host.c
@@ -1,5 +1,6 @@
 #include "part_state.h"
 
+#include "images.h"
 #include "log.h"
 
 enum { MOST_NEWS = 200 };
@@ -63,17 +64,12 @@
     return g_hash_table_lookup(p->hosts, id);
 }
 
-static void release_image(gpointer q)
-{
-    g_ref_string_release(q);
-}
-
 struct host *part_host_make(struct part *p, host_id id)
 {
     struct host *h = g_new0(struct host, 1);
     h->id = id;
     h->runs = g_ptr_array_new_with_free_func(g_free);
-    h->images = g_ptr_array_new_with_free_func(release_image);
+    h->images = images_new();
     h->page = h->page_from = h->told_flags = -1;
     h->strays = g_array_new(FALSE, FALSE, sizeof(struct report_task));
     h->owned_since = p->epoch;
@@ -104,14 +100,6 @@
         g_ptr_array_remove_index(h->images, 0);
 }
 
-bool part_host_has_image(const struct host *h, const char *image)
-{
-    for (guint i = 0; i < h->images->len; i++)
-        if (h->images->pdata[i] == image)
-            return true;
-    return false;
-}
-
 bool part_host_has_run(const struct host *h)
 {
     for (guint i = 0; i < h->runs->len; i++)
--- a/src/part_place.c
+++ b/src/part_place.c
@@ -1,5 +1,6 @@
 #include "part_state.h"
 
+#include "images.h"
 #include "log.h"
 #include "score.h"
 
@@ -46,15 +47,26 @@
     return true;
 }
 
+/* A machine that would do; host NULL: none. */
+struct pick {
+    struct host *host;
+    double score;
+};
+
 /* The best of the machines that suit, by pool, and the best of those that have the image. */
 struct survey {
-    struct {
-        struct host *host;
-        double score;
-    } any[ARQ_CLASSES + 1], image;
+    struct pick any[ARQ_CLASSES + 1], image;
     bool none;
 };
 
+static void pick_better(struct pick *best, struct pick other)
+{
+    if (other.host &&
+        (!best->host || other.score > best->score ||
+         (other.score == best->score && strcmp(other.host->id.s, best->host->id.s) < 0)))
+        *best = other;
+}
+
 static void survey(struct part *p, const struct dealt *d, const struct spec *s, struct survey *out)
 {
     memset(out, 0, sizeof *out);
@@ -67,34 +79,22 @@
             continue;
         out->none = false;
         double booked = host_booked(h);
-        int pool = arq_pool(booked);
-        bool image = part_host_has_image(h, s->image);
+        bool image = images_hold(h->images, s->image);
         struct score_facts facts = {image, h->loaners, booked, room_share(h->pinned, h->total), 1};
-        double score = score_host(s, &facts);
-        struct host *best = out->any[pool].host;
-        if (!best || score > out->any[pool].score ||
-            (score == out->any[pool].score && strcmp(h->id.s, best->id.s) < 0)) {
-            out->any[pool].host = h;
-            out->any[pool].score = score;
-        }
-        if (image && (!out->image.host || score > out->image.score ||
-                      (score == out->image.score && strcmp(h->id.s, out->image.host->id.s) < 0))) {
-            out->image.host = h;
-            out->image.score = score;
-        }
+        struct pick pick = {h, score_host(s, &facts)};
+        pick_better(&out->any[arq_pool(booked)], pick);
+        if (image)
+            pick_better(&out->image, pick);
     }
 }
 
 /* The best in the pools up to one. */
 static struct host *best_below(const struct survey *v, int high)
 {
-    int best = 0;
+    struct pick best = {0};
     for (int pool = 1; pool <= high; pool++)
-        if (v->any[pool].host && (!best || v->any[pool].score > v->any[best].score ||
-                                  (v->any[pool].score == v->any[best].score &&
-                                   strcmp(v->any[pool].host->id.s, v->any[best].host->id.s) < 0)))
-            best = pool;
-    return best ? v->any[best].host : NULL;
+        pick_better(&best, v->any[pool]);
+    return best.host;
 }
 
 static double pool_chance(struct part *p, int pool, double t, double run_s)
@@ -173,7 +173,7 @@
     r->placed_at = loop_now(p->loop);
     r->pool = pool;
     LOG_DEBUG("placed", "job=%s task=%u machine=%s class=%d pool=%d image=%d", d->job.s, d->index,
-              h->id.s, d->class, pool, part_host_has_image(h, s->image));
+              h->id.s, d->class, pool, images_hold(h->images, s->image));
 }
 
 void part_give_back(struct part *p, const struct dealt *d)
--- a/src/part_record.c
+++ b/src/part_record.c
@@ -68,13 +68,19 @@
     return (int)p->pages->len - 1;
 }
 
-/* What one more task of a job takes on a page, at most. */
+/* What the first task of a job on a machine takes on a page, at most. */
+static gsize first_bytes(const struct host *h, job_id job)
+{
+    return strlen(h->id.s) + strlen(job.s) + 4 + NUMBER_BYTES;
+}
+
+/* What one more task of a job takes. */
 static gsize task_bytes(const struct host *h, job_id job)
 {
     for (guint i = 0; i < h->runs->len; i++)
         if (job_eq(((struct run *)h->runs->pdata[i])->job, job))
             return NUMBER_BYTES;
-    return strlen(h->id.s) + strlen(job.s) + 4 + NUMBER_BYTES;
+    return first_bytes(h, job);
 }
 
 /* What a machine's tasks take, or those of them that are not on record. */
@@ -84,7 +90,7 @@
     for (guint i = 0; i < h->runs->len; i++) {
         const struct run *r = h->runs->pdata[i];
         if (r->phase != RUN_GONE && (r->phase == RUN_NEW || !only_new))
-            n += strlen(h->id.s) + strlen(r->job.s) + 4 + NUMBER_BYTES;
+            n += first_bytes(h, r->job);
     }
     return n;
 }
@@ -128,19 +134,24 @@
     return g_strdup_printf("%s %u", job.s, chunk);
 }
 
-/* size: of the chunk when all its tasks are done; its room on the page is kept from the start. */
-static struct done_chunk *done_make(struct part *p, job_id job, uint32_t chunk, guint size,
-                                    int page)
+/* The bytes of a chunk's bits when all its tasks are done. */
+static guint chunk_size(const struct job *j, uint32_t chunk)
 {
-    char *key = chunk_key(job, chunk);
+    return MIN((guint)DONE_CHUNK, j->tasks - chunk * DONE_CHUNK) / 8 + 1;
+}
+
+/* The room that a chunk may come to take on its page is kept from the start. page -1: any. */
+static struct done_chunk *done_make(struct part *p, const struct job *j, uint32_t chunk, int page)
+{
+    char *key = chunk_key(j->id, chunk);
     struct done_chunk *d = g_hash_table_lookup(p->done, key);
     if (d) {
         g_free(key);
         return d;
     }
-    gsize bytes = sizeof job.s + 16 + 2 * (gsize)size;
+    gsize bytes = sizeof j->id.s + 16 + 2 * (gsize)chunk_size(j, chunk);
     d = g_new0(struct done_chunk, 1);
-    d->job = job;
+    d->job = j->id;
     d->chunk = chunk;
     d->bits = g_byte_array_new();
     d->page = page < 0 ? page_with_room(p, bytes) : page;
@@ -151,11 +162,7 @@
 
 static void bits_merge(GByteArray *to, const guint8 *from, guint len)
 {
-    guint old = to->len;
-    if (old < len) {
-        g_byte_array_set_size(to, len);
-        memset(to->data + old, 0, len - old);
-    }
+    bits_grow(to, len);
     for (guint i = 0; i < len; i++)
         to->data[i] |= from[i];
 }
@@ -166,15 +173,9 @@
     if (!j)
         return; /* cancelled: nobody has any use for what its tasks did */
     uint32_t chunk = r->index / DONE_CHUNK, bit = r->index % DONE_CHUNK;
-    guint size = MIN((guint)DONE_CHUNK, j->tasks - chunk * DONE_CHUNK) / 8 + 1;
-    struct done_chunk *d = done_make(p, r->job, chunk, size, -1);
-    guint8 byte = (guint8)(1 << (bit % 8));
-    guint old = d->bits->len;
-    if (old <= bit / 8) {
-        g_byte_array_set_size(d->bits, bit / 8 + 1);
-        memset(d->bits->data + old, 0, d->bits->len - old);
-    }
-    d->bits->data[bit / 8] |= byte;
+    struct done_chunk *d = done_make(p, j, chunk, -1);
+    bits_grow(d->bits, bit / 8 + 1);
+    d->bits->data[bit / 8] |= (guint8)(1 << (bit % 8));
     page_at(p, d->page)->dirty = true;
 }
 
@@ -199,8 +200,7 @@
     struct job *j = part_live_job(r->part, job);
     if (!j || chunk * DONE_CHUNK >= j->tasks)
         return;
-    guint size = MIN((guint)DONE_CHUNK, j->tasks - chunk * DONE_CHUNK) / 8 + 1;
-    struct done_chunk *d = done_make(r->part, job, chunk, size, r->page);
+    struct done_chunk *d = done_make(r->part, j, chunk, r->page);
     bits_merge(d->bits, bits->data, bits->len);
 }
 
@@ -216,8 +216,7 @@
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d)) {
         struct job *j = part_live_job(p, d->job);
         if (d->page == number && j)
-            n += 2 * (MIN((guint)DONE_CHUNK, j->tasks - d->chunk * DONE_CHUNK) / 8 + 1 -
-                      MIN(d->bits->len, DONE_CHUNK / 8));
+            n += 2 * (chunk_size(j, d->chunk) - MIN(d->bits->len, DONE_CHUNK / 8));
     }
     return n;
 }
@@ -285,6 +284,13 @@
 
 /* ---- transactions ---- */
 
+/* A page that is being written. */
+struct draft {
+    GString *tasks;
+    char *done;
+    gsize kept; /* bytes of the value for anything but tasks */
+};
+
 struct batch {
     struct part *part;
     uint64_t generation;
@@ -292,7 +298,8 @@
     struct txn *txn;  /* while it is made */
     GHashTable *jobs; /* that it is conditioned on */
     GString *foreign; /* key of the page that machines are taken over from; empty: none */
-    GPtrArray *texts; /* of the pages that it writes, by number; NULL: not that one */
+    GPtrArray
+        *drafts; /* struct draft, of the pages that it writes, by number; NULL: not that one */
 };
 
 static void batch_free(struct batch *b)
@@ -300,7 +307,7 @@
     g_ptr_array_unref(b->hosts);
     g_hash_table_unref(b->jobs);
     g_string_free(b->foreign, TRUE);
-    g_ptr_array_unref(b->texts);
+    g_ptr_array_unref(b->drafts);
     g_free(b);
 }
 
@@ -346,8 +353,8 @@
 static void batch_forget(struct batch *b, struct host *h)
 {
     guint pages = b->foreign->len > 0;
-    for (guint i = 0; i < b->texts->len; i++)
-        pages += b->texts->pdata[i] != NULL;
+    for (guint i = 0; i < b->drafts->len; i++)
+        pages += b->drafts->pdata[i] != NULL;
     if (txn_writes(b->txn) + pages + 1 > (guint)store_limits(b->part->store)->txn_ops) {
         part_host_dirty(b->part, h);
         return;
@@ -394,7 +401,7 @@
         return -1;
     if (h->page_from < 0 || h->page < 0)
         return h->page;
-    return b->texts->pdata[h->page_from] && b->texts->pdata[h->page] ? h->page : h->page_from;
+    return b->drafts->pdata[h->page_from] && b->drafts->pdata[h->page] ? h->page : h->page_from;
 }
 
 /* Puts a machine's run records on its page. The state service takes no value that is too long, so
@@ -414,7 +421,7 @@
         struct job *j = r->phase == RUN_NEW ? part_live_job(p, r->job) : NULL;
         /* A task that is done leaves the records together with its mark, or later. */
         int mark = r->phase == RUN_FREEING && r->done ? page_of_mark(p, r) : -1;
-        r->in_txn = (r->phase == RUN_FREEING && (mark < 0 || b->texts->pdata[mark])) ||
+        r->in_txn = (r->phase == RUN_FREEING && (mark < 0 || b->drafts->pdata[mark])) ||
                     (r->phase == RUN_NEW && described && j &&
                      w->text->len + task_bytes(h, r->job) <= limit && batch_job(b, j));
         any = any || r->in_txn;
@@ -464,13 +471,11 @@
 {
     struct part *p = b->part;
     struct own_page *g = page_at(p, number);
-    struct page_writer w = {.text = b->texts->pdata[number]};
-    char *done = done_text(p, number);
-    gsize taken = PAGE_MARGIN + strlen(done) + done_growth(p, number);
-    gsize all = store_limits(p->store)->value_bytes, limit = all > taken ? all - taken : 0;
-    g_free(done);
+    struct draft *draft = b->drafts->pdata[number];
+    struct page_writer w = {.text = draft->tasks};
+    gsize all = store_limits(p->store)->value_bytes;
+    gsize limit = all > draft->kept ? all - draft->kept : 0;
     g->dirty = false;
-    g->in_txn = true;
     for (guint i = 0; i < g->leftover->len; i++) {
         struct leftover *x = &g_array_index(g->leftover, struct leftover, i);
         page_write_task(&w, x->host, x->job, x->attempt, x->index);
@@ -519,10 +524,23 @@
     }
 }
 
-static void free_text(gpointer q)
+static struct draft *draft_new(struct part *p, int number)
 {
-    if (q)
-        g_string_free(q, TRUE);
+    struct draft *x = g_new(struct draft, 1);
+    x->tasks = g_string_new(NULL);
+    x->done = done_text(p, number);
+    x->kept = PAGE_MARGIN + strlen(x->done) + done_growth(p, number);
+    return x;
+}
+
+static void draft_free(gpointer q)
+{
+    struct draft *x = q;
+    if (!x)
+        return;
+    g_string_free(x->tasks, TRUE);
+    g_free(x->done);
+    g_free(x);
 }
 
 /* Chooses the pages to be written, beginning with another one each time. */
@@ -532,13 +550,13 @@
     const struct store_limits *l = store_limits(p->store);
     gsize bytes = b->foreign->len ? l->value_bytes : 0;
     guint n = p->pages->len, most = MAX(l->txn_ops / 2, 1);
-    g_ptr_array_set_size(b->texts, (int)n);
+    g_ptr_array_set_size(b->drafts, (int)n);
     p->first_page++;
     for (guint k = 0; k < n && most > 0; k++) {
         guint i = (p->first_page + k) % n;
         if (!page_at(p, (int)i)->dirty || bytes + l->value_bytes > TXN_BYTES)
             continue;
-        b->texts->pdata[i] = g_string_new(NULL);
+        b->drafts->pdata[i] = draft_new(p, (int)i);
         bytes += l->value_bytes;
         most--;
     }
@@ -551,20 +569,19 @@
     struct part *p = b->part;
     batch_adopt(b);
     batch_choose(b);
-    for (guint i = 0; i < b->texts->len; i++)
-        if (b->texts->pdata[i])
+    for (guint i = 0; i < b->drafts->len; i++)
+        if (b->drafts->pdata[i])
             batch_page(b, (int)i);
-    for (guint i = 0; i < b->texts->len; i++) {
-        GString *text = b->texts->pdata[i];
-        if (!text)
+    for (guint i = 0; i < b->drafts->len; i++) {
+        struct draft *draft = b->drafts->pdata[i];
+        if (!draft)
             continue;
         struct own_page *g = page_at(p, (int)i);
-        char *key = key_page(p->settings->label, (int)i), *done = done_text(p, (int)i);
+        char *key = key_page(p->settings->label, (int)i);
         txn_when(b->txn, key, g->stamp);
-        g->bytes = PAGE_MARGIN + text->len + strlen(done) + done_growth(p, (int)i);
-        txn_set(b->txn, key, page_value(text->str, done), (lease_id){0});
+        g->bytes = draft->kept + draft->tasks->len;
+        txn_set(b->txn, key, page_value(draft->tasks->str, draft->done), (lease_id){0});
         g_free(key);
-        g_free(done);
     }
     if (b->foreign->len)
         batch_foreign(b);
@@ -613,8 +630,6 @@
 {
     struct part *p = b->part;
     p->txn_out = false;
-    for (guint i = 0; i < p->pages->len; i++)
-        page_at(p, (int)i)->in_txn = false;
     for (guint i = 0; i < b->hosts->len; i++) {
         struct host *h = part_host_get(p, b->hosts->pdata[i]);
         if (h)
@@ -625,8 +640,8 @@
 static void batch_done(struct batch *b, const struct txn_outcome *o)
 {
     struct part *p = b->part;
-    for (guint i = 0; i < p->pages->len; i++)
-        if (page_at(p, (int)i)->in_txn)
+    for (guint i = 0; i < b->drafts->len; i++)
+        if (b->drafts->pdata[i])
             page_at(p, (int)i)->stamp = o->at;
     batch_over(b);
     for (guint i = 0; i < b->hosts->len; i++) {
@@ -645,8 +660,8 @@
     struct batch *b = arg;
     struct part *p = b->part;
     bool current = b->generation == p->generation;
-    for (guint i = 0; current && i < p->pages->len; i++)
-        if (page_at(p, (int)i)->in_txn)
+    for (guint i = 0; current && i < b->drafts->len; i++)
+        if (b->drafts->pdata[i])
             page_at(p, (int)i)->dirty = true;
     batch_over(b);
     for (guint i = 0; current && i < b->hosts->len; i++) {
@@ -733,7 +748,7 @@
                         .txn = txn_new(),
                         .jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
                         .foreign = g_string_new(NULL),
-                        .texts = g_ptr_array_new_with_free_func(free_text)};
+                        .drafts = g_ptr_array_new_with_free_func(draft_free)};
     char *self = key_node(p->settings->label);
     txn_when(b->txn, self, membership_stamp(p->members));
     txn_when(b->txn, KEY_MAP, p->view->map_stamp);
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -103,7 +103,7 @@
 /* One of this node's pages: see view.h. */
 struct own_page {
     revision stamp;
-    bool dirty, in_txn;
+    bool dirty;
     gsize bytes; /* at most, once what is booked for it is written */
     GArray *leftover;
 };
@@ -163,7 +163,6 @@
 struct host *part_host_get(struct part *p, const char *id);
 struct host *part_host_make(struct part *p, host_id id);
 void part_host_typed(struct part *p, struct host *h);
-bool part_host_has_image(const struct host *h, const char *image);
 bool part_host_has_run(const struct host *h);
 void part_run_stop(struct run *r, double wind_down_s);
 void part_run_heed_job(struct part *p, struct run *r);
--- a/src/part_worker.c
+++ b/src/part_worker.c
@@ -127,12 +127,12 @@
     ok = host_eq(rep.host, h->id) && plausible(p, h, &rep);
     /* An answer is no copy. If it counts less than what was known when it was asked for, the worker
      * has begun anew: what it lacks is gone, though its session may have the same number. */
-    bool anew = h->known && probe &&
+    bool anew = ok && h->known && probe &&
                 (rep.shift < h->probed_shift ||
                  (rep.shift == h->probed_shift && rep.tally <= h->probed_tally));
     if (anew)
         LOG_INFO("worker_anew", "machine=%s", h->id.s);
-    if (ok && (!h->known || newer(h, &rep) || anew))
+    if (anew || (ok && (!h->known || newer(h, &rep))))
         part_host_reported(p, h, &rep);
     if (ok) {
         part_host_reached(p, h);
--- a/src/view.c
+++ b/src/view.c
@@ -1,5 +1,6 @@
 #include "view.h"
 
+#include "images.h"
 #include "log.h"
 
 #include <stdio.h>
@@ -294,20 +295,28 @@
     j->done = NULL;
 }
 
+bool job_read_final(struct job *j, json_object *value)
+{
+    const char *final;
+    uint64_t n = 0;
+    if (!json_text(value, "f", &final))
+        return false;
+    json_u64(value, "n", &n);
+    j->state = strcmp(final, "done") == 0 ? JOB_DONE : JOB_CANCELLED;
+    j->tasks = (uint32_t)n;
+    j->n_done = j->state == JOB_DONE ? j->tasks : 0;
+    return true;
+}
+
 static void apply_job(struct view *v, const char *id, json_object *value, revision stamp)
 {
     struct job *j = job_make(v, id);
     if (!j)
         return;
-    const char *final;
-    uint64_t n = 0, submitted = 0;
+    uint64_t submitted = 0;
     bool cancelled = false;
-    if (json_text(value, "f", &final)) {
-        j->state = strcmp(final, "done") == 0 ? JOB_DONE : JOB_CANCELLED;
-        json_u64(value, "n", &n);
-        j->tasks = (uint32_t)n;
+    if (job_read_final(j, value)) {
         job_drop_spec(j);
-        j->n_done = j->state == JOB_DONE ? j->tasks : 0;
         if (!j->over)
             g_queue_push_tail(&v->over, g_strdup(id));
         j->over = true;
@@ -375,11 +384,6 @@
         g_strlcpy(out, s, size);
 }
 
-static void release_image(gpointer p)
-{
-    g_ref_string_release(p);
-}
-
 static struct host_record *host_make(struct view *v, const char *id)
 {
     struct host_record *h = view_host(v, id);
@@ -391,7 +395,7 @@
     h = g_new0(struct host_record, 1);
     h->id = hid;
     h->tasks = g_ptr_array_new_with_free_func(g_free);
-    h->images = g_ptr_array_new_with_free_func(release_image);
+    h->images = images_new();
     g_hash_table_insert(v->hosts, h->id.s, h);
     return h;
 }
@@ -415,8 +419,7 @@
     json_object *list = json_list(value, "i");
     g_ptr_array_set_size(h->images, 0);
     for (size_t i = 0; list && i < json_object_array_length(list); i++)
-        g_ptr_array_add(h->images, g_ref_string_new_intern(
-                                       json_object_get_string(json_object_array_get_idx(list, i))));
+        images_add(h->images, json_object_get_string(json_object_array_get_idx(list, i)));
 }
 
 /* ---- pages ---- */
@@ -455,36 +458,48 @@
     w->job = job;
 }
 
-/* The next word of a page's text, up to the blank that ends it. */
-static bool next_word(const char **at, char *word, size_t size)
+void bits_grow(GByteArray *bits, guint len)
 {
-    while (**at == ' ')
-        (*at)++;
-    size_t n = strcspn(*at, " ");
-    if (!n)
-        return false;
-    size_t fits = MIN(n, size - 1);
-    memcpy(word, *at, fits);
-    word[fits] = 0;
-    *at += n;
-    return true;
+    guint old = bits->len;
+    if (old >= len)
+        return;
+    g_byte_array_set_size(bits, len);
+    memset(bits->data + old, 0, len - old);
+}
+
+/* The next word of a page's text, which ends at a blank; NULL when there is none. */
+static const char *next_word(const char **at, size_t *len)
+{
+    const char *word = *at + strspn(*at, " ");
+    *len = strcspn(word, " ");
+    *at = word + *len;
+    return *len ? word : NULL;
+}
+
+enum { NAME_SIZE = 64 }; /* more than any name has */
+
+/* The name that a word holds behind its mark. */
+static const char *word_name(const char *word, size_t len, char *name)
+{
+    g_strlcpy(name, "", NAME_SIZE);
+    strncat(name, word + 1, MIN(len - 1, NAME_SIZE - 1));
+    return name;
 }
 
 void page_read_done(const char *text, page_chunk take, void *ctx)
 {
     job_id job;
     bool named = false;
-    for (const char *at = text; *at;) {
-        size_t n = strcspn(at, " ");
-        if (*at == '#') {
-            char *name = g_strndup(at + 1, n - 1);
-            named = job_id_from(&job, name);
-            g_free(name);
-        } else if (n && named && g_ascii_isdigit(*at)) {
+    size_t n;
+    char name[NAME_SIZE];
+    for (const char *at = text, *word; (word = next_word(&at, &n));) {
+        if (*word == '#') {
+            named = job_id_from(&job, word_name(word, n, name));
+        } else if (named && g_ascii_isdigit(*word)) {
             char *bits;
-            uint32_t chunk = (uint32_t)strtoul(at, &bits, 10);
+            uint32_t chunk = (uint32_t)strtoul(word, &bits, 10);
             GByteArray *bytes = g_byte_array_new();
-            for (bits += *bits == ':'; bits + 1 < at + n; bits += 2) {
+            for (bits += *bits == ':'; bits + 1 < at; bits += 2) {
                 guint8 b =
                     (guint8)(g_ascii_xdigit_value(bits[0]) << 4 | g_ascii_xdigit_value(bits[1]));
                 g_byte_array_append(bytes, &b, 1);
@@ -492,8 +507,6 @@
             take(ctx, job, chunk, bytes);
             g_byte_array_unref(bytes);
         }
-        at += n;
-        at += *at == ' ';
     }
 }
 
@@ -505,11 +518,8 @@
         return;
     if (!j->done)
         j->done = g_byte_array_new();
-    guint base = chunk * DONE_CHUNK / 8, old = j->done->len;
-    if (old < base + bits->len) {
-        g_byte_array_set_size(j->done, base + bits->len);
-        memset(j->done->data + old, 0, j->done->len - old);
-    }
+    guint base = chunk * DONE_CHUNK / 8;
+    bits_grow(j->done, base + bits->len);
     bool news = false;
     for (guint i = 0; i < bits->len; i++) {
         uint8_t more = bits->data[i] & ~j->done->data[base + i];
@@ -535,12 +545,13 @@
     struct host_record *h = NULL;
     struct job *j = NULL;
     attempt_no attempt = {0};
-    char word[64];
-    for (const char *at = text; next_word(&at, word, sizeof word);) {
+    size_t n;
+    char name[NAME_SIZE];
+    for (const char *at = text, *word; (word = next_word(&at, &n));) {
         if (*word == '@') {
-            h = host_make(v, word + 1);
+            h = host_make(v, word_name(word, n, name));
         } else if (*word == '#') {
-            j = job_make(v, word + 1);
+            j = job_make(v, word_name(word, n, name));
         } else if (*word == '*') {
             attempt.v = g_ascii_strtoull(word + 1, NULL, 10);
         } else if (h && j) {
@@ -581,7 +592,7 @@
     json_text(value, "d", &done);
     g->bytes = strlen(text) + strlen(done);
     GArray *fresh = g_array_new(FALSE, FALSE, sizeof(struct fresh));
-    GPtrArray *left = g_ptr_array_new();
+    GHashTable *left = g_hash_table_new(NULL, NULL); /* struct host_record that lost a task */
     read_tasks(v, g, text, fresh);
     for (guint i = 0; i < g->tasks->len;) {
         struct placed *p = g->tasks->pdata[i];
@@ -590,7 +601,7 @@
             continue;
         }
         g_ptr_array_remove_index_fast(g->tasks, i);
-        g_ptr_array_add(left, p->host);
+        g_hash_table_add(left, p->host);
         placed_remove(v, p);
     }
     for (guint i = 0; i < fresh->len; i++) {
@@ -599,15 +610,13 @@
     }
     g_array_unref(fresh);
     /* Machines whose own record is gone are forgotten with their last task. */
-    for (guint i = 0; i < left->len; i++) {
-        struct host_record *h = left->pdata[i];
-        bool again = false;
-        for (guint k = 0; k < i; k++)
-            again = again || left->pdata[k] == h;
-        if (!again && !h->tasks->len && !h->stamp.v)
+    GHashTableIter it;
+    struct host_record *h;
+    g_hash_table_iter_init(&it, left);
+    while (g_hash_table_iter_next(&it, (gpointer *)&h, NULL))
+        if (!h->tasks->len && !h->stamp.v)
             g_hash_table_remove(v->hosts, h->id.s);
-    }
-    g_ptr_array_unref(left);
+    g_hash_table_unref(left);
     if (g_strcmp0(done, g->done) != 0) {
         page_read_done(done, merge_done, v);
         g_free(g->done);
--- a/src/view.h
+++ b/src/view.h
@@ -145,6 +145,8 @@
 struct host_record *view_host(struct view *v, const char *id);
 struct placed *job_placed(const struct job *j, uint32_t index);
 bool job_task_done(const struct job *j, uint32_t index);
+/* What is kept of a job that is over; false when the value is of one that is not. */
+bool job_read_final(struct job *j, json_object *value);
 
 /* Calls back once the view is at or past a revision that was the newest after this call; ok is
  * false when that takes too long. */
@@ -170,6 +172,8 @@
     attempt_no attempt;
 };
 
+/* Makes an array of bits at least so long, with zeros. */
+void bits_grow(GByteArray *bits, guint len);
 void page_write_task(struct page_writer *w, host_id host, job_id job, attempt_no attempt,
                      uint32_t index);
 void page_write_done(struct page_writer *w, job_id job, uint32_t chunk, const GByteArray *bits);
--- a/tests/world.c
+++ b/tests/world.c
@@ -938,6 +938,15 @@
         id, crew, form, tasks, cpus, strcmp(form, "daemon") == 0 ? "0.0" : "10.0", more);
 }
 
+char *world_swapped(const char *text, const char *what, const char *by)
+{
+    char **parts = g_strsplit(text, what, 2);
+    assert_int_equal(g_strv_length(parts), 2);
+    char *out = g_strjoinv(by, parts);
+    g_strfreev(parts);
+    return out;
+}
+
 struct user_answer world_submit(struct world *w, int node, const char *id, const char *form,
                                 int tasks)
 {
--- a/tests/world.h
+++ b/tests/world.h
@@ -102,6 +102,8 @@
 /* A user's request at a node; runs the world until it is answered, for five seconds at most. */
 struct user_answer world_ask(struct world *w, int node, const char *method, const char *path,
                              const char *body);
+/* The text with one thing, which must be in it, in place of another. */
+char *world_swapped(const char *text, const char *what, const char *by);
 struct user_answer world_submit(struct world *w, int node, const char *id, const char *form,
                                 int tasks);
 char *world_job(const char *id, const char *form, int tasks, const char *crew, double cpus,
