--- a/src/part_record.c
+++ b/src/part_record.c
@@ -7,7 +7,8 @@
 enum {
     FLUSH_MS = 4,
     RETRY_MS = 120,
-    PAGE_MARGIN = 400, /* bytes of a page's value besides its texts */
+    PAGE_MARGIN = 400, /* bytes of a page's value besides its texts, and a little to spare */
+    VALUE_BYTES = 64,  /* and without that */
     NUMBER_BYTES = 30, /* of an attempt and an index */
     TXN_BYTES = 48 * 1024,
     DESCRIBE_MS = 30000, /* a machine's images are written again no sooner */
@@ -404,31 +405,46 @@
     return b->drafts->pdata[h->page_from] && b->drafts->pdata[h->page] ? h->page : h->page_from;
 }
 
+/* What has to stay on a machine's page, whatever else goes there. */
+static void batch_keep(struct batch *b, struct host *h, struct page_writer *w)
+{
+    drop_dead_news(b->part, h);
+    for (guint i = 0; i < h->runs->len; i++) {
+        struct run *r = h->runs->pdata[i];
+        /* A task that is done leaves the records together with its mark, or later. */
+        int mark = r->phase == RUN_FREEING && r->done ? page_of_mark(b->part, r) : -1;
+        r->in_txn = r->phase == RUN_FREEING && (mark < 0 || b->drafts->pdata[mark]);
+        if (r->phase == RUN_RECORDED || (r->phase == RUN_FREEING && !r->in_txn))
+            page_write_task(w, h->id, r->job, r->attempt, r->index);
+    }
+}
+
 /* Puts a machine's run records on its page. The state service takes no value that is too long, so
- * what would not fit, whatever was reckoned before, waits: a machine that is being taken over goes
- * to another page, and new tasks are not recorded yet. */
-static void batch_host(struct batch *b, struct host *h, struct page_writer *w, gsize limit)
+ * what would not fit beside that which has to stay waits, whatever was reckoned before: a machine
+ * that is being taken over goes to another page, and new tasks are not recorded yet. spare: what is
+ * left for them. */
+static void batch_host(struct batch *b, struct host *h, struct page_writer *w, gsize *spare)
 {
     struct part *p = b->part;
-    drop_dead_news(p, h);
-    if (*h->foreign && w->text->len + host_bytes(h, false) > limit) {
+    if (*h->foreign && host_bytes(h, false) > *spare) {
         h->page = -1;
         return;
     }
+    if (*h->foreign)
+        *spare -= host_bytes(h, false);
+    batch_keep(b, h, w);
     bool any = false, described = batch_describe(b, h);
     for (guint i = 0; i < h->runs->len; i++) {
         struct run *r = h->runs->pdata[i];
         struct job *j = r->phase == RUN_NEW ? part_live_job(p, r->job) : NULL;
-        /* A task that is done leaves the records together with its mark, or later. */
-        int mark = r->phase == RUN_FREEING && r->done ? page_of_mark(p, r) : -1;
-        r->in_txn = (r->phase == RUN_FREEING && (mark < 0 || b->drafts->pdata[mark])) ||
-                    (r->phase == RUN_NEW && described && j &&
-                     w->text->len + task_bytes(h, r->job) <= limit && batch_job(b, j));
+        if (described && j && first_bytes(h, r->job) <= *spare && batch_job(b, j)) {
+            gsize before = w->text->len;
+            page_write_task(w, h->id, r->job, r->attempt, r->index);
+            *spare -= w->text->len - before;
+            r->in_txn = true;
+        }
         any = any || r->in_txn;
         r->tried = r->tried || r->in_txn;
-        if (r->phase == RUN_RECORDED || (r->phase == RUN_NEW && r->in_txn) ||
-            (r->phase == RUN_FREEING && !r->in_txn))
-            page_write_task(w, h->id, r->job, r->attempt, r->index);
         if (!r->in_txn && (r->phase == RUN_NEW || r->phase == RUN_FREEING))
             part_host_dirty(p, h); /* with the next one */
     }
@@ -472,9 +488,8 @@
     struct part *p = b->part;
     struct own_page *g = page_at(p, number);
     struct draft *draft = b->drafts->pdata[number];
-    struct page_writer w = {.text = draft->tasks};
-    gsize all = store_limits(p->store)->value_bytes;
-    gsize limit = all > draft->kept ? all - draft->kept : 0;
+    struct page_writer w = {.text = draft->tasks}, kept = {.text = g_string_new(NULL)};
+    GPtrArray *hosts = g_ptr_array_new();
     g->dirty = false;
     for (guint i = 0; i < g->leftover->len; i++) {
         struct leftover *x = &g_array_index(g->leftover, struct leftover, i);
@@ -484,8 +499,19 @@
     struct host *h;
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
-        if (page_after(b, h) == number)
-            batch_host(b, h, &w, limit);
+        if (page_after(b, h) == number) {
+            g_ptr_array_add(hosts, h);
+            if (!*h->foreign)
+                batch_keep(b, h, &kept);
+        }
+    /* Reckoned beforehand was a little too much, never too little; so of the margin a part may be
+     * used here, and what was promised room gets it. */
+    gsize all = store_limits(p->store)->value_bytes + PAGE_MARGIN - VALUE_BYTES;
+    gsize used = draft->kept + w.text->len + kept.text->len, spare = all > used ? all - used : 0;
+    for (guint i = 0; i < hosts->len; i++)
+        batch_host(b, hosts->pdata[i], &w, &spare);
+    g_ptr_array_unref(hosts);
+    g_string_free(kept.text, TRUE);
 }
 
 /* The page of another node without the machines that this transaction takes over. */
@@ -562,6 +588,22 @@
     }
 }
 
+/* What is placed and not in this transaction keeps its room on the page. */
+static gsize page_waits(struct part *p, int number)
+{
+    gsize n = 0;
+    GHashTableIter it;
+    struct host *h;
+    g_hash_table_iter_init(&it, p->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
+        for (guint i = 0; h->page == number && i < h->runs->len; i++) {
+            const struct run *r = h->runs->pdata[i];
+            n += r->phase == RUN_NEW && !r->in_txn ? first_bytes(h, r->job) : 0;
+        }
+    }
+    return n;
+}
+
 /* Puts what has changed into a transaction: what machines are, then pages, then the page of another
  * node without what was taken over from it. In this order whoever reads it never misses a task. */
 static void batch_fill(struct batch *b)
@@ -579,7 +621,7 @@
         struct own_page *g = page_at(p, (int)i);
         char *key = key_page(p->settings->label, (int)i);
         txn_when(b->txn, key, g->stamp);
-        g->bytes = draft->kept + draft->tasks->len;
+        g->bytes = draft->kept + draft->tasks->len + page_waits(p, (int)i);
         txn_set(b->txn, key, page_value(draft->tasks->str, draft->done), (lease_id){0});
         g_free(key);
     }
--- a/tests/world.c
+++ b/tests/world.c
@@ -12,7 +12,19 @@
     return "detect_leaks=0";
 }
 
-enum { LATENCY_MS = 3, TICK_MS = 10, REPORT_MS = 1000 };
+enum { LATENCY_MS = 3, TICK_MS = 10, KEPT_EVENTS = 10000 };
+
+static const struct world_plan usual = {.nodes = WORLD_NODES,
+                                        .workers = WORLD_WORKERS,
+                                        .report_s = 1,
+                                        .lease_s = 10,
+                                        .cancel_s = 30,
+                                        .rps = 400,
+                                        .write_rps = 200,
+                                        .cloud_rps = 3,
+                                        .txn_ops = 6,
+                                        .fd_limit = 800,
+                                        .boot_ms = 10};
 
 struct wkey {
     char *text;
@@ -119,17 +131,20 @@
     timer_start(n->world->loop, &f->timer, LATENCY_MS);
 }
 
-static void flight_result(struct flight *f, int status, json_object *o)
+static void flight_text(struct flight *f, int status, const char *text)
 {
-    char *text = g_strdup(json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
-    json_object_put(o);
     if (f->fate == FATE_ANSWER_LOST) {
         timer_init(&f->timer, timed_out, f);
         timer_start(f->world->loop, &f->timer, f->timeout_ms);
     } else {
         flight_answer(f, status, text);
     }
-    g_free(text);
+}
+
+static void flight_result(struct flight *f, int status, json_object *o)
+{
+    flight_text(f, status, json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
+    json_object_put(o);
 }
 
 /* ---- the state service ---- */
@@ -145,6 +160,15 @@
 {
     struct wevent e = {g_strdup(key), g_strdup(text), w->ledger};
     g_array_append_val(w->events, e);
+    if (w->events->len > 2 * KEPT_EVENTS) /* it keeps the last so many */
+        g_array_remove_range(w->events, 0, KEPT_EVENTS);
+}
+
+static void event_clear(gpointer q)
+{
+    struct wevent *e = q;
+    g_free(e->key);
+    g_free(e->text);
 }
 
 static json_object *ledger_answer(struct world *w)
@@ -157,21 +181,23 @@
 static void watch_answer(struct flight *f)
 {
     struct world *w = f->world;
-    json_object *o = ledger_answer(w), *news = json_object_new_array();
-    for (guint i = 0; i < w->events->len; i++) {
+    guint first = w->events->len;
+    while (first && g_array_index(w->events, struct wevent, first - 1).rev > f->from)
+        first--;
+    GString *s = g_string_new(NULL);
+    g_string_printf(s, "{\"Ledger\":%" G_GUINT64_FORMAT ",\"News\":[", w->ledger);
+    for (guint i = first; i < w->events->len; i++) {
         struct wevent *e = &g_array_index(w->events, struct wevent, i);
-        if (e->rev <= f->from)
-            continue;
-        json_object *x = json_object_new_object();
-        json_put_text(x, e->text ? "Set" : "Remove", e->key);
+        g_string_append_printf(s, "%s{\"%s\":\"%s\",\"Stamp\":%" G_GUINT64_FORMAT,
+                               i > first ? "," : "", e->text ? "Set" : "Remove", e->key, e->rev);
         if (e->text)
-            json_object_object_add(x, "V", json_tokener_parse(e->text));
-        json_put_u64(x, "Stamp", e->rev);
-        json_object_array_add(news, x);
+            g_string_append_printf(s, ",\"V\":%s", e->text);
+        g_string_append_c(s, '}');
     }
-    w->most_news = MAX(w->most_news, (guint)json_object_array_length(news));
-    json_object_object_add(o, "News", news);
-    flight_result(f, 200, o);
+    g_string_append(s, "]}");
+    w->most_news = MAX(w->most_news, w->events->len - first);
+    flight_text(f, 200, s->str);
+    g_string_free(s, TRUE);
 }
 
 static void serve_watches(struct world *w)
@@ -237,7 +263,8 @@
             struct wkey *k = g_new0(struct wkey, 1);
             json_object_object_get_ex(x, "V", &v);
             k->text = g_strdup(json_object_to_json_string_ext(v, JSON_C_TO_STRING_PLAIN));
-            assert_true(strlen(k->text) <= w->settings[0]->state_value_kb * 1024);
+            if (strlen(k->text) > w->settings[0]->state_value_kb * 1024)
+                fail_msg("%s is too long: %zu: %s", key, strlen(k->text), k->text);
             k->stamp = w->ledger;
             json_u64(x, "Mooring", &k->lease);
             g_tree_replace(w->keys, g_strdup(key), k);
@@ -264,12 +291,23 @@
 struct listing {
     struct world *world;
     json_object *items;
+    char *starts, *from;
+    guint64 page, bytes;
+    bool more;
 };
 
+enum { LISTED_BYTES = 512 * 1024 };
+
 static gboolean list_key(gpointer key, gpointer value, gpointer data)
 {
     struct listing *l = data;
     struct wkey *k = value;
+    if (!g_str_has_prefix(key, l->starts) || (l->from && strcmp(key, l->from) <= 0))
+        return FALSE;
+    l->bytes += strlen(k->text);
+    l->more = json_object_array_length(l->items) >= l->page || l->bytes > LISTED_BYTES;
+    if (l->more)
+        return TRUE;
     json_object *x = json_object_new_object();
     json_put_text(x, "K", key);
     json_object_object_add(x, "V", json_tokener_parse(k->text));
@@ -292,6 +330,13 @@
     flight_result(f, 200, o);
 }
 
+/* A field of a query, or NULL. */
+static char *query_text(const char *path, const char *field)
+{
+    const char *at = strstr(path, field);
+    return at ? g_strndup(at + strlen(field), strcspn(at + strlen(field), "&")) : NULL;
+}
+
 static void serve_state(struct flight *f)
 {
     struct world *w = f->world;
@@ -301,8 +346,10 @@
         f->from = g_ascii_strtoull(from + 5, NULL, 10);
         f->watch_end =
             time_add_ms(loop_now(w->loop), (int64_t)g_ascii_strtoull(block + 8, NULL, 10));
-        if (w->too_old > 0 && !w->state_down) {
-            w->too_old--;
+        bool kept =
+            w->events->len == 0 || f->from + 1 >= g_array_index(w->events, struct wevent, 0).rev;
+        if (!kept || (w->too_old > 0 && !w->state_down)) {
+            w->too_old -= w->too_old > 0;
             flight_result(f, 410, json_object_new_object());
         } else {
             g_array_append_val(w->watches, f);
@@ -329,12 +376,20 @@
             l->end = time_add_ms(loop_now(w->loop), l->ttl_ms);
         flight_result(f, l ? 200 : 404, json_object_new_object());
     } else {
-        struct listing l = {w, json_object_new_array()};
+        struct listing l = {.world = w,
+                            .items = json_object_new_array(),
+                            .starts = query_text(f->path, "Starts="),
+                            .from = query_text(f->path, "From=")};
+        char *page = query_text(f->path, "Page=");
+        l.page = page ? g_ascii_strtoull(page, NULL, 10) : 100;
         g_tree_foreach(w->keys, list_key, &l);
         json_object *o = ledger_answer(w);
         json_object_object_add(o, "Items", l.items);
-        json_object_object_add(o, "More", json_object_new_boolean(false));
+        json_object_object_add(o, "More", json_object_new_boolean(l.more));
         flight_result(f, 200, o);
+        g_free(l.starts);
+        g_free(l.from);
+        g_free(page);
     }
     json_object_put(body);
 }
@@ -426,12 +481,12 @@
         if (t && t->attempt == attempt)
             return;
         assert_null(t); /* the service does not start a task where its worker still shows it */
-        struct wtask n = {job, index, attempt, "running", ""};
-        for (int i = 0; i < WORLD_WORKERS; i++) {
-            struct worker *other = &k->world->workers[i];
-            struct wtask *x = other->up && other != k ? worker_task(other, job.s, index) : NULL;
-            twice = twice || (x && strcmp(x->stage, "exited") != 0);
-        }
+        struct wtask n = {job, index, attempt, "running", "", loop_now(k->world->loop)};
+        struct worker *other = g_hash_table_lookup(k->world->last_on, name);
+        struct wtask *x =
+            other && other->up && other != k ? worker_task(other, job.s, index) : NULL;
+        twice = twice || (x && strcmp(x->stage, "exited") != 0);
+        g_hash_table_replace(k->world->last_on, g_strdup(name), k);
         g_array_append_val(k->tasks, n);
         k->starts++;
     } else if (strcmp(verb, "halt") == 0) {
@@ -481,7 +536,7 @@
 
 void worker_exit_all(struct world *w, const char *job, const char *cause)
 {
-    for (int i = 0; i < WORLD_WORKERS; i++) {
+    for (int i = 0; i < w->plan.workers; i++) {
         struct worker *k = &w->workers[i];
         for (guint n = 0; k->up && n < k->tasks->len; n++) {
             struct wtask *t = &g_array_index(k->tasks, struct wtask, n);
@@ -502,7 +557,7 @@
 static void report_timer(void *arg)
 {
     struct worker *k = arg;
-    timer_start(k->world->loop, &k->report, REPORT_MS);
+    timer_start(k->world->loop, &k->report, (int64_t)(k->world->plan.report_s * 1000));
     worker_report(k);
 }
 
@@ -535,7 +590,7 @@
         return;
     struct node *n = k->node == w->deaf_node ? NULL : w->nodes[k->node];
     if (!n) {
-        k->node = (k->node + 1) % WORLD_NODES;
+        k->node = (k->node + 1) % k->world->plan.nodes;
         return;
     }
     conn_ref ref;
@@ -548,7 +603,7 @@
     g_ptr_array_add(k->said, g_strdup(text));
     if (k->deaf) { /* it gives up after 4 s, and tries the next node 1 s later */
         k->quiet_until = time_add_ms(loop_now(w->loop), 5000);
-        k->node = (k->node + 1) % WORLD_NODES;
+        k->node = (k->node + 1) % k->world->plan.nodes;
         c->deaf = true;
     }
     frontend_serve(n->frontend, &w->replier, ref, &q);
@@ -564,7 +619,7 @@
 int world_starts(struct world *w)
 {
     int n = 0;
-    for (int i = 0; i < WORLD_WORKERS; i++)
+    for (int i = 0; i < w->plan.workers; i++)
         n += w->workers[i].starts;
     return n;
 }
@@ -578,7 +633,7 @@
     if (status == 421 && json_text(o, "Harbour", &to)) {
         k->node = to[strlen(to) - 1] - '0';
     } else if (status != 200) {
-        k->node = (k->node + 1) % WORLD_NODES;
+        k->node = (k->node + 1) % k->world->plan.nodes;
     } else if (json_u64(o, "Helm", &helm) && helm >= k->helm && c->shift == k->shift) {
         k->helm = helm;
         k->lease_from = c->sent;
@@ -607,11 +662,18 @@
 }
 
 struct worker *world_worker(struct world *w, int i, const char *yard, bool loaners)
+{
+    return world_machine(w, i, "g8", yard, loaners);
+}
+
+struct worker *world_machine(struct world *w, int i, const char *build, const char *yard,
+                             bool loaners)
 {
     struct worker *k = &w->workers[i];
     snprintf(k->id, sizeof k->id, "host-%06d", ++w->rented);
-    snprintf(k->addr, sizeof k->addr, "10.1.0.%d:9000", i + 1);
-    strcpy(k->build, "g8");
+    g_snprintf(k->addr, sizeof k->addr, "10.1.%d.%d:9000", i / 200, i % 200 + 1);
+    g_hash_table_replace(w->worker_addrs, k->addr, k);
+    g_strlcpy(k->build, build, sizeof k->build);
     g_strlcpy(k->yard, yard, sizeof k->yard);
     k->loaners = loaners;
     k->up = true;
@@ -624,7 +686,7 @@
     k->lease_from = loop_now(w->loop);
     g_array_set_size(k->tasks, 0);
     timer_init(&k->report, report_timer, k);
-    timer_start(w->loop, &k->report, 10 + i);
+    timer_start(w->loop, &k->report, w->plan.boot_ms + i);
     return k;
 }
 
@@ -638,7 +700,7 @@
 {
     json_object *list = json_list(body, "Masts");
     for (size_t i = 0; i < json_object_array_length(list); i++)
-        for (int k = 0; k < WORLD_WORKERS; k++) {
+        for (int k = 0; k < w->plan.workers; k++) {
             struct worker *x = &w->workers[k];
             if (x->up &&
                 strcmp(x->id, json_object_get_string(json_object_array_get_idx(list, i))) == 0) {
@@ -652,18 +714,19 @@
 
 static json_object *cloud_rent(struct world *w, json_object *body)
 {
-    const char *charter, *yard;
+    const char *charter, *build, *yard;
     bool loaners;
     uint64_t number = 0;
-    assert_true(json_text(body, "Charter", &charter) && json_text(body, "Yard", &yard) &&
-                json_flag(body, "Loaners", &loaners) && json_u64(body, "Number", &number));
+    assert_true(json_text(body, "Charter", &charter) && json_text(body, "Build", &build) &&
+                json_text(body, "Yard", &yard) && json_flag(body, "Loaners", &loaners) &&
+                json_u64(body, "Number", &number) && number <= 50);
     for (guint i = 0; i < w->charters->len; i += 2)
         if (strcmp(w->charters->pdata[i], charter) == 0)
             return json_tokener_parse(w->charters->pdata[i + 1]);
     json_object *o = json_object_new_object(), *list = json_object_new_array();
-    for (int i = 0; i < WORLD_WORKERS && number > 0 && w->capacity > 0; i++)
+    for (int i = 0; i < w->plan.workers && number > 0 && w->capacity > 0; i++)
         if (!w->workers[i].up) {
-            struct worker *k = world_worker(w, i, yard, loaners);
+            struct worker *k = world_machine(w, i, build, yard, loaners);
             json_object_array_add(list, json_object_new_string(k->id));
             w->capacity--;
             number--;
@@ -679,13 +742,24 @@
     return o;
 }
 
-static json_object *cloud_list(struct world *w)
+static gint by_name(gconstpointer a, gconstpointer b)
+{
+    return strcmp((*(struct worker *const *)a)->id, (*(struct worker *const *)b)->id);
+}
+
+static json_object *cloud_list(struct world *w, const char *path)
 {
     json_object *o = json_object_new_object(), *list = json_object_new_array();
-    for (int i = 0; i < WORLD_WORKERS; i++) {
-        struct worker *k = &w->workers[i];
-        if (!k->up)
-            continue;
+    char *from = query_text(path, "From="), *page = query_text(path, "Page=");
+    guint most = page ? (guint)g_ascii_strtoull(page, NULL, 10) : 100;
+    assert_true(most <= 500);
+    GPtrArray *up = g_ptr_array_new();
+    for (int i = 0; i < w->plan.workers; i++)
+        if (w->workers[i].up && (!from || strcmp(w->workers[i].id, from) > 0))
+            g_ptr_array_add(up, &w->workers[i]);
+    g_ptr_array_sort(up, by_name);
+    for (guint i = 0; i < up->len && i < most; i++) {
+        struct worker *k = up->pdata[i];
         json_object *x = json_object_new_object();
         json_put_text(x, "Id", k->id);
         json_put_text(x, "Address", k->addr);
@@ -697,7 +771,10 @@
         json_object_array_add(list, x);
     }
     json_object_object_add(o, "Masts", list);
-    json_object_object_add(o, "More", json_object_new_boolean(false));
+    json_object_object_add(o, "More", json_object_new_boolean(up->len > most));
+    g_ptr_array_unref(up);
+    g_free(from);
+    g_free(page);
     return o;
 }
 
@@ -710,7 +787,7 @@
         status = 503;
         o = json_tokener_parse("{\"error\":\"trouble\"}");
     } else if (strcmp(f->path, "/machine_types") == 0) {
-        o = json_tokener_parse(types_text);
+        o = json_tokener_parse(w->types);
     } else if (strcmp(f->path, "/rentals/return") == 0) {
         cloud_return(w, body);
         o = json_object_new_object();
@@ -721,7 +798,7 @@
             o = json_tokener_parse("{\"error\":\"no capacity\"}");
         }
     } else {
-        o = cloud_list(w);
+        o = cloud_list(w, f->path);
     }
     json_object_put(body);
     flight_result(f, status, o);
@@ -756,13 +833,13 @@
         serve_cloud(f);
         return;
     }
-    for (int i = 0; i < WORLD_WORKERS; i++)
-        if (strcmp(f->addr, w->workers[i].addr) == 0) {
-            serve_worker(f, &w->workers[i]);
-            return;
-        }
+    struct worker *k = g_hash_table_lookup(w->worker_addrs, f->addr);
+    if (k) {
+        serve_worker(f, k);
+        return;
+    }
     int to = f->addr[7] - '1';
-    if (to < 0 || to >= WORLD_NODES || !w->nodes[to]) {
+    if (to < 0 || to >= w->plan.nodes || !w->nodes[to]) {
         flight_answer(f, NET_NOT_SENT, "");
         return;
     }
@@ -774,31 +851,43 @@
 
 /* ---- the whole ---- */
 
-static char *settings_text(int node)
+static char *settings_text(const struct world_plan *p, int node)
 {
     GString *s = g_string_new(NULL);
     g_string_append_printf(s,
                            "label = \"mast-%d\"\ndomain = \"%s\"\napi_addr = \"10.0.0.%d:8080\"\n"
                            "back = \"10.0.0.%d:8081\"\n",
                            node, node == 1 ? "b" : "a", node + 1, node + 1);
-    for (int i = 0; i < WORLD_NODES; i++)
+    for (int i = 0; i < p->nodes; i++)
         if (i != node)
             g_string_append_printf(s,
                                    "[[siblings]]\nlabel = \"mast-%d\"\ndomain = \"a\"\nendpoint = "
                                    "\"10.0.0.%d:8081\"\n",
                                    i, i + 1);
-    g_string_append(
-        s, "[outside]\ncloud = \"10.2.0.2:8443\"\nstate = \"10.2.0.1:2379\"\n"
-           "[deployment]\nsize = 3\nzones = [\"a\", \"b\"]\nclock_error_ms = 25.0\n"
-           "[[deployment.teams]]\nname = \"red\"\ncpus = 8.0\ncpus_max = 16.0\n"
-           "gpus = 0.0\ngpus_max = 0.0\n"
-           "[[deployment.teams]]\nname = \"blue\"\ncpus = 16.0\ncpus_max = 64.0\n"
-           "gpus = 0.0\ngpus_max = 0.0\n"
-           "[deployment.workers]\nreport_s = 1.0\nlease_s = 10.0\ngang_wait_s = 20.0\n"
-           "gang_peer_s = 4.0\ncancel_s = 30.0\n"
-           "[deployment.state]\nrps = 400.0\nwrite_rps = 200.0\nvalue_kb = 8.0\ntxn_ops = 6\n"
-           "[deployment.cloud]\nrps = 3.0\nlist_lag_s = 2.0\n"
-           "[deployment.machine_limits]\ncore_share = 0.1\nram_mb = 64.0\nfd_limit = 800\n");
+    g_string_append_printf(s,
+                           "[outside]\ncloud = \"10.2.0.2:8443\"\nstate = \"10.2.0.1:2379\"\n"
+                           "[deployment]\nsize = %d\nzones = [\"a\", \"b\"]\n"
+                           "clock_error_ms = 25.0\n",
+                           p->nodes);
+    for (int i = 0; i < p->teams; i++)
+        g_string_append_printf(s,
+                               "[[deployment.teams]]\nname = \"team-%02d\"\ncpus = %.1f\n"
+                               "cpus_max = %.1f\ngpus = 0.0\ngpus_max = 0.0\n",
+                               i, p->cpus, p->cpus_max);
+    if (!p->teams)
+        g_string_append(s, "[[deployment.teams]]\nname = \"red\"\ncpus = 8.0\ncpus_max = 16.0\n"
+                           "gpus = 0.0\ngpus_max = 0.0\n"
+                           "[[deployment.teams]]\nname = \"blue\"\ncpus = 16.0\ncpus_max = 64.0\n"
+                           "gpus = 0.0\ngpus_max = 0.0\n");
+    g_string_append_printf(
+        s,
+        "[deployment.workers]\nreport_s = %.1f\nlease_s = %.1f\ngang_wait_s = 20.0\n"
+        "gang_peer_s = 4.0\ncancel_s = %.1f\n"
+        "[deployment.state]\nrps = %.1f\nwrite_rps = %.1f\nvalue_kb = 8.0\ntxn_ops = %d\n"
+        "[deployment.cloud]\nrps = %.1f\nlist_lag_s = 2.0\n"
+        "[deployment.machine_limits]\ncore_share = 0.1\nram_mb = 64.0\nfd_limit = %d\n",
+        p->report_s, p->lease_s, p->cancel_s, p->rps, p->write_rps, p->txn_ops, p->cloud_rps,
+        p->fd_limit);
     return g_string_free(s, FALSE);
 }
 
@@ -826,14 +915,25 @@
 }
 
 struct world *world_new(void)
+{
+    return world_new_sized(&usual);
+}
+
+struct world *world_new_sized(const struct world_plan *plan)
 {
     struct world *w = g_new0(struct world, 1);
+    w->plan = *plan;
+    w->types = types_text;
+    w->workers = g_new0(struct worker, plan->workers);
+    w->worker_addrs = g_hash_table_new(g_str_hash, g_str_equal);
+    w->last_on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     log_setup(g_getenv("LOG_LEVEL") ? g_getenv("LOG_LEVEL") : "error", "test");
     twice = false;
     w->loop = loop_new_fake();
     w->keys = g_tree_new_full(compare_keys, NULL, g_free, wkey_free);
     w->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     w->events = g_array_new(FALSE, TRUE, sizeof(struct wevent));
+    g_array_set_clear_func(w->events, event_clear);
     w->watches = g_array_new(FALSE, TRUE, sizeof(struct flight *));
     w->held = g_ptr_array_new();
     w->charters = g_ptr_array_new_with_free_func(g_free);
@@ -841,12 +941,12 @@
     w->policy = policy_default();
     w->deaf_node = -1;
     w->replier.reply = world_reply;
-    for (int i = 0; i < WORLD_WORKERS; i++) {
+    for (int i = 0; i < plan->workers; i++) {
         w->workers[i].tasks = g_array_new(FALSE, TRUE, sizeof(struct wtask));
         w->workers[i].said = g_ptr_array_new_with_free_func(g_free);
     }
-    for (int i = 0; i < WORLD_NODES; i++) {
-        char *text = settings_text(i), *error = NULL;
+    for (int i = 0; i < plan->nodes; i++) {
+        char *text = settings_text(plan, i), *error = NULL;
         w->settings[i] = settings_parse(text, &error);
         if (error)
             fail_msg("%s", error);
@@ -860,17 +960,21 @@
 
 void world_free(struct world *w)
 {
-    for (int i = 0; i < WORLD_NODES; i++) {
+    for (int i = 0; i < w->plan.nodes; i++) {
         world_kill(w, i);
         settings_free(w->settings[i]);
     }
-    for (int i = 0; i < WORLD_WORKERS; i++) {
+    for (int i = 0; i < w->plan.workers; i++) {
         if (w->workers[i].up)
             timer_stop(w->loop, &w->workers[i].report);
         g_array_unref(w->workers[i].tasks);
         g_ptr_array_unref(w->workers[i].said);
     }
     g_tree_unref(w->keys);
+    g_free(w->workers);
+    g_hash_table_unref(w->worker_addrs);
+    g_hash_table_unref(w->last_on);
+    g_array_unref(w->events);
     g_hash_table_unref(w->leases);
     g_hash_table_unref(w->answers);
     g_ptr_array_unref(w->charters);
@@ -959,7 +1063,7 @@
 int world_on_machines(struct world *w, const char *job)
 {
     int n = 0;
-    for (int i = 0; i < WORLD_WORKERS; i++)
+    for (int i = 0; i < w->plan.workers; i++)
         for (guint k = 0; w->workers[i].up && k < w->workers[i].tasks->len; k++) {
             struct wtask *t = &g_array_index(w->workers[i].tasks, struct wtask, k);
             n += strcmp(t->job.s, job) == 0 && strcmp(t->stage, "exited") != 0;
@@ -975,7 +1079,7 @@
 
 struct node *world_leader(struct world *w)
 {
-    for (int i = 0; i < WORLD_NODES; i++)
+    for (int i = 0; i < w->plan.nodes; i++)
         if (w->nodes[i] && membership_leads(w->nodes[i]->members))
             return w->nodes[i];
     return NULL;
@@ -983,7 +1087,7 @@
 
 int world_leader_index(struct world *w)
 {
-    for (int i = 0; i < WORLD_NODES; i++)
+    for (int i = 0; i < w->plan.nodes; i++)
         if (w->nodes[i] && w->nodes[i] == world_leader(w))
             return i;
     return -1;
--- a/tests/world.h
+++ b/tests/world.h
@@ -17,7 +17,17 @@
 struct world;
 typedef enum fate (*fate_fn)(struct world *w, int node, const struct net_request *r);
 
-enum { WORLD_NODES = 3, WORLD_WORKERS = 8 };
+/* Of the world that most tests play in. */
+enum { WORLD_NODES = 3, WORLD_WORKERS = 8, WORLD_MOST_NODES = 5 };
+
+/* How large a world is, and what its settings say. */
+struct world_plan {
+    int nodes, workers, teams; /* teams 0: red and blue */
+    double cpus, cpus_max;     /* of each team, where they are counted */
+    double report_s, lease_s, cancel_s;
+    double rps, write_rps, cloud_rps;
+    int txn_ops, fd_limit, boot_ms;
+};
 
 struct wnet {
     struct net net;
@@ -31,6 +41,7 @@
     uint32_t index;
     uint64_t attempt;
     char stage[16], cause[16];
+    mono_time since;
 };
 
 struct worker {
@@ -57,11 +68,12 @@
 
 struct world {
     struct loop *loop;
-    struct settings *settings[WORLD_NODES];
-    struct wnet nets[WORLD_NODES];
+    struct world_plan plan;
+    struct settings *settings[WORLD_MOST_NODES];
+    struct wnet nets[WORLD_MOST_NODES];
     struct policy *policy;
-    struct node *nodes[WORLD_NODES];
-    int process[WORLD_NODES]; /* counts a node's processes: an address may be used again */
+    struct node *nodes[WORLD_MOST_NODES];
+    int process[WORLD_MOST_NODES]; /* counts a node's processes: an address may be used again */
     fate_fn fate;
     bool state_down;
     int too_old;     /* watches that are answered 410 */
@@ -79,7 +91,10 @@
     bool cloud_down;
     int capacity, rented, returned;
     GPtrArray *charters;
-    struct worker workers[WORLD_WORKERS];
+    struct worker *workers;   /* plan.workers of them */
+    GHashTable *worker_addrs; /* address -> struct worker */
+    GHashTable *last_on;      /* task -> struct worker that started it last */
+    const char *types;        /* what the cloud says of them */
     /* replies to what the test asked */
     struct http_replier replier;
     GHashTable *answers;
@@ -87,6 +102,7 @@
 };
 
 struct world *world_new(void);
+struct world *world_new_sized(const struct world_plan *plan);
 void world_free(struct world *w);
 /* Starts and kills the process of a node. */
 void world_start(struct world *w, int node);
@@ -94,6 +110,8 @@
 void world_run(struct world *w, int64_t ms);
 /* A machine that nobody rented: it is just there. */
 struct worker *world_worker(struct world *w, int i, const char *yard, bool loaners);
+struct worker *world_machine(struct world *w, int i, const char *build, const char *yard,
+                             bool loaners);
 /* Writes a key of the state service by hand. */
 void world_put(struct world *w, const char *key, const char *text);
 /* Carries out what was held back, late. */
