Limits by need: connections, answers, revisions missed, waiting users, orders, faults told, writes of the nodes that live

What a fleet of 1,880 machines passes or comes near: half of the sockets for workers (one node left owns them all), 2,000 addresses looked through at every new one, 512 connections waiting to be accepted, 300 revisions missed in one answer (up to 14 MB, of 8 allowed), 200 tales to the leader, 5,000 machines buried, 1,000 jobs' paces, a write budget divided by nodes that are away. Each is now derived from the settings or grows by need; the connection that idles longest makes room at once.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -6,7 +6,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-enum { EXIT_USAGE = 2 };
+enum {
+    EXIT_USAGE = 2,
+    KEPT_FDS = 24, /* files that are no connections */
+};
 
 struct options {
     char *config, *policy, *check_policy;
@@ -46,17 +49,19 @@
 static int run(const struct settings *s, const struct policy *policy)
 {
     struct loop *loop = loop_new();
-    int fds = s->fd_limit;
-    struct http_client_limits client = {.connections = fds / 3,
+    /* Workers and users come in, and any worker may have to be reached: all of them, when this is
+     * the last node. Beyond the limits the connection that idles longest makes room. */
+    int fds = s->fd_limit - KEPT_FDS;
+    struct http_client_limits client = {.connections = fds * 3 / 8,
                                         .per_address = 8,
-                                        .queue = 2000,
-                                        .answer_size = 8 << 20,
+                                        .queue = MAX(fds, 2000),
+                                        .answer_size = settings_answer_bytes(s),
                                         .connect_ms = 1500,
                                         .idle_ms = 20000};
     struct net *net = http_client_new(loop, client);
     struct node *node = node_new(loop, net, s, policy);
-    struct http_limits api = {fds / 2, 64 << 10, 90000, 10000};
-    struct http_limits back = {MAX(fds / 16, 16), 4 << 20, 90000, 10000};
+    struct http_limits api = {fds * 9 / 16, 64 << 10, 90000, 10000};
+    struct http_limits back = {MAX(fds / 16, 4 * s->size), settings_answer_bytes(s), 90000, 10000};
     char *error = NULL;
     if (!http_server_new(loop, s->api_addr, api, frontend_serve, node->frontend, &error) ||
         !http_server_new(loop, s->back_addr, back, bus_serve, node->bus, &error)) {
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -10,7 +10,6 @@
     RETRY_MS = 700,
     REFUSED_MS = 15000,
     TYPES_MS = 60000,
-    MOST_RENTED = 50,
     MOST_GONE = 5000,
     MOST_RETURNED = 100,
     PAGE = 500,
@@ -361,7 +360,7 @@
     g_strlcpy(c->build, build, sizeof c->build);
     g_strlcpy(c->yard, yard, sizeof c->yard);
     c->loaners = loaners;
-    c->number = MIN(number, MOST_RENTED);
+    c->number = number;
     g_queue_push_tail(&f->charters, c);
 }
 
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -42,6 +42,7 @@
 /* Takes back what was ordered and not asked for yet: what is needed is worked out anew all the
  * time, and calls are few. */
 void fleet_forget_unsent(struct fleet *f);
+enum { FLEET_MOST_RENTED = 50 }; /* by one request */
 void fleet_rent(struct fleet *f, const char *build, const char *yard, bool loaners, int number);
 void fleet_return(struct fleet *f, host_id id, const char *why);
 /* The cloud has confirmed that it is gone, and all that was on it. */
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -7,8 +7,8 @@
 #include <stdlib.h>
 
 enum {
-    MOST_WAITING = 400, /* requests that wait for the state service */
-    WRITE_ROUNDS = 4,   /* tries of a conditional write before the user is told to come back */
+    FEW_WAITING = 400, /* requests that may always wait for the state service */
+    WRITE_ROUNDS = 4,  /* tries of a conditional write before the user is told to come back */
     STALE_READY_MS = 8000,
     RELAY_MS = 1500,
     /* Users wait 2 s for a poll's answer, so what cannot be told by then is not told at all. */
@@ -24,8 +24,8 @@
     struct part *part;
     struct bus *bus;
     struct peers *peers;
-    int waiting;
-    GQueue asks; /* struct ask: not answered yet, oldest first */
+    int waiting, most_waiting; /* requests that wait for the state service */
+    GQueue asks;               /* struct ask: not answered yet, oldest first */
     struct timer sweep;
 };
 
@@ -61,7 +61,8 @@
                            .settings = n->settings,
                            .part = n->part,
                            .bus = n->bus,
-                           .peers = n->peers};
+                           .peers = n->peers,
+                           .most_waiting = MAX(FEW_WAITING, n->settings->fd_limit / 4)};
     g_queue_init(&f->asks);
     timer_init(&f->sweep, sweep, f);
     bus_on_relay(n->bus, serve_here, f);
@@ -276,10 +277,10 @@
 static struct ask *ask_new(struct frontend *f, struct http_replier *r, conn_ref from,
                            enum action action, job_id job)
 {
-    const char *why = !f->view->ready              ? "starting"
-                      : store_troubled(f->store)   ? "the state service does not answer"
-                      : f->waiting >= MOST_WAITING ? "too many requests at once"
-                                                   : NULL;
+    const char *why = !f->view->ready                 ? "starting"
+                      : store_troubled(f->store)      ? "the state service does not answer"
+                      : f->waiting >= f->most_waiting ? "too many requests at once"
+                                                      : NULL;
     if (why) {
         reply_error(r, from, 503, why);
         return NULL;
@@ -425,7 +426,7 @@
                     const struct http_request *q)
 {
     const char *peer = peers_served(f->peers);
-    if (!peer || !is_work(q->path) || f->waiting >= MOST_WAITING)
+    if (!peer || !is_work(q->path) || f->waiting >= f->most_waiting)
         return false;
     struct relay *x = g_new(struct relay, 1);
     *x = (struct relay){f, r, from};
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -9,7 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-enum { MOST_PLACES = 2000 };
+enum { FEW_PLACES = 2000 };
 
 struct client;
 struct place;
@@ -35,6 +35,8 @@
     size_t sent;
     GByteArray *in;
     struct timer timer; /* connecting, or idle */
+    GList idle_place;   /* in the client's list of idle connections, oldest first */
+    bool idle;
 };
 
 /* One address. */
@@ -49,6 +51,8 @@
     struct loop *loop;
     struct http_client_limits limits;
     GHashTable *places;
+    guint many_places; /* so many are looked through for some to forget */
+    GQueue idle;       /* struct link */
     int links, waiting;
 };
 
@@ -66,9 +70,21 @@
     done(arg, a);
 }
 
+static void set_idle(struct link *l, bool idle)
+{
+    if (l->idle == idle)
+        return;
+    l->idle = idle;
+    if (idle)
+        g_queue_push_tail_link(&l->client->idle, &l->idle_place);
+    else
+        g_queue_unlink(&l->client->idle, &l->idle_place);
+}
+
 static void link_close(struct link *l)
 {
     struct client *c = l->client;
+    set_idle(l, false);
     timer_stop(c->loop, &l->timer);
     loop_unwatch(c->loop, &l->io);
     close(l->io.fd);
@@ -85,10 +101,11 @@
     g_free(p);
 }
 
-/* Machines come and go: addresses that nothing is sent to any more are forgotten now and then. */
+/* Machines come and go: addresses that nothing is sent to any more are forgotten each time their
+ * number has doubled. */
 static void forget_places(struct client *c)
 {
-    if (g_hash_table_size(c->places) < MOST_PLACES)
+    if (g_hash_table_size(c->places) < c->many_places)
         return;
     GHashTableIter it;
     struct place *p;
@@ -99,6 +116,7 @@
         g_hash_table_iter_remove(&it);
         place_free(p);
     }
+    c->many_places = MAX(2 * g_hash_table_size(c->places), FEW_PLACES);
 }
 
 /* Ends the connection and, with it, what it was carrying. */
@@ -138,6 +156,7 @@
 
 static void link_take(struct link *l, struct exchange *r)
 {
+    set_idle(l, false);
     l->now = r;
     l->sent = 0;
     r->link = l;
@@ -147,6 +166,12 @@
     }
 }
 
+static void link_rests(struct link *l)
+{
+    set_idle(l, true);
+    timer_start(l->client->loop, &l->timer, l->client->limits.idle_ms);
+}
+
 static void link_answered(struct link *l, struct http_head *h, const char *body, size_t len,
                           size_t used)
 {
@@ -162,7 +187,7 @@
         link_close(l);
     } else {
         g_byte_array_set_size(l->in, 0);
-        timer_start(c->loop, &l->timer, c->limits.idle_ms);
+        link_rests(l);
     }
     request_end(c, r, &a);
     g_free(copy);
@@ -183,6 +208,8 @@
     }
     const char *body = data + h.size;
     if (h.chunked) {
+        if (memcmp(data + l->in->len - 4, "\r\n\r\n", 4) != 0)
+            return; /* long ones are not gone through again and again */
         GString *s = g_string_new(NULL);
         size_t used;
         r = http_parse_chunks(body, l->in->len - h.size, limit, s, &used);
@@ -218,7 +245,7 @@
         l->want_write = true; /* that is how it is being watched */
         timer_stop(l->client->loop, &l->timer);
         if (!l->now)
-            timer_start(l->client->loop, &l->timer, l->client->limits.idle_ms);
+            link_rests(l);
         link_write(l);
         return;
     }
@@ -268,6 +295,7 @@
     l->place = p;
     l->connecting = true;
     l->in = g_byte_array_new();
+    l->idle_place.data = l;
     timer_init(&l->timer, link_timeout, l);
     timer_start(c->loop, &l->timer, c->limits.connect_ms);
     g_ptr_array_add(p->links, l);
@@ -287,20 +315,13 @@
     return NULL;
 }
 
-/* Closes a connection that nobody uses, to any address. */
+/* Closes the connection that nobody has used for longest, to any address. */
 static bool make_room(struct client *c)
 {
-    GHashTableIter it;
-    struct place *p;
-    g_hash_table_iter_init(&it, c->places);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&p)) {
-        struct link *l = free_link(p);
-        if (l) {
-            link_close(l);
-            return true;
-        }
-    }
-    return false;
+    if (!c->idle.head)
+        return false;
+    link_close(c->idle.head->data);
+    return true;
 }
 
 static void place_go(struct client *c, struct place *p)
@@ -376,6 +397,8 @@
     c->loop = loop;
     c->limits = limits;
     c->places = g_hash_table_new(g_str_hash, g_str_equal);
+    c->many_places = FEW_PLACES;
+    g_queue_init(&c->idle);
     return &c->net;
 }
 
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -295,7 +295,7 @@
     sa.sin_port = htons(port);
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0), one = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-    if (fd < 0 || bind(fd, (struct sockaddr *)&sa, sizeof sa) < 0 || listen(fd, 512) < 0) {
+    if (fd < 0 || bind(fd, (struct sockaddr *)&sa, sizeof sa) < 0 || listen(fd, SOMAXCONN) < 0) {
         *error = g_strdup_printf("%s: %s", addr, g_strerror(errno));
         if (fd >= 0)
             close(fd);
--- a/src/leader.c
+++ b/src/leader.c
@@ -7,7 +7,7 @@
 enum {
     SLOW_AFTER = 5,
     SLOW_BESIDE = 3,
-    MOST_PACES = 1000,
+    MOST_PACES = 10000,
     SICK_MS = 120000, /* then it may try again, if something kept it */
     TICK_MS = 200,
     PASS_MS = 8,
--- a/src/leader_scale.c
+++ b/src/leader_scale.c
@@ -326,7 +326,8 @@
         want(l, rooms, orders, &any, one, (int64_t)ceil(spare), NULL, true);
     for (guint i = 0; i < orders->len; i++) {
         struct offer *o = &g_array_index(orders, struct offer, i);
-        fleet_rent(l->fleet, o->type->name, o->yard, o->loaners, o->number);
+        for (int n = o->number; n > 0; n -= FLEET_MOST_RENTED)
+            fleet_rent(l->fleet, o->type->name, o->yard, o->loaners, MIN(n, FLEET_MOST_RENTED));
     }
     g_array_unref(rooms);
     g_array_unref(orders);
--- a/src/node.c
+++ b/src/node.c
@@ -4,8 +4,12 @@
                       const struct policy *policy)
 {
     struct node *n = g_new0(struct node, 1);
-    struct store_limits limits = {s->state_rps, s->state_write_rps, s->state_txn_ops,
-                                  (size_t)(s->state_value_kb * 1024), s->size};
+    struct store_limits limits = {.rps = s->state_rps,
+                                  .write_rps = s->state_write_rps,
+                                  .txn_ops = s->state_txn_ops,
+                                  .value_bytes = (size_t)(s->state_value_kb * 1024),
+                                  .answer_bytes = settings_answer_bytes(s),
+                                  .nodes = s->size};
     n->settings = s;
     n->loop = loop;
     n->net = net;
--- a/src/part.c
+++ b/src/part.c
@@ -50,6 +50,7 @@
     p->settings = n->settings;
     p->redirects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     p->buried = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    p->buried_before = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     p->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, host_free);
     for (int i = 0; i <= ARQ_CLASSES; i++)
         g_queue_init(&p->queues[i]);
@@ -89,6 +90,7 @@
     g_ptr_array_unref(p->pages);
     g_hash_table_unref(p->redirects);
     g_hash_table_unref(p->buried);
+    g_hash_table_unref(p->buried_before);
     g_array_unref(p->back);
     g_ptr_array_unref(p->news);
     g_ptr_array_unref(p->roomy);
@@ -163,14 +165,24 @@
     }
 }
 
-/* Late copies of its reports must not make it a machine again. */
+/* Late copies of its reports must not make it a machine again. The oldest of very many are
+ * forgotten. */
 static void bury(struct part *p, const char *id)
 {
-    if (g_hash_table_size(p->buried) >= MOST_BURIED)
+    if (g_hash_table_size(p->buried) >= MOST_BURIED) {
+        GHashTable *older = p->buried_before;
+        p->buried_before = p->buried;
+        p->buried = older;
         g_hash_table_remove_all(p->buried);
+    }
     g_hash_table_add(p->buried, g_strdup(id));
 }
 
+bool part_is_buried(const struct part *p, const char *id)
+{
+    return g_hash_table_contains(p->buried, id) || g_hash_table_contains(p->buried_before, id);
+}
+
 static void host_is_gone(struct part *p, const char *id)
 {
     struct host *h = part_host_get(p, id);
--- a/src/part_host.c
+++ b/src/part_host.c
@@ -3,7 +3,9 @@
 #include "images.h"
 #include "log.h"
 
-enum { MOST_NEWS = 200 };
+/* How long tasks took may be left out when there is much to tell; what went wrong may not, so soon.
+ */
+enum { MOST_NEWS = 200, MOST_FAULTS = 5000 };
 
 enum {
     IMAGES_KEPT = 12,
@@ -193,9 +195,9 @@
 
 /* Something about a task that the leader should know. */
 static void tell_leader(struct part *p, struct host *h, struct run *r, const char *field,
-                        double value)
+                        double value, bool fault)
 {
-    if (p->news->len >= MOST_NEWS)
+    if (p->news->len >= (fault ? MOST_FAULTS : MOST_NEWS))
         return;
     cJSON *n = cJSON_CreateObject();
     cJSON_AddStringToObject(n, "h", h->id.s);
@@ -269,13 +271,13 @@
         LOG_INFO("task_exited", "job=%s task=%u machine=%s cause=%d", r->job.s, r->index, h->id.s,
                  t->cause);
     if (t->cause != CAUSE_DONE && t->cause != CAUSE_HALTED && t->cause != CAUSE_PEERS) {
-        tell_leader(p, h, r, "c", t->cause);
+        tell_leader(p, h, r, "c", t->cause, true);
         part_digest_soon(p);
     }
     /* Beside the others of its job, it shows slow machines. */
     if (t->cause == CAUSE_DONE && r->running_at.us)
-        tell_leader(p, h, r, "took",
-                    (double)time_ms_since(loop_now(p->loop), r->running_at) / 1000);
+        tell_leader(p, h, r, "took", (double)time_ms_since(loop_now(p->loop), r->running_at) / 1000,
+                    false);
     run_over(p, h, r, t->cause == CAUSE_DONE);
 }
 
--- a/src/part_record.c
+++ b/src/part_record.c
@@ -757,7 +757,8 @@
 static bool write_due(struct part *p)
 {
     const struct store_limits *l = store_limits(p->store);
-    double rate = l->write_rps * RECORDS_SHARE / MAX(l->nodes, 1);
+    /* The nodes that live share the writes, as they share the machines. */
+    double rate = l->write_rps * RECORDS_SHARE / MAX(p->view->map->len, 1);
     mono_time now = loop_now(p->loop);
     p->write_level = MIN(BURST, p->write_level + rate * (double)(now.us - p->write_at.us) / 1e6);
     p->write_at = now;
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -133,7 +133,8 @@
     struct bus *bus;
     struct peers *peers;
     GHashTable *redirects; /* machine -> struct redirect */
-    GHashTable *buried; /* machines that the cloud took back: what still comes from them is old */
+    /* Machines that the cloud took back: what still comes from them is old. */
+    GHashTable *buried, *buried_before;
     const struct settings *settings;
     epoch_no epoch;
     uint64_t generation, last_deal, digest_seq;
@@ -161,6 +162,7 @@
 
 /* part.c: the part's messages with the leader and the view */
 void part_digest_soon(struct part *p);
+bool part_is_buried(const struct part *p, const char *id);
 
 /* part_host.c: machines, and what proves that a task is over */
 struct job *part_live_job(struct part *p, job_id id);
--- a/src/part_worker.c
+++ b/src/part_worker.c
@@ -366,7 +366,7 @@
                          const struct report *rep, const char *via)
 {
     struct host *h = part_host_get(p, rep->host.s);
-    if (g_hash_table_contains(p->buried, rep->host.s) || !plausible(p, h, rep) ||
+    if (part_is_buried(p, rep->host.s) || !plausible(p, h, rep) ||
         (h && (h->gone || (h->known && !newer(h, rep))))) {
         /* Held back on its way: whoever sent it has long given up. Or its worker has begun anew,
          * which only its answer can tell. */
--- a/src/settings.c
+++ b/src/settings.c
@@ -302,6 +302,11 @@
     g_free(s);
 }
 
+size_t settings_answer_bytes(const struct settings *s)
+{
+    return (size_t)(s->ram_mb * 1024 * 1024 / 8);
+}
+
 int settings_team(const struct settings *s, const char *name)
 {
     for (guint i = 0; i < s->teams->len; i++)
--- a/src/store.h
+++ b/src/store.h
@@ -10,7 +10,7 @@
 struct store_limits {
     double rps, write_rps;
     int txn_ops;
-    size_t value_bytes;
+    size_t value_bytes, answer_bytes;
     int nodes; /* that share the budgets */
 };
 
--- a/src/view.c
+++ b/src/view.c
@@ -10,7 +10,8 @@
 
 enum {
     PAUSE_MS = 8000,   /* without an answer */
-    MOST_MISSED = 300, /* revisions that are asked for in one answer after that */
+    FEW_MISSED = 100,  /* revisions that may always be asked for in one answer after that */
+    VALUES = 6,        /* that a revision holds, at most, when all are as long as allowed */
     MOST_OVER = 20000, /* jobs that are over and kept in memory */
 };
 
@@ -818,6 +819,12 @@
 
 /* An answer to a watch holds all that has changed, however much that is. After a pause it may be
  * more than the process has memory for, while the keys themselves come in pages. */
+static uint64_t most_missed(const struct view *v)
+{
+    const struct store_limits *l = store_limits(v->store);
+    return MAX(l->answer_bytes / (VALUES * MAX(l->value_bytes, 1)), FEW_MISSED);
+}
+
 static void gap_answered(void *arg, const struct net_answer *a)
 {
     struct view *v = arg;
@@ -827,7 +834,7 @@
     json_object_put(o);
     if (!ok) {
         timer_start(v->loop, &v->watch_timer, RETRY_MS);
-    } else if (ledger > v->at.v + MOST_MISSED) {
+    } else if (ledger > v->at.v + most_missed(v)) {
         LOG_INFO("watch_behind", "revision=%" G_GUINT64_FORMAT " newest=%" G_GUINT64_FORMAT,
                  v->at.v, ledger);
         reload(v);
--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -268,8 +268,8 @@
 
 /* ---- a zone that is cut off with a node in it ---- */
 
-/* Zone b and one node are cut off from all else, longer than a lease. The node keeps the machines of
- * that zone, whoever owns them, and nobody takes their tasks for free meanwhile. */
+/* Zone b and one node are cut off from all else, longer than a lease. The node keeps the machines
+ * of that zone, whoever owns them, and nobody takes their tasks for free meanwhile. */
 static void cut_zone(struct world *w, int64_t ms)
 {
     w->fate = only_workers;
