New machines are said on pages, pages are written in one order; the clock is read again after reading

Now its page says what it is, and a record of its own, like a new list of images, is written when there are writes to spare: 3,591 starts. A process that stands still in the middle of a turn reads what came since with a clock from before; it is read again.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -258,6 +258,7 @@
         return;
     char buf[32768];
     ssize_t n = recv(io->fd, buf, sizeof buf, 0);
+    loop_refresh(l->client->loop);
     if (n < 0 && (errno == EAGAIN || errno == EINTR))
         return;
     if (n <= 0 || !l->now) {
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -208,6 +208,7 @@
     }
     char buf[16384];
     ssize_t n = recv(io->fd, buf, sizeof buf, 0);
+    loop_refresh(c->server->loop);
     if (n < 0 && (errno == EAGAIN || errno == EINTR))
         return;
     if (n <= 0) {
--- a/src/loop.c
+++ b/src/loop.c
@@ -82,6 +82,12 @@
     return (wall_time){(int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000};
 }
 
+void loop_refresh(struct loop *l)
+{
+    if (!l->fake)
+        l->now = clock_steady();
+}
+
 void loop_work(struct loop *l, uint64_t looks)
 {
     l->worked += looks;
--- a/src/loop.h
+++ b/src/loop.h
@@ -40,6 +40,9 @@
 
 mono_time loop_now(const struct loop *loop);
 wall_time loop_wall(const struct loop *loop);
+/* Reads the clock again. A process may stand still for long in the middle of a turn, and what it
+ * reads then may be newer than the moment the turn began: whoever reads calls this afterwards. */
+void loop_refresh(struct loop *l);
 /* Counts looks at machines and tasks, so that tests can tell how work grows. */
 void loop_work(struct loop *l, uint64_t looks);
 uint64_t loop_worked(const struct loop *l);
--- a/src/part_host.c
+++ b/src/part_host.c
@@ -132,7 +132,7 @@
 void part_host_sync(struct part *p, struct host *h)
 {
     struct host_record *rec = view_host(p->view, h->id.s);
-    if (rec && rec->stamp.v && !h->addr[0]) {
+    if (rec && rec->addr[0] && !h->addr[0]) {
         g_strlcpy(h->addr, rec->addr, sizeof h->addr);
         g_strlcpy(h->build, rec->build, sizeof h->build);
         g_strlcpy(h->yard, rec->yard, sizeof h->yard);
--- a/src/part_record.c
+++ b/src/part_record.c
@@ -69,10 +69,17 @@
     return (int)p->pages->len - 1;
 }
 
+/* What its page has to say of a machine that has no record of its own yet, or NULL. */
+static char *about_host(const struct host *h)
+{
+    return h->stamp.v ? NULL : machine_about(h->addr, h->build, h->yard, h->loaners);
+}
+
 /* What the first task of a job on a machine takes on a page, at most. */
 static gsize first_bytes(const struct host *h, job_id job)
 {
-    return strlen(h->id.s) + strlen(job.s) + 4 + NUMBER_BYTES;
+    gsize about = h->stamp.v ? 0 : strlen(h->addr) + strlen(h->build) + strlen(h->yard) + 8;
+    return strlen(h->id.s) + about + strlen(job.s) + 4 + NUMBER_BYTES;
 }
 
 /* What one more task of a job takes. */
@@ -298,6 +305,7 @@
     GPtrArray *hosts; /* char *: ids */
     struct txn *txn;  /* while it is made */
     GHashTable *jobs; /* that it is conditioned on */
+    char *about;      /* what the page says of the machine at hand; NULL: nothing */
     GString *foreign; /* key of the page that machines are taken over from; empty: none */
     GPtrArray
         *drafts; /* struct draft, of the pages that it writes, by number; NULL: not that one */
@@ -308,6 +316,7 @@
     g_ptr_array_unref(b->hosts);
     g_hash_table_unref(b->jobs);
     g_string_free(b->foreign, TRUE);
+    g_free(b->about);
     g_ptr_array_unref(b->drafts);
     g_free(b);
 }
@@ -326,19 +335,20 @@
     return o;
 }
 
-/* Says what the machine is, if that is not on record; false when it no longer fits. */
-static bool batch_describe(struct batch *b, struct host *h)
+/* Gives the machine a record of its own, or a new one, if there are writes to spare for that; else
+ * its page says what it is. A write for each of many new machines would hold their tasks up. */
+static void batch_describe(struct batch *b, struct host *h)
 {
     struct part *p = b->part;
     mono_time now = loop_now(p->loop);
     bool due = !h->stamp.v || (h->new_images && time_ms_since(now, h->stored) > DESCRIBE_MS);
     /* Half of the writes are kept for pages. */
     const struct store_limits *l = store_limits(p->store);
-    bool fits = (int)txn_writes(b->txn) < l->txn_ops / 2 - 1 && txn_bytes(b->txn) < TXN_BYTES / 4;
-    if (h->gone || h->described || !due)
-        return true;
-    if (!fits)
-        return h->stamp.v != 0;
+    guint written = txn_writes(b->txn);
+    bool fits = (int)written < l->txn_ops / 2 - 1 && txn_bytes(b->txn) < TXN_BYTES / 4;
+    bool spare = p->write_level - written > BURST / 2 || (!h->stamp.v && !b->about);
+    if (h->gone || h->described || !h->addr[0] || !due || !fits || !spare)
+        return;
     char *key = key_host(h->id);
     txn_when(b->txn, key, h->stamp);
     txn_set(b->txn, key, host_value(h), (lease_id){0});
@@ -346,7 +356,6 @@
     h->described = true;
     h->new_images = false;
     h->stored = now;
-    return true;
 }
 
 /* Takes a machine that is gone off the records. Many may go at once, in a wave of returns, so the
@@ -405,17 +414,47 @@
     return b->drafts->pdata[h->page_from] && b->drafts->pdata[h->page] ? h->page : h->page_from;
 }
 
+/* Tasks are written by machine, job, attempt and number. In this order a text is as short as it can
+ * be, so that what was on a page always fits on it again; in another order the same tasks may take
+ * several times as much. */
+static gint by_text(job_id a, attempt_no a_try, uint32_t a_index, job_id b, attempt_no b_try,
+                    uint32_t b_index)
+{
+    int job = strcmp(a.s, b.s);
+    if (job != 0)
+        return job;
+    if (a_try.v != b_try.v)
+        return a_try.v < b_try.v ? -1 : 1;
+    return a_index < b_index ? -1 : a_index > b_index;
+}
+
+static gint by_run(gconstpointer a, gconstpointer b)
+{
+    const struct run *x = *(struct run *const *)a, *y = *(struct run *const *)b;
+    return by_text(x->job, x->attempt, x->index, y->job, y->attempt, y->index);
+}
+
+static gint by_leftover(gconstpointer a, gconstpointer b)
+{
+    const struct leftover *x = a, *y = b;
+    int host = strcmp(x->host.s, y->host.s);
+    return host ? host : by_text(x->job, x->attempt, x->index, y->job, y->attempt, y->index);
+}
+
 /* What has to stay on a machine's page, whatever else goes there. */
 static void batch_keep(struct batch *b, struct host *h, struct page_writer *w)
 {
     drop_dead_news(b->part, h);
+    g_ptr_array_sort(h->runs, by_run);
+    g_free(b->about);
+    b->about = about_host(h);
     for (guint i = 0; i < h->runs->len; i++) {
         struct run *r = h->runs->pdata[i];
         /* A task that is done leaves the records together with its mark, or later. */
         int mark = r->phase == RUN_FREEING && r->done ? page_of_mark(b->part, r) : -1;
         r->in_txn = r->phase == RUN_FREEING && (mark < 0 || b->drafts->pdata[mark]);
         if (r->phase == RUN_RECORDED || (r->phase == RUN_FREEING && !r->in_txn))
-            page_write_task(w, h->id, r->job, r->attempt, r->index);
+            page_write_task(w, h->id, b->about, r->job, r->attempt, r->index);
     }
 }
 
@@ -433,22 +472,25 @@
     if (*h->foreign)
         *spare -= host_bytes(h, false);
     batch_keep(b, h, w);
-    bool any = false, described = batch_describe(b, h);
+    batch_describe(b, h);
+    bool any = false, stays = false, said = h->stamp.v || h->described || b->about;
     for (guint i = 0; i < h->runs->len; i++) {
         struct run *r = h->runs->pdata[i];
         struct job *j = r->phase == RUN_NEW ? part_live_job(p, r->job) : NULL;
-        if (described && j && first_bytes(h, r->job) <= *spare && batch_job(b, j)) {
+        if (said && j && first_bytes(h, r->job) <= *spare && batch_job(b, j)) {
             gsize before = w->text->len;
-            page_write_task(w, h->id, r->job, r->attempt, r->index);
+            page_write_task(w, h->id, b->about, r->job, r->attempt, r->index);
             *spare -= w->text->len - before;
             r->in_txn = true;
         }
         any = any || r->in_txn;
+        stays = stays || (r->phase != RUN_GONE && !(r->phase == RUN_FREEING && r->in_txn));
         r->tried = r->tried || r->in_txn;
         if (!r->in_txn && (r->phase == RUN_NEW || r->phase == RUN_FREEING))
             part_host_dirty(p, h); /* with the next one */
     }
-    if (h->gone && h->stamp.v)
+    /* Its record goes with its last task, as the page would have to say what it is again. */
+    if (h->gone && h->stamp.v && !stays)
         batch_forget(b, h);
     h->page_moved = h->page_from >= 0 && page_after(b, h) == h->page;
     if (any || h->described || h->gone || *h->foreign || h->page_moved) {
@@ -482,6 +524,17 @@
     return g_string_free(w.text, FALSE);
 }
 
+static void write_leftover(struct part *p, GArray *tasks, struct page_writer *w)
+{
+    g_array_sort(tasks, by_leftover);
+    for (guint i = 0; i < tasks->len; i++) {
+        struct leftover *x = &g_array_index(tasks, struct leftover, i);
+        char *about = host_record_about(view_host(p->view, x->host.s));
+        page_write_task(w, x->host, about, x->job, x->attempt, x->index);
+        g_free(about);
+    }
+}
+
 /* One page as it is to be, with all that lies on it. */
 static void batch_page(struct batch *b, int number)
 {
@@ -491,10 +544,7 @@
     struct page_writer w = {.text = draft->tasks}, kept = {.text = g_string_new(NULL)};
     GPtrArray *hosts = g_ptr_array_new();
     g->dirty = false;
-    for (guint i = 0; i < g->leftover->len; i++) {
-        struct leftover *x = &g_array_index(g->leftover, struct leftover, i);
-        page_write_task(&w, x->host, x->job, x->attempt, x->index);
-    }
+    write_leftover(p, g->leftover, &w);
     GHashTableIter it;
     struct host *h;
     g_hash_table_iter_init(&it, p->hosts);
@@ -522,12 +572,17 @@
     if (!v)
         return;
     struct page_writer w = {.text = g_string_new(NULL)};
+    GArray *left = g_array_new(FALSE, FALSE, sizeof(struct leftover));
     for (guint i = 0; i < v->tasks->len; i++) {
         struct placed *t = v->tasks->pdata[i];
         struct host *h = part_host_get(p, t->host->id.s);
-        if (!h || !h->in_txn || strcmp(h->foreign, v->key) != 0)
-            page_write_task(&w, t->host->id, t->job->id, t->attempt, t->index);
+        if (h && h->in_txn && strcmp(h->foreign, v->key) == 0)
+            continue;
+        struct leftover x = {t->host->id, t->job->id, t->attempt, t->index};
+        g_array_append_val(left, x);
     }
+    write_leftover(p, left, &w);
+    g_array_unref(left);
     txn_when(b->txn, v->key, v->stamp);
     txn_set(b->txn, v->key, page_value(w.text->str, v->done ? v->done : ""), (lease_id){0});
     g_string_free(w.text, TRUE);
--- a/src/view.c
+++ b/src/view.c
@@ -425,13 +425,27 @@
 
 /* ---- pages ---- */
 
-void page_write_task(struct page_writer *w, host_id host, job_id job, attempt_no attempt,
-                     uint32_t index)
+char *machine_about(const char *addr, const char *build, const char *yard, bool loaners)
+{
+    if (!*addr || strpbrk(addr, " ,") || strpbrk(build, " ,") || strpbrk(yard, " ,"))
+        return NULL;
+    return g_strdup_printf("%s,%s,%s,%d", addr, build, yard, loaners);
+}
+
+char *host_record_about(const struct host_record *h)
+{
+    return h && !h->stamp.v ? machine_about(h->addr, h->build, h->yard, h->loaners) : NULL;
+}
+
+void page_write_task(struct page_writer *w, host_id host, const char *about, job_id job,
+                     attempt_no attempt, uint32_t index)
 {
     bool same_host = w->text->len && host_eq(w->host, host);
     bool same_job = same_host && job_eq(w->job, job);
     if (!same_host)
         g_string_append_printf(w->text, "@%s ", host.s);
+    if (!same_host && about)
+        g_string_append_printf(w->text, "=%s ", about);
     if (!same_job)
         g_string_append_printf(w->text, "#%s ", job.s);
     if (!same_job || w->attempt.v != attempt.v)
@@ -540,6 +554,20 @@
     uint32_t index;
 };
 
+/* "=ADDRESS,TYPE,ZONE,SPOT" */
+static void read_about(struct host_record *h, const char *word, size_t len)
+{
+    char *text = g_strndup(word + 1, len - 1), **part = g_strsplit(text, ",", -1);
+    if (!h->stamp.v && g_strv_length(part) == 4) {
+        g_strlcpy(h->addr, part[0], sizeof h->addr);
+        g_strlcpy(h->build, part[1], sizeof h->build);
+        g_strlcpy(h->yard, part[2], sizeof h->yard);
+        h->loaners = strcmp(part[3], "1") == 0;
+    }
+    g_strfreev(part);
+    g_free(text);
+}
+
 /* Reads the run records of a page: what is known is marked as read, the rest is put by. */
 static void read_tasks(struct view *v, struct page *g, const char *text, GArray *fresh)
 {
@@ -551,6 +579,9 @@
     for (const char *at = text, *word; (word = next_word(&at, &n));) {
         if (*word == '@') {
             h = host_make(v, word_name(word, n, name));
+        } else if (*word == '=') {
+            if (h)
+                read_about(h, word, n);
         } else if (*word == '#') {
             j = job_make(v, word_name(word, n, name));
         } else if (*word == '*') {
--- a/src/view.h
+++ b/src/view.h
@@ -163,6 +163,8 @@
 /* ---- the text of a page ----
  *
  * Run records: "@HOST #JOB *ATTEMPT INDEX INDEX ..."; each word holds until the next of its kind.
+ * "=ADDRESS,TYPE,ZONE,SPOT" behind "@HOST" says what a machine is that has no record of its own
+ * yet: these are written when there are writes to spare.
  * Done: "#JOB CHUNK:BITS ...", the bits of a chunk in hexadecimal, eight tasks to two digits, the
  * first task in the lowest bit; zeros at the end are left out. */
 struct page_writer {
@@ -174,8 +176,13 @@
 
 /* Makes an array of bits at least so long, with zeros. */
 void bits_grow(GByteArray *bits, guint len);
-void page_write_task(struct page_writer *w, host_id host, job_id job, attempt_no attempt,
-                     uint32_t index);
+/* about: of machine_about(), or NULL. */
+void page_write_task(struct page_writer *w, host_id host, const char *about, job_id job,
+                     attempt_no attempt, uint32_t index);
+/* NULL when it cannot be said in one word. */
+char *machine_about(const char *addr, const char *build, const char *yard, bool loaners);
+/* What a page has to say of a machine, as far as the view knows it; NULL: nothing. */
+char *host_record_about(const struct host_record *h);
 void page_write_done(struct page_writer *w, job_id job, uint32_t chunk, const GByteArray *bits);
 /* Calls back for every chunk of a text of done tasks. */
 typedef void (*page_chunk)(void *ctx, job_id job, uint32_t chunk, const GByteArray *bits);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -26,6 +26,14 @@
     "\"FetchGbPerS\":0.2,\"Price\":2.2,\"MarketPrice\":0.9,\"ReadyS\":25,\"Yards\":[\"a\",\"b\"]}]"
     "}";
 
+/* Most looks at machines and tasks for each start, in all nodes together: it was 1,054 when this
+ * was written, and 5,318 with a look at every machine after every report. */
+enum { MOST_LOOKS = 2000 };
+
+/* Starts while the jobs come and machines boot: 3,591; with a write for each new machine before its
+ * first task it was 2,042. */
+enum { LEAST_STARTS = 2800 };
+
 enum { SECONDS = 45, COME_S = 15, BURST = 100 };
 
 struct sent {
@@ -53,7 +61,15 @@
     s.begun = g_hash_table_new(NULL, NULL);
     char *job = job_text(&s, (int)jobs->len % 24);
     int node = (int)jobs->len % w->plan.nodes;
-    assert_int_equal(world_ask(w, node, "POST", "/work", job).status, 201);
+    while (!w->nodes[node])
+        node = (node + 1) % w->plan.nodes;
+    int status = 503; /* while a node has just been started */
+    for (int tries = 0; tries < 20 && status == 503; tries++) {
+        status = world_ask(w, node, "POST", "/work", job).status;
+        if (status == 503)
+            world_run(w, 500);
+    }
+    assert_in_range(status, 200, 201);
     g_free(job);
     g_array_append_val(jobs, s);
 }
@@ -99,11 +115,11 @@
             fail_msg("team %d: %d of %d", i, team_served[i], team_all[i]);
 }
 
-/* Machines are rented for a load that begins with a burst; the stand-in of the state service fails
- * the test when a value or a transaction is larger than allowed. */
-static void a_large_fleet_is_served(void **state)
+/* Plays a load that begins with a burst, for which machines are rented; trouble is called each
+ * second. The stand-in of the state service fails the test when a value or a transaction is larger
+ * than allowed. */
+static struct world *play(void (*trouble)(struct world *w, int second))
 {
-    (void)state;
     struct world *w = world_new_sized(&large);
     w->types = types_text;
     w->capacity = MACHINES;
@@ -127,6 +143,7 @@
         }
         world_run(w, 1000);
         play_tasks(w, jobs);
+        trouble(w, s);
     }
     expect_served(jobs);
     assert_false(world_ran_twice(w));
@@ -134,11 +151,55 @@
         g_hash_table_unref(g_array_index(jobs, struct sent, i).begun);
     g_array_unref(jobs);
     g_rand_free(luck);
+    return w;
+}
+
+static void no_trouble(struct world *w, int second)
+{
+    if (second == COME_S - 1 && world_starts(w) < LEAST_STARTS)
+        fail_msg("%d starts", world_starts(w));
+}
+
+static void a_large_fleet_is_served(void **state)
+{
+    (void)state;
+    struct world *w = play(no_trouble);
+    uint64_t looks = loop_worked(w->loop) / (uint64_t)world_starts(w);
+    if (looks > MOST_LOOKS)
+        fail_msg("%" G_GUINT64_FORMAT " looks for each start", looks);
     world_free(w);
 }
 
+/* Nodes die and are back, two of them at once and the leader a moment after it was elected: all
+ * their machines are taken over, with the pages full. */
+static void nodes_die(struct world *w, int second)
+{
+    int leader = world_leader_index(w);
+    if (second == 3 || second == 4 || second == 14) {
+        int node = second == 4 || leader < 0 ? 0 : leader;
+        if (w->nodes[node])
+            world_kill(w, node);
+    }
+    if (second == 13 || second == 15 || second == 30)
+        for (int i = 0; i < w->plan.nodes; i++)
+            if (!w->nodes[i] && (i != 0 || second == 30))
+                world_start(w, i);
+    if (second == 36) /* and all that are left at once */
+        for (int i = 0; i < w->plan.nodes; i++) {
+            world_kill(w, i);
+            world_start(w, i);
+        }
+}
+
+static void a_large_fleet_changes_hands(void **state)
+{
+    (void)state;
+    world_free(play(nodes_die));
+}
+
 int main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(a_large_fleet_is_served)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(a_large_fleet_is_served),
+                                       cmocka_unit_test(a_large_fleet_changes_hands)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
