A later session frees a task only if it is later than the one its command last went out for

A report from just before, which lacked it, was taken for the proof of its end, as only the session of its first command was remembered. The new test plays that and fails without the mend.

--- a/src/part_worker.c
+++ b/src/part_worker.c
@@ -51,8 +51,9 @@
     o.verb = ORDER_RUN;
     r->sent_helm = p->epoch;
     r->sent_at = now;
-    if (!r->sent_shift)
-        r->sent_shift = h->shift;
+    /* Only a later session proves that it is gone: sent once more, it may have been started in this
+     * one, and a report from before may still come. */
+    r->sent_shift = h->shift;
     if (direct)
         r->unsettled++;
     g_array_append_val(out, o);
--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -352,6 +352,59 @@
     assert_int_equal(world_on_machines(w, "wk-2"), 0);
 }
 
+/* ---- a task that is started again where it was lost ---- */
+
+static bool refuse_pages;
+static enum fate refuse_pages_lose_answers(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    if (refuse_pages && strcmp(r->path, "/txn") == 0 && strstr(r->body, "\"Set\":\"ll\\/p"))
+        return FATE_REFUSED;
+    return strcmp(r->path, "/commands") == 0 ? FATE_ANSWER_LOST : FATE_NORMAL;
+}
+
+/* A worker has a new session, and before the end of its task is on record there is a new epoch: the
+ * task is on record still, and its command goes out once more, in that session. A report from
+ * before, which lacks the task, is no proof that it is gone. */
+static void a_report_from_before_the_second_start_frees_nothing(void **state)
+{
+    struct world *w = *state;
+    w->capacity = 0;
+    struct worker *k = world_worker(w, 2, "a", true);
+    world_run(w, 2500);
+    world_submit(w, 0, "wk-1", "daemon", 1);
+    world_run(w, 4000);
+    assert_int_equal(k->tasks->len, 1);
+    int owner = map_owner(w->nodes[0]->view, k->id)[5] - '0';
+    refuse_pages = true;
+    w->fate = refuse_pages_lose_answers;
+    g_array_set_size(k->tasks, 0);
+    k->shift++;
+    worker_report(k);
+    k->quiet_until = time_add_ms(loop_now(w->loop), 2000);
+    char *before = g_strdup(k->said->pdata[k->said->len - 1]);
+    uint64_t tally = k->tally;
+    world_run(w, 50);
+    membership_raise(world_leader(w)->members, "test");
+    world_run(w, 50);
+    refuse_pages = false;
+    uint64_t late_tally = ++k->tally;        /* of a report that is on its way now */
+    world_submit(w, 0, "wk-2", "daemon", 1); /* with its command goes that of the first one */
+    world_run(w, 800);
+    assert_non_null(worker_task(k, "wk-1", 0));
+    char was[32], is[32];
+    g_snprintf(was, sizeof was, "\"Tally\":%" G_GUINT64_FORMAT, tally);
+    g_snprintf(is, sizeof is, "\"Tally\":%" G_GUINT64_FORMAT, late_tally);
+    char *late = world_swapped(before, was, is);
+    world_worker(w, 3, "a", true); /* where it would be started too */
+    world_say_again(w, owner, late);
+    world_run(w, 8000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 1);
+    g_free(late);
+    g_free(before);
+}
+
 /* ---- answers in time ---- */
 
 static enum fate lose_state(struct world *w, int node, const struct net_request *r)
@@ -753,6 +806,7 @@
         WORLD_TEST(a_leader_with_workers_only_harms_nobody),
         WORLD_TEST(a_zone_that_is_cut_off_keeps_its_tasks),
         WORLD_TEST(a_zone_that_stays_cut_off_is_given_up),
+        WORLD_TEST(a_report_from_before_the_second_start_frees_nothing),
         WORLD_TEST(who_cannot_be_served_is_told_at_once),
         WORLD_TEST(what_a_dead_process_sent_comes_late),
         WORLD_TEST(late_records_of_a_dead_process_are_refused),
