--- a/tests/world.c
+++ b/tests/world.c
@@ -672,8 +672,9 @@
                              bool loaners)
 {
     struct worker *k = &w->workers[i];
-    snprintf(k->id, sizeof k->id, "host-%06d", ++w->rented);
-    g_snprintf(k->addr, sizeof k->addr, "10.1.%d.%d:9000", i / 200, i % 200 + 1);
+    g_snprintf(k->id, sizeof k->id, "host-%06d", ++w->rented);
+    g_snprintf(k->addr, sizeof k->addr, "10.1.%u.%u:9000", (uint8_t)(i / 200),
+               (uint8_t)(i % 200 + 1));
     g_hash_table_replace(w->worker_addrs, k->addr, k);
     g_strlcpy(k->build, build, sizeof k->build);
     g_strlcpy(k->yard, yard, sizeof k->yard);
