--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -781,6 +781,52 @@
 
 /* A machine that hung is back with its next session before anybody missed it: what ran is gone, and
  * starts again at once. */
+/* A page of a node that is away, as it may have been written: six machines with tasks of two jobs
+ * each, or every step-th of them. */
+static char *page_of_two_jobs(int step)
+{
+    GString *s = g_string_new("{\"t\":\"");
+    for (int host = 0; host < 6; host++) {
+        g_string_append_printf(s, "@host-90000%d =10.1.9.%d:9000,g8,a,0 ", host, host);
+        for (int job = 1; job <= 2; job++) {
+            g_string_append_printf(s, "#wk-%d *1 ", job);
+            for (int i = 0; i < 100; i += step)
+                g_string_append_printf(s, "%d ", host * 100 + i);
+        }
+    }
+    g_string_append(s, "\",\"d\":\"\"}");
+    return g_string_free(s, FALSE);
+}
+
+/* What is left on a page once tasks have gone is no longer in the order of machines and jobs. It is
+ * taken over all the same, in texts that are not too long (the state service's stand-in sees to
+ * that). */
+static void a_page_in_disorder_changes_hands(void **state)
+{
+    struct world *w = *state;
+    w->capacity = 0;
+    world_submit(w, 0, "wk-1", "sweep", 600);
+    world_submit(w, 0, "wk-2", "sweep", 600);
+    char *whole = page_of_two_jobs(1), *half = page_of_two_jobs(2);
+    world_put(w, "ll/p/mast-7/0", whole);
+    world_run(w, 500);
+    world_put(w, "ll/p/mast-7/0", half);
+    world_run(w, 500);
+    membership_raise(world_leader(w)->members, "test");
+    world_run(w, 8000);
+    GHashTableIter it;
+    struct page *g;
+    guint tasks = 0;
+    g_hash_table_iter_init(&it, w->nodes[0]->view->pages);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&g)) {
+        tasks += g->tasks->len;
+        assert_true(strcmp(g->label, "mast-7") != 0 || g->tasks->len == 0);
+    }
+    assert_int_equal(tasks, 600);
+    g_free(whole);
+    g_free(half);
+}
+
 static void a_worker_back_with_a_new_session_lost_its_tasks(void **state)
 {
     struct world *w = *state;
@@ -818,6 +864,7 @@
         WORLD_TEST(a_worker_that_counts_anew_is_believed),
         WORLD_TEST(what_was_placed_on_a_machine_that_goes_is_dealt_again),
         WORLD_TEST(full_pages_change_hands),
+        WORLD_TEST(a_page_in_disorder_changes_hands),
         WORLD_TEST(a_worker_back_with_a_new_session_lost_its_tasks),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
