A machine's records leave the page that a transaction put them on, whatever page it was given meanwhile

Also: what a machine's tasks take on a page is reckoned with one name a job, so that one with very many can be taken over.

--- a/src/part.c
+++ b/src/part.c
@@ -395,7 +395,8 @@
             if (r->phase == RUN_FREEING)
                 r->phase = RUN_RECORDED; /* proven again by the next report */
         }
-        h->in_txn = h->described = h->removing = h->page_moved = false;
+        h->in_txn = h->described = h->removing = false;
+        h->page_put = -1;
     }
     struct host_record *rec;
     g_hash_table_iter_init(&it, p->view->hosts);
--- a/src/part_record.c
+++ b/src/part_record.c
@@ -91,14 +91,20 @@
     return first_bytes(h, job);
 }
 
-/* What a machine's tasks take, or those of them that are not on record. */
+/* What a machine's tasks take at most, or those of them that are not on record. */
 static gsize host_bytes(const struct host *h, bool only_new)
 {
     gsize n = 0;
     for (guint i = 0; i < h->runs->len; i++) {
         const struct run *r = h->runs->pdata[i];
-        if (r->phase != RUN_GONE && (r->phase == RUN_NEW || !only_new))
-            n += first_bytes(h, r->job);
+        if (r->phase == RUN_GONE || (r->phase != RUN_NEW && only_new))
+            continue;
+        bool first = true;
+        for (guint k = 0; k < i && first; k++) {
+            const struct run *other = h->runs->pdata[k];
+            first = other->phase == RUN_GONE || !job_eq(other->job, r->job);
+        }
+        n += first ? first_bytes(h, r->job) : NUMBER_BYTES;
     }
     return n;
 }
@@ -462,7 +468,8 @@
  * what would not fit beside that which has to stay waits, whatever was reckoned before: a machine
  * that is being taken over goes to another page, and new tasks are not recorded yet. spare: what is
  * left for them. */
-static void batch_host(struct batch *b, struct host *h, struct page_writer *w, gsize *spare)
+static void batch_host(struct batch *b, struct host *h, int number, struct page_writer *w,
+                       gsize *spare)
 {
     struct part *p = b->part;
     if (*h->foreign && host_bytes(h, false) > *spare) {
@@ -492,9 +499,10 @@
     /* Its record goes with its last task, as the page would have to say what it is again. */
     if (h->gone && h->stamp.v && !stays)
         batch_forget(b, h);
-    h->page_moved = h->page_from >= 0 && page_after(b, h) == h->page;
-    if (any || h->described || h->gone || *h->foreign || h->page_moved) {
+    bool moved = h->page_from >= 0 && number == h->page;
+    if (any || h->described || h->gone || *h->foreign || moved) {
         h->in_txn = true;
+        h->page_put = number;
         g_ptr_array_add(b->hosts, g_strdup(h->id.s));
     }
 }
@@ -559,7 +567,7 @@
     gsize all = store_limits(p->store)->value_bytes + PAGE_MARGIN - VALUE_BYTES;
     gsize used = draft->kept + w.text->len + kept.text->len, spare = all > used ? all - used : 0;
     for (guint i = 0; i < hosts->len; i++)
-        batch_host(b, hosts->pdata[i], &w, &spare);
+        batch_host(b, hosts->pdata[i], number, &w, &spare);
     g_ptr_array_unref(hosts);
     g_string_free(kept.text, TRUE);
 }
@@ -692,9 +700,12 @@
         h->stamp = o->at;
     h->described = h->removing = false;
     *h->foreign = 0;
-    if (h->page_moved)
-        h->page_from = -1;
-    h->page_moved = false;
+    /* While that was under way the machine may have been given another page, for a task that found
+     * no room on this one. Its records are here until they are moved: taken off here before they
+     * are there, what runs would look free. */
+    if (h->page_put >= 0)
+        h->page_from = h->page == h->page_put ? -1 : h->page_put;
+    h->page_put = -1;
     for (guint i = 0; i < h->runs->len;) {
         struct run *r = h->runs->pdata[i];
         bool in = r->in_txn;
@@ -766,7 +777,8 @@
         if (!h)
             continue;
         h->new_images = h->new_images || h->described;
-        h->described = h->removing = h->page_moved = false;
+        h->described = h->removing = false;
+        h->page_put = -1;
         for (guint k = 0; k < h->runs->len; k++)
             ((struct run *)h->runs->pdata[k])->in_txn = false;
     }
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -61,7 +61,7 @@
     mono_time stored; /* when that was last written here */
     int page;         /* that its run records are on; -1: none yet */
     int page_from;    /* that they are to leave for it; -1: none */
-    bool page_moved;  /* the transaction under way moves them */
+    int page_put;     /* that the transaction under way puts them on; -1: on none */
     char foreign[72]; /* the page of an earlier owner that they are still on; "": none */
     bool in_txn;
     bool described; /* the transaction under way writes what it is */
