--- a/src/part_record.c
+++ b/src/part_record.c
@@ -706,6 +706,8 @@
     if (h->page_put >= 0)
         h->page_from = h->page == h->page_put ? -1 : h->page_put;
     h->page_put = -1;
+    if (h->page_from >= 0)
+        part_host_dirty(p, h); /* both pages, or its new tasks would wait for others' */
     for (guint i = 0; i < h->runs->len;) {
         struct run *r = h->runs->pdata[i];
         bool in = r->in_txn;
--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -827,6 +827,57 @@
     g_free(half);
 }
 
+static enum fate slow_to_take_over(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    return strcmp(r->path, "/txn") == 0 && strstr(r->body, "mast-7") ? FATE_SLOW : FATE_NORMAL;
+}
+
+/* While a machine's records are being taken over to a page, a new task finds no room there, and the
+ * machine is given another page. Its records are on the first one all the same: it may not be
+ * written without them before they have moved. */
+static void records_leave_the_page_they_were_put_on(void **state)
+{
+    struct world *w = *state;
+    w->capacity = 0;
+    struct worker *k = world_worker(w, 2, "a", true);
+    world_run(w, 2500);
+    world_submit(w, 0, "wk-1", "sweep", 1);
+    world_run(w, 3000);
+    assert_int_equal(k->tasks->len, 1);
+    /* Its record stands on a page of a node that is away, not on its owner's. */
+    int owner = map_owner(w->nodes[0]->view, k->id)[5] - '0';
+    struct part *p = w->nodes[owner]->part;
+    char *own = key_page(p->settings->label, 0),
+         *text = g_strdup_printf("{\"t\":\"@%s #wk-1 *%" G_GUINT64_FORMAT " 0 \",\"d\":\"\"}",
+                                 k->id, g_array_index(k->tasks, struct wtask, 0).attempt);
+    world_put(w, "ll/p/mast-7/0", text);
+    w->fate = slow_to_take_over;
+    world_put(w, own, "{\"t\":\"\",\"d\":\"\"}"); /* so it takes the machine over */
+    struct host *h = NULL;
+    for (int i = 0; i < 400 && !(h && h->in_txn && *h->foreign); i++) {
+        world_run(w, 1);
+        h = part_host_get(p, k->id);
+    }
+    assert_true(h && h->in_txn && *h->foreign);
+    int put = h->page;
+    ((struct own_page *)p->pages->pdata[put])->bytes = store_limits(p->store)->value_bytes;
+    world_submit(w, 0, "wk-2", "sweep", 1);
+    for (int i = 0; i < 1500 && h->page == put; i++)
+        world_run(w, 1);
+    assert_true(*h->foreign && h->page != put); /* it has another page, and is still on its way */
+    for (int i = 0; i < 3000 && *h->foreign; i++)
+        world_run(w, 1);
+    assert_true(h->page == put || h->page_from == put);
+    world_worker(w, 3, "a", true); /* where a task that looks free would be started */
+    world_run(w, 6000);
+    assert_int_equal(world_on_machines(w, "wk-1") + world_on_machines(w, "wk-2"), 2);
+    assert_int_equal(world_starts(w), 2);
+    g_free(own);
+    g_free(text);
+}
+
 static void a_worker_back_with_a_new_session_lost_its_tasks(void **state)
 {
     struct world *w = *state;
@@ -865,6 +916,7 @@
         WORLD_TEST(what_was_placed_on_a_machine_that_goes_is_dealt_again),
         WORLD_TEST(full_pages_change_hands),
         WORLD_TEST(a_page_in_disorder_changes_hands),
+        WORLD_TEST(records_leave_the_page_they_were_put_on),
         WORLD_TEST(a_worker_back_with_a_new_session_lost_its_tasks),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world.c
+++ b/tests/world.c
@@ -12,7 +12,7 @@
     return "detect_leaks=0";
 }
 
-enum { LATENCY_MS = 3, TICK_MS = 10, KEPT_EVENTS = 10000 };
+enum { LATENCY_MS = 3, SLOW_MS = 2000, TICK_MS = 10, KEPT_EVENTS = 10000 };
 
 static const struct world_plan usual = {.nodes = WORLD_NODES,
                                         .workers = WORLD_WORKERS,
@@ -128,7 +128,7 @@
                          .timeout_ms = r->timeout_ms};
     f->fate = n->world->fate ? n->world->fate(n->world, n->node, r) : FATE_NORMAL;
     timer_init(&f->timer, arrived, f);
-    timer_start(n->world->loop, &f->timer, LATENCY_MS);
+    timer_start(n->world->loop, &f->timer, f->fate == FATE_SLOW ? SLOW_MS : LATENCY_MS);
 }
 
 static void flight_text(struct flight *f, int status, const char *text)
--- a/tests/world.h
+++ b/tests/world.h
@@ -11,8 +11,9 @@
 
 #include <cmocka.h>
 
-/* What becomes of a request: answered, refused, or lost before or after it was carried out. */
-enum fate { FATE_NORMAL, FATE_REFUSED, FATE_LOST, FATE_ANSWER_LOST, FATE_HELD };
+/* What becomes of a request: answered, refused, lost before or after it was carried out, or
+ * answered after two seconds. */
+enum fate { FATE_NORMAL, FATE_REFUSED, FATE_LOST, FATE_ANSWER_LOST, FATE_HELD, FATE_SLOW };
 
 struct world;
 typedef enum fate (*fate_fn)(struct world *w, int node, const struct net_request *r);
