--- a/src/membership.c
+++ b/src/membership.c
@@ -90,6 +90,12 @@
     return m->joined && time_before(loop_now(m->loop), m->lease_end);
 }
 
+bool membership_seen(const struct membership *m)
+{
+    const struct node_record *n = g_hash_table_lookup(m->view->nodes, m->settings->label);
+    return m->joined && n && n->stamp.v == m->stamp.v;
+}
+
 bool membership_holds_lead(const struct membership *m)
 {
     const struct view *v = m->view;
--- a/src/membership.h
+++ b/src/membership.h
@@ -14,6 +14,8 @@
 
 /* Whether this node may start and write: its own lease surely holds. */
 bool membership_valid(const struct membership *m);
+/* The view shows this process's own key, whether its lease surely holds or not. */
+bool membership_seen(const struct membership *m);
 /* Whether it leads, surely at this moment. */
 /* The leader's key is this process's, whether its lease surely holds or not. */
 bool membership_holds_lead(const struct membership *m);
--- a/src/part.c
+++ b/src/part.c
@@ -268,7 +268,9 @@
         f |= HOST_QUIET;
     if (h->probe_fails >= 2 && age > (int64_t)(p->settings->report_s * 2500))
         f |= HOST_LOST;
-    if ((f & HOST_LOST) && age > (int64_t)(p->settings->lease_s * 1000) + LAPSED_MS)
+    if ((f & HOST_LOST) && age > (int64_t)(p->settings->lease_s * 1000) + LAPSED_MS &&
+        (time_ms_since(loop_now(p->loop), h->heard) < (int64_t)(p->settings->lease_s * 1000) ||
+         part_lease_surely_over(p, h))) /* else another node may keep it */
         f |= HOST_LAPSED;
     return f;
 }
--- a/src/part_host.c
+++ b/src/part_host.c
@@ -204,17 +204,21 @@
     g_ptr_array_add(p->news, n);
 }
 
-/* The lease surely ran out: nobody can have renewed it after the moments below. */
+/* The lease surely ran out: nobody can have renewed it after the moments below, neither this node
+ * nor, as far as it goes by itself, an earlier owner; and other nodes say that they did not, or
+ * cannot have for long enough. */
 bool part_lease_surely_over(struct part *p, struct host *h)
 {
     const struct settings *s = p->settings;
     mono_time now = loop_now(p->loop);
+    int64_t lease = (int64_t)(s->lease_s * 1002) + 500, keep = part_keeping_ms(p) * 1002 / 1000;
     /* Until its worker shows a token that only we give, an earlier owner that is cut off may still
      * answer it, as long as keeping_bound_ms() lets it. */
     if (h->helm < h->owned_since.v)
-        return time_ms_since(now, h->owned_at) > (int64_t)(s->cancel_s * 1002) + 1000;
+        return time_ms_since(now, h->owned_at) > (int64_t)(s->cancel_s * 1002) + 1000 &&
+               peers_leases_over(p->peers, h->owned_at, lease, keep);
     mono_time last = time_before(h->answered, h->helm_seen) ? h->helm_seen : h->answered;
-    return time_ms_since(now, last) > (int64_t)(s->lease_s * 1002) + 500;
+    return time_ms_since(now, last) > lease && peers_leases_over(p->peers, last, lease, keep);
 }
 
 void part_free_all_runs(struct part *p, struct host *h, const char *why)
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -185,6 +185,8 @@
 
 /* part_worker.c: orders and reports */
 void part_push(struct part *p, struct host *h);
+/* How long a node may keep leases after it last knew what was new. */
+int64_t part_keeping_ms(const struct part *p);
 void part_probe(struct part *p, struct host *h);
 
 /* part_record.c: run records */
--- a/src/part_worker.c
+++ b/src/part_worker.c
@@ -242,7 +242,12 @@
  * job may have been cancelled meanwhile, and its tasks must be gone within cancel_s. */
 static int64_t keeping_bound_ms(const struct settings *s)
 {
-    return (int64_t)((s->cancel_s - s->lease_s) * 995) - 2000;
+    return (int64_t)((s->cancel_s - s->lease_s) * 995) - 1000;
+}
+
+int64_t part_keeping_ms(const struct part *p)
+{
+    return keeping_bound_ms(p->settings);
 }
 
 static bool may_keep_leases(struct part *p)
@@ -259,6 +264,16 @@
     mono_time at;
 };
 
+/* Whether this node renews the lease of a machine whose owner cannot: neither it nor the state
+ * service can be reached from here, as when a zone is cut off that this node and the machine are
+ * in. The proofs of its owner count with that: see "Sheltered machines" in docs/safety.md. */
+static bool may_shelter(struct part *p, const char *owner)
+{
+    return !membership_valid(p->members) && membership_seen(p->members) &&
+           peers_lost(p->peers, owner) &&
+           time_ms_since(loop_now(p->loop), p->view->fresh) < keeping_bound_ms(p->settings);
+}
+
 struct handed_on {
     struct http_replier *replier;
     conn_ref from;
@@ -278,6 +293,11 @@
                      const char *owner, const struct http_request *q)
 {
     mono_time now = loop_now(p->loop);
+    if (!q->via && may_shelter(p, owner)) {
+        peers_sheltered(p->peers);
+        reply_text(replier, from, 200, codec_orders_write(p->epoch, 0, NULL, 0));
+        return;
+    }
     struct redirect *r = g_hash_table_lookup(p->redirects, host);
     if (r && strcmp(r->owner, owner) == 0 && time_ms_since(now, r->at) < REDIRECT_MS && !q->via) {
         struct handed_on *x = g_new(struct handed_on, 1);
--- a/src/peers.h
+++ b/src/peers.h
@@ -21,6 +21,18 @@
 /* Until that moment no node can have told a user of a cancellation that this node does not know of,
  * as all of them said so: see docs/safety.md. {0}: nothing is known. */
 mono_time peers_quiet_until(const struct peers *p);
+/* Neither the state service nor that node answers this one, and no other node is served that might
+ * speak for both. */
+bool peers_lost(const struct peers *p, const char *label);
+
+/* This node has renewed the lease of another node's machine: see "Sheltered machines" in
+ * docs/safety.md. */
+void peers_sheltered(struct peers *p);
+/* Whether all leases that other nodes may have renewed for a machine of this node have run out by
+ * now; last: it surely was not renewed by this node since. Asks them, so the answer may be no at
+ * first. */
+bool peers_leases_over(struct peers *p, mono_time last, int64_t lease_ms, int64_t keep_ms);
+
 /* This node tells a user that a job is cancelled, which its record says since that revision. */
 void peers_told_cancel(struct peers *p, revision of);
 
--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -266,6 +266,92 @@
     lone(w, world_leader_index(w));
 }
 
+/* ---- a zone that is cut off with a node in it ---- */
+
+/* Zone b and one node are cut off from all else, longer than a lease. The node keeps the machines of
+ * that zone, whoever owns them, and nobody takes their tasks for free meanwhile. */
+static void cut_zone(struct world *w, int64_t ms)
+{
+    w->fate = only_workers;
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        w->workers[i].only = strcmp(w->workers[i].yard, "b") == 0 ? lone_node : -1;
+    /* those in zone a do not reach the node that is cut off */
+    for (int t = 0; t < ms / 100; t++) {
+        for (int i = 0; i < WORLD_WORKERS; i++)
+            if (w->workers[i].up && w->workers[i].only < 0 && w->workers[i].node == lone_node)
+                w->workers[i].node = (lone_node + 1) % 3;
+        world_run(w, 100);
+    }
+}
+
+static void end_cut(struct world *w)
+{
+    w->fate = NULL;
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        w->workers[i].only = -1;
+}
+
+static void spread_service(struct world *w, const char *id)
+{
+    char *body = world_job(id, "daemon", 8, "blue", 2.0, ""),
+         *apart = world_swapped(body, "\"Apart\":false", "\"Apart\":true"),
+         *ordinary = world_swapped(apart, "\"Loaners\":true", "\"Loaners\":false");
+    assert_int_equal(world_ask(w, 0, "POST", "/work", ordinary).status, 201);
+    g_free(body);
+    g_free(apart);
+    g_free(ordinary);
+    world_run(w, 12000);
+    assert_int_equal(world_on_machines(w, id), 8);
+}
+
+/* A node that does not own all the machines in zone b. */
+static int not_owner(struct world *w)
+{
+    for (int i = 0; i < WORLD_WORKERS; i++) {
+        struct worker *k = &w->workers[i];
+        if (k->up && strcmp(k->yard, "b") == 0 && k->tasks->len)
+            return (map_owner(w->nodes[0]->view, k->id)[5] - '0' + 1) % 3;
+    }
+    fail();
+    return -1;
+}
+
+static void a_zone_that_is_cut_off_keeps_its_tasks(void **state)
+{
+    struct world *w = *state;
+    spread_service(w, "wk-1");
+    lone_node = not_owner(w);
+    int starts = world_starts(w);
+    cut_zone(w, 22000); /* a lease of 10 s, of which the node renews for under 20 s */
+    assert_int_equal(world_on_machines(w, "wk-1"), 8);
+    end_cut(w);
+    world_run(w, 10000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 8);
+    assert_int_equal(world_starts(w), starts);
+    world_expect_stage(w, 0, "wk-1", "running");
+}
+
+/* For long: the leases end all the same, in time for what was cancelled, and only then do the tasks
+ * run elsewhere (a task that runs twice fails any of these tests). */
+static void a_zone_that_stays_cut_off_is_given_up(void **state)
+{
+    struct world *w = *state;
+    spread_service(w, "wk-1");
+    spread_service(w, "wk-2");
+    lone_node = not_owner(w);
+    int other = (lone_node + 1) % 3;
+    w->capacity = 4;
+    cut_zone(w, 1000);
+    assert_int_equal(world_ask(w, other, "POST", "/work/wk-2/abort", NULL).status, 200);
+    cut_zone(w, 30000);
+    assert_int_equal(world_on_machines(w, "wk-2"), 0);
+    cut_zone(w, 30000);
+    end_cut(w);
+    world_run(w, 20000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 8);
+    assert_int_equal(world_on_machines(w, "wk-2"), 0);
+}
+
 /* ---- answers in time ---- */
 
 static enum fate lose_state(struct world *w, int node, const struct net_request *r)
@@ -665,6 +751,8 @@
         WORLD_TEST(reports_that_contradict_free_nothing),
         WORLD_TEST(a_follower_with_workers_only_harms_nobody),
         WORLD_TEST(a_leader_with_workers_only_harms_nobody),
+        WORLD_TEST(a_zone_that_is_cut_off_keeps_its_tasks),
+        WORLD_TEST(a_zone_that_stays_cut_off_is_given_up),
         WORLD_TEST(who_cannot_be_served_is_told_at_once),
         WORLD_TEST(what_a_dead_process_sent_comes_late),
         WORLD_TEST(late_records_of_a_dead_process_are_refused),
--- a/tests/world.h
+++ b/tests/world.h
@@ -54,6 +54,7 @@
     GArray *tasks;   /* struct wtask */
     GPtrArray *said; /* its reports, as they went out */
     int node;        /* that it reports to */
+    int only;        /* the only node that it reaches and is reached by; -1: all */
     int starts;
     mono_time lease_from;
     struct timer report;
