--- a/src/part_host.c
+++ b/src/part_host.c
@@ -155,7 +155,7 @@
         }
         bool own = strcmp(t->page->label, p->settings->label) == 0;
         r->page = own ? t->page->number : -1;
-        r->foreign = own ? NULL : g_intern_string(t->page->key);
+        r->foreign = !own;
         if (r->phase == RUN_NEW)
             r->phase = RUN_RECORDED;
         part_run_heed_job(p, r);
@@ -171,7 +171,7 @@
         }
         if (!on_record) {
             r->page = -1;
-            r->foreign = NULL;
+            r->foreign = false;
         }
     }
 }
--- a/src/part_record.c
+++ b/src/part_record.c
@@ -617,10 +617,14 @@
     return plain && n && n->version < NODE_VERSION && !l->lowered;
 }
 
-static struct page *source_of(struct part *p, const struct run *r)
+/* The page of another node that a run's record is on. That is looked up each time: a long page may
+ * have been split meanwhile, and taking it off a page where it is no more would leave it on two. */
+static struct page *source_of(struct part *p, const struct host *h, const struct run *r)
 {
-    return r->foreign && r->phase != RUN_GONE ? g_hash_table_lookup(p->view->pages, r->foreign)
-                                              : NULL;
+    struct job *j = r->foreign && r->phase != RUN_GONE ? view_job(p->view, r->job.s) : NULL;
+    struct placed *t = j ? job_placed(j, r->index) : NULL;
+    bool there = t && t->attempt.v == r->attempt.v && host_eq(t->host->id, h->id);
+    return there && strcmp(t->page->label, p->settings->label) != 0 ? t->page : NULL;
 }
 
 /* What there is to be written. */
@@ -644,7 +648,7 @@
         drop_dead_news(p, h);
         for (guint i = 0; i < h->runs->len; i++) {
             const struct run *r = h->runs->pdata[i];
-            struct page *source = source_of(p, r);
+            struct page *source = source_of(p, h, r);
             if (source && !g_ptr_array_find(w->sources, source, NULL) &&
                 source_fits(p, source, b->plain))
                 g_ptr_array_add(w->sources, source);
@@ -817,7 +821,7 @@
     bool whole = true;
     for (guint i = 0; i < h->runs->len && whole; i++) {
         struct run *r = h->runs->pdata[i];
-        struct page *source = source_of(b->part, r);
+        struct page *source = source_of(b->part, h, r);
         if (!source || !g_ptr_array_find(b->sources, source, NULL))
             continue;
         r->put = -1;
@@ -902,7 +906,7 @@
         struct placed *t = v->tasks->pdata[i];
         struct host *h = part_host_get(p, t->host->id.s);
         struct run *r = h ? part_run_find(h, t->job->id, t->index, t->attempt) : NULL;
-        if (r && r->in_txn && r->foreign && strcmp(r->foreign, v->key) == 0) {
+        if (r && r->in_txn && r->foreign) {
             taken++;
             continue;
         }
@@ -987,7 +991,7 @@
         }
         r->in_txn = false;
         r->page = r->put;
-        r->foreign = NULL;
+        r->foreign = false;
         if (r->phase == RUN_NEW) {
             r->phase = RUN_RECORDED;
             part_run_heed_job(p, r);
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -21,9 +21,9 @@
     struct room room;
     bool service;
     enum run_phase phase;
-    int page;            /* of ours, that its record is on; -1: none */
-    const char *foreign; /* key (interned) of the page of an earlier owner that it is on; or NULL */
-    int put;             /* with in_txn, the page that it comes to; -1: it leaves the records */
+    int page;     /* of ours, that its record is on; -1: none */
+    bool foreign; /* it is on a page of another node still; which one the view knows */
+    int put;      /* with in_txn, the page that it comes to; -1: it leaves the records */
     bool in_txn;
     bool tried;  /* it was in a transaction, of which nobody may know what became */
     bool listed; /* in the report at hand */
