Records stay on a long page until owners of the old version have taken them over

Cause: a node of the production version notes when its epoch begins which page a machine's records are on, and takes them off that page only. Split meanwhile, they were on two pages, and one copy was dropped while the task ran.

--- a/src/part_split.c
+++ b/src/part_split.c
@@ -124,18 +124,28 @@
     return piece_bytes(x) <= part_text_bytes(p);
 }
 
+/* A node of version 0 that owns a machine now has noted, when its epoch began, on which page the
+ * machine's records are, and takes them off that page only: moved to another they would stay there,
+ * and be on two. So they stay where they are until it has taken them over, which is soon. */
+static bool has_to_stay(const struct part *p, const struct page_rec *r)
+{
+    const char *owner = map_owner(p->view, r->host.s);
+    return owner && !node_understands(p, owner);
+}
+
 /* Machines stay whole while a node may read it that knows of one page a machine. */
 static bool cut_records(struct part *p, const struct page *g, bool plain, GPtrArray *pieces)
 {
     GArray *all = g_array_new(FALSE, FALSE, sizeof(struct page_rec));
+    struct piece *first = pieces->pdata[0];
     for (guint i = 0; i < g->tasks->len; i++) {
         struct placed *t = g->tasks->pdata[i];
         struct page_rec r = {t->host->id, t->job->id, t->attempt, t->index,
                              view_about(p->view, t->host->id.s)};
-        g_array_append_val(all, r);
+        g_array_append_val(plain && has_to_stay(p, &r) ? first->records : all, r);
     }
     g_array_sort(all, by_host);
-    bool fits = true;
+    bool fits = piece_bytes(first) <= part_text_bytes(p);
     for (guint i = 0, n; i < all->len && fits; i += n) {
         const struct page_rec *r = &g_array_index(all, struct page_rec, i);
         for (n = 1; plain && i + n < all->len && host_eq(r->host, r[n].host);)
