--- a/src/leader.c
+++ b/src/leader.c
@@ -236,7 +236,7 @@
     if (d && d->attempt.v == attempt.v)
         leader_deal_drop(l, j, index);
     struct entry *e = g_new(struct entry, 1);
-    *e = (struct entry){attempt, host, loop_now(l->loop), false};
+    *e = (struct entry){.attempt = attempt, .host = host, .since = loop_now(l->loop)};
     g_hash_table_insert(j->entries, leader_key_of(index), e);
     room_add(&l->teams[j->team].used, j->room);
     l->running[j->urgency]++;
@@ -267,6 +267,9 @@
     l->running[j->urgency]--;
     if (e->halted)
         room_sub(&l->teams[j->team].halting, j->room);
+    struct ljob *other = e->cleared_for.s[0] ? ljob_get(l, e->cleared_for.s) : NULL;
+    if (other)
+        other->clearing--;
     g_hash_table_remove(j->entries, leader_key_of(index));
     j->cursor = MIN(j->cursor, index);
 }
--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -514,6 +514,8 @@
                  x->host->id.s, c->job->id.s);
         room_add(&free, v->job->room);
         room_add(&x->more, v->job->room);
+        v->entry->cleared_for = c->job->id;
+        c->job->clearing++;
         halt(l, v->job, v->index, v->entry, vx && vx->spec ? vx->spec->stow_s : 0);
     }
     room_sub(&x->more, c->job->room);
@@ -551,7 +553,9 @@
     if (!claim_has_hope(l, &c) && !moves)
         return;
     GArray *all = clearings(l, &c);
-    int64_t n = MIN(leader_count_allowed(l, j, v), PREEMPT_TASKS);
+    /* What was stopped for it before and is not off the record yet is room that is on its way: while
+     * few writes are allowed that takes several seconds, and all would be stopped over and over. */
+    int64_t n = MIN(leader_count_allowed(l, j, v) - j->clearing, PREEMPT_TASKS);
     for (int64_t k = 0; k < n; k++) {
         struct clearing *best = cheapest(l, &c, all);
         if (!best) {
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -13,6 +13,7 @@
     host_id host;
     mono_time since;
     bool halted;
+    job_id cleared_for; /* the job that it was stopped for; "": none */
 };
 
 /* A task dealt to a part and not on record yet. */
@@ -40,6 +41,7 @@
     bool overdue;     /* and for longer still */
     int64_t place_ms; /* in its team's queue */
     mono_time not_before, preempted_at;
+    int clearing; /* tasks that were stopped for it and are on record still */
     int failures;
     GHashTable *failed_on;
     mono_time gang_since;
