Only the page that changed is taken for the truth

Cause: when another node had written one of our pages, all machines were made to agree with the view, which may be older than what was just written on other pages: tasks recorded a moment ago were taken for freed.

--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -553,8 +553,9 @@
     if (!claim_has_hope(l, &c) && !moves)
         return;
     GArray *all = clearings(l, &c);
-    /* What was stopped for it before and is not off the record yet is room that is on its way: while
-     * few writes are allowed that takes several seconds, and all would be stopped over and over. */
+    /* What was stopped for it before and is not off the record yet is room that is on its way:
+     * while few writes are allowed that takes several seconds, and all would be stopped over and
+     * over. */
     int64_t n = MIN(leader_count_allowed(l, j, v) - j->clearing, PREEMPT_TASKS);
     for (int64_t k = 0; k < n; k++) {
         struct clearing *best = cheapest(l, &c, all);
--- a/src/part_host.c
+++ b/src/part_host.c
@@ -128,9 +128,11 @@
         part_run_stop(r, 0);
 }
 
-/* Makes what we hold of a machine agree with its record, which is the truth. Only called when the
- * view is not older than our own last write of it. */
-void part_host_sync(struct part *p, struct host *h)
+/* Makes what we hold of a machine agree with its records, which are the truth: all of them, or
+ * those on one page of ours. Only called when the view is not older than our own last write of
+ * these. Of the others it may be: taken for the truth then, it would free what was recorded just
+ * now. */
+void part_host_sync(struct part *p, struct host *h, int page)
 {
     struct host_record *rec = view_host(p->view, h->id.s);
     if (rec && rec->addr[0] && !h->addr[0]) {
@@ -143,9 +145,13 @@
             host_image(h, rec->images->pdata[i]);
         h->new_images = false;
     }
-    h->stamp = rec ? rec->stamp : (revision){0};
+    if (page < 0)
+        h->stamp = rec ? rec->stamp : (revision){0};
     for (guint i = 0; rec && i < rec->tasks->len; i++) {
         struct placed *t = rec->tasks->pdata[i];
+        bool own = strcmp(t->page->label, p->settings->label) == 0;
+        if (page >= 0 && (!own || t->page->number != page))
+            continue;
         struct run *r = part_run_find(h, t->job->id, t->index, t->attempt);
         if (!r) {
             r = part_run_add(h, t->job->id, t->index, t->attempt, t->job->spec);
@@ -153,7 +159,6 @@
             r->sent_helm.v = h->owned_since.v - 1;
             r->placed_at = loop_now(p->loop);
         }
-        bool own = strcmp(t->page->label, p->settings->label) == 0;
         r->page = own ? t->page->number : -1;
         r->foreign = !own;
         if (r->phase == RUN_NEW)
@@ -162,6 +167,8 @@
     }
     for (guint i = 0; i < h->runs->len; i++) {
         struct run *r = h->runs->pdata[i];
+        if (page >= 0 && r->page != page)
+            continue;
         struct job *j = view_job(p->view, r->job.s);
         struct placed *t = j ? job_placed(j, r->index) : NULL;
         bool on_record = t && t->attempt.v == r->attempt.v && host_eq(t->host->id, h->id);
--- a/src/part_record.c
+++ b/src/part_record.c
@@ -246,13 +246,13 @@
     g->bytes = v ? v->bytes : 0;
 }
 
-static void hosts_sync(struct part *p)
+static void hosts_sync(struct part *p, int page)
 {
     GHashTableIter it;
     struct host *h;
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
-        part_host_sync(p, h);
+        part_host_sync(p, h, page);
     p->dirty = true;
 }
 
@@ -266,7 +266,7 @@
             page_at(p, v->number);
     for (guint i = 0; i < p->pages->len; i++)
         page_sync(p, (int)i);
-    hosts_sync(p);
+    hosts_sync(p, -1);
 }
 
 /* Somebody wrote a page of ours: another owner took machines over, or it was us, with an answer
@@ -278,7 +278,7 @@
         v->stamp.v <= page_at(p, v->number)->stamp.v)
         return;
     page_sync(p, v->number);
-    hosts_sync(p);
+    hosts_sync(p, v->number);
 }
 
 /* ---- transactions ---- */
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -174,7 +174,7 @@
 bool part_host_has_run(const struct host *h);
 void part_run_stop(struct run *r, double wind_down_s);
 void part_run_heed_job(struct part *p, struct run *r);
-void part_host_sync(struct part *p, struct host *h);
+void part_host_sync(struct part *p, struct host *h, int page); /* -1: all */
 bool part_lease_surely_over(struct part *p, struct host *h);
 void part_free_all_runs(struct part *p, struct host *h, const char *why);
 /* Its worker has shown that it hears us. */
--- a/src/part_worker.c
+++ b/src/part_worker.c
@@ -320,7 +320,7 @@
     struct host *h = part_host_get(p, rep->host.s);
     if (!h) {
         h = part_host_make(p, rep->host);
-        part_host_sync(p, h);
+        part_host_sync(p, h, -1);
         LOG_INFO("machine_up", "machine=%s type=%s zone=%s spot=%d", h->id.s, rep->build, rep->yard,
                  rep->loaners);
     } else if (h->known) {
