--- a/src/part_host.c
+++ b/src/part_host.c
@@ -128,6 +128,17 @@
         part_run_stop(r, 0);
 }
 
+static bool is_own(const struct part *p, const struct page *g)
+{
+    return strcmp(g->label, p->settings->label) == 0;
+}
+
+static void run_at(const struct part *p, struct run *r, const struct page *g)
+{
+    r->foreign = !is_own(p, g);
+    r->page = r->foreign ? -1 : g->number;
+}
+
 /* Makes what we hold of a machine agree with its records, which are the truth: all of them, or
  * those on one page of ours. Only called when the view is not older than our own last write of
  * these. Of the others it may be: taken for the truth then, it would free what was recorded just
@@ -149,8 +160,7 @@
         h->stamp = rec ? rec->stamp : (revision){0};
     for (guint i = 0; rec && i < rec->tasks->len; i++) {
         struct placed *t = rec->tasks->pdata[i];
-        bool own = strcmp(t->page->label, p->settings->label) == 0;
-        if (page >= 0 && (!own || t->page->number != page))
+        if (page >= 0 && (!is_own(p, t->page) || t->page->number != page))
             continue;
         struct run *r = part_run_find(h, t->job->id, t->index, t->attempt);
         if (!r) {
@@ -159,8 +169,7 @@
             r->sent_helm.v = h->owned_since.v - 1;
             r->placed_at = loop_now(p->loop);
         }
-        r->page = own ? t->page->number : -1;
-        r->foreign = !own;
+        run_at(p, r, t->page);
         if (r->phase == RUN_NEW)
             r->phase = RUN_RECORDED;
         part_run_heed_job(p, r);
@@ -176,7 +185,9 @@
             part_run_unbook(p, h, r);
             r->phase = RUN_GONE;
         }
-        if (!on_record) {
+        if (on_record) {
+            run_at(p, r, t->page);
+        } else {
             r->page = -1;
             r->foreign = false;
         }
