--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -510,8 +510,9 @@
     for (guint i = 0; i < victims->len && !room_holds(free, c->job->room); i++) {
         struct victim *v = &g_array_index(victims, struct victim, i);
         struct job *vx = view_job(l->view, v->job->id.s);
-        LOG_INFO("preempt", "job=%s task=%u machine=%s for=%s", v->job->id.s, v->index,
-                 x->host->id.s, c->job->id.s);
+        LOG_INFO("preempt", "job=%s task=%u machine=%s for=%s why=%s", v->job->id.s, v->index,
+                 x->host->id.s, c->job->id.s,
+                 v->job->urgency > c->job->urgency ? "priority" : "guarantee");
         room_add(&free, v->job->room);
         room_add(&x->more, v->job->room);
         v->entry->cleared_for = c->job->id;
--- a/src/part.c
+++ b/src/part.c
@@ -311,6 +311,8 @@
 static void digest_hosts(struct part *p, cJSON *m)
 {
     bool whole = p->digest_whole || p->digests++ % WHOLE_EVERY == 0;
+    if (whole)
+        part_log_waits(p);
     cJSON *hosts = cJSON_AddArrayToObject(m, "hosts");
     if (whole)
         cJSON_AddTrueToObject(m, "whole");
--- a/src/part_host.c
+++ b/src/part_host.c
@@ -201,6 +201,7 @@
     if (r->phase != RUN_RECORDED)
         return;
     r->phase = RUN_FREEING;
+    r->over_at = loop_now(p->loop);
     r->done = done;
     if (done)
         part_mark_done(p, r);
--- a/src/part_record.c
+++ b/src/part_record.c
@@ -976,6 +976,28 @@
 
 /* ---- what became of it ---- */
 
+/* How long starts and ends wait for their records: it shows when writes are scarce. */
+static void note_wait(struct part *p, const struct run *r)
+{
+    mono_time now = loop_now(p->loop);
+    if (r->phase == RUN_NEW) {
+        p->waits.starts++;
+        p->waits.starts_ms += (double)time_ms_since(now, r->placed_at);
+    } else if (r->phase == RUN_FREEING && r->put < 0) {
+        p->waits.ends++;
+        p->waits.ends_ms += (double)time_ms_since(now, r->over_at);
+    }
+}
+
+void part_log_waits(struct part *p)
+{
+    if (log_debug_on() && p->waits.writes)
+        LOG_DEBUG("records", "writes=%u starts=%u wait_ms=%.0f ends=%u wait_ms=%.0f pages=%u",
+                  p->waits.writes, p->waits.starts, p->waits.starts_ms / MAX(p->waits.starts, 1),
+                  p->waits.ends, p->waits.ends_ms / MAX(p->waits.ends, 1), p->pages->len);
+    memset(&p->waits, 0, sizeof p->waits);
+}
+
 static void batch_settled(struct part *p, struct host *h, const struct txn_outcome *o)
 {
     if (h->removing)
@@ -992,6 +1014,7 @@
         r->in_txn = false;
         r->page = r->put;
         r->foreign = false;
+        note_wait(p, r);
         if (r->phase == RUN_NEW) {
             r->phase = RUN_RECORDED;
             part_run_heed_job(p, r);
@@ -1172,6 +1195,7 @@
         return;
     }
     p->write_level -= txn_writes(b->txn);
+    p->waits.writes += txn_writes(b->txn);
     p->txn_out = true;
     store_txn(p->store, LANE_URGENT, b->txn, batch_answered, b);
 }
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -35,7 +35,7 @@
     uint64_t sent_shift; /* 0: not known */
     int unsettled;       /* direct run commands of which nobody knows what became */
     mono_time sent_at;   /* 0: never, by us */
-    mono_time placed_at, running_at;
+    mono_time placed_at, running_at, over_at;
     int pool; /* that its machine was in when it was placed */
     bool stop;
     double wind_down_s;
@@ -143,6 +143,10 @@
     GHashTable *done; /* "JOB UNIT" -> struct done_unit */
     bool txn_out;
     bool dirty;         /* there is something to be written */
+    struct {
+        guint starts, ends, writes;
+        double starts_ms, ends_ms;
+    } waits; /* for records, since they were last logged */
     mono_time split_at; /* a page that could not be split is looked at again */
     double write_level; /* of this node's share of the writes */
     mono_time write_at;
@@ -209,6 +213,7 @@
 /* Makes all pages and machines agree with the view. */
 void part_records_sync(struct part *p);
 void part_flush(void *arg);
+void part_log_waits(struct part *p);
 /* A transaction with the conditions of all that this node writes of records. */
 struct txn *part_txn(struct part *p);
 void part_page_set(struct txn *t, const char *key, revision stamp, const char *tasks,
