--- a/src/leader.c
+++ b/src/leader.c
@@ -446,6 +446,24 @@
     *(bool *)c[1] = *(bool *)c[1] || (j && j->spec);
 }
 
+static void sweep_key(struct leader *l, const char *key, revision stamp)
+{
+    struct txn *t = txn_new();
+    txn_when(t, KEY_LEADER, l->view->leader_stamp);
+    txn_when(t, key, stamp);
+    txn_remove(t, key);
+    l->sweeping = true;
+    store_txn(l->store, LANE_NORMAL, t, swept, l);
+}
+
+static bool node_away(const struct leader *l, const char *label)
+{
+    for (guint i = 0; i < l->view->map->len; i++)
+        if (strcmp(g_array_index(l->view->map, struct map_entry, i).label, label) == 0)
+            return false;
+    return true;
+}
+
 /* A page of a node that is away is removed once others have taken its machines over and the jobs
  * are over of which it says what is done. */
 static void sweep_pages(struct leader *l)
@@ -454,22 +472,29 @@
     struct page *g;
     g_hash_table_iter_init(&it, l->view->pages);
     while (!l->sweeping && g_hash_table_iter_next(&it, NULL, (gpointer *)&g)) {
-        bool away = true, live = false;
+        bool live = false;
         void *ctx[] = {l->view, &live};
-        for (guint i = 0; i < l->view->map->len; i++)
-            away = away &&
-                   strcmp(g_array_index(l->view->map, struct map_entry, i).label, g->label) != 0;
-        if (!away || g->tasks->len)
+        if (g->tasks->len || !node_away(l, g->label))
             continue;
         page_read_done(g->done ? g->done : "", still_live, ctx);
-        if (live)
-            continue;
-        struct txn *t = txn_new();
-        txn_when(t, KEY_LEADER, l->view->leader_stamp);
-        txn_when(t, g->key, g->stamp);
-        txn_remove(t, g->key);
-        l->sweeping = true;
-        store_txn(l->store, LANE_NORMAL, t, swept, l);
+        if (!live)
+            sweep_key(l, g->key, g->stamp);
+    }
+}
+
+/* A list of machines of a node that is away is removed once it says nothing of a machine on which
+ * anything is on record: those that own them now list them, too. */
+static void sweep_rolls(struct leader *l)
+{
+    GHashTableIter it;
+    struct roll *r;
+    g_hash_table_iter_init(&it, l->view->rolls);
+    while (!l->sweeping && g_hash_table_iter_next(&it, NULL, (gpointer *)&r)) {
+        bool needed = false;
+        for (guint i = 0; i < r->hosts->len; i++)
+            needed = needed || ((struct host_record *)r->hosts->pdata[i])->tasks->len;
+        if (!needed && node_away(l, r->label))
+            sweep_key(l, r->key, r->stamp);
     }
 }
 
@@ -811,6 +836,7 @@
     if (time_ms_since(loop_now(l->loop), l->swept_at) > SWEEP_MS) {
         l->swept_at = loop_now(l->loop);
         sweep_pages(l);
+        sweep_rolls(l);
         raise_for_stuck_deals(l);
     }
     if (leader_ready_to_deal(l))
--- a/src/page.c
+++ b/src/page.c
@@ -8,6 +8,7 @@
     MOST_CHUNKS = 100000 / (8 * CHUNK_BYTES) + 1,
     NUMBER_BYTES = 22, /* of a number and the characters beside it */
     NAME_SIZE = 64,    /* more than any name has */
+    OWN_CHARS = 3,     /* of a name, at its end, that are not taken for its beginning */
 };
 
 char *machine_about(const char *addr, const char *build, const char *yard, bool loaners)
@@ -51,11 +52,28 @@
     return c ? c : by_index(x, y);
 }
 
+/* What names begin with: all but the end of the first one in their order. While any that begins so
+ * is left it stays the same, and after that all others had to be said whole. */
+static char *beginning_of(GArray *records)
+{
+    const char *first = NULL;
+    for (guint i = 0; i < records->len; i++) {
+        const char *name = g_array_index(records, struct page_rec, i).host.s;
+        if (!first || strcmp(name, first) < 0)
+            first = name;
+    }
+    size_t n = first ? strlen(first) : 0;
+    return g_strndup(first ? first : "", n > OWN_CHARS ? n - OWN_CHARS : 0);
+}
+
 /* Each word once until another of its kind is needed. With the job first a machine is named anew
  * for each attempt, so that what a record adds does not hang on those beside it. */
-static GString *write_in_order(GArray *records, bool job_first)
+static GString *write_in_order(GArray *records, bool job_first, bool plain)
 {
     GString *s = g_string_new(NULL);
+    char *beginning = plain ? g_strdup("") : beginning_of(records);
+    if (*beginning)
+        g_string_append_printf(s, "^%s ", beginning);
     GHashTable *said = g_hash_table_new(g_str_hash, g_str_equal);
     const struct page_rec *last = NULL;
     for (guint i = 0; i < records->len; i++) {
@@ -67,7 +85,9 @@
         same_job = same_job && (same_host || job_first);
         GString *host = g_string_new(NULL);
         if (!same_host) {
-            g_string_append_printf(host, "@%s ", r->host.s);
+            bool whole = !g_str_has_prefix(r->host.s, beginning);
+            g_string_append_printf(host, "%c%s ", whole ? '&' : '@',
+                                   r->host.s + (whole ? 0 : strlen(beginning)));
             if (r->about && g_hash_table_add(said, (gpointer)r->host.s))
                 g_string_append_printf(host, "=%s ", r->about);
         }
@@ -84,28 +104,29 @@
         last = r;
     }
     g_hash_table_unref(said);
+    g_free(beginning);
     return s;
 }
 
 /* Tasks that were started together are mostly of one job and on many machines, but a machine with
  * many jobs is said in less the other way round. */
-GString *page_write(GArray *records)
+GString *page_write(GArray *records, bool plain)
 {
     g_array_sort(records, by_host_first);
-    GString *by_host = write_in_order(records, false);
+    GString *by_host = write_in_order(records, false, plain);
     g_array_sort(records, by_job_first);
-    GString *by_job = write_in_order(records, true);
+    GString *by_job = write_in_order(records, true, plain);
     GString *longer = by_job->len <= by_host->len ? by_host : by_job;
     g_string_free(longer, TRUE);
     return longer == by_host ? by_job : by_host;
 }
 
-gsize page_length(GArray *records, gsize *least)
+gsize page_length(GArray *records, bool plain, gsize *least)
 {
     g_array_sort(records, by_host_first);
-    GString *by_host = write_in_order(records, false);
+    GString *by_host = write_in_order(records, false, plain);
     g_array_sort(records, by_job_first);
-    GString *by_job = write_in_order(records, true);
+    GString *by_job = write_in_order(records, true, plain);
     gsize length = by_job->len;
     *least = MIN(length, by_host->len);
     g_string_free(by_host, TRUE);
@@ -140,10 +161,10 @@
 }
 
 /* The name that a word holds behind its mark. */
-static const char *word_name(const char *word, size_t len, char *name)
+static const char *word_name(const char *beginning, const char *word, size_t len, char *name)
 {
-    g_strlcpy(name, "", NAME_SIZE);
-    strncat(name, word + 1, MIN(len - 1, NAME_SIZE - 1));
+    g_strlcpy(name, beginning, NAME_SIZE);
+    strncat(name, word + 1, MIN(len - 1, NAME_SIZE - 1 - strlen(name)));
     return name;
 }
 
@@ -152,16 +173,18 @@
     struct page_rec r = {0};
     bool host = false, job = false;
     size_t n;
-    char name[NAME_SIZE], *about = NULL;
+    char name[NAME_SIZE], beginning[NAME_SIZE] = "", *about = NULL;
     for (const char *at = text, *word; (word = next_word(&at, &n));) {
-        if (*word == '@') {
-            host = host_id_from(&r.host, word_name(word, n, name));
+        if (*word == '^') {
+            word_name("", word, n, beginning);
+        } else if (*word == '@' || *word == '&') {
+            host = host_id_from(&r.host, word_name(*word == '@' ? beginning : "", word, n, name));
             g_clear_pointer(&about, g_free);
         } else if (*word == '=') {
             g_free(about);
             about = g_strndup(word + 1, n - 1);
         } else if (*word == '#') {
-            job = job_id_from(&r.job, word_name(word, n, name));
+            job = job_id_from(&r.job, word_name("", word, n, name));
         } else if (*word == '*') {
             r.attempt.v = g_ascii_strtoull(word + 1, NULL, 10);
         } else if (host && job) {
@@ -173,6 +196,30 @@
     g_free(about);
 }
 
+/* ---- what machines are ---- */
+
+void page_write_about(GString *text, host_id host, const char *about)
+{
+    g_string_append_printf(text, "@%s =%s ", host.s, about);
+}
+
+void page_read_about(const char *text, page_about take, void *ctx)
+{
+    host_id host;
+    bool named = false;
+    size_t n;
+    char name[NAME_SIZE];
+    for (const char *at = text, *word; (word = next_word(&at, &n));) {
+        if (*word == '@') {
+            named = host_id_from(&host, word_name("", word, n, name));
+        } else if (*word == '=' && named) {
+            char *about = g_strndup(word + 1, n - 1);
+            take(ctx, host, about);
+            g_free(about);
+        }
+    }
+}
+
 /* ---- what is done ---- */
 
 void bits_grow(GByteArray *bits, guint len)
@@ -238,7 +285,7 @@
     char name[NAME_SIZE];
     for (const char *at = text, *word; (word = next_word(&at, &n));) {
         if (*word == '#') {
-            named = job_id_from(&job, word_name(word, n, name));
+            named = job_id_from(&job, word_name("", word, n, name));
         } else if (named && g_ascii_isdigit(*word)) {
             char *rest;
             unsigned long chunk = strtoul(word, &rest, 10), offset = 0;
--- a/src/page.h
+++ b/src/page.h
@@ -1,12 +1,15 @@
 /* The text of a page: run records, and the tasks that are done. Pure logic.
  *
- * Run records: words "@MACHINE", "#JOB", "*ATTEMPT" and task numbers; each of the first three holds
- * until the next of its kind. "=ADDRESS,TYPE,ZONE,SPOT" behind "@MACHINE" says what a machine is
- * that has no record of its own yet: these are written when there are writes to spare. Done: "#JOB
- * CHUNK:BITS ...", the bits of a chunk of tasks in hexadecimal, eight tasks to two digits, the
- * first task in the lowest bit; zeros at the end are left out. "CHUNK+BYTES:BITS" begins so many
- * bytes within the chunk, so that a long job's marks need not be one long word; nodes of version 0
- * read that wrongly. */
+ * Run records are words. "@MACHINE", "#JOB" and "*ATTEMPT" each hold until the next of their kind;
+ * a number is a task. "=ADDRESS,TYPE,ZONE,SPOT" behind "@MACHINE" says what a machine is, as long
+ * as nothing else does. "^TEXT" is what machines' names begin with from there on, "&MACHINE" a
+ * whole name all the same.
+ *
+ * What is done: "#JOB CHUNK:BITS ...", the bits of a chunk of tasks in hexadecimal, eight tasks to
+ * two digits, the first task in the lowest bit; zeros at the end are left out. "CHUNK+BYTES:BITS"
+ * begins so many bytes within the chunk, so that a long job's marks need not be one long word.
+ *
+ * Nodes of version 0 know neither "^" and "&" nor "+": what they may read is written plain. */
 #ifndef LL_PAGE_H
 #define LL_PAGE_H
 
@@ -25,12 +28,13 @@
     const char *about; /* what the page says of the machine; NULL: nothing */
 };
 
-/* The same records always give the same text, and fewer never a longer one, in whatever order they
- * come: so what was on a page fits on it again, whoever writes it. Sorts them. */
-GString *page_write(GArray *records);
+/* The same records always give the same text, and fewer never a longer one (but for two bytes), in
+ * whatever order they come: so what was on a page fits on it again, whoever writes it. Sorts them.
+ */
+GString *page_write(GArray *records, bool plain);
 /* How long that would be with the job first, the order in which page_cost reckons; least: how long
  * it is. */
-gsize page_length(GArray *records, gsize *least);
+gsize page_length(GArray *records, bool plain, gsize *least);
 /* What one more record adds to the text at most. with_job, with_attempt: the page has records of
  * that job, and of that attempt, already. */
 gsize page_cost(const struct page_rec *r, bool with_job, bool with_attempt);
@@ -41,8 +45,7 @@
 
 /* Makes an array of bits at least so long, with zeros. */
 void bits_grow(GByteArray *bits, guint len);
-/* unit: counts by MARK_TASKS. The bits of a task lie at its number less the unit's first. plain:
- * only words that version 0 understands. */
+/* unit: counts by MARK_TASKS. The bits of a task lie at its number less the unit's first. */
 void page_write_done(GString *text, job_id job, uint32_t unit, const GByteArray *bits, bool plain);
 /* What that takes at most for bits of so many bytes. */
 gsize page_done_cost(job_id job, uint32_t unit, guint bytes, bool plain);
@@ -50,6 +53,11 @@
 typedef void (*page_unit)(void *ctx, job_id job, uint32_t unit, const GByteArray *bits);
 void page_read_done(const char *text, page_unit take, void *ctx);
 
+/* A text that only says what machines are. */
+void page_write_about(GString *text, host_id host, const char *about);
+typedef void (*page_about)(void *ctx, host_id host, const char *about);
+void page_read_about(const char *text, page_about take, void *ctx);
+
 /* What a page may say of a machine; NULL when it cannot be said in one word. */
 char *machine_about(const char *addr, const char *build, const char *yard, bool loaners);
 
--- a/src/part.c
+++ b/src/part.c
@@ -58,6 +58,7 @@
     p->back = g_array_new(FALSE, FALSE, sizeof(struct dealt));
     p->news = g_ptr_array_new_with_free_func(delete_json);
     p->pages = g_ptr_array_new_with_free_func(part_page_free);
+    p->rolls = g_ptr_array_new_with_free_func(g_free);
     p->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, part_done_free);
     p->roomy = g_ptr_array_new();
     p->nones = g_array_new(FALSE, FALSE, sizeof(struct no_machine));
@@ -89,6 +90,7 @@
     g_hash_table_unref(p->hosts);
     g_hash_table_unref(p->done);
     g_ptr_array_unref(p->pages);
+    g_ptr_array_unref(p->rolls);
     g_hash_table_unref(p->redirects);
     g_hash_table_unref(p->buried);
     g_hash_table_unref(p->buried_before);
@@ -192,6 +194,7 @@
     LOG_INFO("machine_gone", "machine=%s", id);
     bury(p, id);
     h->gone = true;
+    part_roll_lost(p, h);
     drop_news(p, h);
     part_free_all_runs(p, h, "returned");
     if (h->stamp.v || h->in_txn || part_host_has_run(h)) {
--- a/src/part_host.c
+++ b/src/part_host.c
@@ -73,7 +73,7 @@
     h->id = id;
     h->runs = g_ptr_array_new_with_free_func(g_free);
     h->images = images_new();
-    h->told_flags = -1;
+    h->told_flags = h->roll = -1;
     h->strays = g_array_new(FALSE, FALSE, sizeof(struct report_task));
     h->owned_since = p->epoch;
     h->owned_at = h->heard = h->reached = loop_now(p->loop);
--- a/src/part_record.c
+++ b/src/part_record.c
@@ -11,7 +11,9 @@
     TXN_BYTES = 48 * 1024,
     DESCRIBE_MS = 30000, /* a machine's images are written again no sooner */
     BURST = 6,           /* writes that may be made at once after a pause */
-    MOST_SOURCES = 4,    /* pages of others that one transaction takes machines over from */
+    NEW_WEIGHT = 1, /* a start that waits for a page, beside an end that has waited a second less */
+    MARK_WEIGHT = 1,  /* and a mark */
+    MOST_SOURCES = 4, /* pages of others that one transaction takes machines over from */
 };
 
 /* Of the writes that the state service allows, as much as all nodes' records may use. */
@@ -48,13 +50,18 @@
     g_free(g);
 }
 
-void part_done_free(gpointer q)
+static void unit_free(gpointer q)
 {
     struct done_unit *d = q;
     g_byte_array_unref(d->bits);
     g_free(d);
 }
 
+void part_done_free(gpointer q)
+{
+    g_ptr_array_unref(q);
+}
+
 static struct own_page *page_at(struct part *p, int number)
 {
     while ((int)p->pages->len <= number) {
@@ -101,7 +108,7 @@
 /* What a page says of a machine that has no record of its own yet. */
 static const char *about_host(struct host *h)
 {
-    if (h->stamp.v || h->described)
+    if (h->stamp.v || h->described || h->roll >= 0)
         return NULL;
     if (!h->about)
         h->about = machine_about(h->addr, h->build, h->yard, h->loaners);
@@ -146,12 +153,12 @@
     return g_strdup_printf("%s %u", job.s, unit);
 }
 
-static struct done_unit *done_find(struct part *p, job_id job, uint32_t unit)
+static GPtrArray *units_of(struct part *p, job_id job, uint32_t unit)
 {
     char *key = unit_key(job, unit);
-    struct done_unit *d = g_hash_table_lookup(p->done, key);
+    GPtrArray *all = g_hash_table_lookup(p->done, key);
     g_free(key);
-    return d;
+    return all;
 }
 
 /* The bytes of a unit's bits when all its tasks are done. */
@@ -160,20 +167,60 @@
     return MIN((guint)MARK_TASKS, j->tasks - unit * MARK_TASKS) / 8 + 1;
 }
 
-static struct done_unit *done_make(struct part *p, job_id job, uint32_t unit)
+static struct done_unit *unit_find(struct part *p, job_id job, uint32_t unit, int page)
 {
-    struct done_unit *d = done_find(p, job, unit);
+    GPtrArray *all = units_of(p, job, unit);
+    for (guint i = 0; all && i < all->len; i++) {
+        struct done_unit *d = all->pdata[i];
+        if (d->page == page)
+            return d;
+    }
+    return NULL;
+}
+
+static struct done_unit *unit_make(struct part *p, job_id job, uint32_t unit, int page)
+{
+    struct done_unit *d = unit_find(p, job, unit, page);
     if (d)
         return d;
+    GPtrArray *all = units_of(p, job, unit);
+    if (!all) {
+        all = g_ptr_array_new_with_free_func(unit_free);
+        g_hash_table_insert(p->done, unit_key(job, unit), all);
+    }
     d = g_new0(struct done_unit, 1);
     d->job = job;
     d->unit = unit;
     d->bits = g_byte_array_new();
-    d->page = d->was = d->near = -1;
-    g_hash_table_insert(p->done, unit_key(job, unit), d);
+    d->page = page;
+    g_ptr_array_add(all, d);
     return d;
 }
 
+/* It says nothing any more. */
+static void unit_clear(struct done_unit *d)
+{
+    g_byte_array_set_size(d->bits, 0);
+    d->dirty = d->leaving = false;
+}
+
+typedef void (*unit_fn)(struct part *p, struct done_unit *d, void *ctx);
+
+static void each_unit(struct part *p, unit_fn f, void *ctx)
+{
+    GHashTableIter it;
+    GPtrArray *all;
+    g_hash_table_iter_init(&it, p->done);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&all))
+        for (guint i = 0; i < all->len; i++)
+            f(p, all->pdata[i], ctx);
+}
+
+static bool unit_says(const struct done_unit *d, uint32_t bit)
+{
+    return bit / 8 < d->bits->len && (d->bits->data[bit / 8] >> (bit % 8) & 1);
+}
+
 static void bits_merge(GByteArray *to, const guint8 *from, guint len)
 {
     bits_grow(to, len);
@@ -189,18 +236,35 @@
     return cost <= part_text_bytes(p) / 2 || !part_plain(p);
 }
 
+static gsize page_room(struct part *p, int number);
+
+static gsize unit_cost(struct part *p, const struct job *j, uint32_t unit)
+{
+    return page_done_cost(j->id, unit, part_unit_size(j, unit), part_plain(p));
+}
+
+/* The mark goes on the page that loses the task's record, if there is room: one write does both. */
 void part_mark_done(struct part *p, struct run *r)
 {
     struct job *j = part_live_job(p, r->job);
     if (!j)
         return; /* cancelled: nobody has any use for what its tasks did */
     uint32_t unit = r->index / MARK_TASKS, bit = r->index % MARK_TASKS;
-    struct done_unit *d = done_make(p, j->id, unit);
+    int page = r->page;
+    struct done_unit *there = page >= 0 ? unit_find(p, j->id, unit, page) : NULL;
+    if (there && there->leaving) {
+        page = -1;
+    } else if (page >= 0 && !there) {
+        gsize cost = unit_cost(p, j, unit);
+        if (page_room(p, page) < cost)
+            page = -1;
+        else
+            page_at(p, page)->bytes += cost;
+    }
+    struct done_unit *d = unit_make(p, j->id, unit, page);
     bits_grow(d->bits, bit / 8 + 1);
     d->bits->data[bit / 8] |= (guint8)(1 << (bit % 8));
-    d->more = true;
-    d->near = r->page; /* best on the page that loses its record */
-    d->dirty = true;
+    d->dirty = d->more = true;
     p->dirty = true;
 }
 
@@ -216,12 +280,8 @@
     struct job *j = part_live_job(r->part, job);
     if (!j || unit * MARK_TASKS >= j->tasks)
         return;
-    struct done_unit *d = done_make(r->part, j->id, unit);
+    struct done_unit *d = unit_make(r->part, j->id, unit, r->page);
     bits_merge(d->bits, bits->data, bits->len);
-    if (d->page >= 0 && d->page != r->page)
-        d->dirty = true; /* two pages say a part of it each: one of them will say all */
-    else
-        d->page = r->page;
 }
 
 /* ---- agreement with the view ---- */
@@ -266,6 +326,7 @@
             page_at(p, v->number);
     for (guint i = 0; i < p->pages->len; i++)
         page_sync(p, (int)i);
+    part_rolls_sync(p);
     hosts_sync(p, -1);
 }
 
@@ -360,7 +421,7 @@
     if (h->gone || h->described || !h->addr[0] || !due || !batch_spare(b) ||
         txn_bytes(b->txn) > TXN_BYTES / 4)
         return;
-    bool must = !h->stamp.v && !about_host(h);
+    bool must = !h->stamp.v && h->roll < 0 && !about_host(h);
     if (p->write_level - txn_writes(b->txn) <= BURST / 2 && !must)
         return;
     char *key = key_host(h->id);
@@ -446,13 +507,18 @@
 /* A task that is done leaves the records together with its mark, or later. */
 static bool mark_written(const struct batch *b, const struct run *r)
 {
-    if (!r->done)
+    if (!r->done || !part_live_job(b->part, r->job))
         return true;
-    struct done_unit *d = done_find(b->part, r->job, r->index / MARK_TASKS);
-    return !d || !d->dirty || draft_of(b, d->page);
+    GPtrArray *all = units_of(b->part, r->job, r->index / MARK_TASKS);
+    for (guint i = 0; all && i < all->len; i++) {
+        struct done_unit *d = all->pdata[i];
+        if (unit_says(d, r->index % MARK_TASKS) && !d->leaving &&
+            (!d->dirty || (d->page >= 0 && draft_of(b, d->page))))
+            return true;
+    }
+    return false;
 }
 
-/* with_host: a record more on the page. */
 static void draft_add(struct draft *x, const struct page_rec *r)
 {
     g_hash_table_add(x->jobs, g_strdup(r->job.s));
@@ -479,26 +545,39 @@
     return true;
 }
 
-/* The marks that are on a page, or were and are not on another yet. */
-static void draft_marks(struct batch *b, struct draft *x)
+/* Whether other pages say for good all that this one does. */
+static bool said_elsewhere(struct part *p, const struct done_unit *d)
 {
-    struct part *p = b->part;
-    GHashTableIter it;
-    struct done_unit *d;
-    g_hash_table_iter_init(&it, p->done);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d)) {
-        if (d->page != x->number && d->was != x->number)
-            continue;
-        struct job *j = part_live_job(p, d->job);
-        if (!j)
-            continue; /* it is over */
-        page_write_done(x->done, d->job, d->unit, d->bits, b->plain);
-        x->changed = x->changed || d->dirty;
-        guint most = part_unit_size(j, d->unit);
-        if (d->page == x->number && most > d->bits->len)
-            x->used += 2 * (gsize)(most - d->bits->len);
+    GPtrArray *all = units_of(p, d->job, d->unit);
+    for (uint32_t bit = 0; bit < d->bits->len * 8; bit++) {
+        bool said = !unit_says(d, bit);
+        for (guint i = 0; i < all->len && !said; i++) {
+            const struct done_unit *x = all->pdata[i];
+            said = x != d && !x->dirty && !x->leaving && x->page >= 0 && unit_says(x, bit);
+        }
+        if (!said)
+            return false;
     }
-    x->used += x->done->len;
+    return true;
+}
+
+struct marks {
+    struct batch *batch;
+    struct draft *draft;
+};
+
+static void draft_mark(struct part *p, struct done_unit *d, void *ctx)
+{
+    struct marks *m = ctx;
+    struct draft *x = m->draft;
+    struct job *j = part_live_job(p, d->job);
+    if (d->page != x->number || !j || (d->leaving && said_elsewhere(p, d)))
+        return;
+    page_write_done(x->done, d->job, d->unit, d->bits, m->batch->plain);
+    x->changed = x->changed || d->dirty;
+    guint most = part_unit_size(j, d->unit);
+    if (!d->leaving && most > d->bits->len)
+        x->used += 2 * (gsize)(most - d->bits->len);
 }
 
 /* What has to stay on a page, whatever else goes there. */
@@ -506,7 +585,9 @@
 {
     struct part *p = b->part;
     struct own_page *g = page_at(p, x->number);
-    draft_marks(b, x);
+    struct marks marks = {b, x};
+    each_unit(p, draft_mark, &marks);
+    x->used += x->done->len;
     for (guint i = 0; i < g->leftover->len; i++) {
         struct page_rec r = g_array_index(g->leftover, struct page_rec, i);
         r.about = view_about(p->view, r.host.s);
@@ -530,41 +611,45 @@
             draft_add(x, &rec);
         }
     gsize least;
-    x->used += page_length(x->records, &least);
+    x->used += page_length(x->records, b->plain, &least);
     x->over = least + x->done->len > part_text_bytes(p);
 }
 
-/* Marks that are too much for their page go to another one. They stay on the first until that is
- * written. */
-static void move_marks(struct batch *b, struct draft *x)
+/* Marks that are too much for their page go to others. They stay on the first until these say so.
+ */
+static void move_mark(struct part *p, struct done_unit *d, void *ctx)
 {
-    GHashTableIter it;
-    struct done_unit *d;
-    g_hash_table_iter_init(&it, b->part->done);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d))
-        if (d->page == x->number && d->was < 0) {
-            LOG_INFO("marks_move", "page=%d job=%s", x->number, d->job.s);
-            d->was = d->page;
-            d->page = d->near = -1;
-            d->dirty = true;
-            b->rest = true;
-            return;
-        }
+    int *page = ctx;
+    if (d->page != *page || d->leaving)
+        return;
+    LOG_INFO("marks_move", "page=%d job=%s", d->page, d->job.s);
+    d->leaving = true;
+    *page = -2; /* one at a time */
+    struct done_unit *other = unit_make(p, d->job, d->unit, -1);
+    bits_merge(other->bits, d->bits->data, d->bits->len);
+    other->dirty = true;
+}
+
+struct growth {
+    int page;
+    gsize bytes;
+};
+
+static void add_growth(struct part *p, struct done_unit *d, void *ctx)
+{
+    struct growth *g = ctx;
+    struct job *j = d->page == g->page && !d->leaving ? part_live_job(p, d->job) : NULL;
+    guint most = j ? part_unit_size(j, d->unit) : 0;
+    if (most > d->bits->len)
+        g->bytes += 2 * (gsize)(most - d->bits->len);
 }
 
 /* Room that marks on a page may still take. */
 static gsize marks_growth(struct part *p, int number)
 {
-    gsize n = 0;
-    GHashTableIter it;
-    struct done_unit *d;
-    g_hash_table_iter_init(&it, p->done);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d)) {
-        struct job *j = part_live_job(p, d->job);
-        if (d->page == number && j)
-            n += 2 * (gsize)(part_unit_size(j, d->unit) - MIN(d->bits->len, MARK_BYTES));
-    }
-    return n;
+    struct growth g = {number, 0};
+    each_unit(p, add_growth, &g);
+    return g.bytes;
 }
 
 static gsize page_room(struct part *p, int number)
@@ -584,20 +669,19 @@
     return n;
 }
 
-/* The page with the most room, those in want of a write first; a new one if they are all quite
- * full. */
-static int page_for_more(struct part *p, const struct batch *b, const bool *wanted)
+/* The page with the most room; a new one if they are all quite full. */
+static int page_for_more(struct part *p, const struct batch *b)
 {
-    gsize enough = part_text_bytes(p) / 4, most[2] = {0, 0};
-    int best[2] = {-1, -1};
+    gsize most = part_text_bytes(p) / 4;
+    int best = -1;
     for (guint i = 0; i < p->pages->len; i++) {
         gsize room = draft_of(b, (int)i) ? 0 : page_room(p, (int)i);
-        if (room >= enough && room > most[wanted[i]]) {
-            most[wanted[i]] = room;
-            best[wanted[i]] = (int)i;
+        if (room >= most) {
+            most = room + 1;
+            best = (int)i;
         }
     }
-    return best[1] >= 0 ? best[1] : best[0] >= 0 ? best[0] : page_unused(p, b);
+    return best >= 0 ? best : page_unused(p, b);
 }
 
 /* ---- what goes into a transaction ---- */
@@ -629,8 +713,8 @@
 
 /* What there is to be written. */
 struct want {
-    bool *pages; /* by number */
-    bool news;   /* starts */
+    double *pages; /* by number: how much is waited for them */
+    bool news;     /* starts, and marks for any page */
     GPtrArray *sources;
 };
 
@@ -639,8 +723,9 @@
     struct part *p = b->part;
     GHashTableIter it;
     struct host *h;
-    struct done_unit *d;
-    w->pages = g_new0(bool, p->pages->len + 1);
+    GPtrArray *units;
+    mono_time now = loop_now(p->loop);
+    w->pages = g_new0(double, p->pages->len + 1);
     w->sources = g_ptr_array_new();
     w->news = false;
     g_hash_table_iter_init(&it, p->hosts);
@@ -653,35 +738,46 @@
                 source_fits(p, source, b->plain))
                 g_ptr_array_add(w->sources, source);
             if (r->phase == RUN_FREEING && r->page >= 0)
-                w->pages[r->page] = true;
+                w->pages[r->page] += 1 + (double)time_ms_since(now, r->over_at) / 1000;
             if (source && b->plain && page_of_host(h) >= 0)
-                w->pages[page_of_host(h)] = true;
+                w->pages[page_of_host(h)] += NEW_WEIGHT;
             if (r->phase == RUN_NEW) {
                 int page = b->plain ? page_of_host(h) : -1;
                 w->news = w->news || page < 0;
                 if (page >= 0)
-                    w->pages[page] = true;
+                    w->pages[page] += NEW_WEIGHT;
             }
         }
     }
     g_hash_table_iter_init(&it, p->done);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d)) {
-        if (!part_live_job(p, d->job)) {
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&units)) {
+        if (!part_live_job(p, ((struct done_unit *)units->pdata[0])->job)) {
             g_hash_table_iter_remove(&it); /* over: it goes with the next write of its page */
             continue;
         }
-        d->more = false;
-        if (d->dirty && d->page >= 0)
-            w->pages[d->page] = true;
-        else if (d->dirty && d->near >= 0)
-            w->pages[d->near] = true;
-        else if (d->dirty)
-            w->news = true;
+        for (guint i = 0; i < units->len; i++) {
+            struct done_unit *d = units->pdata[i];
+            d->more = false;
+            if (d->dirty && d->page >= 0)
+                w->pages[d->page] += MARK_WEIGHT;
+            w->news = w->news || (d->dirty && d->page < 0);
+        }
     }
 }
 
-/* Which pages are written: one for what is new, then those that wait, another one first each time.
- */
+/* The page for which most is waited, and that is not among those to be written; -1: none. */
+static int most_wanted(struct batch *b, const struct want *w, guint n)
+{
+    int best = -1;
+    for (guint i = 0; i < n; i++)
+        if (w->pages[i] > 0 && (best < 0 || w->pages[i] > w->pages[best]) && !draft_of(b, (int)i) &&
+            !own_long(b->part, (int)i))
+            best = (int)i;
+    return best;
+}
+
+/* Which pages are written: those for which most is waited, and one with room for what is new if
+ * they have none. */
 static void choose(struct batch *b, const struct want *w)
 {
     struct part *p = b->part;
@@ -693,48 +789,43 @@
         g_ptr_array_add(b->sources, w->sources->pdata[(i + p->first_page) % w->sources->len]);
     b->rest = sources < w->sources->len;
     p->first_page++;
-    if (w->news || sources)
-        draft_open(b, page_for_more(p, b, w->pages));
-    if (sources > 1 && b->drafts->len < most)
-        draft_open(b, page_for_more(p, b, w->pages));
-    for (guint k = 0; k < n; k++) {
-        int i = (int)((p->first_page + k) % n);
-        if (!w->pages[i] || own_long(p, i) || draft_of(b, i))
-            continue;
-        if (b->drafts->len < most)
-            draft_open(b, i);
-        else
-            b->rest = true;
+    gsize room = 0, enough = part_text_bytes(p) / (sources ? 2 : 5);
+    bool more = w->news || sources;
+    for (int i;
+         b->drafts->len < most - (more && room < enough) && (i = most_wanted(b, w, n)) >= 0;) {
+        draft_open(b, i);
+        room += page_room(p, i);
     }
+    b->rest = b->rest || most_wanted(b, w, n) >= 0;
+    if (more && room < enough)
+        draft_open(b, page_for_more(p, b));
     b->spare = l->txn_ops - (int)(b->drafts->len + b->sources->len);
 }
 
 /* Marks that are on no page yet find one. */
-static void place_marks(struct batch *b)
+static void place_mark(struct part *p, struct done_unit *d, void *ctx)
 {
-    struct part *p = b->part;
-    GHashTableIter it;
-    struct done_unit *d;
-    g_hash_table_iter_init(&it, p->done);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d)) {
-        struct job *j = part_live_job(p, d->job);
-        if (d->page >= 0 || !j)
+    struct batch *b = ctx;
+    struct job *j = part_live_job(p, d->job);
+    if (d->page >= 0 || !d->dirty || !j)
+        return;
+    gsize cost = unit_cost(p, j, d->unit);
+    for (guint i = 0; i < b->drafts->len; i++) {
+        int number = ((struct draft *)b->drafts->pdata[i])->number;
+        struct done_unit *there = unit_find(p, d->job, d->unit, number);
+        if (there ? there->leaving : page_room(p, number) < cost)
             continue;
-        gsize cost = page_done_cost(d->job, d->unit, part_unit_size(j, d->unit), b->plain);
-        if (d->near >= 0 && draft_of(b, d->near) && page_room(p, d->near) >= cost)
-            d->page = d->near;
-        for (guint i = 0; i < b->drafts->len && d->page < 0; i++) {
-            int number = ((struct draft *)b->drafts->pdata[i])->number;
-            if (number != d->was && page_room(p, number) >= cost)
-                d->page = number;
-        }
-        if (d->page < 0) {
-            d->near = -1; /* a page with more room is written next */
-            b->rest = true;
+        if (there) {
+            bits_merge(there->bits, d->bits->data, d->bits->len);
+            there->dirty = true;
+            unit_clear(d);
         } else {
-            page_at(p, d->page)->bytes += cost;
+            page_at(p, number)->bytes += cost;
+            d->page = number;
         }
+        return;
     }
+    b->rest = true;
 }
 
 /* Drafts with what has to stay. One that is too long already is not written now. */
@@ -756,7 +847,9 @@
             struct draft *x = b->drafts->pdata[i];
             if (!x->over)
                 continue;
-            move_marks(b, x);
+            int page = x->number;
+            each_unit(b->part, move_mark, &page);
+            b->rest = true;
             GHashTableIter it;
             struct host *h;
             g_hash_table_iter_init(&it, b->part->hosts);
@@ -857,7 +950,7 @@
         if (!j)
             continue;
         batch_describe(b, h);
-        if ((h->stamp.v || h->described || about_host(h)) && batch_job(b, j) &&
+        if ((h->stamp.v || h->described || h->roll >= 0 || about_host(h)) && batch_job(b, j) &&
             batch_put(b, h, r, most))
             r->tried = true;
         else
@@ -915,7 +1008,7 @@
         g_array_append_val(left, x);
     }
     if (taken) {
-        GString *text = page_write(left);
+        GString *text = page_write(left, b->plain);
         part_page_set(b->txn, v->key, v->stamp, text->str, v->done ? v->done : "");
         g_string_free(text, TRUE);
     }
@@ -926,7 +1019,7 @@
 {
     struct part *p = b->part;
     struct own_page *g = page_at(p, x->number);
-    GString *text = page_write(x->records);
+    GString *text = page_write(x->records, b->plain);
     char *key = key_page(p->settings->label, x->number);
     if (text->len + x->done->len > part_text_bytes(p))
         LOG_ERROR("page_too_long", "page=%s bytes=%zu", key, text->len + x->done->len);
@@ -961,7 +1054,7 @@
     choose(b, &w);
     g_free(w.pages);
     g_ptr_array_unref(w.sources);
-    place_marks(b);
+    each_unit(b->part, place_mark, b);
     build(b);
     each_host(b, batch_adopt);
     each_host(b, batch_news);
@@ -1050,22 +1143,25 @@
     }
 }
 
+static void mark_durable(struct part *p, struct done_unit *d, void *ctx)
+{
+    if (d->page < 0 || !draft_of(ctx, d->page))
+        return;
+    if (d->leaving && said_elsewhere(p, d))
+        unit_clear(d);
+    else if (!d->more)
+        d->dirty = false;
+}
+
 static void batch_done(struct batch *b, const struct txn_outcome *o)
 {
     struct part *p = b->part;
-    GHashTableIter it;
-    struct done_unit *d;
     for (guint i = 0; i < b->drafts->len; i++) {
         struct draft *x = b->drafts->pdata[i];
         if (x->changed)
             page_at(p, x->number)->stamp = o->at;
     }
-    g_hash_table_iter_init(&it, p->done);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d))
-        if (d->page >= 0 && draft_of(b, d->page) && !d->more) {
-            d->dirty = false;
-            d->was = -1;
-        }
+    each_unit(p, mark_durable, b);
     batch_over(b);
     for (guint i = 0; i < b->hosts->len; i++) {
         struct host *h = part_host_get(p, b->hosts->pdata[i]);
@@ -1166,8 +1262,12 @@
         !map_names(p->view, p->settings->label, membership_incarnation(p->members)))
         return;
     bool split = part_split_due(p);
-    if ((!p->dirty && !split) || !write_due(p) || (split && part_split(p)))
+    if ((!p->dirty && !split && !part_roll_due(p)) || !write_due(p) || (split && part_split(p)))
         return;
+    if (part_roll_due(p)) {
+        part_roll(p);
+        return;
+    }
     p->dirty = false;
     struct batch *b = g_new0(struct batch, 1);
     *b = (struct batch){.part = p,
--- a/src/part_split.c
+++ b/src/part_split.c
@@ -12,6 +12,7 @@
     GArray *records; /* struct page_rec */
     GString *done;
     gsize reserved; /* for marks, at most */
+    bool plain;
 };
 
 struct split {
@@ -76,11 +77,12 @@
     g_free(x);
 }
 
-static struct piece *piece_new(GPtrArray *pieces)
+static struct piece *piece_new(GPtrArray *pieces, bool plain)
 {
     struct piece *x = g_new0(struct piece, 1);
     x->records = g_array_new(FALSE, FALSE, sizeof(struct page_rec));
     x->done = g_string_new(NULL);
+    x->plain = plain;
     g_ptr_array_add(pieces, x);
     return x;
 }
@@ -88,7 +90,7 @@
 static gsize piece_bytes(struct piece *x)
 {
     gsize least;
-    page_length(x->records, &least);
+    page_length(x->records, x->plain, &least);
     return least + MAX(x->reserved, x->done->len);
 }
 
@@ -119,7 +121,7 @@
     }
     if (!before)
         return false;
-    x = piece_new(pieces);
+    x = piece_new(pieces, x->plain);
     g_array_append_vals(x->records, group, n);
     return piece_bytes(x) <= part_text_bytes(p);
 }
@@ -204,7 +206,7 @@
             at = x;
     }
     if (!at)
-        at = piece_new(c->pieces);
+        at = piece_new(c->pieces, c->plain);
     at->reserved += cost;
     page_write_done(at->done, job, unit, bits, c->plain);
     c->fits = c->fits && piece_bytes(at) <= part_text_bytes(c->part);
@@ -214,7 +216,7 @@
 static GPtrArray *cut(struct part *p, const struct page *g, bool plain)
 {
     GPtrArray *pieces = g_ptr_array_new_with_free_func(piece_free);
-    piece_new(pieces);
+    piece_new(pieces, plain);
     struct cut_marks c = {p, pieces, NULL, plain, true};
     c.fits = cut_records(p, g, plain, pieces);
     c.said =
@@ -275,7 +277,7 @@
 
 static void set_piece(struct txn *t, const char *key, revision stamp, struct piece *x)
 {
-    GString *text = page_write(x->records);
+    GString *text = page_write(x->records, x->plain);
     part_page_set(t, key, stamp, text->str, x->done->str);
     g_string_free(text, TRUE);
 }
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -63,6 +63,8 @@
     revision stamp;   /* of the record that says what it is */
     mono_time stored; /* when that was last written here */
     char *about;      /* what pages say of it, or NULL */
+    int roll;         /* of ours, that says it; -1: none */
+    bool on_roll;     /* the transaction under way puts it on one */
     bool in_txn;
     bool described; /* the transaction under way writes what it is */
     bool removing;  /* or removes that */
@@ -99,6 +101,12 @@
     GArray *leftover; /* struct page_rec, of machines that are another node's now */
 };
 
+/* A list of our machines and what they are. */
+struct own_roll {
+    revision stamp;
+    bool dirty; /* it names machines that are not ours */
+};
+
 /* In this look at the queues nothing was found for a task that asked for so much. */
 struct no_machine {
     struct room room;
@@ -106,16 +114,15 @@
     char yard[48]; /* "": any */
 };
 
-/* Tasks of a job that this node saw done: those of a unit of MARK_TASKS. */
+/* Tasks of a job that this node saw done: those of a unit of MARK_TASKS that one page says. */
 struct done_unit {
     job_id job;
     uint32_t unit;
     GByteArray *bits;
-    int page;   /* that says it, or will; -1: none was chosen yet */
-    int was;    /* that still says it until the other does; -1: none */
-    int near;   /* that a task's record leaves, best for it; -1: none */
-    bool dirty; /* its page does not say all of it yet */
-    bool more;  /* came since the transaction under way was made */
+    int page;     /* -1: none was chosen yet */
+    bool dirty;   /* its page does not say all of it yet */
+    bool more;    /* some came since the transaction under way was made */
+    bool leaving; /* its page is to say it no more, once others do */
 };
 
 struct part {
@@ -140,13 +147,15 @@
     GPtrArray *news;  /* cJSON: what went wrong, and how long tasks took, for the leader */
     GPtrArray *pages; /* struct own_page, by number */
     guint first_page; /* to be looked at by the next transaction */
-    GHashTable *done; /* "JOB UNIT" -> struct done_unit */
+    GHashTable *done; /* "JOB UNIT" -> GPtrArray of struct done_unit, one a page */
     bool txn_out;
-    bool dirty;         /* there is something to be written */
+    bool dirty; /* there is something to be written */
     struct {
         guint starts, ends, writes;
         double starts_ms, ends_ms;
-    } waits; /* for records, since they were last logged */
+    } waits;          /* for records, since they were last logged */
+    GPtrArray *rolls; /* struct own_roll, by number */
+    mono_time rolled_at;
     mono_time split_at; /* a page that could not be split is looked at again */
     double write_level; /* of this node's share of the writes */
     mono_time write_at;
@@ -219,6 +228,13 @@
 void part_page_set(struct txn *t, const char *key, revision stamp, const char *tasks,
                    const char *done);
 
+/* part_roll.c: lists of machines */
+void part_rolls_sync(struct part *p);
+bool part_roll_due(struct part *p);
+/* A machine is not to be listed any more. */
+void part_roll_lost(struct part *p, const struct host *h);
+void part_roll(struct part *p);
+
 /* part_split.c: pages that are too long by now */
 bool part_label_long(const struct part *p, const char *label);
 bool part_split_due(struct part *p);
--- a/src/view.c
+++ b/src/view.c
@@ -47,6 +47,11 @@
     return g_strdup_printf("ll/p/%s/%d", label, number);
 }
 
+char *key_roll(const char *label, int number)
+{
+    return g_strdup_printf("ll/a/%s/%d", label, number);
+}
+
 static void job_free(gpointer p)
 {
     struct job *j = p;
@@ -80,6 +85,15 @@
     g_free(g);
 }
 
+static void roll_free(gpointer p)
+{
+    struct roll *r = p;
+    g_ptr_array_unref(r->hosts);
+    g_free(r->key);
+    g_free(r->label);
+    g_free(r);
+}
+
 static void node_free(gpointer p)
 {
     struct node_record *n = p;
@@ -106,6 +120,7 @@
     v->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
     v->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, host_free);
     v->pages = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, page_free);
+    v->rolls = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, roll_free);
     v->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, node_free);
     v->spoken = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     v->pipeline = pipeline_new(pipeline_told, v);
@@ -128,6 +143,7 @@
     timer_stop(v->loop, &v->watch_timer);
     timer_stop(v->loop, &v->expire_timer);
     g_hash_table_unref(v->pages);
+    g_hash_table_unref(v->rolls);
     g_hash_table_unref(v->hosts);
     g_hash_table_unref(v->jobs);
     g_hash_table_unref(v->nodes);
@@ -487,6 +503,13 @@
     return h;
 }
 
+/* Nothing is known any more of a machine that nothing names. */
+static void host_leave(struct view *v, struct host_record *h)
+{
+    if (!h->tasks->len && !h->stamp.v && !h->roll)
+        g_hash_table_remove(v->hosts, h->id.s);
+}
+
 /* {"a":ADDRESS,"b":TYPE,"y":ZONE,"l":SPOT,"i":[IMAGE...]} */
 static void apply_host(struct view *v, const char *id, json_object *value, revision stamp)
 {
@@ -495,8 +518,8 @@
         return;
     note(v, (struct change){.kind = CHANGE_HOST, .host = h->id});
     h->stamp = value ? stamp : (revision){0};
-    if (!value && !h->tasks->len) {
-        g_hash_table_remove(v->hosts, id);
+    if (!value) {
+        host_leave(v, h);
         return;
     }
     host_copy(value, "a", h->addr, sizeof h->addr);
@@ -515,7 +538,7 @@
 const char *view_about(struct view *v, const char *host)
 {
     struct host_record *h = view_host(v, host);
-    if (!h || h->stamp.v)
+    if (!h || h->stamp.v || h->roll)
         return NULL;
     if (!h->about)
         h->about = machine_about(h->addr, h->build, h->yard, h->loaners);
@@ -638,8 +661,7 @@
     struct host_record *h;
     g_hash_table_iter_init(&it, left);
     while (g_hash_table_iter_next(&it, (gpointer *)&h, NULL))
-        if (!h->tasks->len && !h->stamp.v)
-            g_hash_table_remove(v->hosts, h->id.s);
+        host_leave(v, h);
     g_hash_table_unref(left);
     if (g_strcmp0(done, g->done) != 0) {
         page_read_done(done, merge_done, v);
@@ -653,6 +675,56 @@
         g_hash_table_remove(v->pages, key);
 }
 
+struct roll_reading {
+    struct view *view;
+    struct roll *roll;
+};
+
+static void read_roll(void *ctx, host_id host, const char *about)
+{
+    struct roll_reading *x = ctx;
+    struct host_record *h = host_make(x->view, host.s);
+    if (!h || h->roll == x->roll)
+        return;
+    read_about(h, about);
+    if (h->roll)
+        g_ptr_array_remove_fast(h->roll->hosts, h);
+    h->roll = x->roll;
+    g_ptr_array_add(x->roll->hosts, h);
+}
+
+static void apply_roll(struct view *v, const char *key, json_object *value, revision stamp)
+{
+    struct roll *r = g_hash_table_lookup(v->rolls, key);
+    const char *slash = strrchr(key, '/'), *text = "";
+    if (!r && (!value || slash <= key + 5))
+        return;
+    if (!r) {
+        r = g_new0(struct roll, 1);
+        r->key = g_strdup(key);
+        r->label = g_strndup(key + 5, slash - key - 5);
+        r->number = atoi(slash + 1);
+        r->hosts = g_ptr_array_new();
+        g_hash_table_insert(v->rolls, r->key, r);
+    }
+    r->stamp = stamp;
+    GPtrArray *before = r->hosts;
+    r->hosts = g_ptr_array_new();
+    for (guint i = 0; i < before->len; i++)
+        ((struct host_record *)before->pdata[i])->roll = NULL;
+    struct roll_reading reading = {v, r};
+    json_text(value, "a", &text);
+    page_read_about(text, read_roll, &reading);
+    for (guint i = 0; i < before->len; i++)
+        host_leave(v, before->pdata[i]);
+    g_ptr_array_unref(before);
+    struct change c = {.kind = CHANGE_ROLL};
+    g_strlcpy(c.page, key, sizeof c.page);
+    note(v, c);
+    if (!value)
+        g_hash_table_remove(v->rolls, key);
+}
+
 static void apply_node(struct view *v, const char *label, json_object *value, revision stamp)
 {
     if (!value) {
@@ -739,6 +811,8 @@
         v->older = true;
     else if (g_str_has_prefix(key, "ll/n/"))
         apply_node(v, key + 5, value, stamp);
+    else if (g_str_has_prefix(key, "ll/a/"))
+        apply_roll(v, key, value, stamp);
     else if (g_str_has_prefix(key, "ll/v/"))
         apply_version(v, key + 5, value);
     else if (strcmp(key, KEY_LEADER) == 0)
--- a/src/view.h
+++ b/src/view.h
@@ -1,10 +1,10 @@
 /* Every node's replica of our keys, at a revision, kept up by one watch.
  *
  * Keys: ll/n/LABEL a live node, ll/leader, ll/map, ll/types, ll/j/JOB, ll/h/HOST what a machine is,
- * ll/v/LABEL what its processes understand, for good,
- * ll/p/LABEL/N the pages on which LABEL keeps the run records of its machines and the tasks that it
- * saw done. A node's changes go to one page or a few, however many machines they are on: writes are
- * what the state service has least of. */
+ * ll/a/LABEL/N what its machines are, many at once, ll/v/LABEL what its processes understand, for
+ * good, ll/p/LABEL/N the pages on which LABEL keeps the run records of its machines and the tasks
+ * that it saw done. A node's changes go to one page or a few, however many machines they are on:
+ * writes are what the state service has least of. */
 #ifndef LL_VIEW_H
 #define LL_VIEW_H
 
@@ -61,6 +61,16 @@
     GPtrArray *tasks;  /* struct placed */
     GPtrArray *images; /* interned names of what was fetched before, the newest last */
     char *about;       /* see view_about */
+    struct roll *roll; /* that says what it is; NULL: none does */
+};
+
+/* A list of machines and what they are, of one node: as long as it stands, pages need not say it.
+ */
+struct roll {
+    char *key, *label;
+    int number;
+    revision stamp;
+    GPtrArray *hosts; /* struct host_record */
 };
 
 /* Part of the run records: of the machines of one node, as that node wrote it. After a change of
@@ -94,6 +104,7 @@
     CHANGE_FREED,
     CHANGE_HOST,
     CHANGE_PAGE,
+    CHANGE_ROLL,
     CHANGE_NODES,
     CHANGE_LEADER,
     CHANGE_MAP,
@@ -120,6 +131,7 @@
     GHashTable *jobs;   /* id -> struct job */
     GHashTable *hosts;  /* id -> struct host_record */
     GHashTable *pages;  /* key -> struct page */
+    GHashTable *rolls;  /* key -> struct roll */
     GHashTable *nodes;  /* label -> struct node_record */
     GHashTable *spoken; /* label -> version that a process of it has said it understands */
     struct pipeline *pipeline;
@@ -178,6 +190,7 @@
 char *key_node(const char *label);
 char *key_version(const char *label);
 char *key_page(const char *label, int number);
+char *key_roll(const char *label, int number);
 
 /* What a page has to say of a machine, as far as the view knows it; NULL: nothing. */
 const char *view_about(struct view *v, const char *host);
