--- a/tests/world.c
+++ b/tests/world.c
@@ -89,6 +89,9 @@
     struct flight *f = arg;
     struct world *w = f->world;
     switch (f->fate) {
+    case FATE_TOO_MANY:
+        flight_answer(f, 429, "{}");
+        return;
     case FATE_REFUSED:
         flight_answer(f, 503, "{\"error\":\"trouble\"}");
         return;
@@ -288,6 +291,20 @@
     serve_watches(w);
 }
 
+void world_remove(struct world *w, const char *key)
+{
+    w->ledger++;
+    event(w, key, NULL);
+    g_tree_remove(w->keys, key);
+    serve_watches(w);
+}
+
+const char *world_key(struct world *w, const char *key)
+{
+    struct wkey *k = g_tree_lookup(w->keys, key);
+    return k ? k->text : NULL;
+}
+
 struct listing {
     struct world *world;
     json_object *items;
@@ -527,6 +544,16 @@
     flight_result(f, ok ? 200 : 409, worker_state(k));
 }
 
+void worker_has(struct worker *k, const char *job, uint32_t index, uint64_t attempt)
+{
+    struct wtask t = {.index = index, .attempt = attempt, .stage = "running"};
+    assert_true(job_id_from(&t.job, job));
+    t.since = loop_now(k->world->loop);
+    g_array_append_val(k->tasks, t);
+    char *name = g_strdup_printf("%s/%u", job, index);
+    g_hash_table_replace(k->world->last_on, name, k);
+}
+
 void worker_exit(struct worker *k, const char *job, uint32_t index, const char *cause)
 {
     struct wtask *t = worker_task(k, job, index);
--- a/tests/world.h
+++ b/tests/world.h
@@ -13,7 +13,15 @@
 
 /* What becomes of a request: answered, refused, lost before or after it was carried out, or
  * answered after two seconds. */
-enum fate { FATE_NORMAL, FATE_REFUSED, FATE_LOST, FATE_ANSWER_LOST, FATE_HELD, FATE_SLOW };
+enum fate {
+    FATE_NORMAL,
+    FATE_REFUSED,
+    FATE_TOO_MANY, /* 429 */
+    FATE_LOST,
+    FATE_ANSWER_LOST,
+    FATE_HELD,
+    FATE_SLOW
+};
 
 struct world;
 typedef enum fate (*fate_fn)(struct world *w, int node, const struct net_request *r);
@@ -121,6 +129,10 @@
                              bool loaners);
 /* Writes a key of the state service by hand. */
 void world_put(struct world *w, const char *key, const char *text);
+void world_remove(struct world *w, const char *key);
+const char *world_key(struct world *w, const char *key); /* its text, or NULL */
+/* A task is on a machine, as some node started it that nobody sees here. */
+void worker_has(struct worker *k, const char *job, uint32_t index, uint64_t attempt);
 /* From now on the state service allows no more than the plan's next limits. */
 void world_limits_fall(struct world *w);
 /* Carries out what was held back, late. */
