--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -879,6 +879,49 @@
     g_free(text);
 }
 
+static enum fate late_watches(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    return g_str_has_prefix(r->path, "/watch") ? FATE_LATE : FATE_NORMAL;
+}
+
+/* Answers to watches come later than those to transactions, so a node that learns that another one
+ * has written a page of its own knows newer things of its other pages than its view shows: tasks
+ * recorded a moment ago were taken for freed, and stopped. */
+static void a_view_that_lags_frees_nothing(void **state)
+{
+    struct world *w = *state;
+    w->capacity = 0;
+    for (int i = 4; i < WORLD_WORKERS; i++)
+        world_worker(w, i, i % 2 ? "a" : "b", true);
+    world_run(w, 3000);
+    w->fate = late_watches;
+    char *job = world_job("wk-1", "sweep", 400, "blue", 0.5, "");
+    assert_int_equal(world_ask(w, 0, "POST", "/work", job).status, 201);
+    g_free(job);
+    int ended = 0;
+    for (int i = 0; i < 300; i++) {
+        for (int k = 4; k < WORLD_WORKERS; k++) {
+            struct worker *x = &w->workers[k];
+            if (i % 3 == 0 && x->tasks->len &&
+                strcmp(g_array_index(x->tasks, struct wtask, 0).stage, "running") == 0) {
+                worker_exit(x, "wk-1", g_array_index(x->tasks, struct wtask, 0).index, "done");
+                worker_report(x);
+                ended++;
+            }
+        }
+        for (int node = 0; node < WORLD_NODES; node++) {
+            char *page = key_page(w->nodes[node]->settings->label, 40);
+            world_put(w, page, "{\"t\":\"\",\"d\":\"\"}");
+            g_free(page);
+        }
+        world_run(w, 70);
+    }
+    assert_in_range(ended, 50, 400);
+    assert_int_equal(world_starts(w), ended + world_on_machines(w, "wk-1"));
+}
+
 static void a_worker_back_with_a_new_session_lost_its_tasks(void **state)
 {
     struct world *w = *state;
@@ -918,6 +961,7 @@
         WORLD_TEST(full_pages_change_hands),
         WORLD_TEST(a_page_in_disorder_changes_hands),
         WORLD_TEST(records_leave_the_page_they_were_put_on),
+        WORLD_TEST(a_view_that_lags_frees_nothing),
         WORLD_TEST(a_worker_back_with_a_new_session_lost_its_tasks),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world.c
+++ b/tests/world.c
@@ -12,7 +12,7 @@
     return "detect_leaks=0";
 }
 
-enum { LATENCY_MS = 3, SLOW_MS = 2000, TICK_MS = 10, KEPT_EVENTS = 10000 };
+enum { LATENCY_MS = 3, SLOW_MS = 2000, LATE_MS = 500, TICK_MS = 10, KEPT_EVENTS = 10000 };
 
 static const struct world_plan usual = {.nodes = WORLD_NODES,
                                         .workers = WORLD_WORKERS,
@@ -52,6 +52,8 @@
     void *arg;
     struct timer timer;
     enum fate fate;
+    int late_status; /* of the answer that is on its way */
+    char *late_text;
     int timeout_ms;
     uint64_t from;       /* of a watch */
     mono_time watch_end; /* 0: not a watch that waits */
@@ -68,6 +70,7 @@
     g_free(f->method);
     g_free(f->path);
     g_free(f->body);
+    g_free(f->late_text);
     g_free(f);
 }
 
@@ -134,9 +137,22 @@
     timer_start(n->world->loop, &f->timer, f->fate == FATE_SLOW ? SLOW_MS : LATENCY_MS);
 }
 
+static void answered_late(void *arg)
+{
+    struct flight *f = arg;
+    char *text = g_steal_pointer(&f->late_text);
+    flight_answer(f, f->late_status, text);
+    g_free(text);
+}
+
 static void flight_text(struct flight *f, int status, const char *text)
 {
-    if (f->fate == FATE_ANSWER_LOST) {
+    if (f->fate == FATE_LATE) {
+        f->late_status = status;
+        f->late_text = g_strdup(text);
+        timer_init(&f->timer, answered_late, f);
+        timer_start(f->world->loop, &f->timer, LATE_MS);
+    } else if (f->fate == FATE_ANSWER_LOST) {
         timer_init(&f->timer, timed_out, f);
         timer_start(f->world->loop, &f->timer, f->timeout_ms);
     } else {
--- a/tests/world.h
+++ b/tests/world.h
@@ -20,7 +20,8 @@
     FATE_LOST,
     FATE_ANSWER_LOST,
     FATE_HELD,
-    FATE_SLOW
+    FATE_SLOW,
+    FATE_LATE /* carried out at once, answered after half a second */
 };
 
 struct world;
