--- a/src/leader.c
+++ b/src/leader.c
@@ -624,6 +624,30 @@
     return h->paced >= SLOW_AFTER && h->pace > SLOW_PACE;
 }
 
+/* Tasks of other jobs have failed on the machine, too. */
+static bool fails_others(struct leader *l, const char *host, const char *job)
+{
+    struct lhost *h = lhost_get(l, host);
+    if (!h)
+        return false;
+    guint n = h->failed_jobs ? g_hash_table_size(h->failed_jobs) : 0;
+    bool this_one = n && g_hash_table_contains(h->failed_jobs, job);
+    return time_before(loop_now(l->loop), h->sick_until) || n > this_one;
+}
+
+/* Machines on which only this job has failed, as far as is known. When several machines are sick at
+ * once, a large job comes to all of them within a moment, and is no worse than others. */
+static guint failed_alone(struct leader *l, struct ljob *j)
+{
+    guint n = 0;
+    GHashTableIter it;
+    const char *host;
+    g_hash_table_iter_init(&it, j->failed_on);
+    while (g_hash_table_iter_next(&it, (gpointer *)&host, NULL))
+        n += !fails_others(l, host, j->id.s);
+    return n;
+}
+
 /* A task that fails is mostly its machine's fault; a job that fails on one machine after the other
  * is at fault itself, and tries again ever more seldom until its user cancels it. */
 static void on_fault(struct leader *l, struct ljob *j, struct lhost *h, enum cause cause)
@@ -636,7 +660,7 @@
     if (!j->failed_on)
         j->failed_on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_hash_table_add(j->failed_on, g_strdup(h->id.s));
-    bool at_fault = g_hash_table_size(j->failed_on) >= 3 && v && v->n_done == 0;
+    bool at_fault = v && v->n_done == 0 && failed_alone(l, j) >= 3;
     if (at_fault) {
         j->failures++;
         int64_t pause = MIN(MOST_PAUSE_MS, 4000LL << MIN(j->failures, 5));
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -713,6 +713,44 @@
     assert_int_equal(world_on_machines(w, "wk-9"), 1);
 }
 
+/* Several machines are sick at once, and two large jobs come to all of them. It is not the jobs
+ * that are at fault: they used to pause for up to 40 s before they went on elsewhere. */
+static void jobs_that_come_to_sick_machines_go_on(void **state)
+{
+    struct world *w = *state;
+    w->capacity = 0;
+    for (int i = 0; i < 4; i++)
+        world_worker(w, i, i % 2 ? "a" : "b", true);
+    world_run(w, 3000);
+    char *jobs[] = {world_job("wk-1", "sweep", 24, "red", 1.0, ""),
+                    world_job("wk-2", "sweep", 24, "blue", 1.0, "")};
+    for (int k = 0; k < 2; k++) {
+        assert_int_equal(world_ask(w, k, "POST", "/work", jobs[k]).status, 201);
+        g_free(jobs[k]);
+    }
+    for (int ms = 0; ms < 4000; ms += 100) {
+        world_run(w, 100);
+        for (int i = 0; i < 4; i++) {
+            struct worker *k = &w->workers[i];
+            bool any = false;
+            for (guint t = 0; k->up && t < k->tasks->len; t++) {
+                struct wtask *x = &g_array_index(k->tasks, struct wtask, t);
+                if (strcmp(x->stage, "running") == 0) {
+                    worker_exit(k, x->job.s, x->index, "error");
+                    any = true;
+                }
+            }
+            if (any)
+                worker_report(k);
+        }
+    }
+    world_worker(w, 6, "a", true);
+    world_worker(w, 7, "b", true);
+    world_run(w, 5000);
+    for (int i = 6; i < 8; i++)
+        assert_int_equal(w->workers[i].tasks->len, 8);
+}
+
 enum { CHUNK_TASKS = 8192 };
 
 /* The marks of a large job are in chunks; all of them make it done. */
@@ -790,6 +828,7 @@
         WORLD_TEST(a_service_leaves_a_recalled_machine_in_time),
         WORLD_TEST(a_sick_machine_is_given_back),
         WORLD_TEST(a_sick_machine_keeps_its_services),
+        WORLD_TEST(jobs_that_come_to_sick_machines_go_on),
         WORLD_TEST(a_large_job_is_done_by_all_its_chunks),
         WORLD_TEST(idle_machines_are_returned),
     };
