--- a/src/http_client.c
+++ b/src/http_client.c
@@ -1,4 +1,5 @@
 #include "http.h"
+#include "idle.h"
 #include "log.h"
 #include "settings.h"
 
@@ -35,8 +36,7 @@
     size_t sent;
     GByteArray *in;
     struct timer timer; /* connecting, or idle */
-    GList idle_place;   /* in the client's list of idle connections, oldest first */
-    bool idle;
+    struct idle_place idle;
 };
 
 /* One address. */
@@ -74,17 +74,6 @@
     done(arg, a);
 }
 
-static void set_idle(struct link *l, bool idle)
-{
-    if (l->idle == idle)
-        return;
-    l->idle = idle;
-    if (idle)
-        g_queue_push_tail_link(&l->client->idle, &l->idle_place);
-    else
-        g_queue_unlink(&l->client->idle, &l->idle_place);
-}
-
 static void wake_soon(struct client *c)
 {
     if (c->hungry.head && !c->wake.place)
@@ -94,7 +83,7 @@
 static void link_close(struct link *l)
 {
     struct client *c = l->client;
-    set_idle(l, false);
+    idle_set(&l->client->idle, &l->idle, false);
     wake_soon(c);
     timer_stop(c->loop, &l->timer);
     loop_unwatch(c->loop, &l->io);
@@ -167,7 +156,7 @@
 
 static void link_take(struct link *l, struct exchange *r)
 {
-    set_idle(l, false);
+    idle_set(&l->client->idle, &l->idle, false);
     l->now = r;
     l->sent = 0;
     r->link = l;
@@ -179,7 +168,7 @@
 
 static void link_rests(struct link *l)
 {
-    set_idle(l, !l->place->kept);
+    idle_set(&l->client->idle, &l->idle, !l->place->kept);
     wake_soon(l->client);
     timer_start(l->client->loop, &l->timer, l->client->limits.idle_ms);
 }
@@ -308,7 +297,7 @@
     l->place = p;
     l->connecting = true;
     l->in = g_byte_array_new();
-    l->idle_place.data = l;
+    l->idle.place.data = l;
     timer_init(&l->timer, link_timeout, l);
     timer_start(c->loop, &l->timer, c->limits.connect_ms);
     g_ptr_array_add(p->links, l);
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -1,5 +1,6 @@
 #define _GNU_SOURCE /* accept4 */
 #include "http.h"
+#include "idle.h"
 #include "log.h"
 #include "settings.h"
 
@@ -22,8 +23,7 @@
     size_t out_at;
     bool close_after, want_write;
     struct timer timer;
-    GList idle_place; /* in the server's list of idle connections, oldest first */
-    bool idle;
+    struct idle_place idle;
 };
 
 struct http_server {
@@ -40,21 +40,10 @@
 
 static void conn_read(struct conn *c);
 
-static void set_idle(struct conn *c, bool idle)
-{
-    if (c->idle == idle)
-        return;
-    c->idle = idle;
-    if (idle)
-        g_queue_push_tail_link(&c->server->idle, &c->idle_place);
-    else
-        g_queue_unlink(&c->server->idle, &c->idle_place);
-}
-
 static void conn_close(struct conn *c)
 {
     struct http_server *s = c->server;
-    set_idle(c, false);
+    idle_set(&c->server->idle, &c->idle, false);
     timer_stop(s->loop, &c->timer);
     loop_unwatch(s->loop, &c->io);
     close(c->io.fd);
@@ -68,7 +57,7 @@
 static void conn_await_request(struct conn *c)
 {
     c->state = CONN_READING;
-    set_idle(c, c->in->len == 0);
+    idle_set(&c->server->idle, &c->idle, c->in->len == 0);
     timer_start(c->server->loop, &c->timer,
                 c->in->len ? c->server->limits.request_ms : c->server->limits.idle_ms);
 }
@@ -178,7 +167,7 @@
         g_string_free(unchunked, TRUE);
     c->close_after = h.close;
     c->state = CONN_WAITING;
-    set_idle(c, false);
+    idle_set(&c->server->idle, &c->idle, false);
     timer_stop(s->loop, &c->timer);
     char *query = strchr(h.target, '?');
     if (query)
@@ -194,7 +183,7 @@
     if (c->state != CONN_READING)
         return;
     if (before) {
-        set_idle(c, false);
+        idle_set(&c->server->idle, &c->idle, false);
         conn_parse(c);
     }
 }
@@ -276,7 +265,7 @@
         c->ref.v = ++s->next_ref;
         c->in = g_byte_array_new();
         c->out = g_string_new(NULL);
-        c->idle_place.data = c;
+        c->idle.place.data = c;
         timer_init(&c->timer, conn_timeout, c);
         g_hash_table_insert(s->conns, &c->ref.v, c);
         loop_watch(s->loop, &c->io, EPOLLIN);
--- a/src/leader.c
+++ b/src/leader.c
@@ -98,7 +98,7 @@
     l->zone_tasks = g_new0(uint32_t, settings->zones->len);
     l->no_way = g_new0(struct no_way, settings->zones->len);
     l->open = g_ptr_array_new();
-    l->full = g_array_new(FALSE, FALSE, sizeof(struct ask));
+    l->full = g_array_new(FALSE, FALSE, sizeof(struct lack));
     l->n_teams = (int)settings->teams->len;
     l->teams = g_new0(struct lteam, l->n_teams);
     for (int i = 0; i < l->n_teams; i++) {
--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -161,21 +161,16 @@
     return out;
 }
 
-/* Room only shrinks in a pass, so what needs at least as much as something that found none finds
- * none either. */
-static bool is_full(struct leader *l, const struct ljob *j, const struct spec *s)
+/* Room only shrinks in a pass. */
+static bool is_full(struct leader *l, const struct spec *s)
 {
-    for (guint i = 0; i < l->full->len; i++) {
-        struct ask *a = &g_array_index(l->full, struct ask, i);
-        if (room_holds(j->room, a->room) && (a->loaners || !s->loaners))
-            return true;
-    }
-    return false;
+    struct lack a = lack_of_spec(s, "");
+    return lacks_cover(l->full, &a);
 }
 
-static void note_full(struct leader *l, const struct ljob *j, const struct spec *s)
+static void note_full(struct leader *l, const struct spec *s)
 {
-    struct ask a = {j->room, s->loaners};
+    struct lack a = lack_of_spec(s, "");
     if (!zone_bound(s) && !s->builds && !s->yard)
         g_array_append_val(l->full, a);
 }
@@ -600,7 +595,7 @@
         return 0;
     count_zones(l, j, v->spec);
     bool image = holds_out_for_image(l, j, v);
-    if (!is_full(l, j, v->spec)) {
+    if (!is_full(l, v->spec)) {
         GArray *hosts = choices(l, j, v->spec, image);
         attempt_no attempt = next_attempt(l);
         for (guint i = 0; i < hosts->len && dealt < n; i++) {
@@ -620,7 +615,7 @@
             }
         }
         if (!hosts->len && !image)
-            note_full(l, j, v->spec);
+            note_full(l, v->spec);
         g_array_unref(hosts);
     }
     if (!dealt) {
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -92,12 +92,6 @@
     uint64_t digest_seq;
 };
 
-/* What a task asks of machines, if it asks nothing special. */
-struct ask {
-    struct room room;
-    bool loaners;
-};
-
 /* In a zone nothing could be moved for a service that asked for so much. */
 struct no_way {
     mono_time until;
@@ -124,7 +118,7 @@
     int n_teams;
     int first_team;       /* that this pass begins with */
     GPtrArray *open;      /* struct lhost: that take work in this pass */
-    GArray *full;         /* struct ask: what found no room in this pass */
+    GArray *full;         /* struct lack: what found no room in this pass */
     uint32_t *zone_tasks; /* of the job that is being dealt, by zone */
     int running[4];       /* tasks on record, by urgency */
     struct timer tick, pass;
--- a/src/part.c
+++ b/src/part.c
@@ -61,7 +61,7 @@
     p->rolls = g_ptr_array_new_with_free_func(g_free);
     p->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, part_done_free);
     p->roomy = g_ptr_array_new();
-    p->nones = g_array_new(FALSE, FALSE, sizeof(struct no_machine));
+    p->nones = g_array_new(FALSE, FALSE, sizeof(struct lack));
     p->write_at = loop_now(p->loop);
     timer_init(&p->tick, tick, p);
     timer_init(&p->flush, part_flush, p);
--- a/src/part_host.c
+++ b/src/part_host.c
@@ -233,7 +233,7 @@
     mono_time now = loop_now(p->loop);
     int64_t lease = (int64_t)(s->lease_s * 1002) + 500, keep = part_keeping_ms(p) * 1002 / 1000;
     /* Until its worker shows a token that only we give, an earlier owner that is cut off may still
-     * answer it, as long as keeping_bound_ms() lets it. */
+     * answer it, as long as part_keeping_ms() lets it. */
     if (h->helm < h->owned_since.v)
         return time_ms_since(now, h->owned_at) > (int64_t)(s->cancel_s * 1002) + 1000 &&
                peers_leases_over(p->peers, h->owned_at, lease, keep);
--- a/src/part_place.c
+++ b/src/part_place.c
@@ -195,24 +195,18 @@
     part_digest_soon(p);
 }
 
-/* What needs at least as much as something that found no machine finds none either. */
+/* While the queues are gone through, room only shrinks. */
 static bool finds_none(struct part *p, const struct dealt *d, const struct spec *s)
 {
-    for (guint i = 0; i < p->nones->len; i++) {
-        const struct no_machine *n = &g_array_index(p->nones, struct no_machine, i);
-        if (room_holds(room_of_spec(s), n->room) && (n->loaners || !s->loaners) &&
-            (!n->yard[0] || strcmp(n->yard, d->yard) == 0))
-            return true;
-    }
-    return false;
+    struct lack a = lack_of_spec(s, d->yard);
+    return lacks_cover(p->nones, &a);
 }
 
 static void note_none(struct part *p, const struct dealt *d, const struct spec *s)
 {
-    struct no_machine n = {.room = room_of_spec(s), .loaners = s->loaners};
-    g_strlcpy(n.yard, d->yard, sizeof n.yard);
-    if (!d->at[0] && !s->builds && !s->yard && !finds_none(p, d, s))
-        g_array_append_val(p->nones, n);
+    struct lack a = lack_of_spec(s, d->yard);
+    if (!d->at[0] && !s->builds && !s->yard && !lacks_cover(p->nones, &a))
+        g_array_append_val(p->nones, a);
 }
 
 /* Returns true when the task has left its queue. */
--- a/src/part_record.c
+++ b/src/part_record.c
@@ -1244,6 +1244,15 @@
     return false;
 }
 
+void part_write_over(struct part *p, uint64_t generation, bool ok)
+{
+    p->txn_out = false;
+    if (ok && generation == p->generation)
+        part_records_sync(p);
+    p->dirty = true;
+    timer_start(p->loop, &p->flush, ok ? FLUSH_MS : RETRY_MS);
+}
+
 /* Conditions of all that this node writes of records. */
 struct txn *part_txn(struct part *p)
 {
--- a/src/part_roll.c
+++ b/src/part_roll.c
@@ -7,7 +7,6 @@
 enum {
     ROLL_MS = 4000,  /* machines that come meanwhile go on the list together */
     LOST_MS = 12000, /* those that are gone are taken off */
-    RETRY_MS = 200,
     VALUE_BYTES = 32,
 };
 
@@ -90,15 +89,10 @@
     return text->len - before;
 }
 
-static void roll_resync(void *arg, bool ok)
+static void roll_over(void *arg, bool ok)
 {
     struct rolling *x = arg;
-    struct part *p = x->part;
-    p->txn_out = false;
-    if (ok && x->generation == p->generation)
-        part_records_sync(p);
-    p->dirty = true;
-    timer_start(p->loop, &p->flush, ok ? 1 : RETRY_MS);
+    part_write_over(x->part, x->generation, ok);
     g_free(x);
 }
 
@@ -107,9 +101,9 @@
     struct rolling *x = arg;
     struct part *p = x->part;
     if (o->result == TXN_CONFLICT) {
-        view_await(p->view, o->at, roll_resync, x);
+        view_await(p->view, o->at, roll_over, x);
     } else if (o->result == TXN_UNKNOWN) {
-        view_barrier(p->view, roll_resync, x);
+        view_barrier(p->view, roll_over, x);
     } else if (o->result == TXN_DONE && x->generation == p->generation) {
         GHashTableIter it;
         struct host *h;
@@ -124,7 +118,7 @@
         part_flush_soon(p);
         g_free(x);
     } else {
-        roll_resync(x, false);
+        roll_over(x, false);
     }
 }
 
--- a/src/part_split.c
+++ b/src/part_split.c
@@ -237,15 +237,10 @@
 
 /* ---- transactions ---- */
 
-static void split_resync(void *arg, bool ok)
+static void split_over(void *arg, bool ok)
 {
     struct split *s = arg;
-    struct part *p = s->part;
-    p->txn_out = false;
-    if (ok && s->generation == p->generation)
-        part_records_sync(p);
-    p->dirty = true;
-    timer_start(p->loop, &p->flush, ok ? 1 : RETRY_MS);
+    part_write_over(s->part, s->generation, ok);
     g_free(s);
 }
 
@@ -253,11 +248,11 @@
 {
     struct split *s = arg;
     if (o->result == TXN_DONE || o->result == TXN_CONFLICT)
-        view_await(s->part->view, o->at, split_resync, s);
+        view_await(s->part->view, o->at, split_over, s);
     else if (o->result == TXN_UNKNOWN)
-        view_barrier(s->part->view, split_resync, s);
+        view_barrier(s->part->view, split_over, s);
     else
-        split_resync(s, false);
+        split_over(s, false);
 }
 
 /* A page of the same node that does not exist. Copies go behind the long page in the order of keys,
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -107,13 +107,6 @@
     bool dirty; /* it names machines that are not ours */
 };
 
-/* In this look at the queues nothing was found for a task that asked for so much. */
-struct no_machine {
-    struct room room;
-    bool loaners;
-    char yard[48]; /* "": any */
-};
-
 /* Tasks of a job that this node saw done: those of a unit of MARK_TASKS that one page says. */
 struct done_unit {
     job_id job;
@@ -166,7 +159,7 @@
     GPtrArray *roomy; /* struct host: that may have room, while the queues are gone through */
     struct timer tick, flush, digest;
     mono_time last_switch;
-    GArray *nones; /* struct no_machine */
+    GArray *nones; /* struct lack: what found no machine in this look at the queues */
     struct timer place;
 };
 
@@ -197,7 +190,7 @@
 
 /* part_worker.c: orders and reports */
 void part_push(struct part *p, struct host *h);
-/* How long a node may keep leases after it last knew what was new. */
+/* How long a node that hears nothing from the state service may go on renewing workers' leases. */
 int64_t part_keeping_ms(const struct part *p);
 void part_probe(struct part *p, struct host *h);
 
@@ -228,6 +221,9 @@
 void part_page_set(struct txn *t, const char *key, revision stamp, const char *tasks,
                    const char *done);
 
+/* A write of ours other than of a batch is over; ok: the view shows what became of it. */
+void part_write_over(struct part *p, uint64_t generation, bool ok);
+
 /* part_roll.c: lists of machines */
 void part_rolls_sync(struct part *p);
 bool part_roll_due(struct part *p);
--- a/src/part_worker.c
+++ b/src/part_worker.c
@@ -239,16 +239,10 @@
     g_free(text);
 }
 
-/* How long a node that hears nothing from the state service may go on renewing workers' leases: a
- * job may have been cancelled meanwhile, and its tasks must be gone within cancel_s. */
-static int64_t keeping_bound_ms(const struct settings *s)
-{
-    return (int64_t)((s->cancel_s - s->lease_s) * 995) - 1000;
-}
-
+/* A job may have been cancelled meanwhile, and its tasks must be gone within cancel_s. */
 int64_t part_keeping_ms(const struct part *p)
 {
-    return keeping_bound_ms(p->settings);
+    return (int64_t)((p->settings->cancel_s - p->settings->lease_s) * 995) - 1000;
 }
 
 static bool may_keep_leases(struct part *p)
@@ -256,7 +250,7 @@
     mono_time known = p->view->fresh, quiet = peers_quiet_until(p->peers);
     if (time_before(known, quiet))
         known = quiet;
-    return time_ms_since(loop_now(p->loop), known) < keeping_bound_ms(p->settings);
+    return time_ms_since(loop_now(p->loop), known) < part_keeping_ms(p);
 }
 
 /* Where a worker was sent that reported to the wrong node. */
@@ -272,7 +266,7 @@
 {
     return !membership_valid(p->members) && membership_seen(p->members) &&
            peers_lost(p->peers, owner) &&
-           time_ms_since(loop_now(p->loop), p->view->fresh) < keeping_bound_ms(p->settings);
+           time_ms_since(loop_now(p->loop), p->view->fresh) < part_keeping_ms(p);
 }
 
 struct handed_on {
--- a/src/peers.c
+++ b/src/peers.c
@@ -136,15 +136,35 @@
     p->sheltered = loop_now(p->loop);
 }
 
-struct kept_asked {
+/* A question to one of the other nodes. */
+struct asked {
     struct peers *peers;
     char *label;
     mono_time at;
 };
 
+static void asked_free(struct asked *a)
+{
+    g_free(a->label);
+    g_free(a);
+}
+
+/* Asks all of them; tells how many that are. */
+static guint ask_all(struct peers *p, const char *question, bus_done answered)
+{
+    const GArray *all = p->settings->siblings;
+    for (guint i = 0; i < all->len; i++) {
+        struct asked *a = g_new(struct asked, 1);
+        *a = (struct asked){p, g_strdup(g_array_index(all, struct sibling, i).label),
+                            loop_now(p->loop)};
+        bus_send(p->bus, a->label, question, cJSON_CreateObject(), ASK_TIMEOUT_MS, answered, a);
+    }
+    return all->len;
+}
+
 static void kept_answered(void *arg, int status, const cJSON *m)
 {
-    struct kept_asked *a = arg;
+    struct asked *a = arg;
     struct peers *p = a->peers;
     const cJSON *ago = cJSON_GetObjectItemCaseSensitive(m, "ago_ms");
     struct kept *k = g_hash_table_lookup(p->kept, a->label);
@@ -154,8 +174,7 @@
         k->until = time_add_ms(loop_now(p->loop), -(int64_t)(ago->valuedouble * 0.999));
     }
     p->kept_out--;
-    g_free(a->label);
-    g_free(a);
+    asked_free(a);
 }
 
 static void ask_kept(struct peers *p)
@@ -164,13 +183,7 @@
     if (p->kept_out || (p->kept_asked.us && time_ms_since(now, p->kept_asked) < KEPT_MS))
         return;
     p->kept_asked = now;
-    p->kept_out = p->settings->siblings->len;
-    for (guint i = 0; i < p->settings->siblings->len; i++) {
-        struct kept_asked *a = g_new(struct kept_asked, 1);
-        *a = (struct kept_asked){
-            p, g_strdup(g_array_index(p->settings->siblings, struct sibling, i).label), now};
-        bus_send(p->bus, a->label, "kept", cJSON_CreateObject(), ASK_TIMEOUT_MS, kept_answered, a);
-    }
+    p->kept_out = ask_all(p, "kept", kept_answered);
 }
 
 /* Which nodes are away, as a view shows that is new enough. */
@@ -239,11 +252,6 @@
         p->quiet_until = p->asked;
 }
 
-struct asked {
-    struct peers *peers;
-    char *label;
-};
-
 static void answered(void *arg, int status, const cJSON *m)
 {
     struct asked *a = arg;
@@ -258,8 +266,7 @@
     g_hash_table_replace(p->peers, g_strdup(a->label), x);
     if (--p->out == 0)
         conclude(p);
-    g_free(a->label);
-    g_free(a);
+    asked_free(a);
 }
 
 static void ask(void *arg)
@@ -276,11 +283,5 @@
     if (p->out)
         return;
     p->asked = now;
-    p->out = p->settings->siblings->len;
-    for (guint i = 0; i < p->settings->siblings->len; i++) {
-        const char *label = g_array_index(p->settings->siblings, struct sibling, i).label;
-        struct asked *a = g_new(struct asked, 1);
-        *a = (struct asked){p, g_strdup(label)};
-        bus_send(p->bus, label, "health", cJSON_CreateObject(), ASK_TIMEOUT_MS, answered, a);
-    }
+    p->out = ask_all(p, "health", answered);
 }
--- a/src/room.c
+++ b/src/room.c
@@ -28,6 +28,17 @@
     return times(free.memory.milli, ask.memory.milli, n);
 }
 
+bool lacks_cover(const GArray *lacks, const struct lack *a)
+{
+    for (guint i = 0; i < lacks->len; i++) {
+        const struct lack *x = &g_array_index(lacks, struct lack, i);
+        if (room_holds(a->room, x->room) && (x->loaners || !a->loaners) &&
+            (!x->yard[0] || strcmp(x->yard, a->yard) == 0))
+            return true;
+    }
+    return false;
+}
+
 const struct machine_type *type_named(const GArray *types, const char *name)
 {
     for (guint i = 0; types && i < types->len; i++) {
--- a/src/room.h
+++ b/src/room.h
@@ -49,6 +49,24 @@
 /* How many of ask fit into free. */
 int64_t room_times(struct room free, struct room ask);
 
+/* What a task that asks nothing special asks of machines, and where ("": anywhere). While room only
+ * shrinks, what needs at least as much as something that found none finds none either. */
+struct lack {
+    struct room room;
+    bool loaners;
+    char yard[48];
+};
+
+static inline struct lack lack_of_spec(const struct spec *s, const char *yard)
+{
+    struct lack a = {room_of_spec(s), s->loaners, ""};
+    g_strlcpy(a.yard, yard, sizeof a.yard);
+    return a;
+}
+
+/* In a list of struct lack that found nothing. */
+bool lacks_cover(const GArray *lacks, const struct lack *a);
+
 /* The machine type of that name, or NULL. */
 const struct machine_type *type_named(const GArray *types, const char *name);
 /* Whether a job's tasks may ever run on machines of a type, in a zone, of a kind. */
--- a/src/view.c
+++ b/src/view.c
@@ -535,6 +535,17 @@
 
 /* ---- pages ---- */
 
+/* Of a key such as ll/p/LABEL/N. */
+static bool key_parts(const char *key, char **label, int *number)
+{
+    const char *name = key + strlen("ll/p/"), *slash = strrchr(key, '/');
+    if (slash <= name)
+        return false;
+    *label = g_strndup(name, (gsize)(slash - name));
+    *number = atoi(slash + 1);
+    return true;
+}
+
 const char *view_about(struct view *v, const char *host)
 {
     struct host_record *h = view_host(v, host);
@@ -621,14 +632,16 @@
 static void apply_page(struct view *v, const char *key, json_object *value, revision stamp)
 {
     struct page *g = g_hash_table_lookup(v->pages, key);
-    const char *slash = strrchr(key, '/'), *text = "", *done = "";
-    if (!g && (!value || slash <= key + 5))
-        return;
+    const char *text = "", *done = "";
     if (!g) {
+        char *label;
+        int number;
+        if (!value || !key_parts(key, &label, &number))
+            return;
         g = g_new0(struct page, 1);
         g->key = g_strdup(key);
-        g->label = g_strndup(key + 5, slash - key - 5);
-        g->number = atoi(slash + 1);
+        g->label = label;
+        g->number = number;
         g->tasks = g_ptr_array_new();
         g_hash_table_insert(v->pages, g->key, g);
     }
@@ -696,14 +709,16 @@
 static void apply_roll(struct view *v, const char *key, json_object *value, revision stamp)
 {
     struct roll *r = g_hash_table_lookup(v->rolls, key);
-    const char *slash = strrchr(key, '/'), *text = "";
-    if (!r && (!value || slash <= key + 5))
-        return;
+    const char *text = "";
     if (!r) {
+        char *label;
+        int number;
+        if (!value || !key_parts(key, &label, &number))
+            return;
         r = g_new0(struct roll, 1);
         r->key = g_strdup(key);
-        r->label = g_strndup(key + 5, slash - key - 5);
-        r->number = atoi(slash + 1);
+        r->label = label;
+        r->number = number;
         r->hosts = g_ptr_array_new();
         g_hash_table_insert(v->rolls, r->key, r);
     }
