--- a/src/part_record.c
+++ b/src/part_record.c
@@ -50,18 +50,6 @@
     g_free(g);
 }
 
-static void unit_free(gpointer q)
-{
-    struct done_unit *d = q;
-    g_byte_array_unref(d->bits);
-    g_free(d);
-}
-
-void part_done_free(gpointer q)
-{
-    g_ptr_array_unref(q);
-}
-
 static struct own_page *page_at(struct part *p, int number)
 {
     while ((int)p->pages->len <= number) {
@@ -146,144 +134,6 @@
     part_host_dirty(p, h);
 }
 
-/* ---- what is done ---- */
-
-static char *unit_key(job_id job, uint32_t unit)
-{
-    return g_strdup_printf("%s %u", job.s, unit);
-}
-
-static GPtrArray *units_of(struct part *p, job_id job, uint32_t unit)
-{
-    char *key = unit_key(job, unit);
-    GPtrArray *all = g_hash_table_lookup(p->done, key);
-    g_free(key);
-    return all;
-}
-
-/* The bytes of a unit's bits when all its tasks are done. */
-guint part_unit_size(const struct job *j, uint32_t unit)
-{
-    return MIN((guint)MARK_TASKS, j->tasks - unit * MARK_TASKS) / 8 + 1;
-}
-
-static struct done_unit *unit_find(struct part *p, job_id job, uint32_t unit, int page)
-{
-    GPtrArray *all = units_of(p, job, unit);
-    for (guint i = 0; all && i < all->len; i++) {
-        struct done_unit *d = all->pdata[i];
-        if (d->page == page)
-            return d;
-    }
-    return NULL;
-}
-
-static struct done_unit *unit_make(struct part *p, job_id job, uint32_t unit, int page)
-{
-    struct done_unit *d = unit_find(p, job, unit, page);
-    if (d)
-        return d;
-    GPtrArray *all = units_of(p, job, unit);
-    if (!all) {
-        all = g_ptr_array_new_with_free_func(unit_free);
-        g_hash_table_insert(p->done, unit_key(job, unit), all);
-    }
-    d = g_new0(struct done_unit, 1);
-    d->job = job;
-    d->unit = unit;
-    d->bits = g_byte_array_new();
-    d->page = page;
-    g_ptr_array_add(all, d);
-    return d;
-}
-
-/* It says nothing any more. */
-static void unit_clear(struct done_unit *d)
-{
-    g_byte_array_set_size(d->bits, 0);
-    d->dirty = d->leaving = false;
-}
-
-typedef void (*unit_fn)(struct part *p, struct done_unit *d, void *ctx);
-
-static void each_unit(struct part *p, unit_fn f, void *ctx)
-{
-    GHashTableIter it;
-    GPtrArray *all;
-    g_hash_table_iter_init(&it, p->done);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&all))
-        for (guint i = 0; i < all->len; i++)
-            f(p, all->pdata[i], ctx);
-}
-
-static bool unit_says(const struct done_unit *d, uint32_t bit)
-{
-    return bit / 8 < d->bits->len && (d->bits->data[bit / 8] >> (bit % 8) & 1);
-}
-
-static void bits_merge(GByteArray *to, const guint8 *from, guint len)
-{
-    bits_grow(to, len);
-    for (guint i = 0; i < len; i++)
-        to->data[i] |= from[i];
-}
-
-/* A mark far within a long job takes a long word while nodes of version 0 may read it; if that is
- * too long the task stays on record until they cannot. */
-bool part_may_mark(struct part *p, const struct run *r)
-{
-    gsize cost = page_done_cost(r->job, r->index / MARK_TASKS, MARK_BYTES, true);
-    return cost <= part_text_bytes(p) / 2 || !part_plain(p);
-}
-
-static gsize page_room(struct part *p, int number);
-
-static gsize unit_cost(struct part *p, const struct job *j, uint32_t unit)
-{
-    return page_done_cost(j->id, unit, part_unit_size(j, unit), part_plain(p));
-}
-
-/* The mark goes on the page that loses the task's record, if there is room: one write does both. */
-void part_mark_done(struct part *p, struct run *r)
-{
-    struct job *j = part_live_job(p, r->job);
-    if (!j)
-        return; /* cancelled: nobody has any use for what its tasks did */
-    uint32_t unit = r->index / MARK_TASKS, bit = r->index % MARK_TASKS;
-    int page = r->page;
-    struct done_unit *there = page >= 0 ? unit_find(p, j->id, unit, page) : NULL;
-    if (there && there->leaving) {
-        page = -1;
-    } else if (page >= 0 && !there) {
-        gsize cost = unit_cost(p, j, unit);
-        if (page_room(p, page) < cost)
-            page = -1;
-        else
-            page_at(p, page)->bytes += cost;
-    }
-    struct done_unit *d = unit_make(p, j->id, unit, page);
-    bits_grow(d->bits, bit / 8 + 1);
-    d->bits->data[bit / 8] |= (guint8)(1 << (bit % 8));
-    d->dirty = d->more = true;
-    p->dirty = true;
-}
-
-struct done_reader {
-    struct part *part;
-    int page;
-};
-
-/* What an earlier process of this label wrote stays on its page. */
-static void read_unit(void *ctx, job_id job, uint32_t unit, const GByteArray *bits)
-{
-    struct done_reader *r = ctx;
-    struct job *j = part_live_job(r->part, job);
-    if (!j || unit * MARK_TASKS >= j->tasks)
-        return;
-    struct done_unit *d = unit_make(r->part, j->id, unit, r->page);
-    bits_merge(d->bits, bits->data, bits->len);
-}
-
 /* ---- agreement with the view ---- */
 
 static void page_sync(struct part *p, int number)
@@ -299,10 +149,8 @@
         struct page_rec x = {t->host->id, t->job->id, t->attempt, t->index, NULL};
         g_array_append_val(g->leftover, x);
     }
-    if (v && v->done) {
-        struct done_reader r = {p, number};
-        page_read_done(v->done, read_unit, &r);
-    }
+    if (v && v->done)
+        part_marks_read(p, v->done, number);
     g->bytes = v ? v->bytes : 0;
 }
 
@@ -349,7 +197,7 @@
     int number;
     GArray *records;  /* struct page_rec */
     GHashTable *jobs; /* "JOB" and "JOB ATTEMPT" that it has records of */
-    GString *done;
+    struct marks_on marks;
     gsize used; /* bytes that its texts take at most, with the room that marks may still take */
     bool over;  /* even what has to stay is too long */
     bool changed;
@@ -373,7 +221,7 @@
     struct draft *x = q;
     g_array_unref(x->records);
     g_hash_table_unref(x->jobs);
-    g_string_free(x->done, TRUE);
+    g_string_free(x->marks.text, TRUE);
     g_free(x);
 }
 
@@ -492,33 +340,23 @@
     return NULL;
 }
 
+static bool is_drafted(const void *batch, int page)
+{
+    return draft_of(batch, page) != NULL;
+}
+
 static struct draft *draft_open(struct batch *b, int number)
 {
     struct draft *x = g_new0(struct draft, 1);
     x->number = number;
     x->records = g_array_new(FALSE, FALSE, sizeof(struct page_rec));
     x->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    x->done = g_string_new(NULL);
+    x->marks.text = g_string_new(NULL);
     page_at(b->part, number);
     g_ptr_array_add(b->drafts, x);
     return x;
 }
 
-/* A task that is done leaves the records together with its mark, or later. */
-static bool mark_written(const struct batch *b, const struct run *r)
-{
-    if (!r->done || !part_live_job(b->part, r->job))
-        return true;
-    GPtrArray *all = units_of(b->part, r->job, r->index / MARK_TASKS);
-    for (guint i = 0; all && i < all->len; i++) {
-        struct done_unit *d = all->pdata[i];
-        if (unit_says(d, r->index % MARK_TASKS) && !d->leaving &&
-            (!d->dirty || (d->page >= 0 && draft_of(b, d->page))))
-            return true;
-    }
-    return false;
-}
-
 static void draft_add(struct draft *x, const struct page_rec *r)
 {
     g_hash_table_add(x->jobs, g_strdup(r->job.s));
@@ -545,49 +383,14 @@
     return true;
 }
 
-/* Whether other pages say for good all that this one does. */
-static bool said_elsewhere(struct part *p, const struct done_unit *d)
-{
-    GPtrArray *all = units_of(p, d->job, d->unit);
-    for (uint32_t bit = 0; bit < d->bits->len * 8; bit++) {
-        bool said = !unit_says(d, bit);
-        for (guint i = 0; i < all->len && !said; i++) {
-            const struct done_unit *x = all->pdata[i];
-            said = x != d && !x->dirty && !x->leaving && x->page >= 0 && unit_says(x, bit);
-        }
-        if (!said)
-            return false;
-    }
-    return true;
-}
-
-struct marks {
-    struct batch *batch;
-    struct draft *draft;
-};
-
-static void draft_mark(struct part *p, struct done_unit *d, void *ctx)
-{
-    struct marks *m = ctx;
-    struct draft *x = m->draft;
-    struct job *j = part_live_job(p, d->job);
-    if (d->page != x->number || !j || (d->leaving && said_elsewhere(p, d)))
-        return;
-    page_write_done(x->done, d->job, d->unit, d->bits, m->batch->plain);
-    x->changed = x->changed || d->dirty;
-    guint most = part_unit_size(j, d->unit);
-    if (!d->leaving && most > d->bits->len)
-        x->used += 2 * (gsize)(most - d->bits->len);
-}
-
 /* What has to stay on a page, whatever else goes there. */
 static void draft_keep(struct batch *b, struct draft *x)
 {
     struct part *p = b->part;
     struct own_page *g = page_at(p, x->number);
-    struct marks marks = {b, x};
-    each_unit(p, draft_mark, &marks);
-    x->used += x->done->len;
+    part_marks_write(p, x->number, b->plain, &x->marks);
+    x->changed = x->marks.dirty;
+    x->used = x->marks.text->len + x->marks.growth;
     for (guint i = 0; i < g->leftover->len; i++) {
         struct page_rec r = g_array_index(g->leftover, struct page_rec, i);
         r.about = view_about(p->view, r.host.s);
@@ -602,7 +405,7 @@
             if (r->page != x->number || (r->phase != RUN_RECORDED && r->phase != RUN_FREEING))
                 continue;
             r->put = -1;
-            r->in_txn = r->phase == RUN_FREEING && mark_written(b, r);
+            r->in_txn = r->phase == RUN_FREEING && part_mark_written(b->part, r, is_drafted, b);
             h->in_txn = h->in_txn || r->in_txn;
             x->changed = x->changed || r->in_txn;
             if (r->in_txn)
@@ -612,49 +415,18 @@
         }
     gsize least;
     x->used += page_length(x->records, b->plain, &least);
-    x->over = least + x->done->len > part_text_bytes(p);
+    x->over = least + x->marks.text->len > part_text_bytes(p);
 }
 
-/* Marks that are too much for their page go to others. They stay on the first until these say so.
- */
-static void move_mark(struct part *p, struct done_unit *d, void *ctx)
+void part_page_keep(struct part *p, int number, gsize bytes)
 {
-    int *page = ctx;
-    if (d->page != *page || d->leaving)
-        return;
-    LOG_INFO("marks_move", "page=%d job=%s", d->page, d->job.s);
-    d->leaving = true;
-    *page = -2; /* one at a time */
-    struct done_unit *other = unit_make(p, d->job, d->unit, -1);
-    bits_merge(other->bits, d->bits->data, d->bits->len);
-    other->dirty = true;
-}
-
-struct growth {
-    int page;
-    gsize bytes;
-};
-
-static void add_growth(struct part *p, struct done_unit *d, void *ctx)
-{
-    struct growth *g = ctx;
-    struct job *j = d->page == g->page && !d->leaving ? part_live_job(p, d->job) : NULL;
-    guint most = j ? part_unit_size(j, d->unit) : 0;
-    if (most > d->bits->len)
-        g->bytes += 2 * (gsize)(most - d->bits->len);
-}
-
-/* Room that marks on a page may still take. */
-static gsize marks_growth(struct part *p, int number)
-{
-    struct growth g = {number, 0};
-    each_unit(p, add_growth, &g);
-    return g.bytes;
+    page_at(p, number)->bytes += bytes;
 }
 
-static gsize page_room(struct part *p, int number)
+gsize part_page_room(struct part *p, int number)
 {
-    gsize most = part_text_bytes(p), used = page_at(p, number)->bytes + marks_growth(p, number);
+    gsize most = part_text_bytes(p),
+          used = page_at(p, number)->bytes + part_marks_growth(p, number);
     return own_long(p, number) || used > most ? 0 : most - used;
 }
 
@@ -675,7 +447,7 @@
     gsize most = part_text_bytes(p) / 4;
     int best = -1;
     for (guint i = 0; i < p->pages->len; i++) {
-        gsize room = draft_of(b, (int)i) ? 0 : page_room(p, (int)i);
+        gsize room = draft_of(b, (int)i) ? 0 : part_page_room(p, (int)i);
         if (room >= most) {
             most = room + 1;
             best = (int)i;
@@ -723,7 +495,6 @@
     struct part *p = b->part;
     GHashTableIter it;
     struct host *h;
-    GPtrArray *units;
     mono_time now = loop_now(p->loop);
     w->pages = g_new0(double, p->pages->len + 1);
     w->sources = g_ptr_array_new();
@@ -749,20 +520,7 @@
             }
         }
     }
-    g_hash_table_iter_init(&it, p->done);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&units)) {
-        if (!part_live_job(p, ((struct done_unit *)units->pdata[0])->job)) {
-            g_hash_table_iter_remove(&it); /* over: it goes with the next write of its page */
-            continue;
-        }
-        for (guint i = 0; i < units->len; i++) {
-            struct done_unit *d = units->pdata[i];
-            d->more = false;
-            if (d->dirty && d->page >= 0)
-                w->pages[d->page] += MARK_WEIGHT;
-            w->news = w->news || (d->dirty && d->page < 0);
-        }
-    }
+    w->news = part_marks_want(p, w->pages, MARK_WEIGHT) || w->news;
 }
 
 /* The page for which most is waited, and that is not among those to be written; -1: none. */
@@ -794,7 +552,7 @@
     for (int i;
          b->drafts->len < most - (more && room < enough) && (i = most_wanted(b, w, n)) >= 0;) {
         draft_open(b, i);
-        room += page_room(p, i);
+        room += part_page_room(p, i);
     }
     b->rest = b->rest || most_wanted(b, w, n) >= 0;
     if (more && room < enough)
@@ -802,32 +560,6 @@
     b->spare = l->txn_ops - (int)(b->drafts->len + b->sources->len);
 }
 
-/* Marks that are on no page yet find one. */
-static void place_mark(struct part *p, struct done_unit *d, void *ctx)
-{
-    struct batch *b = ctx;
-    struct job *j = part_live_job(p, d->job);
-    if (d->page >= 0 || !d->dirty || !j)
-        return;
-    gsize cost = unit_cost(p, j, d->unit);
-    for (guint i = 0; i < b->drafts->len; i++) {
-        int number = ((struct draft *)b->drafts->pdata[i])->number;
-        struct done_unit *there = unit_find(p, d->job, d->unit, number);
-        if (there ? there->leaving : page_room(p, number) < cost)
-            continue;
-        if (there) {
-            bits_merge(there->bits, d->bits->data, d->bits->len);
-            there->dirty = true;
-            unit_clear(d);
-        } else {
-            page_at(p, number)->bytes += cost;
-            d->page = number;
-        }
-        return;
-    }
-    b->rest = true;
-}
-
 /* Drafts with what has to stay. One that is too long already is not written now. */
 static void build(struct batch *b)
 {
@@ -838,17 +570,13 @@
             struct draft *x = b->drafts->pdata[i];
             g_array_set_size(x->records, 0);
             g_hash_table_remove_all(x->jobs);
-            g_string_truncate(x->done, 0);
-            x->used = 0;
-            x->changed = false;
             draft_keep(b, x);
         }
         for (guint i = 0; i < b->drafts->len && !again; i++) {
             struct draft *x = b->drafts->pdata[i];
             if (!x->over)
                 continue;
-            int page = x->number;
-            each_unit(b->part, move_mark, &page);
+            part_marks_move(b->part, x->number);
             b->rest = true;
             GHashTableIter it;
             struct host *h;
@@ -918,7 +646,7 @@
         if (!source || !g_ptr_array_find(b->sources, source, NULL))
             continue;
         r->put = -1;
-        if (r->phase == RUN_FREEING && mark_written(b, r))
+        if (r->phase == RUN_FREEING && part_mark_written(b->part, r, is_drafted, b))
             r->in_txn = h->in_txn = true;
         else if (!batch_put(b, h, r, most))
             whole = !b->plain;
@@ -1021,10 +749,10 @@
     struct own_page *g = page_at(p, x->number);
     GString *text = page_write(x->records, b->plain);
     char *key = key_page(p->settings->label, x->number);
-    if (text->len + x->done->len > part_text_bytes(p))
-        LOG_ERROR("page_too_long", "page=%s bytes=%zu", key, text->len + x->done->len);
-    part_page_set(b->txn, key, g->stamp, text->str, x->done->str);
-    g->bytes = text->len + x->done->len;
+    if (text->len + x->marks.text->len > part_text_bytes(p))
+        LOG_ERROR("page_too_long", "page=%s bytes=%zu", key, text->len + x->marks.text->len);
+    part_page_set(b->txn, key, g->stamp, text->str, x->marks.text->str);
+    g->bytes = text->len + x->marks.text->len;
     g_free(key);
     g_string_free(text, TRUE);
 }
@@ -1054,7 +782,10 @@
     choose(b, &w);
     g_free(w.pages);
     g_ptr_array_unref(w.sources);
-    each_unit(b->part, place_mark, b);
+    int drafted[b->drafts->len + 1];
+    for (guint i = 0; i < b->drafts->len; i++)
+        drafted[i] = ((struct draft *)b->drafts->pdata[i])->number;
+    b->rest = !part_marks_place(b->part, drafted, b->drafts->len) || b->rest;
     build(b);
     each_host(b, batch_adopt);
     each_host(b, batch_news);
@@ -1143,16 +874,6 @@
     }
 }
 
-static void mark_durable(struct part *p, struct done_unit *d, void *ctx)
-{
-    if (d->page < 0 || !draft_of(ctx, d->page))
-        return;
-    if (d->leaving && said_elsewhere(p, d))
-        unit_clear(d);
-    else if (!d->more)
-        d->dirty = false;
-}
-
 static void batch_done(struct batch *b, const struct txn_outcome *o)
 {
     struct part *p = b->part;
@@ -1161,7 +882,7 @@
         if (x->changed)
             page_at(p, x->number)->stamp = o->at;
     }
-    each_unit(p, mark_durable, b);
+    part_marks_durable(p, is_drafted, b);
     batch_over(b);
     for (guint i = 0; i < b->hosts->len; i++) {
         struct host *h = part_host_get(p, b->hosts->pdata[i]);
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -206,11 +206,6 @@
 bool part_record_has_room(struct part *p, struct host *h, job_id job);
 /* One more task, which is to be recorded. */
 void part_record_new(struct part *p, struct host *h, job_id job);
-/* Whether a mark for it may be written now. */
-bool part_may_mark(struct part *p, const struct run *r);
-guint part_unit_size(const struct job *j, uint32_t unit);
-/* A task is done: to be recorded, in the same transaction as its end or before. */
-void part_mark_done(struct part *p, struct run *r);
 void part_page_changed(struct part *p, const char *key);
 /* Makes all pages and machines agree with the view. */
 void part_records_sync(struct part *p);
@@ -221,6 +216,38 @@
 void part_page_set(struct txn *t, const char *key, revision stamp, const char *tasks,
                    const char *done);
 
+/* Room on a page, for marks that are to come as well; and some of it is taken. */
+gsize part_page_room(struct part *p, int number);
+void part_page_keep(struct part *p, int number, gsize bytes);
+
+/* part_mark.c: what is done */
+typedef bool (*page_test)(const void *ctx, int page);
+/* What a page says of tasks that are done, and the room that this may come to take besides. */
+struct marks_on {
+    GString *text;
+    gsize growth;
+    bool dirty; /* it did not say all of that before */
+};
+/* Whether a mark for it may be written now. */
+bool part_may_mark(struct part *p, const struct run *r);
+/* A task is done: to be recorded, in the same transaction as its end or before. */
+void part_mark_done(struct part *p, struct run *r);
+/* Whether that is said for good, or will be with the pages that are written now. */
+bool part_mark_written(struct part *p, const struct run *r, page_test written, const void *ctx);
+guint part_unit_size(const struct job *j, uint32_t unit);
+void part_marks_read(struct part *p, const char *text, int page);
+void part_marks_write(struct part *p, int page, bool plain, struct marks_on *on);
+gsize part_marks_growth(struct part *p, int page);
+/* Some marks are to leave the page. */
+void part_marks_move(struct part *p, int page);
+/* Marks that are on no page yet go to one of these; false when some find no room. */
+bool part_marks_place(struct part *p, const int *pages, guint n);
+/* Those pages were written. */
+void part_marks_durable(struct part *p, page_test written, const void *ctx);
+/* Adds to what is waited for by page; true when some marks are on none. A batch begins with that.
+ */
+bool part_marks_want(struct part *p, double *pages, double weight);
+
 /* A write of ours other than of a batch is over; ok: the view shows what became of it. */
 void part_write_over(struct part *p, uint64_t generation, bool ok);
 
@@ -236,7 +263,7 @@
 bool part_split_due(struct part *p);
 /* False when nothing can be done about it yet, and other work may go on. */
 bool part_split(struct part *p);
-void part_done_free(gpointer q);
+void part_done_free(gpointer q); /* part_mark.c */
 void part_page_free(gpointer q);
 
 /* part_place.c: queues and placement */
