--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -416,6 +416,38 @@
     g_byte_array_unref(bits);
 }
 
+/* A job of many tasks within values of 1 KiB: all its marks find room, on many pages, and it ends.
+ */
+static void a_long_job_ends_within_short_values(void **state)
+{
+    (void)state;
+    enum { TASKS = 5000 };
+    struct world_plan p = plan;
+    p.next_value_kb = 1;
+    p.next_txn_ops = 4;
+    struct world *w = production_world(&p, 8);
+    for (int i = 0; i < WORLD_NODES; i++)
+        world_start(w, i);
+    world_limits_fall(w);
+    world_run(w, 3000);
+    char *job = world_job("wk-1", "sweep", TASKS, "blue", 0.1, "");
+    assert_int_equal(world_ask(w, 0, "POST", "/work", job).status, 201);
+    g_free(job);
+    for (int round = 0; round < 240; round++) {
+        if (round == 40 || round == 90)
+            world_kill(w, round == 40 ? world_leader_index(w) : 1);
+        for (int i = 0; i < WORLD_NODES && (round == 50 || round == 100); i++)
+            if (!w->nodes[i])
+                world_start(w, i);
+        worker_exit_all(w, "wk-1", "done");
+        world_run(w, 500);
+    }
+    world_expect_stage(w, 0, "wk-1", "done");
+    assert_false(world_ran_twice(w));
+    assert_in_range(world_starts(w), TASKS, TASKS + TASKS / 20);
+    world_free(w);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -426,6 +458,7 @@
         cmocka_unit_test(a_page_is_split_while_it_is_taken_over),
         cmocka_unit_test(a_long_job_can_be_cancelled),
         cmocka_unit_test(refused_writes_slow_the_writer),
+        cmocka_unit_test(a_long_job_ends_within_short_values),
         cmocka_unit_test(marks_of_a_long_job_are_short),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
