--- a/src/fleet.c
+++ b/src/fleet.c
@@ -12,6 +12,8 @@
     TYPES_MS = 60000,
     MOST_GONE = 5000,
     MOST_RETURNED = 100,
+    VALUE_BYTES = 32, /* of a part of the types besides these */
+    STORE_EVERY_MS = 1000,
     PAGE = 500,
 };
 
@@ -36,6 +38,7 @@
     struct actor *listener;
     GArray *types;
     mono_time types_at;
+    mono_time store_at;
     bool types_out, types_written;
     GHashTable *machines, *gone;
     GHashTable *refused; /* offer -> until */
@@ -211,14 +214,60 @@
     f->types_written = o->result == TXN_DONE;
 }
 
-/* Nodes that do not lead learn the types from the state service. */
+/* So many of the types, from one on, as one value takes. */
+static GArray *types_part(struct fleet *f, guint from)
+{
+    GArray *part = g_array_new(FALSE, FALSE, sizeof(struct machine_type));
+    gsize most = store_limits(f->store)->value_bytes - VALUE_BYTES;
+    for (guint i = from; i < f->types->len; i++) {
+        g_array_append_val(part, g_array_index(f->types, struct machine_type, i));
+        json_object *value = codec_types_write(part);
+        bool fits = value_size(value) <= most;
+        json_object_put(value);
+        if (!fits) {
+            g_array_set_size(part, part->len - 1);
+            break;
+        }
+    }
+    return part;
+}
+
+/* Nodes that do not lead learn the types from the state service. A list that is too long for one
+ * value is written in parts, which nodes of version 0 do not know of. */
 static void store_types(struct fleet *f)
 {
-    if (f->types_written || same_types(f->view->types, f->types) || !membership_leads(f->members))
+    mono_time now = loop_now(f->loop);
+    if (!f->types || f->types_written || same_types(f->view->types, f->types) ||
+        !membership_leads(f->members) || time_ms_since(now, f->store_at) < STORE_EVERY_MS)
         return;
+    f->store_at = now;
     struct txn *t = txn_new();
     txn_when(t, KEY_LEADER, f->view->leader_stamp);
-    txn_set(t, KEY_TYPES, codec_types_write(f->types), (lease_id){0});
+    json_object *first = NULL;
+    guint parts = 0, at = 0;
+    do {
+        GArray *part = types_part(f, at);
+        json_object *value = codec_types_write(part);
+        at += part->len;
+        char *key = g_strdup_printf(KEY_TYPES "/%u", parts);
+        if (!parts++)
+            first = value;
+        else
+            txn_set(t, key, value, (lease_id){0});
+        g_free(key);
+        if (!part->len)
+            at = f->types->len + 1; /* one that no value takes */
+        g_array_unref(part);
+    } while (at < f->types->len);
+    if (parts > 1)
+        json_put_u64(first, "more", parts - 1);
+    txn_set(t, KEY_TYPES, first, (lease_id){0});
+    if (at > f->types->len || (int)parts > store_limits(f->store)->txn_ops ||
+        (parts > 1 && !membership_all_understand(f->members))) {
+        LOG_INFO("types_not_stored", "types=%u parts=%u", f->types->len, parts);
+        txn_free(t);
+        return;
+    }
     f->types_written = true;
     store_txn(f->store, LANE_NORMAL, t, types_stored, f);
 }
@@ -517,6 +566,7 @@
     if (f->to_return->len && !f->return_out && !time_before(now, f->return_not_before) &&
         may_call(f))
         return_go(f);
+    store_types(f);
     bool types_due = !f->types_at.us || time_ms_since(now, f->types_at) > TYPES_MS;
     if (!f->types && types_due && !f->types_out && may_call(f))
         types_go(f);
--- a/src/view.c
+++ b/src/view.c
@@ -111,6 +111,7 @@
 static void expire(void *arg);
 
 static void pipeline_told(void *ctx, const char *id, const struct pipe_facts *facts);
+static void type_part_free(gpointer q);
 
 struct view *view_new(struct loop *loop, struct store *store)
 {
@@ -122,6 +123,7 @@
     v->pages = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, page_free);
     v->rolls = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, roll_free);
     v->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, node_free);
+    v->type_parts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, type_part_free);
     v->spoken = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     v->pipeline = pipeline_new(pipeline_told, v);
     v->map = g_array_new(FALSE, FALSE, sizeof(struct map_entry));
@@ -152,6 +154,7 @@
     g_array_unref(v->map);
     if (v->types)
         g_array_unref(v->types);
+    g_hash_table_unref(v->type_parts);
     g_hash_table_unref(v->stamps);
     if (v->reload_seen)
         g_hash_table_unref(v->reload_seen);
@@ -804,6 +807,54 @@
     note(v, (struct change){.kind = CHANGE_MAP});
 }
 
+struct type_part {
+    json_object *value;
+    revision stamp;
+};
+
+static void type_part_free(gpointer q)
+{
+    struct type_part *t = q;
+    json_object_put(t->value);
+    g_free(t);
+}
+
+/* The parts of a list that is too long for one value are written together: those that were not
+ * belong to an earlier one. */
+static void apply_types(struct view *v, const char *key, json_object *value, revision stamp)
+{
+    if (!value) {
+        g_hash_table_remove(v->type_parts, key);
+        return;
+    }
+    struct type_part *part = g_new(struct type_part, 1);
+    *part = (struct type_part){json_object_get(value), stamp};
+    g_hash_table_replace(v->type_parts, g_strdup(key), part);
+    struct type_part *first = g_hash_table_lookup(v->type_parts, KEY_TYPES);
+    uint64_t more = 0;
+    json_u64(first ? first->value : NULL, "more", &more);
+    json_object *whole = json_object_new_object(), *list = json_object_new_array();
+    bool all = first != NULL;
+    for (uint64_t i = 0; all && i <= more; i++) {
+        char *name = i ? g_strdup_printf(KEY_TYPES "/%" G_GUINT64_FORMAT, i) : g_strdup(KEY_TYPES);
+        struct type_part *x = g_hash_table_lookup(v->type_parts, name);
+        json_object *some = x ? json_list(x->value, "Builds") : NULL;
+        all = some && x->stamp.v == first->stamp.v;
+        for (size_t k = 0; all && k < json_object_array_length(some); k++)
+            json_object_array_add(list, json_object_get(json_object_array_get_idx(some, k)));
+        g_free(name);
+    }
+    json_object_object_add(whole, "Builds", list);
+    GArray *types = all ? codec_types_read(whole) : NULL;
+    json_object_put(whole);
+    if (!types)
+        return;
+    if (v->types)
+        g_array_unref(v->types);
+    v->types = types;
+    note(v, (struct change){.kind = CHANGE_TYPES});
+}
+
 /* value NULL: the key was removed. */
 static void apply(struct view *v, const char *key, json_object *value, revision stamp)
 {
@@ -834,16 +885,8 @@
         apply_leader(v, value, stamp);
     else if (strcmp(key, KEY_MAP) == 0)
         apply_map(v, value, stamp);
-    else if (strcmp(key, KEY_TYPES) == 0) {
-        GArray *types = codec_types_read(value);
-        if (types) {
-            if (v->types)
-                g_array_unref(v->types);
-            v->types = types;
-            v->types_stamp = stamp;
-            note(v, (struct change){.kind = CHANGE_TYPES});
-        }
-    }
+    else if (g_str_has_prefix(key, KEY_TYPES))
+        apply_types(v, key, value, stamp);
 }
 
 /* ---- jobs that others need and that are not in memory ---- */
--- a/src/view.h
+++ b/src/view.h
@@ -15,7 +15,7 @@
 #define KEY_ROOT "ll/"
 #define KEY_LEADER "ll/leader"
 #define KEY_MAP "ll/map"
-#define KEY_TYPES "ll/types"
+#define KEY_TYPES "ll/types" /* and ll/types/1 and so on, if that would be too long */
 
 /* What a node understands, as it says in its own key. 0 (nothing is said): before jobs could need
  * others, a machine's records could be on several pages, and marks could begin within a chunk. */
@@ -142,7 +142,7 @@
     revision map_stamp;
     GArray *map; /* struct map_entry */
     GArray *types;
-    revision types_stamp;
+    GHashTable *type_parts; /* key -> struct type_part */
     /* Jobs that are over stay in the state service; beyond so many the oldest are not kept here,
      * and whoever asks about one that is not known has to read its key. */
     guint most_over;
--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -362,6 +362,42 @@
     world_free(w);
 }
 
+/* More machine types than one value takes: all nodes learn all of them. */
+static void many_types_are_stored_in_parts(void **state)
+{
+    (void)state;
+    struct world_plan p = plan;
+    p.next_value_kb = 1;
+    struct world *w = production_world(&p, 4);
+    GString *types = g_string_new("{\"Builds\":[");
+    for (int i = 0; i < 12; i++)
+        g_string_append_printf(
+            types,
+            "%s{\"Label\":\"%s%d\",\"Vcpus\":8,\"Cards\":0,\"MemoryGb\":32,\"LocalGb\":100,"
+            "\"FetchGbPerS\":1.0,\"Price\":1.0,\"MarketPrice\":0.4,\"ReadyS\":5,"
+            "\"Yards\":[\"a\",\"b\"]}",
+            i ? "," : "", i ? "other-" : "g", i ? i : 8);
+    g_string_append(types, "]}");
+    w->types = types->str;
+    world_limits_fall(w);
+    for (int i = 0; i < WORLD_NODES; i++)
+        world_start(w, i);
+    world_run(w, 5000);
+    for (int i = 0; i < WORLD_NODES; i++) {
+        assert_non_null(w->nodes[i]->view->types);
+        assert_int_equal(w->nodes[i]->view->types->len, 12);
+    }
+    assert_non_null(world_key(w, "ll/types/1"));
+    world_kill(w, 1); /* and so does one that reads everything anew */
+    world_start(w, 1);
+    world_run(w, 2000);
+    char *job = world_job("wk-1", "sweep", 1, "blue", 1.0, ",\"Builds\":[\"other-11\"]");
+    assert_int_equal(world_ask(w, 1, "POST", "/work", job).status, 201);
+    g_free(job);
+    world_free(w);
+    g_string_free(types, TRUE);
+}
+
 static int refusals;
 
 static enum fate fewer_writes(struct world *w, int node, const struct net_request *r)
@@ -457,6 +493,7 @@
         cmocka_unit_test(machines_of_an_old_owner_stay_on_their_page),
         cmocka_unit_test(a_page_is_split_while_it_is_taken_over),
         cmocka_unit_test(a_long_job_can_be_cancelled),
+        cmocka_unit_test(many_types_are_stored_in_parts),
         cmocka_unit_test(refused_writes_slow_the_writer),
         cmocka_unit_test(a_long_job_ends_within_short_values),
         cmocka_unit_test(marks_of_a_long_job_are_short),
