--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -42,20 +42,16 @@
      "\"Yards\":[\"a\",\"b\"]}]}"},
 };
 
-static const struct world_plan plan = {.nodes = WORLD_NODES,
-                                       .workers = WORLD_WORKERS,
-                                       .report_s = 1,
-                                       .lease_s = 10,
-                                       .cancel_s = 30,
-                                       .rps = 400,
-                                       .write_rps = 200,
-                                       .cloud_rps = 3,
-                                       .txn_ops = 16,
-                                       .fd_limit = 800,
-                                       .boot_ms = 10,
-                                       .next_value_kb = 2,
-                                       .next_write_rps = 100,
-                                       .next_txn_ops = 5};
+/* The usual world, with limits that are to come. */
+static struct world_plan plan_to_fall(double value_kb, int txn_ops)
+{
+    struct world_plan p = world_usual();
+    p.txn_ops = 16;
+    p.next_value_kb = value_kb;
+    p.next_write_rps = 100;
+    p.next_txn_ops = txn_ops;
+    return p;
+}
 
 static struct worker *worker_named(struct world *w, const char *id)
 {
@@ -107,9 +103,9 @@
             fail_msg("%s: %zu", g->key, g->bytes);
 }
 
-static struct world *production_world(const struct world_plan *p, int machines)
+static struct world *production_world(struct world_plan p, int machines)
 {
-    struct world *w = world_new_sized(p);
+    struct world *w = world_new_sized(&p);
     w->capacity = 0;
     for (int i = 0; i < machines; i++)
         world_worker(w, i, "a", true);
@@ -120,7 +116,7 @@
 static void what_production_left_goes_on(void **state)
 {
     (void)state;
-    struct world *w = production_world(&plan, 6);
+    struct world *w = production_world(plan_to_fall(2, 5), 6);
     for (guint i = 0; i < G_N_ELEMENTS(production); i++) {
         if (g_str_has_prefix(production[i][0], "ll/p/"))
             page_stands(w, production[i][0], production[i][1]);
@@ -202,7 +198,7 @@
 /* The limits fall at some moment while nodes take over, split, and are killed and started: every
  * record is kept, nothing is started again, and no value or transaction is refused (the state
  * service's stand-in fails the test). */
-static void long_pages(const struct world_plan *p, int fall_ms, int kill_ms)
+static void long_pages(struct world_plan p, int fall_ms, int kill_ms)
 {
     struct world *w = production_world(p, 6);
     long_pages_stand(w, "ll/p/mast-0/0", "ll/p/mast-2/3");
@@ -220,7 +216,7 @@
         }
         world_run(w, 50);
     }
-    for (int i = 0; i < p->nodes; i++) {
+    for (int i = 0; i < p.nodes; i++) {
         assert_int_equal(recorded(w, i), LONG_JOBS);
         expect_short_pages(w, i);
     }
@@ -235,20 +231,18 @@
     (void)state;
     const int falls[] = {0, 950, 1050, 1150, 2450, 2600, 2750, 6000};
     for (guint i = 0; i < G_N_ELEMENTS(falls); i++)
-        long_pages(&plan, falls[i], i % 2 ? 1100 + 50 * (int)i : 2651);
+        long_pages(plan_to_fall(2, 5), falls[i], i % 2 ? 1100 + 50 * (int)i : 2651);
 }
 
 /* So little is allowed that a page cannot be split in one transaction. */
 static void pages_are_copied_where_a_transaction_is_too_small(void **state)
 {
     (void)state;
-    struct world_plan p = plan;
-    p.next_value_kb = 1;
-    p.next_txn_ops = 4;
-    long_pages(&p, 0, 100000);
-    long_pages(&p, 1050, 2700);
+    struct world_plan p = plan_to_fall(1, 4);
+    long_pages(p, 0, 100000);
+    long_pages(p, 1050, 2700);
     for (int kill = 2551; kill < 3600; kill += 150) /* in the middle of it */
-        long_pages(&p, 500, kill);
+        long_pages(p, 500, kill);
 }
 
 /* One node of the old version lives. It takes its machines over from the page on which it noted
@@ -256,7 +250,7 @@
 static void machines_of_an_old_owner_stay_on_their_page(void **state)
 {
     (void)state;
-    struct world *w = production_world(&plan, 6);
+    struct world *w = production_world(plan_to_fall(2, 5), 6);
     long_pages_stand(w, "ll/p/mast-0/0", "ll/p/mast-0/1");
     world_put(w, "ll/n/mast-2", "{\"i\":77,\"b\":\"10.0.0.3:8081\"}");
     world_start(w, 0);
@@ -310,7 +304,7 @@
 static void a_page_is_split_while_it_is_taken_over(void **state)
 {
     (void)state;
-    struct world *w = production_world(&plan, 6);
+    struct world *w = production_world(plan_to_fall(2, 5), 6);
     long_pages_stand(w, "ll/p/mast-2/3", "ll/p/mast-2/4");
     w->fate = slow_split;
     for (int i = 0; i < WORLD_NODES; i++)
@@ -332,7 +326,7 @@
 static void a_long_job_can_be_cancelled(void **state)
 {
     (void)state;
-    struct world *w = production_world(&plan, 4);
+    struct world *w = production_world(plan_to_fall(2, 5), 4);
     for (int i = 0; i < WORLD_NODES; i++)
         world_start(w, i);
     world_run(w, 3000);
@@ -366,9 +360,7 @@
 static void many_types_are_stored_in_parts(void **state)
 {
     (void)state;
-    struct world_plan p = plan;
-    p.next_value_kb = 1;
-    struct world *w = production_world(&p, 4);
+    struct world *w = production_world(plan_to_fall(1, 5), 4);
     GString *types = g_string_new("{\"Builds\":[");
     for (int i = 0; i < 12; i++)
         g_string_append_printf(
@@ -412,7 +404,7 @@
 static void refused_writes_slow_the_writer(void **state)
 {
     (void)state;
-    struct world *w = production_world(&plan, 6);
+    struct world *w = production_world(plan_to_fall(2, 5), 6);
     for (int i = 0; i < WORLD_NODES; i++)
         world_start(w, i);
     world_run(w, 3000);
@@ -458,10 +450,7 @@
 {
     (void)state;
     enum { TASKS = 5000 };
-    struct world_plan p = plan;
-    p.next_value_kb = 1;
-    p.next_txn_ops = 4;
-    struct world *w = production_world(&p, 8);
+    struct world *w = production_world(plan_to_fall(1, 4), 8);
     for (int i = 0; i < WORLD_NODES; i++)
         world_start(w, i);
     world_limits_fall(w);
--- a/tests/world.c
+++ b/tests/world.c
@@ -971,6 +971,11 @@
     return strcmp(a, b);
 }
 
+struct world_plan world_usual(void)
+{
+    return usual;
+}
+
 struct world *world_new(void)
 {
     return world_new_sized(&usual);
--- a/tests/world.h
+++ b/tests/world.h
@@ -117,6 +117,8 @@
     uint64_t next_conn;
 };
 
+/* The plan of the world that most tests play in. */
+struct world_plan world_usual(void);
 struct world *world_new(void);
 struct world *world_new_sized(const struct world_plan *plan);
 void world_free(struct world *w);
