--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -249,6 +249,47 @@
     }
 }
 
+/* Limits to come are read like those of now, and each may be missing. */
+static void limits_to_come_are_checked(void **state)
+{
+    (void)state;
+    static const char now[] = "[deployment.state]\nrps = 100\nwrite_rps = 25\nvalue_kb = 8\n"
+                              "txn_ops = 16\n";
+    static const struct {
+        const char *next, *why; /* NULL: nothing is wrong there */
+    } cases[] = {
+        {"[deployment.state.next]\nvalue_kb = 0.5\n", "deployment.state.next.value_kb: must be"},
+        {"[deployment.state.next]\ntxn_ops = 5.5\n", "deployment.state.next.txn_ops: must be"},
+        {"[deployment.state.next]\nwrite_rps = \"few\"\n", "deployment.state.next.write_rps"},
+        {"next = 3\n", "deployment.state.next: must be a table"},
+        {"[deployment.state.next]\nvalue_kb = 2.0\n", NULL},
+        {"", NULL},
+    };
+    static const char rest[] =
+        "label = \"a\"\ndomain = \"z\"\napi_addr = \"10.0.0.1:80\"\nback = \"10.0.0.1:81\"\n"
+        "[outside]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n[deployment]\nsize = 1\n"
+        "zones = [\"z\"]\nclock_error_ms = 25\n[[deployment.teams]]\nname = \"t\"\ncpus = 1\n"
+        "cpus_max = 2\ngpus = 0\ngpus_max = 0\n[deployment.workers]\nreport_s = 1\nlease_s = 10\n"
+        "gang_wait_s = 1\ngang_peer_s = 1\ncancel_s = 30\n[deployment.cloud]\nrps = 1\n"
+        "list_lag_s = 1\n[deployment.machine_limits]\ncore_share = 0.1\nram_mb = 64\n"
+        "fd_limit = 800\n";
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *text = g_strconcat(rest, now, cases[i].next, NULL), *error = NULL;
+        struct settings *s = settings_parse(text, &error);
+        if (cases[i].why && (s || !strstr(error, cases[i].why)))
+            fail_msg("'%s' does not say '%s'", error ? error : "", cases[i].why);
+        if (!cases[i].why) {
+            if (error)
+                fail_msg("%s", error);
+            assert_true(s->state_next.write_rps == 25 && s->state_next.txn_ops == 16);
+            assert_true(s->state_next.value_kb == (*cases[i].next ? 2 : 8));
+            settings_free(s);
+        }
+        g_free(error);
+        g_free(text);
+    }
+}
+
 /* ---- the client, over loopback ---- */
 
 struct talk {
@@ -374,6 +415,7 @@
         cmocka_unit_test(tasks_are_named_job_slash_number),
         cmocka_unit_test(a_job_is_taken_whole_or_refused),
         cmocka_unit_test(settings_name_the_field_that_is_wrong),
+        cmocka_unit_test(limits_to_come_are_checked),
         cmocka_unit_test(a_client_at_its_limit_uses_what_it_has),
         cmocka_unit_test(silent_peers_do_not_shut_out_the_state_service),
     };
--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -234,6 +234,92 @@
         long_pages(plan_to_fall(2, 5), falls[i], i % 2 ? 1100 + 50 * (int)i : 2651);
 }
 
+enum { MIXED_JOBS = 40, MIXED_S = 60 };
+
+static void end_tasks(struct world *w, GRand *luck)
+{
+    for (int i = 0; i < w->plan.workers; i++) {
+        struct worker *k = &w->workers[i];
+        for (guint t = 0; k->up && t < k->tasks->len; t++) {
+            struct wtask *x = &g_array_index(k->tasks, struct wtask, t);
+            if (strcmp(x->stage, "running") == 0 && g_rand_int_range(luck, 0, 3) == 0)
+                worker_exit(k, x->job.s, x->index, "done");
+        }
+    }
+}
+
+/* A node that is not heard to say its version writes plainly, and so do all others while it may
+ * come back. Nodes are killed and started in any order, of either kind, two at once and a moment
+ * apart, until all are new; then the limits fall. Jobs come all the time: none is lost, no task
+ * runs twice. */
+static void nodes_of_both_kinds(guint32 seed)
+{
+    GRand *luck = g_rand_new_with_seed(seed);
+    struct world *w = production_world(plan_to_fall(1, 4), 8);
+    for (int i = 0; i < WORLD_NODES; i++) {
+        w->old[i] = true;
+        world_start(w, i);
+    }
+    world_run(w, 3000);
+    int jobs = 0;
+    for (int s = 0; s < MIXED_S; s++) {
+        for (int turn = 0; turn < 2 && s < 40; turn++) {
+            int node = g_rand_int_range(luck, 0, 4 * WORLD_NODES);
+            if (node >= WORLD_NODES || !w->nodes[node])
+                continue;
+            world_kill(w, node);
+            /* Its turn may have come; what is new stays so. */
+            w->old[node] = w->old[node] && g_rand_int_range(luck, 0, 3) > 0;
+            if (g_rand_boolean(luck))
+                world_start(w, node); /* back at once */
+        }
+        for (int i = 0; i < WORLD_NODES; i++)
+            if (!w->nodes[i] && (s >= 40 || g_rand_boolean(luck)))
+                world_start(w, i);
+        for (int i = 0; i < WORLD_NODES && s == 40; i++)
+            if (w->old[i]) {
+                world_kill(w, i);
+                w->old[i] = false;
+                world_start(w, i);
+            }
+        if (s == 45) {
+            assert_false(part_plain(w->nodes[0]->part));
+            world_limits_fall(w);
+        }
+        char id[48];
+        g_snprintf(id, sizeof id, "wk-%03d-a-long-name-that-takes-much-of-the-page", jobs);
+        char *job = world_job(id, "sweep", 12, jobs % 2 ? "red" : "blue", 0.4, "");
+        struct user_answer a = {0};
+        for (int i = 0; i < WORLD_NODES && a.status != 201 && jobs < MIXED_JOBS; i++)
+            if (w->nodes[i])
+                a = world_ask(w, i, "POST", "/work", job);
+        jobs += a.status == 201 || a.status == 200;
+        g_free(job);
+        world_run(w, 1000);
+        end_tasks(w, luck);
+    }
+    for (int s = 0; s < 60; s++) {
+        end_tasks(w, luck);
+        world_run(w, 1000);
+    }
+    assert_true(jobs > MIXED_JOBS / 2);
+    for (int i = 0; i < jobs; i++) {
+        char id[48];
+        g_snprintf(id, sizeof id, "wk-%03d-a-long-name-that-takes-much-of-the-page", i);
+        world_expect_stage(w, i % WORLD_NODES, id, "done");
+    }
+    assert_false(world_ran_twice(w));
+    world_free(w);
+    g_rand_free(luck);
+}
+
+static void nodes_change_in_any_order(void **state)
+{
+    (void)state;
+    for (guint32 seed = 1; seed <= 6; seed++)
+        nodes_of_both_kinds(seed);
+}
+
 /* So little is allowed that a page cannot be split in one transaction. */
 static void pages_are_copied_where_a_transaction_is_too_small(void **state)
 {
@@ -481,6 +567,7 @@
         cmocka_unit_test(pages_are_copied_where_a_transaction_is_too_small),
         cmocka_unit_test(machines_of_an_old_owner_stay_on_their_page),
         cmocka_unit_test(a_page_is_split_while_it_is_taken_over),
+        cmocka_unit_test(nodes_change_in_any_order),
         cmocka_unit_test(a_long_job_can_be_cancelled),
         cmocka_unit_test(many_types_are_stored_in_parts),
         cmocka_unit_test(refused_writes_slow_the_writer),
--- a/tests/world.c
+++ b/tests/world.c
@@ -279,8 +279,12 @@
         json_object *x = json_object_array_get_idx(writes, i), *v = NULL;
         const char *key;
         if (json_text(x, "Set", &key)) {
-            struct wkey *k = g_new0(struct wkey, 1);
             json_object_object_get_ex(x, "V", &v);
+            if (w->old[f->node] && g_str_has_prefix(key, "ll/v/"))
+                continue;
+            if (w->old[f->node] && g_str_has_prefix(key, "ll/n/"))
+                json_object_object_del(v, "v");
+            struct wkey *k = g_new0(struct wkey, 1);
             k->text = g_strdup(json_object_to_json_string_ext(v, JSON_C_TO_STRING_PLAIN));
             if (strlen(k->text) > w->state_value_kb * 1024)
                 fail_msg("%s is too long: %zu: %s", key, strlen(k->text), k->text);
--- a/tests/world.h
+++ b/tests/world.h
@@ -92,9 +92,10 @@
     bool state_down;
     double state_value_kb; /* what the state service allows: more fails the test */
     int state_txn_ops;
-    int too_old;     /* watches that are answered 410 */
-    guint most_news; /* in one answer to a watch */
-    int deaf_node;   /* neither hears workers nor reaches them; -1: none */
+    int too_old;                /* watches that are answered 410 */
+    guint most_news;            /* in one answer to a watch */
+    bool old[WORLD_MOST_NODES]; /* what the node says of its version is not heard */
+    int deaf_node;              /* neither hears workers nor reaches them; -1: none */
     /* state service */
     GTree *keys;
     uint64_t ledger, next_lease;
