--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -379,8 +379,7 @@
     int owner = map_owner(w->nodes[0]->view, k->id)[5] - '0';
     refuse_pages = true;
     w->fate = refuse_pages_lose_answers;
-    g_array_set_size(k->tasks, 0);
-    k->shift++;
+    worker_new_session(k, false);
     worker_report(k);
     k->quiet_until = time_add_ms(loop_now(w->loop), 2000);
     char *before = g_strdup(k->said->pdata[k->said->len - 1]);
@@ -686,10 +685,7 @@
     struct world *w = *state;
     struct worker *k = service_on_two_machines(w, 4);
     world_run(w, 5000);
-    g_array_set_size(k->tasks, 0);
-    k->shift = 1;
-    k->tally = k->helm = 0;
-    k->lease_from = loop_now(w->loop);
+    worker_new_session(k, true);
     world_run(w, 7000);
     assert_int_equal(world_on_machines(w, "wk-1"), 4);
     assert_true(k->shift == 1); /* its lease did not have to run out first */
@@ -926,9 +922,7 @@
 {
     struct world *w = *state;
     struct worker *k = service_on_two_machines(w, 4);
-    g_array_set_size(k->tasks, 0);
-    k->shift++;
-    k->lease_from = loop_now(w->loop);
+    worker_new_session(k, false);
     world_run(w, 4000);
     assert_int_equal(world_on_machines(w, "wk-1"), 4);
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -609,16 +609,22 @@
     worker_report(k);
 }
 
+void worker_new_session(struct worker *k, bool anew)
+{
+    g_array_set_size(k->tasks, 0);
+    k->shift = anew ? 1 : k->shift + 1;
+    if (anew)
+        k->tally = k->helm = 0;
+    k->lease_from = loop_now(k->world->loop);
+}
+
 /* The lease: counted from when the last report that got an answer was sent. */
 static void worker_lease(struct worker *k)
 {
     struct world *w = k->world;
     int64_t lease_ms = (int64_t)(w->settings[0]->lease_s * 1000);
-    if (time_ms_since(loop_now(w->loop), k->lease_from) <= lease_ms)
-        return;
-    g_array_set_size(k->tasks, 0);
-    k->shift++;
-    k->lease_from = loop_now(w->loop);
+    if (time_ms_since(loop_now(w->loop), k->lease_from) > lease_ms)
+        worker_new_session(k, false);
 }
 
 static struct wconn *conn_new(struct world *w, conn_ref *ref)
@@ -729,12 +735,9 @@
     k->up = true;
     k->silent = k->deaf = false;
     k->quiet_until = (mono_time){0};
-    k->shift = 1;
     k->recall_s = k->only = -1;
-    k->tally = k->helm = 0;
     k->world = w;
-    k->lease_from = loop_now(w->loop);
-    g_array_set_size(k->tasks, 0);
+    worker_new_session(k, true);
     timer_init(&k->report, report_timer, k);
     timer_start(w->loop, &k->report, w->plan.boot_ms + i);
     return k;
--- a/tests/world.h
+++ b/tests/world.h
@@ -158,6 +158,8 @@
 void worker_exit(struct worker *k, const char *job, uint32_t index, const char *cause);
 void worker_exit_all(struct world *w, const char *job, const char *cause);
 void worker_report(struct worker *k);
+/* Its lease has run out: its tasks are gone. anew: it counts from the beginning again. */
+void worker_new_session(struct worker *k, bool anew);
 /* A copy of an earlier report arrives at a node; nobody waits for the answer. */
 void world_say_again(struct world *w, int node, const char *report);
 /* How many starts all workers have seen. */
