One reading of a job's key, one form of its end, one way of merging marks; a cancellation read from its key is told of again

Read once more: the question for a key and the reading of its answer stood in three and two places, the value of a job that is over in two, merging bits and the room that marks may still take in two each; whether a list of machines is due was worked out twice a flush; a parameter nobody used and a name that no longer said what it counts are gone.

--- a/src/frontend.c
+++ b/src/frontend.c
@@ -236,14 +236,22 @@
 
 /* ---- what a job needs ---- */
 
-static void await_answered(void *arg, const struct net_answer *answer)
+/* Whether the key that was read is of a job that is over, and what became of it. */
+static bool answer_is_final(const struct net_answer *answer, struct job *j)
 {
-    struct ask *a = arg;
-    struct job j = {0};
     json_object *o = answer->status > 0 ? json_read(answer->body, answer->len) : NULL, *v = NULL;
     json_object_object_get_ex(o, "V", &v);
-    bool over = answer->status == 200 && job_read_final(&j, v);
+    bool over = answer->status == 200 && json_u64(o, "Stamp", &j->stamp.v) && job_read_final(j, v);
+    j->cancelled_at = j->stamp;
     json_object_put(o);
+    return over;
+}
+
+static void await_answered(void *arg, const struct net_answer *answer)
+{
+    struct ask *a = arg;
+    struct job j = {0};
+    bool over = answer_is_final(answer, &j);
     if (over) {
         a->doomed = a->doomed || j.state == JOB_CANCELLED;
         a->checked++;
@@ -276,10 +284,8 @@
             a->behind = true;
             view_barrier(f->view, ask_step, a);
         } else if (f->view->forgot) {
-            char *key = key_job(id), *path = g_strconcat("/keys/", key, NULL);
-            store_request(f->store, LANE_URGENT, "GET", path, NULL, ANSWER_MS, ANSWER_MS, 0,
-                          await_answered, a);
-            g_free(path);
+            char *key = key_job(id);
+            store_read(f->store, LANE_URGENT, key, ANSWER_MS, ANSWER_MS, await_answered, a);
             g_free(key);
         } else {
             reply_error(a->replier, a->from, 422, "needs a job that was never accepted");
@@ -295,13 +301,8 @@
 static json_object *new_value(struct ask *a)
 {
     struct frontend *f = a->frontend;
-    if (a->doomed) {
-        json_object *o = json_object_new_object();
-        json_put_text(o, "f", "cancelled");
-        json_put_u64(o, "n", a->tasks);
-        json_put_u64(o, "e", (uint64_t)loop_wall(f->loop).ms);
-        return o;
-    }
+    if (a->doomed)
+        return job_final_value(JOB_CANCELLED, a->tasks, loop_wall(f->loop));
     json_object *spec = NULL, *left = json_object_new_array();
     for (guint i = 0; i < a->n_awaits; i++) {
         struct job *j = known_job(f, a->awaits[i]);
@@ -321,10 +322,7 @@
 {
     struct ask *a = arg;
     struct job j = {.id = a->job};
-    json_object *o = answer->status > 0 ? json_read(answer->body, answer->len) : NULL, *v = NULL;
-    json_object_object_get_ex(o, "V", &v);
-    bool over = answer->status == 200 && json_u64(o, "Stamp", &j.stamp.v) && job_read_final(&j, v);
-    json_object_put(o);
+    bool over = answer_is_final(answer, &j);
     if (answer->status == 404) {
         a->read = true;
         ask_step(a, true);
@@ -344,10 +342,8 @@
     struct frontend *f = a->frontend;
     if (!f->view->forgot || a->read || (a->action == ACTION_SUBMIT && !a->rounds && !a->impossible))
         return false;
-    char *key = key_job(a->job), *path = g_strconcat("/keys/", key, NULL);
-    store_request(f->store, LANE_URGENT, "GET", path, NULL, ANSWER_MS, ANSWER_MS, 0, key_answered,
-                  a);
-    g_free(path);
+    char *key = key_job(a->job);
+    store_read(f->store, LANE_URGENT, key, ANSWER_MS, ANSWER_MS, key_answered, a);
     g_free(key);
     return true;
 }
--- a/src/leader.c
+++ b/src/leader.c
@@ -375,17 +375,13 @@
         view_barrier(f->leader->view, finish_seen, f);
 }
 
-static void finish(struct leader *l, struct ljob *j, struct job *v, const char *final)
+static void finish(struct leader *l, struct ljob *j, struct job *v, enum job_state final)
 {
     struct txn *t = txn_new();
     char *key = key_job(j->id);
-    json_object *o = json_object_new_object();
-    json_put_text(o, "f", final);
-    json_put_u64(o, "n", v->tasks);
-    json_put_u64(o, "e", (uint64_t)loop_wall(l->loop).ms);
     txn_when(t, key, v->stamp);
     txn_when(t, KEY_LEADER, l->view->leader_stamp);
-    txn_set(t, key, o, (lease_id){0});
+    txn_set(t, key, job_final_value(final, v->tasks, loop_wall(l->loop)), (lease_id){0});
     g_free(key);
     j->finishing = true;
     struct finish *f = g_new(struct finish, 1);
@@ -400,12 +396,12 @@
     if (!v || !v->known || j->finishing || !v->spec || !membership_leads(l->members))
         return;
     if (v->state == JOB_LIVE && v->n_done == v->tasks)
-        finish(l, j, v, "done");
+        finish(l, j, v, JOB_DONE);
     /* Many may be cancelled with one. All nodes know that already: it can wait behind other writes.
      */
     else if (v->state == JOB_CANCELLED && !v->placed && !g_hash_table_size(j->entries) &&
              l->cancelling < MOST_CANCELLING)
-        finish(l, j, v, "cancelled");
+        finish(l, j, v, JOB_CANCELLED);
 }
 
 static bool over(struct leader *l, struct ljob *j)
--- a/src/page.c
+++ b/src/page.c
@@ -231,6 +231,13 @@
     memset(bits->data + old, 0, len - old);
 }
 
+void bits_merge(GByteArray *to, const GByteArray *from)
+{
+    bits_grow(to, from->len);
+    for (guint i = 0; i < from->len; i++)
+        to->data[i] |= from->data[i];
+}
+
 gsize page_done_cost(job_id job, uint32_t unit, guint bytes, bool plain)
 {
     guint before = plain ? unit % CHUNK_UNITS * MARK_BYTES : 0;
--- a/src/page.h
+++ b/src/page.h
@@ -45,6 +45,8 @@
 
 /* Makes an array of bits at least so long, with zeros. */
 void bits_grow(GByteArray *bits, guint len);
+/* Sets all that are set in the other. */
+void bits_merge(GByteArray *to, const GByteArray *from);
 /* unit: counts by MARK_TASKS. The bits of a task lie at its number less the unit's first. */
 void page_write_done(GString *text, job_id job, uint32_t unit, const GByteArray *bits, bool plain);
 /* What that takes at most for bits of so many bytes. */
--- a/src/part.c
+++ b/src/part.c
@@ -198,7 +198,7 @@
     drop_news(p, h);
     part_free_all_runs(p, h, "returned");
     if (h->stamp.v || h->in_txn || part_host_has_run(h)) {
-        part_host_dirty(p, h);
+        part_dirty(p);
     } else {
         g_hash_table_remove(p->hosts, id);
     }
--- a/src/part_host.c
+++ b/src/part_host.c
@@ -196,7 +196,7 @@
 
 /* ---- proofs ---- */
 
-static void run_over(struct part *p, struct host *h, struct run *r, bool done)
+static void run_over(struct part *p, struct run *r, bool done)
 {
     if (r->phase != RUN_RECORDED)
         return;
@@ -205,7 +205,7 @@
     r->done = done;
     if (done)
         part_mark_done(p, r);
-    part_host_dirty(p, h);
+    part_dirty(p);
     double busy = (double)time_ms_since(loop_now(p->loop), r->placed_at) / 1000;
     if (r->pool > 0)
         arq_busy_add(&p->busy[r->pool], busy);
@@ -248,7 +248,7 @@
         if (r->phase == RUN_RECORDED) {
             LOG_INFO("task_lost", "job=%s task=%u machine=%s why=%s", r->job.s, r->index, h->id.s,
                      why);
-            run_over(p, h, r, false);
+            run_over(p, r, false);
         }
     }
 }
@@ -298,7 +298,7 @@
     if (t->cause == CAUSE_DONE && r->running_at.us)
         tell_leader(p, h, r, "took", (double)time_ms_since(loop_now(p->loop), r->running_at) / 1000,
                     false);
-    run_over(p, h, r, t->cause == CAUSE_DONE);
+    run_over(p, r, t->cause == CAUSE_DONE);
 }
 
 static void run_missing(struct part *p, struct host *h, struct run *r, const struct report *rep)
@@ -311,7 +311,7 @@
         return;
     if (r->sent_shift && rep->shift > r->sent_shift) {
         LOG_INFO("task_lost", "job=%s task=%u machine=%s why=session", r->job.s, r->index, h->id.s);
-        run_over(p, h, r, false);
+        run_over(p, r, false);
         return;
     }
     /* Never sent by us, or sent with a lower token than the worker has seen since: no copy of the
@@ -320,7 +320,7 @@
     if (r->stop || was_seen || r->vanished) {
         r->vanished = r->vanished || was_seen;
         if (proven)
-            run_over(p, h, r, false);
+            run_over(p, r, false);
         else if (time_ms_since(loop_now(p->loop), r->sent_at) > 1000)
             p->want_raise = true;
     }
--- a/src/part_mark.c
+++ b/src/part_mark.c
@@ -35,6 +35,13 @@
     return MIN((guint)MARK_TASKS, j->tasks - unit * MARK_TASKS) / 8 + 1;
 }
 
+/* Room on its page that it may still come to take. */
+static gsize unit_growth(const struct done_unit *d, const struct job *j)
+{
+    guint most = part_unit_size(j, d->unit);
+    return !d->leaving && most > d->bits->len ? 2 * (gsize)(most - d->bits->len) : 0;
+}
+
 static struct done_unit *unit_find(struct part *p, job_id job, uint32_t unit, int page)
 {
     GPtrArray *all = units_of(p, job, unit);
@@ -89,13 +96,6 @@
     return bit / 8 < d->bits->len && (d->bits->data[bit / 8] >> (bit % 8) & 1);
 }
 
-static void bits_merge(GByteArray *to, const guint8 *from, guint len)
-{
-    bits_grow(to, len);
-    for (guint i = 0; i < len; i++)
-        to->data[i] |= from[i];
-}
-
 /* A mark far within a long job takes a long word while nodes of version 0 may read it; if that is
  * too long the task stays on record until they cannot. */
 bool part_may_mark(struct part *p, const struct run *r)
@@ -147,7 +147,7 @@
     if (!j || unit * MARK_TASKS >= j->tasks)
         return;
     struct done_unit *d = unit_make(r->part, j->id, unit, r->page);
-    bits_merge(d->bits, bits->data, bits->len);
+    bits_merge(d->bits, bits);
 }
 
 void part_marks_read(struct part *p, const char *text, int page)
@@ -186,9 +186,7 @@
         return;
     page_write_done(w->on->text, d->job, d->unit, d->bits, w->plain);
     w->on->dirty = w->on->dirty || d->dirty;
-    guint most = part_unit_size(j, d->unit);
-    if (!d->leaving && most > d->bits->len)
-        w->on->growth += 2 * (gsize)(most - d->bits->len);
+    w->on->growth += unit_growth(d, j);
 }
 
 void part_marks_write(struct part *p, int page, bool plain, struct marks_on *on)
@@ -211,7 +209,7 @@
     d->leaving = true;
     *page = -2; /* one at a time */
     struct done_unit *other = unit_make(p, d->job, d->unit, -1);
-    bits_merge(other->bits, d->bits->data, d->bits->len);
+    bits_merge(other->bits, d->bits);
     other->dirty = true;
 }
 
@@ -223,10 +221,9 @@
 static void add_growth(struct part *p, struct done_unit *d, void *ctx)
 {
     struct growth *g = ctx;
-    struct job *j = d->page == g->page && !d->leaving ? part_live_job(p, d->job) : NULL;
-    guint most = j ? part_unit_size(j, d->unit) : 0;
-    if (most > d->bits->len)
-        g->bytes += 2 * (gsize)(most - d->bits->len);
+    struct job *j = d->page == g->page ? part_live_job(p, d->job) : NULL;
+    if (j)
+        g->bytes += unit_growth(d, j);
 }
 
 /* Room that marks on a page may still take. */
@@ -261,7 +258,7 @@
         if (there ? there->leaving : part_page_room(p, page) < cost)
             continue;
         if (there) {
-            bits_merge(there->bits, d->bits->data, d->bits->len);
+            bits_merge(there->bits, d->bits);
             there->dirty = true;
             unit_clear(d);
         } else {
--- a/src/part_record.c
+++ b/src/part_record.c
@@ -75,9 +75,8 @@
     return v && part_page_long(p, v);
 }
 
-void part_host_dirty(struct part *p, struct host *h)
+void part_dirty(struct part *p)
 {
-    (void)h;
     p->dirty = true;
     part_flush_soon(p);
 }
@@ -131,7 +130,7 @@
     struct page_rec r = {h->id, job, {UINT64_MAX}, 99999, about_host(h)};
     if (page >= 0)
         page_at(p, page)->bytes += page_cost(&r, false, false);
-    part_host_dirty(p, h);
+    part_dirty(p);
 }
 
 /* ---- agreement with the view ---- */
@@ -544,9 +543,9 @@
     most = MIN(most, (guint)MAX(TXN_BYTES / l->value_bytes, 1));
     guint sources = MIN(MIN(w->sources->len, MOST_SOURCES), (guint)l->txn_ops - most - 1);
     for (guint i = 0; i < sources; i++)
-        g_ptr_array_add(b->sources, w->sources->pdata[(i + p->first_page) % w->sources->len]);
+        g_ptr_array_add(b->sources, w->sources->pdata[(i + p->first_source) % w->sources->len]);
     b->rest = sources < w->sources->len;
-    p->first_page++;
+    p->first_source++;
     gsize room = 0, enough = part_text_bytes(p) / (sources ? 2 : 5);
     bool more = w->news || sources;
     for (int i;
@@ -857,7 +856,7 @@
     } else if (h->gone) {
         /* It went while this was being written; what was just recorded went with it. */
         part_free_all_runs(p, h, "returned");
-        part_host_dirty(p, h);
+        part_dirty(p);
     } else {
         part_push(p, h);
     }
@@ -992,9 +991,10 @@
         !map_names(p->view, p->settings->label, membership_incarnation(p->members)))
         return;
     bool split = part_split_due(p);
-    if ((!p->dirty && !split && !part_roll_due(p)) || !write_due(p) || (split && part_split(p)))
+    bool roll = part_roll_due(p);
+    if ((!p->dirty && !split && !roll) || !write_due(p) || (split && part_split(p)))
         return;
-    if (part_roll_due(p)) {
+    if (roll) {
         part_roll(p);
         return;
     }
--- a/src/part_roll.c
+++ b/src/part_roll.c
@@ -162,7 +162,6 @@
     struct own_roll *own = roll_at(p, number);
     GString *text = g_string_new(NULL);
     compose(p, number, text);
-    own = roll_at(p, number);
     own->dirty = false;
     p->rolled_at = loop_now(p->loop);
     char *key = key_roll(p->settings->label, number);
--- a/src/part_split.c
+++ b/src/part_split.c
@@ -174,9 +174,7 @@
         all = g_byte_array_new();
         g_hash_table_insert(c->said, g_strdup(key), all);
     }
-    bits_grow(all, bits->len);
-    for (guint i = 0; i < bits->len; i++)
-        all->data[i] |= bits->data[i];
+    bits_merge(all, bits);
     g_free(key);
 }
 
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -136,11 +136,11 @@
     GHashTable *hosts;
     GQueue queues[ARQ_CLASSES + 1]; /* [0]: jobs not in view yet */
     struct arq_busy busy[ARQ_CLASSES + 1];
-    GArray *back;     /* struct dealt: given back to the leader */
-    GPtrArray *news;  /* cJSON: what went wrong, and how long tasks took, for the leader */
-    GPtrArray *pages; /* struct own_page, by number */
-    guint first_page; /* to be looked at by the next transaction */
-    GHashTable *done; /* "JOB UNIT" -> GPtrArray of struct done_unit, one a page */
+    GArray *back;       /* struct dealt: given back to the leader */
+    GPtrArray *news;    /* cJSON: what went wrong, and how long tasks took, for the leader */
+    GPtrArray *pages;   /* struct own_page, by number */
+    guint first_source; /* of the pages of others that are taken over from: another one each time */
+    GHashTable *done;   /* "JOB UNIT" -> GPtrArray of struct done_unit, one a page */
     bool txn_out;
     bool dirty; /* there is something to be written */
     struct {
@@ -196,8 +196,8 @@
 
 /* part_record.c: run records */
 void part_flush_soon(struct part *p);
-/* Its runs have changed. */
-void part_host_dirty(struct part *p, struct host *h);
+/* What is on record, or is to be, has changed. */
+void part_dirty(struct part *p);
 /* How long the texts of a page may be together, and whether one is longer. */
 gsize part_text_bytes(const struct part *p);
 bool part_page_long(const struct part *p, const struct page *g);
--- a/src/store.c
+++ b/src/store.c
@@ -243,6 +243,14 @@
     pump(s);
 }
 
+void store_read(struct store *s, enum store_lane lane, const char *key, int timeout_ms, int wait_ms,
+                net_done done, void *arg)
+{
+    char *path = g_strconcat("/keys/", key, NULL);
+    store_request(s, lane, "GET", path, NULL, timeout_ms, wait_ms, 0, done, arg);
+    g_free(path);
+}
+
 /* ---- transactions ---- */
 
 struct txn {
--- a/src/store.h
+++ b/src/store.h
@@ -37,6 +37,10 @@
                    const char *body, int timeout_ms, int wait_ms, int writes, net_done done,
                    void *arg);
 
+/* Reads one key. */
+void store_read(struct store *s, enum store_lane lane, const char *key, int timeout_ms, int wait_ms,
+                net_done done, void *arg);
+
 /* ---- transactions ---- */
 
 struct txn;
--- a/src/view.c
+++ b/src/view.c
@@ -346,6 +346,15 @@
     return true;
 }
 
+json_object *job_final_value(enum job_state final, uint32_t tasks, wall_time ended)
+{
+    json_object *o = json_object_new_object();
+    json_put_text(o, "f", final == JOB_DONE ? "done" : "cancelled");
+    json_put_u64(o, "n", tasks);
+    json_put_u64(o, "e", (uint64_t)ended.ms);
+    return o;
+}
+
 /* ---- jobs that need others ---- */
 
 static void pipeline_told(void *ctx, const char *id, const struct pipe_facts *facts)
@@ -923,10 +932,9 @@
     struct seek *s = g_new(struct seek, 1);
     *s = (struct seek){v, id};
     v->sought++;
-    char *key = key_job(id), *path = g_strconcat("/keys/", key, NULL);
-    store_request(v->store, LANE_NORMAL, "GET", path, NULL, ANSWER_MS, 10000, 0, sought, s);
+    char *key = key_job(id);
+    store_read(v->store, LANE_NORMAL, key, ANSWER_MS, 10000, sought, s);
     g_free(key);
-    g_free(path);
 }
 
 /* A job that another one needs may have been over for so long that it was not kept. */
--- a/src/view.h
+++ b/src/view.h
@@ -177,6 +177,8 @@
 bool job_task_done(const struct job *j, uint32_t index);
 /* What is kept of a job that is over; false when the value is of one that is not. */
 bool job_read_final(struct job *j, json_object *value);
+/* The value of a job that is over. */
+json_object *job_final_value(enum job_state final, uint32_t tasks, wall_time ended);
 
 /* Calls back once the view is at or past a revision that was the newest after this call; ok is
  * false when that takes too long. */
