--- a/src/codec.c
+++ b/src/codec.c
@@ -4,6 +4,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+enum { MOST_AWAITS = 100 }; /* that one job may name */
+
 static const char *const form_words[] = {"sweep", "gang", "daemon"};
 static const char *const urgency_words[] = {"prod", "high", "normal", "best_effort"};
 static const char *const state_words[] = {"fetching", "gathering", "running", "flushing", "exited"};
@@ -160,6 +162,7 @@
     if (s->image)
         g_ref_string_release(s->image);
     g_free(s->yard);
+    g_free(s->awaits);
     g_strfreev(s->builds);
     memset(s, 0, sizeof *s);
 }
@@ -227,10 +230,15 @@
     return *out >= 0;
 }
 
+static bool user_id_from(job_id *out, const char *s)
+{
+    return g_str_has_prefix(s, "wk-") && s[3] && job_id_from(out, s);
+}
+
 static bool user_id(json_object *o, job_id *out)
 {
     const char *s;
-    return json_text(o, "Id", &s) && g_str_has_prefix(s, "wk-") && s[3] && job_id_from(out, s);
+    return json_text(o, "Id", &s) && user_id_from(out, s);
 }
 
 bool codec_spec_read(json_object *o, struct spec *s)
@@ -260,6 +268,37 @@
     return ok;
 }
 
+static bool awaits(const struct spec *s, job_id id)
+{
+    for (guint i = 0; i < s->n_awaits; i++)
+        if (job_eq(s->awaits[i], id))
+            return true;
+    return false;
+}
+
+bool codec_awaits_read(json_object *o, struct spec *s)
+{
+    if (is_null(o, "Awaits"))
+        return true;
+    json_object *list = json_list(o, "Awaits");
+    size_t n = list ? json_object_array_length(list) : 0;
+    if (!list || n > MOST_AWAITS)
+        return false;
+    s->awaits = n ? g_new(job_id, n) : NULL;
+    for (size_t i = 0; i < n; i++) {
+        json_object *v = json_object_array_get_idx(list, i);
+        job_id id;
+        const char *name =
+            json_object_is_type(v, json_type_string) ? json_object_get_string(v) : "";
+        if (strlen(name) != (size_t)json_object_get_string_len(v) || !user_id_from(&id, name) ||
+            job_eq(id, s->id))
+            return false;
+        if (!awaits(s, id))
+            s->awaits[s->n_awaits++] = id;
+    }
+    return true;
+}
+
 json_object *codec_spec_write(const struct spec *s)
 {
     json_object *o = json_object_new_object();
@@ -290,6 +329,12 @@
     put_number(o, "StowS", s->stow_s);
     if (s->due_s >= 0)
         put_number(o, "DueS", s->due_s);
+    if (s->n_awaits) {
+        json_object *list = json_object_new_array();
+        for (guint i = 0; i < s->n_awaits; i++)
+            json_object_array_add(list, json_object_new_string(s->awaits[i].s));
+        json_object_object_add(o, "Awaits", list);
+    }
     return o;
 }
 
--- a/src/codec.h
+++ b/src/codec.h
@@ -23,6 +23,8 @@
     char *yard;    /* NULL: any */
     bool one_zone, apart, loaners;
     double expected_s, mark_every_s, stow_s, due_s; /* due_s < 0: no deadline */
+    job_id *awaits;                                 /* jobs that have to be done before */
+    guint n_awaits;
 };
 
 void spec_clear(struct spec *s);
@@ -91,7 +93,10 @@
 /* Strict: one JSON text and nothing behind it, nested 16 deep at most. NULL otherwise. */
 json_object *json_read(const char *text, size_t len);
 
+/* Without what it awaits. */
 bool codec_spec_read(json_object *o, struct spec *out);
+/* Adds that: each job once. False when it is no list of jobs, too long, or names the job itself. */
+bool codec_awaits_read(json_object *o, struct spec *s);
 json_object *codec_spec_write(const struct spec *s);
 
 /* The answer to users. */
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -24,6 +24,7 @@
     struct part *part;
     struct bus *bus;
     struct peers *peers;
+    struct membership *members;
     int waiting, most_waiting; /* requests that wait for the state service */
     GQueue asks;               /* struct ask: not answered yet, oldest first */
     struct timer sweep;
@@ -43,8 +44,13 @@
     enum action action;
     job_id job;
     json_object *spec; /* of a submission */
-    bool impossible;   /* it would be refused, were it not known already */
-    bool read;         /* its key was read, and is not there */
+    uint32_t tasks;
+    job_id *awaits; /* jobs that it needs */
+    guint n_awaits, checked;
+    bool behind;     /* the view was past a barrier since it came */
+    bool doomed;     /* one of them is cancelled */
+    bool impossible; /* it would be refused, were it not known already */
+    bool read;       /* its key was read, and is not there */
     int rounds;
 };
 
@@ -62,6 +68,7 @@
                            .part = n->part,
                            .bus = n->bus,
                            .peers = n->peers,
+                           .members = n->members,
                            .most_waiting = MAX(FEW_WAITING, n->settings->fd_limit / 4)};
     g_queue_init(&f->asks);
     timer_init(&f->sweep, sweep, f);
@@ -108,6 +115,7 @@
     ask_answered(a);
     a->frontend->waiting--;
     json_object_put(a->spec);
+    g_free(a->awaits);
     g_free(a);
 }
 
@@ -144,7 +152,7 @@
 static void reply_job(struct frontend *f, struct http_replier *r, conn_ref to, const struct job *j)
 {
     if (j->state == JOB_CANCELLED)
-        peers_told_cancel(f->peers, j->stamp);
+        peers_told_cancel(f->peers, j->cancelled_at);
     reply(r, to, 200, job_text(j));
 }
 
@@ -166,7 +174,8 @@
         /* It is on record, so this may be said from now on. */
         LOG_DEBUG("answered", "job=%s action=%d", a->job.s, a->action);
         if (a->action == ACTION_SUBMIT)
-            reply(a->replier, a->from, 201, codec_job_answer(a->job, "queued", -1, 0));
+            reply(a->replier, a->from, 201,
+                  codec_job_answer(a->job, a->doomed ? "cancelled" : "queued", -1, 0));
         else
             reply(a->replier, a->from, 200, codec_job_answer(a->job, "cancelled", -1, 0));
         if (a->action == ACTION_CANCEL)
@@ -202,11 +211,110 @@
     store_txn(a->frontend->store, LANE_URGENT, t, written, a);
 }
 
+/* What a cancelled job's tasks take has to stay known until they are gone, but no more than that:
+ * of a job that was stored when more was allowed the rest is left out, as nothing of it starts
+ * again.
+ */
 static void write_cancel(struct ask *a, struct job *j)
 {
     json_object *spec = codec_spec_write(j->spec);
-    write_job(a, j->stamp, job_value(spec, j->submitted.ms, true));
+    json_object *value = job_value(spec, j->submitted.ms, true);
     json_object_put(spec);
+    if (value_size(value) > store_limits(a->frontend->store)->value_bytes) {
+        struct spec s = *j->spec;
+        s.lot = s.image = "-";
+        s.builds = NULL;
+        s.yard = NULL;
+        s.n_awaits = 0;
+        json_object_put(value);
+        spec = codec_spec_write(&s);
+        value = job_value(spec, j->submitted.ms, true);
+        json_object_put(spec);
+    }
+    write_job(a, j->stamp, value);
+}
+
+/* ---- what a job needs ---- */
+
+static void await_answered(void *arg, const struct net_answer *answer)
+{
+    struct ask *a = arg;
+    struct job j = {0};
+    json_object *o = answer->status > 0 ? json_read(answer->body, answer->len) : NULL, *v = NULL;
+    json_object_object_get_ex(o, "V", &v);
+    bool over = answer->status == 200 && job_read_final(&j, v);
+    json_object_put(o);
+    if (over) {
+        a->doomed = a->doomed || j.state == JOB_CANCELLED;
+        a->checked++;
+        ask_step(a, true);
+        return;
+    }
+    if (a->answered)
+        ;
+    else if (answer->status == 404)
+        reply_error(a->replier, a->from, 422, "needs a job that was never accepted");
+    else /* it cannot be read now, or is not over and will be in the view in a moment */
+        ask_refuse(a);
+    ask_end(a);
+}
+
+/* Whether all jobs that it needs were accepted; if not, or not known yet, the request is settled by
+ * this or goes on later. A job that was accepted stays so: what the view shows needs no barrier.
+ * One that the view does not show was never accepted, or has been over for long. */
+static bool awaits_known(struct ask *a)
+{
+    struct frontend *f = a->frontend;
+    for (; a->checked < a->n_awaits; a->checked++) {
+        job_id id = a->awaits[a->checked];
+        struct job *j = known_job(f, id);
+        if (j) {
+            a->doomed = a->doomed || j->state == JOB_CANCELLED;
+            continue;
+        }
+        if (!a->behind) {
+            a->behind = true;
+            view_barrier(f->view, ask_step, a);
+        } else if (f->view->forgot) {
+            char *key = key_job(id), *path = g_strconcat("/keys/", key, NULL);
+            store_request(f->store, LANE_URGENT, "GET", path, NULL, ANSWER_MS, ANSWER_MS, 0,
+                          await_answered, a);
+            g_free(path);
+            g_free(key);
+        } else {
+            reply_error(a->replier, a->from, 422, "needs a job that was never accepted");
+            ask_end(a);
+        }
+        return false;
+    }
+    return true;
+}
+
+/* Jobs that are done are needed no more: they are not kept with the new one, so that nobody has to
+ * remember them for its sake. One that needs a cancelled job is accepted, and is over at once. */
+static json_object *new_value(struct ask *a)
+{
+    struct frontend *f = a->frontend;
+    if (a->doomed) {
+        json_object *o = json_object_new_object();
+        json_put_text(o, "f", "cancelled");
+        json_put_u64(o, "n", a->tasks);
+        json_put_u64(o, "e", (uint64_t)loop_wall(f->loop).ms);
+        return o;
+    }
+    json_object *spec = NULL, *left = json_object_new_array();
+    for (guint i = 0; i < a->n_awaits; i++) {
+        struct job *j = known_job(f, a->awaits[i]);
+        if (j && j->state != JOB_DONE)
+            json_object_array_add(left, json_object_new_string(j->id.s));
+    }
+    json_object_deep_copy(a->spec, &spec, NULL);
+    json_object_object_add(spec, "Awaits", left);
+    if (!json_object_array_length(left))
+        json_object_object_del(spec, "Awaits");
+    json_object *value = job_value(spec, loop_wall(f->loop).ms, false);
+    json_object_put(spec);
+    return value;
 }
 
 static void key_answered(void *arg, const struct net_answer *answer)
@@ -261,7 +369,8 @@
     } else if (a->action == ACTION_SUBMIT && !j && a->impossible) {
         reply_error(a->replier, a->from, 422, "can never run");
     } else if (a->action == ACTION_SUBMIT && !j) {
-        write_job(a, (revision){0}, job_value(a->spec, loop_wall(f->loop).ms, false));
+        if (awaits_known(a))
+            write_job(a, (revision){0}, new_value(a));
         return;
     } else if (!j) {
         reply_error(a->replier, a->from, 404, "no such job");
@@ -309,26 +418,42 @@
     return s->cpus.milli * n <= t->cpus_max.milli && s->gpus.milli * n <= t->gpus_max.milli;
 }
 
+/* Whether its record is within what the state service takes, also when it says that the job is
+ * cancelled. */
+static bool can_store(struct frontend *f, json_object *spec)
+{
+    json_object *value = job_value(spec, INT64_MAX, true);
+    bool fits = value_size(value) <= store_limits(f->store)->value_bytes;
+    json_object_put(value);
+    return fits;
+}
+
 static void submit(struct frontend *f, struct http_replier *r, conn_ref from,
                    const struct http_request *q)
 {
     struct spec s;
     json_object *o = json_read(q->body, q->body_len);
-    bool ok = codec_spec_read(o, &s);
+    bool ok = codec_spec_read(o, &s), awaits_ok = ok && codec_awaits_read(o, &s);
     json_object_put(o);
-    if (!ok) {
-        reply_error(r, from, 400, "malformed");
+    if (!ok || !awaits_ok) {
+        reply_error(r, from, ok ? 422 : 400, ok ? "what it awaits is malformed" : "malformed");
+        spec_clear(&s);
         return;
     }
     struct job *known = f->view->ready ? known_job(f, s.id) : NULL;
     struct ask *a = NULL;
     if (!f->view->types && !known)
         reply_error(r, from, 503, "the machine types are not known yet");
+    else if (s.n_awaits && !known && !membership_all_understand(f->members))
+        reply_error(r, from, 503, "some nodes do not know yet of jobs that await others");
     else
         a = ask_new(f, r, from, ACTION_SUBMIT, s.id);
     if (a) {
         a->spec = codec_spec_write(&s);
-        a->impossible = !known && !can_run(f, &s);
+        a->tasks = s.tasks;
+        a->n_awaits = s.n_awaits;
+        a->awaits = g_steal_pointer(&s.awaits);
+        a->impossible = !known && (!can_run(f, &s) || !can_store(f, a->spec));
         if (known || a->impossible)
             view_barrier(f->view, ask_step, a);
         else
@@ -421,12 +546,25 @@
     return strcmp(path, "/work") == 0 || g_str_has_prefix(path, "/work/");
 }
 
+/* A node of an earlier version would take such a submission for one that needs nothing. */
+static bool names_others(const struct http_request *q)
+{
+    if (strcmp(q->path, "/work") != 0 || !q->body_len)
+        return false;
+    json_object *o = json_read(q->body, q->body_len), *list = NULL;
+    bool any = json_object_is_type(o, json_type_object) &&
+               json_object_object_get_ex(o, "Awaits", &list) && list;
+    json_object_put(o);
+    return any;
+}
+
 /* While the state service answers other nodes and not this one, they answer for it. */
 static bool hand_on(struct frontend *f, struct http_replier *r, conn_ref from,
                     const struct http_request *q)
 {
     const char *peer = peers_served(f->peers);
-    if (!peer || !is_work(q->path) || f->waiting >= f->most_waiting)
+    if (!peer || !is_work(q->path) || f->waiting >= f->most_waiting ||
+        (!membership_all_understand(f->members) && names_others(q)))
         return false;
     struct relay *x = g_new(struct relay, 1);
     *x = (struct relay){f, r, from};
--- a/src/leader.c
+++ b/src/leader.c
@@ -161,14 +161,26 @@
     j->team = team;
     j->room = room_of_spec(v->spec);
     j->service = v->spec->form == FORM_SERVICE;
-    j->urgency = v->spec->urgency;
-    j->patience_s = leader_patience_s(l, v->spec);
+    j->urgency = (enum urgency)v->urgency;
+    j->patience_s = leader_patience_s(l, v);
     j->entries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     j->deals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     g_hash_table_insert(l->jobs, j->id.s, j);
     return j;
 }
 
+/* Those that need a job lend it their urgency and their time, and may come and go. */
+static void ljob_lent(struct leader *l, struct ljob *j, const struct job *v)
+{
+    if (!j)
+        return;
+    int n = (int)g_hash_table_size(j->entries);
+    l->running[j->urgency] -= n;
+    j->urgency = (enum urgency)v->urgency;
+    l->running[j->urgency] += n;
+    j->patience_s = leader_patience_s(l, v);
+}
+
 gpointer leader_key_of(uint32_t index)
 {
     return GUINT_TO_POINTER(index + 1);
@@ -364,6 +376,7 @@
     json_object *o = json_object_new_object();
     json_put_text(o, "f", final);
     json_put_u64(o, "n", v->tasks);
+    json_put_u64(o, "e", (uint64_t)loop_wall(l->loop).ms);
     txn_when(t, key, v->stamp);
     txn_when(t, KEY_LEADER, l->view->leader_stamp);
     txn_set(t, key, o, (lease_id){0});
@@ -421,10 +434,10 @@
     ((struct leader *)arg)->sweeping = false;
 }
 
-static void still_live(void *ctx, job_id job, uint32_t chunk, const GByteArray *bits)
+static void still_live(void *ctx, job_id job, uint32_t unit, const GByteArray *bits)
 {
     void **c = ctx;
-    (void)chunk;
+    (void)unit;
     (void)bits;
     struct job *j = view_job(c[0], job.s);
     *(bool *)c[1] = *(bool *)c[1] || (j && j->spec);
@@ -754,7 +767,7 @@
         case CHANGE_JOB:
             v = view_job(l->view, c->job.s);
             if (v && v->known && v->spec)
-                ljob_make(l, c->job);
+                ljob_lent(l, ljob_make(l, c->job), v);
             break;
         case CHANGE_RELOADED:
             /* A task may have been placed and freed again unseen, and its deal would stay open. */
--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -246,7 +246,7 @@
  * long has its place back, so that none waits for ever. */
 static bool still_in_time(struct leader *l, struct ljob *j, const struct job *v)
 {
-    double waited = (double)(loop_wall(l->loop).ms - v->submitted.ms) / 1000;
+    double waited = (double)(loop_wall(l->loop).ms - v->since.ms) / 1000;
     j->aged = waited > AGED_S;
     j->overdue = waited > OVERDUE_S;
     return waited < j->patience_s || j->aged;
@@ -254,16 +254,16 @@
 
 /* Classes of precedence: services first, as people wait on them; then what a team was promised;
  * then what it borrows. */
-int leader_rank_of(struct leader *l, struct ljob *j, const struct spec *s)
+int leader_rank_of(struct leader *l, struct ljob *j)
 {
     struct lteam *t = &l->teams[j->team];
-    if (s->urgency == URGENCY_PROD)
+    if (j->urgency == URGENCY_PROD)
         return 0;
     if (within(t->used, j->room, t->team->cpus, t->team->gpus))
-        return s->urgency;
+        return j->urgency;
     /* What is overdue goes before all that is borrowed, or urgent work would hold it back for ever.
      */
-    return j->overdue ? 4 : (j->in_time ? 4 : 8) + s->urgency;
+    return j->overdue ? 4 : (j->in_time ? 4 : 8) + j->urgency;
 }
 
 struct room leader_limit_left(const struct lteam *t)
@@ -546,7 +546,7 @@
         time_ms_since(now, l->epoch_at) < (int64_t)(l->settings->report_s * 1250))
         return;
     j->preempted_at = now;
-    struct claim c = {j, v, leader_may_preempt(l, v->spec), guaranteed(l, j, v), image};
+    struct claim c = {j, v, leader_may_preempt(l, j, v->spec), guaranteed(l, j, v), image};
     bool moves = v->spec->form == FORM_SERVICE && v->spec->apart;
     if (!claim_has_hope(l, &c) && !moves)
         return;
@@ -574,8 +574,8 @@
 static bool holds_out_for_image(struct leader *l, struct ljob *j, struct job *v)
 {
     const struct spec *s = v->spec;
-    if (s->urgency != URGENCY_PROD || loop_wall(l->loop).ms - v->submitted.ms > HOLD_OUT_MS ||
-        !leader_may_preempt(l, s))
+    if (s->urgency != URGENCY_PROD || loop_wall(l->loop).ms - v->since.ms > HOLD_OUT_MS ||
+        !leader_may_preempt(l, j, s))
         return false;
     for (guint i = 0; i < l->open->len; i++) {
         struct lhost *h = l->open->pdata[i];
@@ -746,7 +746,7 @@
     while (t->at < t->ready->len && *dealt < budget) {
         struct ljob *j = t->ready->pdata[t->at];
         struct job *v = j->view;
-        if (j->blocked || next_waiting(j, v) >= v->tasks || leader_rank_of(l, j, v->spec) != rank) {
+        if (j->blocked || next_waiting(j, v) >= v->tasks || leader_rank_of(l, j) != rank) {
             t->at++;
             continue;
         }
@@ -798,13 +798,15 @@
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&j)) {
         struct job *v = view_job(l->view, j->id.s);
         j->blocked = false;
-        if (!v || !v->known || v->state != JOB_LIVE || !v->spec || time_before(now, j->not_before))
+        /* What it needs is done once that is durable and seen here, whoever led when it was. */
+        if (!v || !v->known || v->state != JOB_LIVE || !v->spec || v->waits ||
+            time_before(now, j->not_before))
             continue;
         if (v->spec->form != FORM_GANG && next_waiting(j, v) >= v->tasks)
             continue;
         j->in_time = still_in_time(l, j, v);
         j->view = v;
-        j->place_ms = v->submitted.ms + (int64_t)(SIZE_COUNTS * 1000 * keeps_busy_s(l, j, v));
+        j->place_ms = v->since.ms + (int64_t)(SIZE_COUNTS * 1000 * keeps_busy_s(l, j, v));
         g_ptr_array_add(l->teams[j->team].ready, j);
         any = true;
     }
--- a/src/leader_policy.c
+++ b/src/leader_policy.c
@@ -31,8 +31,9 @@
 
 /* How long the job's tasks may wait, by what its class is expected to do. Renting cannot meet a
  * wait shorter than a boot, so such an aim does not count here. */
-double leader_patience_s(struct leader *l, const struct spec *s)
+double leader_patience_s(struct leader *l, const struct job *v)
 {
+    const struct spec *s = v->spec;
     double patience = USUAL_PATIENCE_S, boot = quickest_boot(l);
     for (guint i = 0; i < l->settings->objectives->len; i++) {
         const struct objective *o = &g_array_index(l->settings->objectives, struct objective, i);
@@ -48,6 +49,10 @@
         if (left > boot)
             patience = MIN(patience, left);
     }
+    /* The deadline of a job that needs this one leaves it less, the longer the way there. */
+    if (s->due_s < 0 && v->due.ms != NEVER.ms)
+        patience =
+            MIN(patience, MAX((double)(v->due.ms - v->since.ms) / 1000 - s->expected_s, boot));
     return patience;
 }
 
@@ -66,12 +71,13 @@
     in[INPUT_PEAK_CPUS].number = l->demand_peak;
 }
 
-static void job_inputs(struct leader *l, const struct spec *s, struct policy_value *in)
+static void job_inputs(struct leader *l, const struct ljob *j, const struct spec *s,
+                       struct policy_value *in)
 {
     leader_load_inputs(l, in);
     in[INPUT_TEAM].text = s->crew;
     in[INPUT_CLASS].text = s->lot;
-    in[INPUT_PRIORITY].text = codec_urgency_word(s->urgency);
+    in[INPUT_PRIORITY].text = codec_urgency_word(j->urgency);
 }
 
 double leader_spare_cpus(struct leader *l)
@@ -83,19 +89,20 @@
 
 /* Whether ordinary machines may be rented for a job that spot ones could run, once no more of these
  * are to be had. */
-bool leader_may_rent_ordinary(struct leader *l, const struct spec *s, double backlog_s)
+bool leader_may_rent_ordinary(struct leader *l, const struct ljob *j, const struct spec *s,
+                              double backlog_s)
 {
     struct policy_value in[POLICY_INPUTS] = {0};
-    job_inputs(l, s, in);
+    job_inputs(l, j, s, in);
     in[INPUT_BACKLOG_S].number = backlog_s;
-    in[INPUT_PATIENCE_S].number = leader_patience_s(l, s);
+    in[INPUT_PATIENCE_S].number = j->patience_s;
     return policy_flag(l->policy, POLICY_RENT_ORDINARY, in);
 }
 
-bool leader_may_preempt(struct leader *l, const struct spec *s)
+bool leader_may_preempt(struct leader *l, const struct ljob *j, const struct spec *s)
 {
     struct policy_value in[POLICY_INPUTS] = {0};
-    job_inputs(l, s, in);
+    job_inputs(l, j, s, in);
     return policy_flag(l->policy, POLICY_PREEMPT, in);
 }
 
--- a/src/leader_scale.c
+++ b/src/leader_scale.c
@@ -310,11 +310,11 @@
             for (guint k = 0; k < l->teams[i].ready->len; k++) {
                 struct ljob *j = l->teams[i].ready->pdata[k];
                 struct job *v = j->view;
-                if (leader_rank_of(l, j, v->spec) != rank)
+                if (leader_rank_of(l, j) != rank)
                     continue;
                 work += (double)leader_count_allowed(l, j, v) * v->spec->expected_s *
                         (double)j->room.cpus.milli / 1000;
-                bool pressing = leader_may_rent_ordinary(l, v->spec, work / have);
+                bool pressing = leader_may_rent_ordinary(l, j, v->spec, work / have);
                 want_job(l, rooms, orders, j, v, pressing);
             }
     }
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -151,12 +151,13 @@
 /* leader_policy.c: what operators and objectives say */
 const GArray *leader_types_now(struct leader *l);
 double leader_slowest_boot(struct leader *l);
-double leader_patience_s(struct leader *l, const struct spec *s);
+double leader_patience_s(struct leader *l, const struct job *v);
 double leader_used_cpus(struct leader *l);
 void leader_load_inputs(struct leader *l, struct policy_value *in);
 double leader_spare_cpus(struct leader *l);
-bool leader_may_rent_ordinary(struct leader *l, const struct spec *s, double backlog_s);
-bool leader_may_preempt(struct leader *l, const struct spec *s);
+bool leader_may_rent_ordinary(struct leader *l, const struct ljob *j, const struct spec *s,
+                              double backlog_s);
+bool leader_may_preempt(struct leader *l, const struct ljob *j, const struct spec *s);
 double leader_idle_ms(struct leader *l, const struct lhost *h);
 
 /* leader_deal.c: who gets what there is */
@@ -165,7 +166,7 @@
 uint32_t leader_in_zone(struct leader *l, struct ljob *j, const char *yard);
 /* The machines that take work in this pass, and what the zones hold. */
 void leader_survey(struct leader *l);
-int leader_rank_of(struct leader *l, struct ljob *j, const struct spec *s);
+int leader_rank_of(struct leader *l, struct ljob *j);
 /* What the team may still use. */
 struct room leader_limit_left(const struct lteam *t);
 int64_t leader_count_allowed(struct leader *l, struct ljob *j, struct job *v);
--- a/src/membership.c
+++ b/src/membership.c
@@ -240,9 +240,29 @@
     json_object *o = json_object_new_object();
     json_put_u64(o, "i", m->lease.v);
     json_put_text(o, "b", m->settings->back_addr);
+    json_put_u64(o, "v", NODE_VERSION);
     return o;
 }
 
+static guint spoken_by(const struct view *v, const char *label)
+{
+    return GPOINTER_TO_UINT(g_hash_table_lookup(v->spoken, label));
+}
+
+static bool understands(const struct membership *m, const char *label)
+{
+    const struct node_record *n = g_hash_table_lookup(m->view->nodes, label);
+    return spoken_by(m->view, label) >= NODE_VERSION && (!n || n->version >= NODE_VERSION);
+}
+
+bool membership_all_understand(const struct membership *m)
+{
+    bool all = understands(m, m->settings->label);
+    for (guint i = 0; i < m->settings->siblings->len; i++)
+        all = all && understands(m, g_array_index(m->settings->siblings, struct sibling, i).label);
+    return all;
+}
+
 /* An earlier process of this label is dead, so its leadership is given up with its key: nobody has
  * to wait for its lease to end. */
 static void join(struct membership *m)
@@ -257,6 +277,14 @@
         txn_when(t, KEY_LEADER, v->leader_stamp);
         txn_remove(t, KEY_LEADER);
     }
+    /* It stays when this process ends: its successors understand as much. */
+    if (spoken_by(v, m->settings->label) < NODE_VERSION) {
+        char *version = key_version(m->settings->label);
+        json_object *o = json_object_new_object();
+        json_put_u64(o, "v", NODE_VERSION);
+        txn_set(t, version, o, (lease_id){0});
+        g_free(version);
+    }
     m->join_out = true;
     store_txn(m->store, LANE_LEASE, t, join_answered, m);
     g_free(key);
--- a/src/membership.h
+++ b/src/membership.h
@@ -25,6 +25,11 @@
 revision membership_stamp(const struct membership *m);
 lease_id membership_incarnation(const struct membership *m);
 
+/* Whether every node, alive or not, has once been of a version that understands NODE_VERSION, and
+ * none that lives is older: as a node is not taken back to an older one after that, nobody will
+ * ever read what it would not understand. */
+bool membership_all_understand(const struct membership *m);
+
 /* Asks the leader's node to raise the epoch; what was dealt under the old one is void. */
 void membership_raise(struct membership *m, const char *why);
 /* The leader leaves a node out of the map for a while. */
--- a/src/node.c
+++ b/src/node.c
@@ -4,10 +4,13 @@
                       const struct policy *policy)
 {
     struct node *n = g_new0(struct node, 1);
-    struct store_limits limits = {.rps = s->state_rps,
-                                  .write_rps = s->state_write_rps,
-                                  .txn_ops = s->state_txn_ops,
-                                  .value_bytes = (size_t)(s->state_value_kb * 1024),
+    const struct state_limits *now = &s->state, *next = &s->state_next;
+    struct store_limits limits = {.rps = MIN(now->rps, next->rps),
+                                  .write_rps = now->write_rps,
+                                  .next_write_rps = MIN(now->write_rps, next->write_rps),
+                                  .txn_ops = MIN(now->txn_ops, next->txn_ops),
+                                  .value_bytes =
+                                      (size_t)(MIN(now->value_kb, next->value_kb) * 1024),
                                   .answer_bytes = settings_answer_bytes(s),
                                   .nodes = s->size};
     n->settings = s;
--- a/src/part.c
+++ b/src/part.c
@@ -28,6 +28,7 @@
     g_ptr_array_unref(h->runs);
     g_ptr_array_unref(h->images);
     g_array_unref(h->strays);
+    g_free(h->about);
     g_free(h);
 }
 
@@ -396,7 +397,6 @@
                 r->phase = RUN_RECORDED; /* proven again by the next report */
         }
         h->in_txn = h->described = h->removing = false;
-        h->page_put = -1;
     }
     struct host_record *rec;
     g_hash_table_iter_init(&it, p->view->hosts);
--- a/src/part_host.c
+++ b/src/part_host.c
@@ -40,6 +40,7 @@
     r->job = job;
     r->index = index;
     r->attempt = attempt;
+    r->page = r->put = -1;
     if (s) {
         r->room = room_of_spec(s);
         r->service = s->form == FORM_SERVICE;
@@ -72,7 +73,7 @@
     h->id = id;
     h->runs = g_ptr_array_new_with_free_func(g_free);
     h->images = images_new();
-    h->page = h->page_from = h->page_put = h->told_flags = -1;
+    h->told_flags = -1;
     h->strays = g_array_new(FALSE, FALSE, sizeof(struct report_task));
     h->owned_since = p->epoch;
     h->owned_at = h->heard = h->reached = loop_now(p->loop);
@@ -143,15 +144,6 @@
         h->new_images = false;
     }
     h->stamp = rec ? rec->stamp : (revision){0};
-    *h->foreign = 0;
-    h->page_from = -1;
-    if (rec && rec->tasks->len) {
-        struct page *g = ((struct placed *)rec->tasks->pdata[0])->page;
-        if (strcmp(g->label, p->settings->label) == 0)
-            h->page = g->number;
-        else
-            g_strlcpy(h->foreign, g->key, sizeof h->foreign);
-    }
     for (guint i = 0; rec && i < rec->tasks->len; i++) {
         struct placed *t = rec->tasks->pdata[i];
         struct run *r = part_run_find(h, t->job->id, t->index, t->attempt);
@@ -161,6 +153,9 @@
             r->sent_helm.v = h->owned_since.v - 1;
             r->placed_at = loop_now(p->loop);
         }
+        bool own = strcmp(t->page->label, p->settings->label) == 0;
+        r->page = own ? t->page->number : -1;
+        r->foreign = own ? NULL : g_intern_string(t->page->key);
         if (r->phase == RUN_NEW)
             r->phase = RUN_RECORDED;
         part_run_heed_job(p, r);
@@ -174,6 +169,10 @@
             part_run_unbook(p, h, r);
             r->phase = RUN_GONE;
         }
+        if (!on_record) {
+            r->page = -1;
+            r->foreign = NULL;
+        }
     }
 }
 
@@ -274,6 +273,8 @@
         tell_leader(p, h, r, "c", t->cause, true);
         part_digest_soon(p);
     }
+    if (t->cause == CAUSE_DONE && part_live_job(p, r->job) && !part_may_mark(p, r))
+        return; /* the next report says so again */
     /* Beside the others of its job, it shows slow machines. */
     if (t->cause == CAUSE_DONE && r->running_at.us)
         tell_leader(p, h, r, "took", (double)time_ms_since(loop_now(p->loop), r->running_at) / 1000,
--- a/src/part_place.c
+++ b/src/part_place.c
@@ -160,12 +160,12 @@
 /* The order that docs/design.md gives: the own pool; one class up while nobody waits there; then
  * the busiest machine that fits, at once unless it belongs to an emptier pool. */
 static struct host *place(struct part *p, const struct dealt *d, const struct spec *s,
-                          const struct survey *v, enum arq_move move)
+                          const struct survey *v, enum arq_move move, int urgency)
 {
     bool at_once = s->form == FORM_SERVICE || d->at[0] || move == ARQ_TAKE;
     /* Who is in a hurry goes where the image is, whatever the pool: a fetch takes longer than most
      * waits that the switch rule weighs. */
-    if (s->urgency <= URGENCY_HIGH && !d->at[0] && v->image.host)
+    if (urgency <= URGENCY_HIGH && !d->at[0] && v->image.host)
         return v->image.host;
     if (at_once)
         return best_below(v, ARQ_CLASSES);
@@ -220,10 +220,11 @@
 {
     struct job *j = part_live_job(p, d->job);
     mono_time now = loop_now(p->loop);
-    if (!j) {
+    if (!j || j->waits) {
         struct job *any = view_job(p->view, d->job.s);
-        if (any && any->known) /* over */
+        if (!j && any && any->known) /* over */
             return true;
+        /* The leader may have seen more than this node: the job, or the end of what it needs. */
         if (time_ms_since(now, d->since) < GIVE_BACK_MS)
             return false;
         part_give_back(p, d);
@@ -241,7 +242,7 @@
     struct survey v = {.none = true};
     if (!finds_none(p, d, s))
         survey(p, d, s, &v);
-    struct host *h = v.none ? NULL : place(p, d, s, &v, move);
+    struct host *h = v.none ? NULL : place(p, d, s, &v, move, j->urgency);
     if (h) {
         take_host(p, d, h, s);
         return true;
--- a/src/part_record.c
+++ b/src/part_record.c
@@ -7,12 +7,11 @@
 enum {
     FLUSH_MS = 4,
     RETRY_MS = 120,
-    PAGE_MARGIN = 400, /* bytes of a page's value besides its texts, and a little to spare */
-    VALUE_BYTES = 64,  /* and without that */
-    NUMBER_BYTES = 30, /* of an attempt and an index */
+    VALUE_BYTES = 32, /* of a page's value besides its texts */
     TXN_BYTES = 48 * 1024,
     DESCRIBE_MS = 30000, /* a machine's images are written again no sooner */
     BURST = 6,           /* writes that may be made at once after a pause */
+    MOST_SOURCES = 4,    /* pages of others that one transaction takes machines over from */
 };
 
 /* Of the writes that the state service allows, as much as all nodes' records may use. */
@@ -24,6 +23,22 @@
         timer_start(p->loop, &p->flush, FLUSH_MS);
 }
 
+gsize part_text_bytes(const struct part *p)
+{
+    return store_limits(p->store)->value_bytes - VALUE_BYTES;
+}
+
+bool part_page_long(const struct part *p, const struct page *g)
+{
+    return g->bytes > part_text_bytes(p);
+}
+
+/* Nodes of version 0 know of one page a machine, and of marks that begin with their chunk. */
+bool part_plain(const struct part *p)
+{
+    return !membership_all_understand(p->members);
+}
+
 /* ---- pages ---- */
 
 void part_page_free(gpointer q)
@@ -35,7 +50,7 @@
 
 void part_done_free(gpointer q)
 {
-    struct done_chunk *d = q;
+    struct done_unit *d = q;
     g_byte_array_unref(d->bits);
     g_free(d);
 }
@@ -44,133 +59,118 @@
 {
     while ((int)p->pages->len <= number) {
         struct own_page *g = g_new0(struct own_page, 1);
-        g->bytes = PAGE_MARGIN;
-        g->leftover = g_array_new(FALSE, FALSE, sizeof(struct leftover));
+        g->leftover = g_array_new(FALSE, FALSE, sizeof(struct page_rec));
         g_ptr_array_add(p->pages, g);
     }
     return p->pages->pdata[number];
 }
 
-static bool page_has_room(struct part *p, const struct own_page *g, gsize more)
+static struct page *page_seen(struct part *p, int number)
 {
-    return g->bytes + more <= store_limits(p->store)->value_bytes;
-}
-
-/* A page with room for so much more, and some to grow, if there is one; else a new one. */
-static int page_with_room(struct part *p, gsize more)
-{
-    for (guint i = 0; i < p->pages->len; i++)
-        if (page_has_room(p, p->pages->pdata[i], more + store_limits(p->store)->value_bytes / 4))
-            return (int)i;
-    for (guint i = 0; i < p->pages->len; i++)
-        if (page_has_room(p, p->pages->pdata[i], more))
-            return (int)i;
-    page_at(p, (int)p->pages->len);
-    return (int)p->pages->len - 1;
-}
-
-/* What its page has to say of a machine that has no record of its own yet, or NULL. */
-static char *about_host(const struct host *h)
-{
-    return h->stamp.v ? NULL : machine_about(h->addr, h->build, h->yard, h->loaners);
+    char *key = key_page(p->settings->label, number);
+    struct page *v = g_hash_table_lookup(p->view->pages, key);
+    g_free(key);
+    return v;
 }
 
-/* What the first task of a job on a machine takes on a page, at most. */
-static gsize first_bytes(const struct host *h, job_id job)
+/* A page from when more was allowed: it is split before it can be written again. */
+static bool own_long(struct part *p, int number)
 {
-    gsize about = h->stamp.v ? 0 : strlen(h->addr) + strlen(h->build) + strlen(h->yard) + 8;
-    return strlen(h->id.s) + about + strlen(job.s) + 4 + NUMBER_BYTES;
+    struct page *v = page_seen(p, number);
+    return v && part_page_long(p, v);
 }
 
-/* What one more task of a job takes. */
-static gsize task_bytes(const struct host *h, job_id job)
+void part_host_dirty(struct part *p, struct host *h)
 {
-    for (guint i = 0; i < h->runs->len; i++)
-        if (job_eq(((struct run *)h->runs->pdata[i])->job, job))
-            return NUMBER_BYTES;
-    return first_bytes(h, job);
+    (void)h;
+    p->dirty = true;
+    part_flush_soon(p);
 }
 
-/* What a machine's tasks take at most, or those of them that are not on record. */
-static gsize host_bytes(const struct host *h, bool only_new)
+/* The page of ours that a machine's records are on; -1: none. */
+static int page_of_host(const struct host *h)
 {
-    gsize n = 0;
     for (guint i = 0; i < h->runs->len; i++) {
         const struct run *r = h->runs->pdata[i];
-        if (r->phase == RUN_GONE || (r->phase != RUN_NEW && only_new))
-            continue;
-        bool first = true;
-        for (guint k = 0; k < i && first; k++) {
-            const struct run *other = h->runs->pdata[k];
-            first = other->phase == RUN_GONE || !job_eq(other->job, r->job);
-        }
-        n += first ? first_bytes(h, r->job) : NUMBER_BYTES;
+        if (r->phase != RUN_GONE && r->page >= 0)
+            return r->page;
     }
-    return n;
+    return -1;
 }
 
-void part_host_dirty(struct part *p, struct host *h)
+/* What a page says of a machine that has no record of its own yet. */
+static const char *about_host(struct host *h)
 {
-    if (h->page < 0) {
-        h->page = page_with_room(p, host_bytes(h, false));
-        page_at(p, h->page)->bytes += host_bytes(h, false);
-    }
-    page_at(p, h->page)->dirty = true;
-    if (h->page_from >= 0)
-        page_at(p, h->page_from)->dirty = true;
-    part_flush_soon(p);
+    if (h->stamp.v || h->described)
+        return NULL;
+    if (!h->about)
+        h->about = machine_about(h->addr, h->build, h->yard, h->loaners);
+    return h->about;
 }
 
-/* Room for one more task on the machine's page, or on another that it can move to. */
+static struct page_rec rec_of(struct host *h, const struct run *r)
+{
+    return (struct page_rec){h->id, r->job, r->attempt, r->index, about_host(h)};
+}
+
+/* Whether one more task can be recorded on the machine. Any page will do, unless a node that knows
+ * of one page a machine may come to read it. */
 bool part_record_has_room(struct part *p, struct host *h, job_id job)
 {
-    gsize more = task_bytes(h, job);
-    return h->page < 0 || page_has_room(p, page_at(p, h->page), more) ||
-           (h->page_from < 0 &&
-            PAGE_MARGIN + host_bytes(h, false) + more <= store_limits(p->store)->value_bytes);
+    if (!part_plain(p))
+        return true;
+    for (guint i = 0; i < h->runs->len; i++)
+        if (((struct run *)h->runs->pdata[i])->foreign)
+            return false;
+    int page = page_of_host(h);
+    if (page < 0)
+        return true;
+    struct page_rec r = {h->id, job, {UINT64_MAX}, 99999, about_host(h)};
+    return !own_long(p, page) &&
+           page_at(p, page)->bytes + page_cost(&r, false, false) <= part_text_bytes(p);
 }
 
 void part_record_new(struct part *p, struct host *h, job_id job)
 {
-    gsize more = task_bytes(h, job);
-    if (h->page >= 0 && !page_has_room(p, page_at(p, h->page), more)) {
-        h->page_from = *h->foreign ? -1 : h->page;
-        h->page = -1;
-    }
+    int page = page_of_host(h);
+    struct page_rec r = {h->id, job, {UINT64_MAX}, 99999, about_host(h)};
+    if (page >= 0)
+        page_at(p, page)->bytes += page_cost(&r, false, false);
     part_host_dirty(p, h);
-    page_at(p, h->page)->bytes += more;
 }
 
 /* ---- what is done ---- */
 
-static char *chunk_key(job_id job, uint32_t chunk)
+static char *unit_key(job_id job, uint32_t unit)
+{
+    return g_strdup_printf("%s %u", job.s, unit);
+}
+
+static struct done_unit *done_find(struct part *p, job_id job, uint32_t unit)
 {
-    return g_strdup_printf("%s %u", job.s, chunk);
+    char *key = unit_key(job, unit);
+    struct done_unit *d = g_hash_table_lookup(p->done, key);
+    g_free(key);
+    return d;
 }
 
-/* The bytes of a chunk's bits when all its tasks are done. */
-static guint chunk_size(const struct job *j, uint32_t chunk)
+/* The bytes of a unit's bits when all its tasks are done. */
+guint part_unit_size(const struct job *j, uint32_t unit)
 {
-    return MIN((guint)DONE_CHUNK, j->tasks - chunk * DONE_CHUNK) / 8 + 1;
+    return MIN((guint)MARK_TASKS, j->tasks - unit * MARK_TASKS) / 8 + 1;
 }
 
-/* The room that a chunk may come to take on its page is kept from the start. page -1: any. */
-static struct done_chunk *done_make(struct part *p, const struct job *j, uint32_t chunk, int page)
+static struct done_unit *done_make(struct part *p, job_id job, uint32_t unit)
 {
-    char *key = chunk_key(j->id, chunk);
-    struct done_chunk *d = g_hash_table_lookup(p->done, key);
-    if (d) {
-        g_free(key);
+    struct done_unit *d = done_find(p, job, unit);
+    if (d)
         return d;
-    }
-    gsize bytes = sizeof j->id.s + 16 + 2 * (gsize)chunk_size(j, chunk);
-    d = g_new0(struct done_chunk, 1);
-    d->job = j->id;
-    d->chunk = chunk;
+    d = g_new0(struct done_unit, 1);
+    d->job = job;
+    d->unit = unit;
     d->bits = g_byte_array_new();
-    d->page = page < 0 ? page_with_room(p, bytes) : page;
-    page_at(p, d->page)->bytes += bytes;
-    g_hash_table_insert(p->done, key, d);
+    d->page = d->was = d->near = -1;
+    g_hash_table_insert(p->done, unit_key(job, unit), d);
     return d;
 }
 
@@ -181,25 +181,27 @@
         to->data[i] |= from[i];
 }
 
+/* A mark far within a long job takes a long word while nodes of version 0 may read it; if that is
+ * too long the task stays on record until they cannot. */
+bool part_may_mark(struct part *p, const struct run *r)
+{
+    gsize cost = page_done_cost(r->job, r->index / MARK_TASKS, MARK_BYTES, true);
+    return cost <= part_text_bytes(p) / 2 || !part_plain(p);
+}
+
 void part_mark_done(struct part *p, struct run *r)
 {
     struct job *j = part_live_job(p, r->job);
     if (!j)
         return; /* cancelled: nobody has any use for what its tasks did */
-    uint32_t chunk = r->index / DONE_CHUNK, bit = r->index % DONE_CHUNK;
-    struct done_chunk *d = done_make(p, j, chunk, -1);
+    uint32_t unit = r->index / MARK_TASKS, bit = r->index % MARK_TASKS;
+    struct done_unit *d = done_make(p, j->id, unit);
     bits_grow(d->bits, bit / 8 + 1);
     d->bits->data[bit / 8] |= (guint8)(1 << (bit % 8));
-    page_at(p, d->page)->dirty = true;
-}
-
-/* The page that says that a task is done; -1: none does. */
-static int page_of_mark(struct part *p, const struct run *r)
-{
-    char *key = chunk_key(r->job, r->index / DONE_CHUNK);
-    struct done_chunk *d = g_hash_table_lookup(p->done, key);
-    g_free(key);
-    return d ? d->page : -1;
+    d->more = true;
+    d->near = r->page; /* best on the page that loses its record */
+    d->dirty = true;
+    p->dirty = true;
 }
 
 struct done_reader {
@@ -208,75 +210,63 @@
 };
 
 /* What an earlier process of this label wrote stays on its page. */
-static void read_chunk(void *ctx, job_id job, uint32_t chunk, const GByteArray *bits)
+static void read_unit(void *ctx, job_id job, uint32_t unit, const GByteArray *bits)
 {
     struct done_reader *r = ctx;
     struct job *j = part_live_job(r->part, job);
-    if (!j || chunk * DONE_CHUNK >= j->tasks)
+    if (!j || unit * MARK_TASKS >= j->tasks)
         return;
-    struct done_chunk *d = done_make(r->part, j, chunk, r->page);
+    struct done_unit *d = done_make(r->part, j->id, unit);
     bits_merge(d->bits, bits->data, bits->len);
+    if (d->page >= 0 && d->page != r->page)
+        d->dirty = true; /* two pages say a part of it each: one of them will say all */
+    else
+        d->page = r->page;
 }
 
 /* ---- agreement with the view ---- */
 
-/* What stays kept for chunks that may still grow. */
-static gsize done_growth(struct part *p, int number)
-{
-    gsize n = 0;
-    GHashTableIter it;
-    struct done_chunk *d;
-    g_hash_table_iter_init(&it, p->done);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d)) {
-        struct job *j = part_live_job(p, d->job);
-        if (d->page == number && j)
-            n += 2 * (chunk_size(j, d->chunk) - MIN(d->bits->len, DONE_CHUNK / 8));
-    }
-    return n;
-}
-
 static void page_sync(struct part *p, int number)
 {
     struct own_page *g = page_at(p, number);
-    char *key = key_page(p->settings->label, number);
-    struct page *v = g_hash_table_lookup(p->view->pages, key);
-    g_free(key);
+    struct page *v = page_seen(p, number);
     g->stamp = v ? v->stamp : (revision){0};
     g_array_set_size(g->leftover, 0);
     for (guint i = 0; v && i < v->tasks->len; i++) {
         struct placed *t = v->tasks->pdata[i];
         if (part_host_get(p, t->host->id.s))
             continue;
-        struct leftover x = {t->host->id, t->job->id, t->attempt, t->index};
+        struct page_rec x = {t->host->id, t->job->id, t->attempt, t->index, NULL};
         g_array_append_val(g->leftover, x);
     }
     if (v && v->done) {
         struct done_reader r = {p, number};
-        page_read_done(v->done, read_chunk, &r);
+        page_read_done(v->done, read_unit, &r);
     }
-    g->bytes = PAGE_MARGIN + (v ? v->bytes : 0) + done_growth(p, number);
+    g->bytes = v ? v->bytes : 0;
+}
+
+static void hosts_sync(struct part *p)
+{
     GHashTableIter it;
     struct host *h;
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
-        if (h->page == number)
-            g->bytes += host_bytes(h, h->page_from < 0);
+        part_host_sync(p, h);
+    p->dirty = true;
 }
 
 void part_records_sync(struct part *p)
 {
     GHashTableIter it;
     struct page *v;
-    struct host *h;
     g_hash_table_iter_init(&it, p->view->pages);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&v))
         if (strcmp(v->label, p->settings->label) == 0)
             page_at(p, v->number);
     for (guint i = 0; i < p->pages->len; i++)
         page_sync(p, (int)i);
-    g_hash_table_iter_init(&it, p->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
-        part_host_sync(p, h);
+    hosts_sync(p);
 }
 
 /* Somebody wrote a page of ours: another owner took machines over, or it was us, with an answer
@@ -288,78 +278,96 @@
         v->stamp.v <= page_at(p, v->number)->stamp.v)
         return;
     page_sync(p, v->number);
-    GHashTableIter it;
-    struct host *h;
-    g_hash_table_iter_init(&it, p->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
-        if ((h->page_from < 0 ? h->page : h->page_from) == v->number && !*h->foreign)
-            part_host_sync(p, h);
+    hosts_sync(p);
 }
 
 /* ---- transactions ---- */
 
-/* A page that is being written. */
+/* A page of ours that is being written. */
 struct draft {
-    GString *tasks;
-    char *done;
-    gsize kept; /* bytes of the value for anything but tasks */
+    int number;
+    GArray *records;  /* struct page_rec */
+    GHashTable *jobs; /* "JOB" and "JOB ATTEMPT" that it has records of */
+    GString *done;
+    gsize used; /* bytes that its texts take at most, with the room that marks may still take */
+    bool over;  /* even what has to stay is too long */
+    bool changed;
 };
 
 struct batch {
     struct part *part;
     uint64_t generation;
-    GPtrArray *hosts; /* char *: ids */
-    struct txn *txn;  /* while it is made */
-    GHashTable *jobs; /* that it is conditioned on */
-    char *about;      /* what the page says of the machine at hand; NULL: nothing */
-    GString *foreign; /* key of the page that machines are taken over from; empty: none */
-    GPtrArray
-        *drafts; /* struct draft, of the pages that it writes, by number; NULL: not that one */
+    bool plain;
+    GPtrArray *hosts;   /* char *: ids */
+    struct txn *txn;    /* while it is made */
+    GHashTable *jobs;   /* that it is conditioned on */
+    GPtrArray *drafts;  /* struct draft */
+    GPtrArray *sources; /* struct page: of other nodes, from which machines are taken over */
+    int spare;          /* writes that are left for what machines are */
+    bool rest;          /* something waits for the next one */
 };
 
+static void draft_free(gpointer q)
+{
+    struct draft *x = q;
+    g_array_unref(x->records);
+    g_hash_table_unref(x->jobs);
+    g_string_free(x->done, TRUE);
+    g_free(x);
+}
+
 static void batch_free(struct batch *b)
 {
     g_ptr_array_unref(b->hosts);
     g_hash_table_unref(b->jobs);
-    g_string_free(b->foreign, TRUE);
-    g_free(b->about);
     g_ptr_array_unref(b->drafts);
+    g_ptr_array_unref(b->sources);
     g_free(b);
 }
 
-static json_object *host_value(const struct host *h)
+static json_object *host_value(const struct host *h, gsize most)
 {
-    json_object *o = json_object_new_object();
+    json_object *o = json_object_new_object(), *images = json_object_new_array();
     json_put_text(o, "a", h->addr);
     json_put_text(o, "b", h->build);
     json_put_text(o, "y", h->yard);
     json_object_object_add(o, "l", json_object_new_boolean(h->loaners));
-    json_object *images = json_object_new_array();
-    for (guint i = 0; i < h->images->len; i++)
+    /* The newest images, as far as there is room. */
+    guint first = h->images->len;
+    for (gsize used = value_size(o) + 16; first > 0; first--) {
+        used += 2 * strlen(h->images->pdata[first - 1]) + 4;
+        if (used > most)
+            break;
+    }
+    for (guint i = first; i < h->images->len; i++)
         json_object_array_add(images, json_object_new_string(h->images->pdata[i]));
     json_object_object_add(o, "i", images);
     return o;
 }
 
+static bool batch_spare(const struct batch *b)
+{
+    return (int)txn_writes(b->txn) < b->spare;
+}
+
 /* Gives the machine a record of its own, or a new one, if there are writes to spare for that; else
- * its page says what it is. A write for each of many new machines would hold their tasks up. */
+ * its pages say what it is. A write for each of many new machines would hold their tasks up. */
 static void batch_describe(struct batch *b, struct host *h)
 {
     struct part *p = b->part;
     mono_time now = loop_now(p->loop);
     bool due = !h->stamp.v || (h->new_images && time_ms_since(now, h->stored) > DESCRIBE_MS);
-    /* Half of the writes are kept for pages. */
-    const struct store_limits *l = store_limits(p->store);
-    guint written = txn_writes(b->txn);
-    bool fits = (int)written < l->txn_ops / 2 - 1 && txn_bytes(b->txn) < TXN_BYTES / 4;
-    bool spare = p->write_level - written > BURST / 2 || (!h->stamp.v && !b->about);
-    if (h->gone || h->described || !h->addr[0] || !due || !fits || !spare)
+    if (h->gone || h->described || !h->addr[0] || !due || !batch_spare(b) ||
+        txn_bytes(b->txn) > TXN_BYTES / 4)
+        return;
+    bool must = !h->stamp.v && !about_host(h);
+    if (p->write_level - txn_writes(b->txn) <= BURST / 2 && !must)
         return;
     char *key = key_host(h->id);
     txn_when(b->txn, key, h->stamp);
-    txn_set(b->txn, key, host_value(h), (lease_id){0});
+    txn_set(b->txn, key, host_value(h, store_limits(p->store)->value_bytes), (lease_id){0});
     g_free(key);
-    h->described = true;
+    h->described = h->in_txn = true;
     h->new_images = false;
     h->stored = now;
 }
@@ -368,27 +376,29 @@
  * rest wait for the next transaction: one with too many writes is refused for ever. */
 static void batch_forget(struct batch *b, struct host *h)
 {
-    guint pages = b->foreign->len > 0;
-    for (guint i = 0; i < b->drafts->len; i++)
-        pages += b->drafts->pdata[i] != NULL;
-    if (txn_writes(b->txn) + pages + 1 > (guint)store_limits(b->part->store)->txn_ops) {
-        part_host_dirty(b->part, h);
+    if (!batch_spare(b)) {
+        b->rest = true;
         return;
     }
     char *key = key_host(h->id);
     txn_when(b->txn, key, h->stamp);
     txn_remove(b->txn, key);
     g_free(key);
-    h->removing = true;
+    h->removing = h->in_txn = true;
 }
 
 /* A start may be recorded while its job is as it was seen. */
 static bool batch_job(struct batch *b, const struct job *j)
 {
+    if (j->waits)
+        return false; /* nothing starts before what it needs is durably done */
     if (g_hash_table_contains(b->jobs, j->id.s))
         return true;
     guint most = 4 * (guint)store_limits(b->part->store)->txn_ops;
-    if (txn_conditions(b->txn) + b->part->pages->len + 3 > most)
+    /* Conditions on pages, and on machines that may be described or forgotten. */
+    guint to_come =
+        b->drafts->len + b->sources->len + (guint)MAX(b->spare - (int)txn_writes(b->txn), 0);
+    if (txn_conditions(b->txn) + to_come + 1 > most)
         return false;
     char *key = key_job(j->id);
     txn_when(b->txn, key, j->stamp);
@@ -409,289 +419,559 @@
     }
 }
 
-/* The page that a machine's records are on once the transaction is through. They leave one page and
- * come to another in the same transaction, or not yet. */
-static int page_after(const struct batch *b, const struct host *h)
+/* ---- drafts ---- */
+
+static struct draft *draft_of(const struct batch *b, int number)
 {
-    if (*h->foreign && strcmp(h->foreign, b->foreign->str) != 0)
-        return -1;
-    if (h->page_from < 0 || h->page < 0)
-        return h->page;
-    return b->drafts->pdata[h->page_from] && b->drafts->pdata[h->page] ? h->page : h->page_from;
+    for (guint i = 0; i < b->drafts->len; i++) {
+        struct draft *x = b->drafts->pdata[i];
+        if (x->number == number)
+            return x;
+    }
+    return NULL;
+}
+
+static struct draft *draft_open(struct batch *b, int number)
+{
+    struct draft *x = g_new0(struct draft, 1);
+    x->number = number;
+    x->records = g_array_new(FALSE, FALSE, sizeof(struct page_rec));
+    x->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    x->done = g_string_new(NULL);
+    page_at(b->part, number);
+    g_ptr_array_add(b->drafts, x);
+    return x;
 }
 
-/* Tasks are written by machine, job, attempt and number. In this order a text is as short as it can
- * be, so that what was on a page always fits on it again; in another order the same tasks may take
- * several times as much. */
-static gint by_text(job_id a, attempt_no a_try, uint32_t a_index, job_id b, attempt_no b_try,
-                    uint32_t b_index)
+/* A task that is done leaves the records together with its mark, or later. */
+static bool mark_written(const struct batch *b, const struct run *r)
 {
-    int job = strcmp(a.s, b.s);
-    if (job != 0)
-        return job;
-    if (a_try.v != b_try.v)
-        return a_try.v < b_try.v ? -1 : 1;
-    return a_index < b_index ? -1 : a_index > b_index;
+    if (!r->done)
+        return true;
+    struct done_unit *d = done_find(b->part, r->job, r->index / MARK_TASKS);
+    return !d || !d->dirty || draft_of(b, d->page);
 }
 
-static gint by_run(gconstpointer a, gconstpointer b)
+/* with_host: a record more on the page. */
+static void draft_add(struct draft *x, const struct page_rec *r)
 {
-    const struct run *x = *(struct run *const *)a, *y = *(struct run *const *)b;
-    return by_text(x->job, x->attempt, x->index, y->job, y->attempt, y->index);
+    g_hash_table_add(x->jobs, g_strdup(r->job.s));
+    g_hash_table_add(x->jobs, g_strdup_printf("%s %" G_GUINT64_FORMAT, r->job.s, r->attempt.v));
+    g_array_append_val(x->records, *r);
 }
 
-static gint by_leftover(gconstpointer a, gconstpointer b)
+static bool draft_has_job(const struct draft *x, job_id job)
 {
-    const struct leftover *x = a, *y = b;
-    int host = strcmp(x->host.s, y->host.s);
-    return host ? host : by_text(x->job, x->attempt, x->index, y->job, y->attempt, y->index);
+    return g_hash_table_contains(x->jobs, job.s);
 }
 
-/* What has to stay on a machine's page, whatever else goes there. */
-static void batch_keep(struct batch *b, struct host *h, struct page_writer *w)
+/* Adds a record that was not on the page, if there is room. What is reckoned is never too little.
+ */
+static bool draft_take(struct draft *x, const struct page_rec *r, gsize most)
 {
-    drop_dead_news(b->part, h);
-    g_ptr_array_sort(h->runs, by_run);
-    g_free(b->about);
-    b->about = about_host(h);
-    for (guint i = 0; i < h->runs->len; i++) {
-        struct run *r = h->runs->pdata[i];
-        /* A task that is done leaves the records together with its mark, or later. */
-        int mark = r->phase == RUN_FREEING && r->done ? page_of_mark(b->part, r) : -1;
-        r->in_txn = r->phase == RUN_FREEING && (mark < 0 || b->drafts->pdata[mark]);
-        if (r->phase == RUN_RECORDED || (r->phase == RUN_FREEING && !r->in_txn))
-            page_write_task(w, h->id, b->about, r->job, r->attempt, r->index);
+    char *attempt = g_strdup_printf("%s %" G_GUINT64_FORMAT, r->job.s, r->attempt.v);
+    gsize cost = page_cost(r, draft_has_job(x, r->job), g_hash_table_contains(x->jobs, attempt));
+    g_free(attempt);
+    if (x->used + cost > most)
+        return false;
+    x->used += cost;
+    draft_add(x, r);
+    return true;
+}
+
+/* The marks that are on a page, or were and are not on another yet. */
+static void draft_marks(struct batch *b, struct draft *x)
+{
+    struct part *p = b->part;
+    GHashTableIter it;
+    struct done_unit *d;
+    g_hash_table_iter_init(&it, p->done);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d)) {
+        if (d->page != x->number && d->was != x->number)
+            continue;
+        struct job *j = part_live_job(p, d->job);
+        if (!j)
+            continue; /* it is over */
+        page_write_done(x->done, d->job, d->unit, d->bits, b->plain);
+        x->changed = x->changed || d->dirty;
+        guint most = part_unit_size(j, d->unit);
+        if (d->page == x->number && most > d->bits->len)
+            x->used += 2 * (gsize)(most - d->bits->len);
     }
+    x->used += x->done->len;
 }
 
-/* Puts a machine's run records on its page. The state service takes no value that is too long, so
- * what would not fit beside that which has to stay waits, whatever was reckoned before: a machine
- * that is being taken over goes to another page, and new tasks are not recorded yet. spare: what is
- * left for them. */
-static void batch_host(struct batch *b, struct host *h, int number, struct page_writer *w,
-                       gsize *spare)
+/* What has to stay on a page, whatever else goes there. */
+static void draft_keep(struct batch *b, struct draft *x)
 {
     struct part *p = b->part;
-    if (*h->foreign && host_bytes(h, false) > *spare) {
-        h->page = -1;
-        return;
+    struct own_page *g = page_at(p, x->number);
+    draft_marks(b, x);
+    for (guint i = 0; i < g->leftover->len; i++) {
+        struct page_rec r = g_array_index(g->leftover, struct page_rec, i);
+        r.about = view_about(p->view, r.host.s);
+        draft_add(x, &r);
     }
-    if (*h->foreign)
-        *spare -= host_bytes(h, false);
-    batch_keep(b, h, w);
-    batch_describe(b, h);
-    bool any = false, stays = false, said = h->stamp.v || h->described || b->about;
-    for (guint i = 0; i < h->runs->len; i++) {
-        struct run *r = h->runs->pdata[i];
-        struct job *j = r->phase == RUN_NEW ? part_live_job(p, r->job) : NULL;
-        if (said && j && first_bytes(h, r->job) <= *spare && batch_job(b, j)) {
-            gsize before = w->text->len;
-            page_write_task(w, h->id, b->about, r->job, r->attempt, r->index);
-            *spare -= w->text->len - before;
-            r->in_txn = true;
+    GHashTableIter it;
+    struct host *h;
+    g_hash_table_iter_init(&it, p->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+        for (guint i = 0; i < h->runs->len; i++) {
+            struct run *r = h->runs->pdata[i];
+            if (r->page != x->number || (r->phase != RUN_RECORDED && r->phase != RUN_FREEING))
+                continue;
+            r->put = -1;
+            r->in_txn = r->phase == RUN_FREEING && mark_written(b, r);
+            h->in_txn = h->in_txn || r->in_txn;
+            x->changed = x->changed || r->in_txn;
+            if (r->in_txn)
+                continue;
+            struct page_rec rec = rec_of(h, r);
+            draft_add(x, &rec);
         }
-        any = any || r->in_txn;
-        stays = stays || (r->phase != RUN_GONE && !(r->phase == RUN_FREEING && r->in_txn));
-        r->tried = r->tried || r->in_txn;
-        if (!r->in_txn && (r->phase == RUN_NEW || r->phase == RUN_FREEING))
-            part_host_dirty(p, h); /* with the next one */
-    }
-    /* Its record goes with its last task, as the page would have to say what it is again. */
-    if (h->gone && h->stamp.v && !stays)
-        batch_forget(b, h);
-    bool moved = h->page_from >= 0 && number == h->page;
-    if (any || h->described || h->gone || *h->foreign || moved) {
-        h->in_txn = true;
-        h->page_put = number;
-        g_ptr_array_add(b->hosts, g_strdup(h->id.s));
-    }
+    gsize least;
+    x->used += page_length(x->records, &least);
+    x->over = least + x->done->len > part_text_bytes(p);
 }
 
-static json_object *page_value(const char *tasks, const char *done)
+/* Marks that are too much for their page go to another one. They stay on the first until that is
+ * written. */
+static void move_marks(struct batch *b, struct draft *x)
 {
-    json_object *o = json_object_new_object();
-    json_put_text(o, "t", tasks);
-    json_put_text(o, "d", done);
-    return o;
+    GHashTableIter it;
+    struct done_unit *d;
+    g_hash_table_iter_init(&it, b->part->done);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d))
+        if (d->page == x->number && d->was < 0) {
+            LOG_INFO("marks_move", "page=%d job=%s", x->number, d->job.s);
+            d->was = d->page;
+            d->page = d->near = -1;
+            d->dirty = true;
+            b->rest = true;
+            return;
+        }
 }
 
-static char *done_text(struct part *p, int number)
+/* Room that marks on a page may still take. */
+static gsize marks_growth(struct part *p, int number)
 {
-    struct page_writer w = {.text = g_string_new(NULL)};
+    gsize n = 0;
     GHashTableIter it;
-    struct done_chunk *d;
+    struct done_unit *d;
     g_hash_table_iter_init(&it, p->done);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d)) {
-        if (d->page != number)
-            continue;
-        if (part_live_job(p, d->job))
-            page_write_done(&w, d->job, d->chunk, d->bits);
-        else
-            g_hash_table_iter_remove(&it);
+        struct job *j = part_live_job(p, d->job);
+        if (d->page == number && j)
+            n += 2 * (gsize)(part_unit_size(j, d->unit) - MIN(d->bits->len, MARK_BYTES));
     }
-    return g_string_free(w.text, FALSE);
+    return n;
+}
+
+static gsize page_room(struct part *p, int number)
+{
+    gsize most = part_text_bytes(p), used = page_at(p, number)->bytes + marks_growth(p, number);
+    return own_long(p, number) || used > most ? 0 : most - used;
 }
 
-static void write_leftover(struct part *p, GArray *tasks, struct page_writer *w)
+/* A number that no page has, or that of one that is empty. */
+static int page_unused(struct part *p, const struct batch *b)
 {
-    g_array_sort(tasks, by_leftover);
-    for (guint i = 0; i < tasks->len; i++) {
-        struct leftover *x = &g_array_index(tasks, struct leftover, i);
-        char *about = host_record_about(view_host(p->view, x->host.s));
-        page_write_task(w, x->host, about, x->job, x->attempt, x->index);
-        g_free(about);
+    int n = 0;
+    while (n < (int)p->pages->len &&
+           (page_at(p, n)->bytes || page_seen(p, n) || draft_of(b, n) || own_long(p, n)))
+        n++;
+    page_at(p, n);
+    return n;
+}
+
+/* The page with the most room, those in want of a write first; a new one if they are all quite
+ * full. */
+static int page_for_more(struct part *p, const struct batch *b, const bool *wanted)
+{
+    gsize enough = part_text_bytes(p) / 4, most[2] = {0, 0};
+    int best[2] = {-1, -1};
+    for (guint i = 0; i < p->pages->len; i++) {
+        gsize room = draft_of(b, (int)i) ? 0 : page_room(p, (int)i);
+        if (room >= enough && room > most[wanted[i]]) {
+            most[wanted[i]] = room;
+            best[wanted[i]] = (int)i;
+        }
     }
+    return best[1] >= 0 ? best[1] : best[0] >= 0 ? best[0] : page_unused(p, b);
+}
+
+/* ---- what goes into a transaction ---- */
+
+/* Whether machines may be taken over from another node's page as it is. A long page has to be split
+ * first, but for one of a node of version 0 that goes on writing it: while nobody has seen that
+ * less is allowed, what is left of it is not longer than it was. After that, copies may be on their
+ * way from a long page to others of its node: none of these is touched. */
+static bool source_fits(struct part *p, const struct page *g, bool plain)
+{
+    const struct store_limits *l = store_limits(p->store);
+    if (!plain && part_label_long(p, g->label))
+        return false;
+    if (!part_page_long(p, g))
+        return true;
+    const struct node_record *n = g_hash_table_lookup(p->view->nodes, g->label);
+    return plain && n && n->version < NODE_VERSION && !l->lowered;
+}
+
+static struct page *source_of(struct part *p, const struct run *r)
+{
+    return r->foreign && r->phase != RUN_GONE ? g_hash_table_lookup(p->view->pages, r->foreign)
+                                              : NULL;
 }
 
-/* One page as it is to be, with all that lies on it. */
-static void batch_page(struct batch *b, int number)
+/* What there is to be written. */
+struct want {
+    bool *pages; /* by number */
+    bool news;   /* starts */
+    GPtrArray *sources;
+};
+
+static void survey(struct batch *b, struct want *w)
 {
     struct part *p = b->part;
-    struct own_page *g = page_at(p, number);
-    struct draft *draft = b->drafts->pdata[number];
-    struct page_writer w = {.text = draft->tasks}, kept = {.text = g_string_new(NULL)};
-    GPtrArray *hosts = g_ptr_array_new();
-    g->dirty = false;
-    write_leftover(p, g->leftover, &w);
     GHashTableIter it;
     struct host *h;
+    struct done_unit *d;
+    w->pages = g_new0(bool, p->pages->len + 1);
+    w->sources = g_ptr_array_new();
+    w->news = false;
     g_hash_table_iter_init(&it, p->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
-        if (page_after(b, h) == number) {
-            g_ptr_array_add(hosts, h);
-            if (!*h->foreign)
-                batch_keep(b, h, &kept);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
+        drop_dead_news(p, h);
+        for (guint i = 0; i < h->runs->len; i++) {
+            const struct run *r = h->runs->pdata[i];
+            struct page *source = source_of(p, r);
+            if (source && !g_ptr_array_find(w->sources, source, NULL) &&
+                source_fits(p, source, b->plain))
+                g_ptr_array_add(w->sources, source);
+            if (r->phase == RUN_FREEING && r->page >= 0)
+                w->pages[r->page] = true;
+            if (source && b->plain && page_of_host(h) >= 0)
+                w->pages[page_of_host(h)] = true;
+            if (r->phase == RUN_NEW) {
+                int page = b->plain ? page_of_host(h) : -1;
+                w->news = w->news || page < 0;
+                if (page >= 0)
+                    w->pages[page] = true;
+            }
         }
-    /* Reckoned beforehand was a little too much, never too little; so of the margin a part may be
-     * used here, and what was promised room gets it. */
-    gsize all = store_limits(p->store)->value_bytes + PAGE_MARGIN - VALUE_BYTES;
-    gsize used = draft->kept + w.text->len + kept.text->len, spare = all > used ? all - used : 0;
-    for (guint i = 0; i < hosts->len; i++)
-        batch_host(b, hosts->pdata[i], number, &w, &spare);
-    g_ptr_array_unref(hosts);
-    g_string_free(kept.text, TRUE);
+    }
+    g_hash_table_iter_init(&it, p->done);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d)) {
+        if (!part_live_job(p, d->job)) {
+            g_hash_table_iter_remove(&it); /* over: it goes with the next write of its page */
+            continue;
+        }
+        d->more = false;
+        if (d->dirty && d->page >= 0)
+            w->pages[d->page] = true;
+        else if (d->dirty && d->near >= 0)
+            w->pages[d->near] = true;
+        else if (d->dirty)
+            w->news = true;
+    }
 }
 
-/* The page of another node without the machines that this transaction takes over. */
-static void batch_foreign(struct batch *b)
+/* Which pages are written: one for what is new, then those that wait, another one first each time.
+ */
+static void choose(struct batch *b, const struct want *w)
 {
     struct part *p = b->part;
-    struct page *v = g_hash_table_lookup(p->view->pages, b->foreign->str);
-    if (!v)
-        return;
-    struct page_writer w = {.text = g_string_new(NULL)};
-    GArray *left = g_array_new(FALSE, FALSE, sizeof(struct leftover));
-    for (guint i = 0; i < v->tasks->len; i++) {
-        struct placed *t = v->tasks->pdata[i];
-        struct host *h = part_host_get(p, t->host->id.s);
-        if (h && h->in_txn && strcmp(h->foreign, v->key) == 0)
+    const struct store_limits *l = store_limits(p->store);
+    guint n = p->pages->len, most = (guint)MAX(l->txn_ops / 2, 1);
+    most = MIN(most, (guint)MAX(TXN_BYTES / l->value_bytes, 1));
+    guint sources = MIN(MIN(w->sources->len, MOST_SOURCES), (guint)l->txn_ops - most - 1);
+    for (guint i = 0; i < sources; i++)
+        g_ptr_array_add(b->sources, w->sources->pdata[(i + p->first_page) % w->sources->len]);
+    b->rest = sources < w->sources->len;
+    p->first_page++;
+    if (w->news || sources)
+        draft_open(b, page_for_more(p, b, w->pages));
+    if (sources > 1 && b->drafts->len < most)
+        draft_open(b, page_for_more(p, b, w->pages));
+    for (guint k = 0; k < n; k++) {
+        int i = (int)((p->first_page + k) % n);
+        if (!w->pages[i] || own_long(p, i) || draft_of(b, i))
             continue;
-        struct leftover x = {t->host->id, t->job->id, t->attempt, t->index};
-        g_array_append_val(left, x);
+        if (b->drafts->len < most)
+            draft_open(b, i);
+        else
+            b->rest = true;
     }
-    write_leftover(p, left, &w);
-    g_array_unref(left);
-    txn_when(b->txn, v->key, v->stamp);
-    txn_set(b->txn, v->key, page_value(w.text->str, v->done ? v->done : ""), (lease_id){0});
-    g_string_free(w.text, TRUE);
+    b->spare = l->txn_ops - (int)(b->drafts->len + b->sources->len);
 }
 
-/* Machines whose records an earlier owner's page still holds come first, all from one page. */
-static void batch_adopt(struct batch *b)
+/* Marks that are on no page yet find one. */
+static void place_marks(struct batch *b)
 {
     struct part *p = b->part;
     GHashTableIter it;
-    struct host *h;
-    g_hash_table_iter_init(&it, p->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
-        if (!*h->foreign)
+    struct done_unit *d;
+    g_hash_table_iter_init(&it, p->done);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d)) {
+        struct job *j = part_live_job(p, d->job);
+        if (d->page >= 0 || !j)
             continue;
-        if (!b->foreign->len)
-            g_string_assign(b->foreign, h->foreign);
-        if (strcmp(b->foreign->str, h->foreign) == 0)
-            part_host_dirty(p, h);
+        gsize cost = page_done_cost(d->job, d->unit, part_unit_size(j, d->unit), b->plain);
+        if (d->near >= 0 && draft_of(b, d->near) && page_room(p, d->near) >= cost)
+            d->page = d->near;
+        for (guint i = 0; i < b->drafts->len && d->page < 0; i++) {
+            int number = ((struct draft *)b->drafts->pdata[i])->number;
+            if (number != d->was && page_room(p, number) >= cost)
+                d->page = number;
+        }
+        if (d->page < 0) {
+            d->near = -1; /* a page with more room is written next */
+            b->rest = true;
+        } else {
+            page_at(p, d->page)->bytes += cost;
+        }
     }
 }
 
-static struct draft *draft_new(struct part *p, int number)
+/* Drafts with what has to stay. One that is too long already is not written now. */
+static void build(struct batch *b)
 {
-    struct draft *x = g_new(struct draft, 1);
-    x->tasks = g_string_new(NULL);
-    x->done = done_text(p, number);
-    x->kept = PAGE_MARGIN + strlen(x->done) + done_growth(p, number);
-    return x;
+    bool again = true;
+    while (again) {
+        again = false;
+        for (guint i = 0; i < b->drafts->len; i++) {
+            struct draft *x = b->drafts->pdata[i];
+            g_array_set_size(x->records, 0);
+            g_hash_table_remove_all(x->jobs);
+            g_string_truncate(x->done, 0);
+            x->used = 0;
+            x->changed = false;
+            draft_keep(b, x);
+        }
+        for (guint i = 0; i < b->drafts->len && !again; i++) {
+            struct draft *x = b->drafts->pdata[i];
+            if (!x->over)
+                continue;
+            move_marks(b, x);
+            GHashTableIter it;
+            struct host *h;
+            g_hash_table_iter_init(&it, b->part->hosts);
+            while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+                for (guint k = 0; k < h->runs->len; k++) {
+                    struct run *r = h->runs->pdata[k];
+                    r->in_txn = r->in_txn && r->page != x->number;
+                }
+            g_ptr_array_remove_index(b->drafts, i);
+            again = true;
+        }
+    }
 }
 
-static void draft_free(gpointer q)
+/* Finds room for a record on a page that is written, best where its job is already. */
+static struct draft *draft_for(struct batch *b, const struct page_rec *rec, gsize most)
 {
-    struct draft *x = q;
+    for (int with_job = 1; with_job >= 0; with_job--)
+        for (guint i = 0; i < b->drafts->len; i++) {
+            struct draft *x = b->drafts->pdata[i];
+            if ((with_job == 0 || draft_has_job(x, rec->job)) && draft_take(x, rec, most))
+                return x;
+        }
+    return NULL;
+}
+
+/* The page on which a machine's records are, or come to be with this transaction; -1: any. */
+static int page_bound(const struct batch *b, const struct host *h)
+{
+    if (!b->plain)
+        return -1;
+    for (guint i = 0; i < h->runs->len; i++) {
+        const struct run *r = h->runs->pdata[i];
+        if (r->in_txn && r->put >= 0)
+            return r->put;
+    }
+    return page_of_host(h);
+}
+
+/* A record comes to a page that is written. */
+static bool batch_put(struct batch *b, struct host *h, struct run *r, gsize most)
+{
+    struct page_rec rec = rec_of(h, r);
+    int bound = page_bound(b, h);
+    struct draft *x = bound >= 0 ? draft_of(b, bound) : NULL;
+    if (bound >= 0 && (!x || !draft_take(x, &rec, most)))
+        return false;
+    if (bound < 0)
+        x = draft_for(b, &rec, most);
     if (!x)
-        return;
-    g_string_free(x->tasks, TRUE);
-    g_free(x->done);
-    g_free(x);
+        return false;
+    r->put = x->number;
+    r->in_txn = h->in_txn = x->changed = true;
+    return true;
 }
 
-/* Chooses the pages to be written, beginning with another one each time. */
-static void batch_choose(struct batch *b)
+/* Takes a machine's records over from other nodes' pages, each in the transaction that takes it off
+ * there. Where a machine may have one page only, all of them or none. */
+static void batch_adopt(struct batch *b, struct host *h)
+{
+    gsize most = part_text_bytes(b->part);
+    bool whole = true;
+    for (guint i = 0; i < h->runs->len && whole; i++) {
+        struct run *r = h->runs->pdata[i];
+        struct page *source = source_of(b->part, r);
+        if (!source || !g_ptr_array_find(b->sources, source, NULL))
+            continue;
+        r->put = -1;
+        if (r->phase == RUN_FREEING && mark_written(b, r))
+            r->in_txn = h->in_txn = true;
+        else if (!batch_put(b, h, r, most))
+            whole = !b->plain;
+        b->rest = b->rest || !r->in_txn;
+    }
+    for (guint i = 0; i < h->runs->len && !whole; i++) {
+        struct run *r = h->runs->pdata[i];
+        struct draft *x = r->foreign && r->in_txn ? draft_of(b, r->put) : NULL;
+        for (guint k = 0; x && k < x->records->len; k++) {
+            const struct page_rec *rec = &g_array_index(x->records, struct page_rec, k);
+            if (host_eq(rec->host, h->id) && job_eq(rec->job, r->job) && rec->index == r->index) {
+                g_array_remove_index(x->records, k);
+                break;
+            }
+        }
+        if (r->foreign)
+            r->in_txn = false;
+    }
+}
+
+static void batch_news(struct batch *b, struct host *h)
 {
     struct part *p = b->part;
-    const struct store_limits *l = store_limits(p->store);
-    gsize bytes = b->foreign->len ? l->value_bytes : 0;
-    guint n = p->pages->len, most = MAX(l->txn_ops / 2, 1);
-    g_ptr_array_set_size(b->drafts, (int)n);
-    p->first_page++;
-    for (guint k = 0; k < n && most > 0; k++) {
-        guint i = (p->first_page + k) % n;
-        if (!page_at(p, (int)i)->dirty || bytes + l->value_bytes > TXN_BYTES)
+    /* Some room is left on a page for marks. */
+    gsize most = part_text_bytes(p) - part_text_bytes(p) / 8;
+    for (guint i = 0; i < h->runs->len; i++) {
+        struct run *r = h->runs->pdata[i];
+        struct job *j = r->phase == RUN_NEW ? part_live_job(p, r->job) : NULL;
+        if (!j)
             continue;
-        b->drafts->pdata[i] = draft_new(p, (int)i);
-        bytes += l->value_bytes;
-        most--;
+        batch_describe(b, h);
+        if ((h->stamp.v || h->described || about_host(h)) && batch_job(b, j) &&
+            batch_put(b, h, r, most))
+            r->tried = true;
+        else
+            b->rest = true;
     }
 }
 
-/* What is placed and not in this transaction keeps its room on the page. */
-static gsize page_waits(struct part *p, int number)
+/* Its record goes with its last task, as the pages would have to say what it is again. */
+static void batch_last(struct batch *b, struct host *h)
 {
-    gsize n = 0;
-    GHashTableIter it;
-    struct host *h;
-    g_hash_table_iter_init(&it, p->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
-        for (guint i = 0; h->page == number && i < h->runs->len; i++) {
-            const struct run *r = h->runs->pdata[i];
-            n += r->phase == RUN_NEW && !r->in_txn ? first_bytes(h, r->job) : 0;
-        }
+    bool stays = false;
+    for (guint i = 0; i < h->runs->len; i++) {
+        const struct run *r = h->runs->pdata[i];
+        stays = stays ||
+                (r->phase != RUN_GONE && !(r->phase == RUN_FREEING && r->in_txn && r->put < 0));
     }
-    return n;
+    if (h->gone && h->stamp.v && !stays)
+        batch_forget(b, h);
+    h->in_txn = h->in_txn || (h->gone && !stays);
+    if (!h->gone && part_host_has_run(h))
+        batch_describe(b, h);
 }
 
-/* Puts what has changed into a transaction: what machines are, then pages, then the page of another
- * node without what was taken over from it. In this order whoever reads it never misses a task. */
-static void batch_fill(struct batch *b)
+static json_object *page_value(const char *tasks, const char *done)
+{
+    json_object *o = json_object_new_object();
+    json_put_text(o, "t", tasks);
+    json_put_text(o, "d", done);
+    return o;
+}
+
+void part_page_set(struct txn *t, const char *key, revision stamp, const char *tasks,
+                   const char *done)
+{
+    txn_when(t, key, stamp);
+    txn_set(t, key, page_value(tasks, done), (lease_id){0});
+}
+
+/* The page of another node without the records that this transaction takes over. */
+static void batch_source(struct batch *b, struct page *v)
 {
     struct part *p = b->part;
-    batch_adopt(b);
-    batch_choose(b);
-    for (guint i = 0; i < b->drafts->len; i++)
-        if (b->drafts->pdata[i])
-            batch_page(b, (int)i);
-    for (guint i = 0; i < b->drafts->len; i++) {
-        struct draft *draft = b->drafts->pdata[i];
-        if (!draft)
+    GArray *left = g_array_new(FALSE, FALSE, sizeof(struct page_rec));
+    guint taken = 0;
+    for (guint i = 0; i < v->tasks->len; i++) {
+        struct placed *t = v->tasks->pdata[i];
+        struct host *h = part_host_get(p, t->host->id.s);
+        struct run *r = h ? part_run_find(h, t->job->id, t->index, t->attempt) : NULL;
+        if (r && r->in_txn && r->foreign && strcmp(r->foreign, v->key) == 0) {
+            taken++;
             continue;
-        struct own_page *g = page_at(p, (int)i);
-        char *key = key_page(p->settings->label, (int)i);
-        txn_when(b->txn, key, g->stamp);
-        g->bytes = draft->kept + draft->tasks->len + page_waits(p, (int)i);
-        txn_set(b->txn, key, page_value(draft->tasks->str, draft->done), (lease_id){0});
-        g_free(key);
+        }
+        struct page_rec x = {t->host->id, t->job->id, t->attempt, t->index,
+                             view_about(p->view, t->host->id.s)};
+        g_array_append_val(left, x);
+    }
+    if (taken) {
+        GString *text = page_write(left);
+        part_page_set(b->txn, v->key, v->stamp, text->str, v->done ? v->done : "");
+        g_string_free(text, TRUE);
     }
-    if (b->foreign->len)
-        batch_foreign(b);
+    g_array_unref(left);
+}
+
+static void batch_write(struct batch *b, struct draft *x)
+{
+    struct part *p = b->part;
+    struct own_page *g = page_at(p, x->number);
+    GString *text = page_write(x->records);
+    char *key = key_page(p->settings->label, x->number);
+    if (text->len + x->done->len > part_text_bytes(p))
+        LOG_ERROR("page_too_long", "page=%s bytes=%zu", key, text->len + x->done->len);
+    part_page_set(b->txn, key, g->stamp, text->str, x->done->str);
+    g->bytes = text->len + x->done->len;
+    g_free(key);
+    g_string_free(text, TRUE);
+}
+
+static void each_host(struct batch *b, void (*f)(struct batch *b, struct host *h))
+{
+    GHashTableIter it;
+    struct host *h;
+    g_hash_table_iter_init(&it, b->part->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+        f(b, h);
 }
 
+static void batch_list(struct batch *b, struct host *h)
+{
+    if (h->in_txn)
+        g_ptr_array_add(b->hosts, g_strdup(h->id.s));
+}
+
+/* Puts what has changed into a transaction: what machines are, then pages, then the pages of other
+ * nodes without what was taken over from them. In this order whoever reads it never misses a task.
+ */
+static void batch_fill(struct batch *b)
+{
+    struct want w;
+    survey(b, &w);
+    choose(b, &w);
+    g_free(w.pages);
+    g_ptr_array_unref(w.sources);
+    place_marks(b);
+    build(b);
+    each_host(b, batch_adopt);
+    each_host(b, batch_news);
+    each_host(b, batch_last);
+    each_host(b, batch_list);
+    for (guint i = 0; i < b->drafts->len; i++)
+        if (((struct draft *)b->drafts->pdata[i])->changed)
+            batch_write(b, b->drafts->pdata[i]);
+    for (guint i = 0; i < b->sources->len; i++)
+        batch_source(b, b->sources->pdata[i]);
+}
+
+/* ---- what became of it ---- */
+
 static void batch_settled(struct part *p, struct host *h, const struct txn_outcome *o)
 {
     if (h->removing)
@@ -699,23 +979,19 @@
     else if (h->described)
         h->stamp = o->at;
     h->described = h->removing = false;
-    *h->foreign = 0;
-    /* While that was under way the machine may have been given another page, for a task that found
-     * no room on this one. Its records are here until they are moved: taken off here before they
-     * are there, what runs would look free. */
-    if (h->page_put >= 0)
-        h->page_from = h->page == h->page_put ? -1 : h->page_put;
-    h->page_put = -1;
-    if (h->page_from >= 0)
-        part_host_dirty(p, h); /* both pages, or its new tasks would wait for others' */
     for (guint i = 0; i < h->runs->len;) {
         struct run *r = h->runs->pdata[i];
-        bool in = r->in_txn;
+        if (!r->in_txn) {
+            i++;
+            continue;
+        }
         r->in_txn = false;
-        if (in && r->phase == RUN_NEW) {
+        r->page = r->put;
+        r->foreign = NULL;
+        if (r->phase == RUN_NEW) {
             r->phase = RUN_RECORDED;
             part_run_heed_job(p, r);
-        } else if (in && r->phase == RUN_FREEING) {
+        } else if (r->phase == RUN_FREEING && r->put < 0) {
             part_run_unbook(p, h, r);
             r->phase = RUN_GONE;
             if (!r->seen) {
@@ -750,15 +1026,26 @@
 static void batch_done(struct batch *b, const struct txn_outcome *o)
 {
     struct part *p = b->part;
-    for (guint i = 0; i < b->drafts->len; i++)
-        if (b->drafts->pdata[i])
-            page_at(p, (int)i)->stamp = o->at;
+    GHashTableIter it;
+    struct done_unit *d;
+    for (guint i = 0; i < b->drafts->len; i++) {
+        struct draft *x = b->drafts->pdata[i];
+        if (x->changed)
+            page_at(p, x->number)->stamp = o->at;
+    }
+    g_hash_table_iter_init(&it, p->done);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&d))
+        if (d->page >= 0 && draft_of(b, d->page) && !d->more) {
+            d->dirty = false;
+            d->was = -1;
+        }
     batch_over(b);
     for (guint i = 0; i < b->hosts->len; i++) {
         struct host *h = part_host_get(p, b->hosts->pdata[i]);
         if (h)
             batch_settled(p, h, o);
     }
+    p->dirty = p->dirty || b->rest;
     batch_free(b);
     part_place_all(p);
     part_flush_soon(p);
@@ -770,9 +1057,7 @@
     struct batch *b = arg;
     struct part *p = b->part;
     bool current = b->generation == p->generation;
-    for (guint i = 0; current && i < b->drafts->len; i++)
-        if (b->drafts->pdata[i])
-            page_at(p, (int)i)->dirty = true;
+    p->dirty = true;
     batch_over(b);
     for (guint i = 0; current && i < b->hosts->len; i++) {
         struct host *h = part_host_get(p, b->hosts->pdata[i]);
@@ -780,7 +1065,6 @@
             continue;
         h->new_images = h->new_images || h->described;
         h->described = h->removing = false;
-        h->page_put = -1;
         for (guint k = 0; k < h->runs->len; k++)
             ((struct run *)h->runs->pdata[k])->in_txn = false;
     }
@@ -837,35 +1121,52 @@
     return false;
 }
 
+/* Conditions of all that this node writes of records. */
+struct txn *part_txn(struct part *p)
+{
+    struct txn *t = txn_new();
+    char *self = key_node(p->settings->label);
+    txn_when(t, self, membership_stamp(p->members));
+    txn_when(t, KEY_MAP, p->view->map_stamp);
+    g_free(self);
+    return t;
+}
+
 void part_flush(void *arg)
 {
     struct part *p = arg;
     if (p->txn_out || !membership_valid(p->members) || p->epoch.v != p->view->epoch.v ||
         !map_names(p->view, p->settings->label, membership_incarnation(p->members)))
         return;
-    bool any = false;
-    GHashTableIter it;
-    struct host *h;
-    g_hash_table_iter_init(&it, p->hosts);
-    while (!any && g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
-        any = *h->foreign;
-    for (guint i = 0; i < p->pages->len; i++)
-        any = any || page_at(p, (int)i)->dirty;
-    if (!any || !write_due(p))
+    bool split = part_split_due(p);
+    if ((!p->dirty && !split) || !write_due(p) || (split && part_split(p)))
         return;
+    p->dirty = false;
     struct batch *b = g_new0(struct batch, 1);
     *b = (struct batch){.part = p,
                         .generation = p->generation,
+                        .plain = part_plain(p),
                         .hosts = g_ptr_array_new_with_free_func(g_free),
-                        .txn = txn_new(),
+                        .txn = part_txn(p),
                         .jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
-                        .foreign = g_string_new(NULL),
-                        .drafts = g_ptr_array_new_with_free_func(draft_free)};
-    char *self = key_node(p->settings->label);
-    txn_when(b->txn, self, membership_stamp(p->members));
-    txn_when(b->txn, KEY_MAP, p->view->map_stamp);
-    g_free(self);
+                        .drafts = g_ptr_array_new_with_free_func(draft_free),
+                        .sources = g_ptr_array_new()};
     batch_fill(b);
+    if (!txn_writes(b->txn)) {
+        /* Nothing can be written as things are; a machine without records may be gone. */
+        txn_free(b->txn);
+        p->dirty = b->rest;
+        batch_over(b);
+        for (guint i = 0; i < b->hosts->len; i++) {
+            struct host *h = part_host_get(p, b->hosts->pdata[i]);
+            if (h && h->gone && !h->stamp.v && !part_host_has_run(h))
+                g_hash_table_remove(p->hosts, h->id.s);
+        }
+        batch_free(b);
+        if (p->dirty)
+            timer_start(p->loop, &p->flush, RETRY_MS);
+        return;
+    }
     p->write_level -= txn_writes(b->txn);
     p->txn_out = true;
     store_txn(p->store, LANE_URGENT, b->txn, batch_answered, b);
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -21,6 +21,9 @@
     struct room room;
     bool service;
     enum run_phase phase;
+    int page;            /* of ours, that its record is on; -1: none */
+    const char *foreign; /* key (interned) of the page of an earlier owner that it is on; or NULL */
+    int put;             /* with in_txn, the page that it comes to; -1: it leaves the records */
     bool in_txn;
     bool tried;  /* it was in a transaction, of which nobody may know what became */
     bool listed; /* in the report at hand */
@@ -59,10 +62,7 @@
     bool recalled;
     revision stamp;   /* of the record that says what it is */
     mono_time stored; /* when that was last written here */
-    int page;         /* that its run records are on; -1: none yet */
-    int page_from;    /* that they are to leave for it; -1: none */
-    int page_put;     /* that the transaction under way puts them on; -1: on none */
-    char foreign[72]; /* the page of an earlier owner that they are still on; "": none */
+    char *about;      /* what pages say of it, or NULL */
     bool in_txn;
     bool described; /* the transaction under way writes what it is */
     bool removing;  /* or removes that */
@@ -92,20 +92,11 @@
     mono_time since, queue_since;
 };
 
-/* A run record on one of our pages that is another node's now and not taken over yet. */
-struct leftover {
-    host_id host;
-    job_id job;
-    attempt_no attempt;
-    uint32_t index;
-};
-
-/* One of this node's pages: see view.h. */
+/* One of this node's pages: see page.h. */
 struct own_page {
     revision stamp;
-    bool dirty;
-    gsize bytes; /* at most, once what is booked for it is written */
-    GArray *leftover;
+    gsize bytes;      /* of its texts, as they were last written or seen, and what waits for it */
+    GArray *leftover; /* struct page_rec, of machines that are another node's now */
 };
 
 /* In this look at the queues nothing was found for a task that asked for so much. */
@@ -115,12 +106,16 @@
     char yard[48]; /* "": any */
 };
 
-/* Tasks of a chunk of a job that this node saw done. */
-struct done_chunk {
+/* Tasks of a job that this node saw done: those of a unit of MARK_TASKS. */
+struct done_unit {
     job_id job;
-    uint32_t chunk;
+    uint32_t unit;
     GByteArray *bits;
-    int page;
+    int page;   /* that says it, or will; -1: none was chosen yet */
+    int was;    /* that still says it until the other does; -1: none */
+    int near;   /* that a task's record leaves, best for it; -1: none */
+    bool dirty; /* its page does not say all of it yet */
+    bool more;  /* came since the transaction under way was made */
 };
 
 struct part {
@@ -145,8 +140,10 @@
     GPtrArray *news;  /* cJSON: what went wrong, and how long tasks took, for the leader */
     GPtrArray *pages; /* struct own_page, by number */
     guint first_page; /* to be looked at by the next transaction */
-    GHashTable *done; /* "JOB CHUNK" -> struct done_chunk */
+    GHashTable *done; /* "JOB UNIT" -> struct done_unit */
     bool txn_out;
+    bool dirty;         /* there is something to be written */
+    mono_time split_at; /* a page that could not be split is looked at again */
     double write_level; /* of this node's share of the writes */
     mono_time write_at;
     bool digest_out, digest_soon, want_raise;
@@ -195,15 +192,33 @@
 void part_flush_soon(struct part *p);
 /* Its runs have changed. */
 void part_host_dirty(struct part *p, struct host *h);
+/* How long the texts of a page may be together, and whether one is longer. */
+gsize part_text_bytes(const struct part *p);
+bool part_page_long(const struct part *p, const struct page *g);
+/* Whether nodes of version 0 may come to read what is written. */
+bool part_plain(const struct part *p);
 bool part_record_has_room(struct part *p, struct host *h, job_id job);
 /* One more task, which is to be recorded. */
 void part_record_new(struct part *p, struct host *h, job_id job);
+/* Whether a mark for it may be written now. */
+bool part_may_mark(struct part *p, const struct run *r);
+guint part_unit_size(const struct job *j, uint32_t unit);
 /* A task is done: to be recorded, in the same transaction as its end or before. */
 void part_mark_done(struct part *p, struct run *r);
 void part_page_changed(struct part *p, const char *key);
 /* Makes all pages and machines agree with the view. */
 void part_records_sync(struct part *p);
 void part_flush(void *arg);
+/* A transaction with the conditions of all that this node writes of records. */
+struct txn *part_txn(struct part *p);
+void part_page_set(struct txn *t, const char *key, revision stamp, const char *tasks,
+                   const char *done);
+
+/* part_split.c: pages that are too long by now */
+bool part_label_long(const struct part *p, const char *label);
+bool part_split_due(struct part *p);
+/* False when nothing can be done about it yet, and other work may go on. */
+bool part_split(struct part *p);
 void part_done_free(gpointer q);
 void part_page_free(gpointer q);
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -195,6 +195,38 @@
     g_free(((struct team *)p)->name);
 }
 
+/* Whether there is such a table; something else in its place is an error. */
+static bool table_at(struct reading *r, json_object *o, const char *path)
+{
+    json_object *v = member(o, path);
+    if (v && !json_object_is_type(v, json_type_object))
+        complain(r, path, "must be a table");
+    return v != NULL;
+}
+
+/* Where there are others to fall back on, each field may be missing. */
+static struct state_limits read_limits(struct reading *r, json_object *root, const char *path,
+                                       const struct state_limits *otherwise)
+{
+    static const char *const names[] = {"rps", "write_rps", "value_kb", "txn_ops"};
+    static const double low[] = {1, 1, 1, 4}, high[] = {1e6, 1e6, 64, 100000};
+    double x[] = {0, 0, 0, 0};
+    if (otherwise) {
+        x[0] = otherwise->rps;
+        x[1] = otherwise->write_rps;
+        x[2] = otherwise->value_kb;
+        x[3] = otherwise->txn_ops;
+    }
+    for (guint i = 0; i < G_N_ELEMENTS(names); i++) {
+        char *field = g_strconcat(path, ".", names[i], NULL);
+        if (!otherwise || member(root, field))
+            x[i] = i == 3 ? whole_at(r, root, field, low[i], high[i])
+                          : number_at(r, root, field, low[i], high[i]);
+        g_free(field);
+    }
+    return (struct state_limits){x[0], x[1], x[2], (int)x[3]};
+}
+
 static struct settings *read_all(json_object *root, char **error)
 {
     struct reading reading = {0}, *r = &reading;
@@ -228,10 +260,10 @@
     s->gang_wait_s = number_at(r, root, "deployment.workers.gang_wait_s", 0, 3600);
     s->gang_peer_s = number_at(r, root, "deployment.workers.gang_peer_s", 0, 3600);
     s->cancel_s = number_at(r, root, "deployment.workers.cancel_s", 1, 36000);
-    s->state_rps = number_at(r, root, "deployment.state.rps", 1, 1e6);
-    s->state_write_rps = number_at(r, root, "deployment.state.write_rps", 1, 1e6);
-    s->state_value_kb = number_at(r, root, "deployment.state.value_kb", 1, 64);
-    s->state_txn_ops = whole_at(r, root, "deployment.state.txn_ops", 4, 100000);
+    s->state = read_limits(r, root, "deployment.state", NULL);
+    s->state_next = s->state;
+    if (table_at(r, root, "deployment.state.next"))
+        s->state_next = read_limits(r, root, "deployment.state.next", &s->state);
     s->cloud_rps = number_at(r, root, "deployment.cloud.rps", 0.01, 1e6);
     s->cloud_list_lag_s = number_at(r, root, "deployment.cloud.list_lag_s", 0, 3600);
     s->core_share = number_at(r, root, "deployment.machine_limits.core_share", 0.001, 1024);
--- a/src/settings.h
+++ b/src/settings.h
@@ -27,6 +27,12 @@
     char *label, *zone, *endpoint;
 };
 
+/* What the state service allows. */
+struct state_limits {
+    double rps, write_rps, value_kb;
+    int txn_ops;
+};
+
 struct settings {
     char *label, *zone, *api_addr, *back_addr;
     GArray *siblings; /* struct sibling */
@@ -37,8 +43,8 @@
     GArray *teams;      /* struct team */
     GArray *objectives; /* struct objective */
     double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
-    double state_rps, state_write_rps, state_value_kb;
-    int state_txn_ops;
+    struct state_limits state;
+    struct state_limits state_next; /* from some moment on; the same where nothing is said */
     double cloud_rps, cloud_list_lag_s;
     double core_share, ram_mb;
     int fd_limit;
--- a/src/store.c
+++ b/src/store.c
@@ -10,7 +10,9 @@
     TXN_TIMEOUT_MS = 2500,
     TXN_WAIT_MS = 2500,
     SILENT_MS = 1800,
-    REFUSED_MS = 150
+    REFUSED_MS = 150,
+    REFUSALS = 4, /* within REFUSALS_MS of one another */
+    REFUSALS_MS = 3000,
 };
 
 /* A budget that fills with time. */
@@ -44,7 +46,9 @@
     struct timer pump_timer;
     mono_time not_before; /* after a 429 */
     mono_time last_ok;
-    bool refused;    /* the last answer was a 503 */
+    bool refused; /* the last answer was a 503 */
+    int refusals; /* 429s for writes, close to one another */
+    mono_time refused_at;
     GArray *waiting; /* struct waiter: for the next barrier */
     bool barrier_out;
     struct timer barrier_timer;
@@ -61,6 +65,13 @@
 
 static void barrier_go(void *arg);
 
+/* The budgets are shared by all nodes. One node may need more than its share for a while, so each
+ * may use over half; 429 tells when that was too much. */
+static double share_of(const struct store_limits *l)
+{
+    return l->nodes > 1 ? 0.6 : 0.95;
+}
+
 struct store *store_new(struct loop *loop, struct net *net, const char *addr,
                         struct store_limits limits)
 {
@@ -70,9 +81,7 @@
     s->addr = g_strdup(addr);
     s->limits = limits;
     s->last_ok = loop_now(loop);
-    /* The budgets are shared by all nodes. One node may need more than its share for a while, so
-     * each may use over half; 429 tells when that was too much. */
-    double part = limits.nodes > 1 ? 0.6 : 0.95;
+    double part = share_of(&limits);
     mono_time now = loop_now(loop);
     s->requests = (struct bucket){limits.rps * part, limits.rps * part, limits.rps * part, now};
     s->changes = (struct bucket){limits.write_rps * part, limits.write_rps * part,
@@ -120,6 +129,24 @@
     done(arg, a);
 }
 
+/* The rate of writes may be lowered without notice. One 429 only says that all nodes together were
+ * too quick for a moment; several within a short time say that less is granted now. */
+static void writes_refused(struct store *s)
+{
+    struct store_limits *l = &s->limits;
+    mono_time now = loop_now(s->loop);
+    if (time_ms_since(now, s->refused_at) > REFUSALS_MS)
+        s->refusals = 0;
+    s->refused_at = now;
+    if (++s->refusals < REFUSALS || l->next_write_rps >= l->write_rps)
+        return;
+    LOG_INFO("writes_slowed", "from=%.1f to=%.1f", l->write_rps, l->next_write_rps);
+    l->write_rps = l->next_write_rps;
+    l->lowered = true;
+    s->changes.rate = s->changes.size = l->write_rps * share_of(l);
+    s->changes.level = MIN(s->changes.level, s->changes.size);
+}
+
 static void call_answered(void *arg, const struct net_answer *a)
 {
     struct call *c = arg;
@@ -132,6 +159,8 @@
         g_queue_push_head(&s->lanes[c->lane], c);
         timer_start(s->loop, &s->pump_timer, RETRY_429_MS);
         LOG_DEBUG("state_429", "path=%s", c->path);
+        if (c->writes)
+            writes_refused(s);
         return;
     }
     if (a->status > 0) {
@@ -222,6 +251,7 @@
 };
 
 struct txn_call {
+    struct store *store;
     txn_done done;
     void *arg;
 };
@@ -250,11 +280,16 @@
     t->bytes += strlen(key) + 40;
 }
 
+size_t value_size(json_object *value)
+{
+    return strlen(json_object_to_json_string_ext(value, JSON_C_TO_STRING_PLAIN));
+}
+
 void txn_set(struct txn *t, const char *key, json_object *value, lease_id lease)
 {
     json_object *o = json_object_new_object();
     json_put_text(o, "Set", key);
-    t->bytes += strlen(json_object_to_json_string_ext(value, JSON_C_TO_STRING_PLAIN));
+    t->bytes += value_size(value);
     json_object_object_add(o, "V", value);
     if (lease.v)
         json_put_u64(o, "Mooring", lease.v);
@@ -303,8 +338,10 @@
         const char *error = "";
         json_text(body, "error", &error);
         o.result = strcmp(error, "no such lease") == 0 ? TXN_NO_LEASE : TXN_REFUSED;
-        if (o.result == TXN_REFUSED)
+        if (o.result == TXN_REFUSED) {
             LOG_ERROR("txn_malformed", "answer=%.*s", (int)MIN(a->len, 200), a->body);
+            c->store->limits.lowered = true; /* if it was for its size, it is made smaller now */
+        }
     } else if (a->status == 503 || a->status == NET_NOT_SENT) {
         o.result = TXN_REFUSED;
     }
@@ -318,7 +355,7 @@
 void store_txn(struct store *s, enum store_lane lane, struct txn *t, txn_done done, void *arg)
 {
     struct txn_call *c = g_new(struct txn_call, 1);
-    *c = (struct txn_call){done, arg};
+    *c = (struct txn_call){s, done, arg};
     int writes = (int)txn_writes(t);
     json_object *o = json_object_new_object();
     json_object_object_add(o, "When", json_object_get(t->when));
--- a/src/store.h
+++ b/src/store.h
@@ -7,10 +7,15 @@
 
 struct store;
 
+/* What the state service may be asked for. Values and transactions keep within the tighter of the
+ * limits of now and those to come; values that were stored before may be longer. */
 struct store_limits {
     double rps, write_rps;
+    double next_write_rps; /* it may allow no more than that one day, without notice */
     int txn_ops;
-    size_t value_bytes, answer_bytes;
+    size_t value_bytes;
+    bool lowered; /* the state service has shown that it allows less by now */
+    size_t answer_bytes;
     int nodes; /* that share the budgets */
 };
 
@@ -61,6 +66,8 @@
 guint txn_writes(const struct txn *t);
 guint txn_conditions(const struct txn *t);
 size_t txn_bytes(const struct txn *t);
+/* What a value takes as it is sent. */
+size_t value_size(json_object *value);
 /* Takes the transaction. */
 void store_txn(struct store *s, enum store_lane lane, struct txn *t, txn_done done, void *arg);
 
--- a/src/view.c
+++ b/src/view.c
@@ -37,6 +37,11 @@
     return g_strconcat("ll/n/", label, NULL);
 }
 
+char *key_version(const char *label)
+{
+    return g_strconcat("ll/v/", label, NULL);
+}
+
 char *key_page(const char *label, int number)
 {
     return g_strdup_printf("ll/p/%s/%d", label, number);
@@ -61,6 +66,7 @@
     struct host_record *h = p;
     g_ptr_array_unref(h->tasks);
     g_ptr_array_unref(h->images);
+    g_free(h->about);
     g_free(h);
 }
 
@@ -90,6 +96,8 @@
 static void reload(struct view *v);
 static void expire(void *arg);
 
+static void pipeline_told(void *ctx, const char *id, const struct pipe_facts *facts);
+
 struct view *view_new(struct loop *loop, struct store *store)
 {
     struct view *v = g_new0(struct view, 1);
@@ -99,6 +107,8 @@
     v->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, host_free);
     v->pages = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, page_free);
     v->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, node_free);
+    v->spoken = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    v->pipeline = pipeline_new(pipeline_told, v);
     v->map = g_array_new(FALSE, FALSE, sizeof(struct map_entry));
     g_array_set_clear_func(v->map, clear_entry);
     v->stamps = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -121,6 +131,8 @@
     g_hash_table_unref(v->hosts);
     g_hash_table_unref(v->jobs);
     g_hash_table_unref(v->nodes);
+    g_hash_table_unref(v->spoken);
+    pipeline_free(v->pipeline);
     g_array_unref(v->map);
     if (v->types)
         g_array_unref(v->types);
@@ -219,6 +231,8 @@
     }
 }
 
+static void seek_unknown(struct view *v);
+
 static void expire(void *arg)
 {
     struct view *v = arg;
@@ -232,6 +246,7 @@
             i++;
         }
     }
+    seek_unknown(v);
     timer_start(v->loop, &v->expire_timer, 200);
 }
 
@@ -306,9 +321,70 @@
     j->state = strcmp(final, "done") == 0 ? JOB_DONE : JOB_CANCELLED;
     j->tasks = (uint32_t)n;
     j->n_done = j->state == JOB_DONE ? j->tasks : 0;
+    uint64_t ended = 0;
+    json_u64(value, "e", &ended);
+    j->ended.ms = (int64_t)ended;
     return true;
 }
 
+/* ---- jobs that need others ---- */
+
+static void pipeline_told(void *ctx, const char *id, const struct pipe_facts *facts)
+{
+    struct view *v = ctx;
+    struct job *j = view_job(v, id);
+    if (!j || !j->spec)
+        return;
+    j->waits = facts->open > 0;
+    j->since.ms = MAX(j->submitted.ms, facts->ready.ms);
+    j->urgency = facts->urgency;
+    j->due = facts->due;
+    if (facts->doomed && j->state == JOB_LIVE) {
+        /* That is a fact from the moment when the other one was cancelled, without any write. */
+        j->doomed = true;
+        j->state = JOB_CANCELLED;
+        j->cancelled_at = facts->doomed_at;
+    }
+    note(v, (struct change){.kind = CHANGE_JOB, .job = j->id});
+}
+
+static struct pipe_own own_of(const struct job *j)
+{
+    const struct spec *s = j->spec;
+    return (struct pipe_own){
+        .urgency = (int)s->urgency,
+        .due = s->due_s >= 0 ? (wall_time){j->submitted.ms + (int64_t)(s->due_s * 1000)} : NEVER,
+        .run_ms = (int64_t)(s->expected_s * 1000)};
+}
+
+static void pipeline_tell(struct view *v, const struct job *j)
+{
+    if (j->state == JOB_DONE) {
+        pipeline_done(v->pipeline, j->id, j->ended);
+    } else if (j->state == JOB_CANCELLED) {
+        pipeline_cancelled(v->pipeline, j->id, j->cancelled_at);
+    } else if (j->spec) {
+        struct pipe_own own = own_of(j);
+        pipeline_add(v->pipeline, j->id, &own, NULL, 0);
+    }
+}
+
+/* A job is read for the first time. */
+static void pipeline_take(struct view *v, struct job *j)
+{
+    const struct spec *s = j->spec;
+    struct pipe_own own = own_of(j);
+    j->since = j->submitted;
+    j->due = own.due;
+    j->urgency = own.urgency;
+    pipeline_add(v->pipeline, j->id, &own, s->awaits, s->n_awaits);
+    for (guint i = 0; i < s->n_awaits; i++) {
+        struct job *other = view_job(v, s->awaits[i].s);
+        if (other && other->known)
+            pipeline_tell(v, other);
+    }
+}
+
 static void apply_job(struct view *v, const char *id, json_object *value, revision stamp)
 {
     struct job *j = job_make(v, id);
@@ -321,22 +397,32 @@
         if (!j->over)
             g_queue_push_tail(&v->over, g_strdup(id));
         j->over = true;
+        j->cancelled_at = j->cancelled_at.v ? j->cancelled_at : stamp;
+        pipeline_tell(v, j);
     } else if (value) {
         json_flag(value, "c", &cancelled);
         json_u64(value, "t", &submitted);
-        j->state = cancelled ? JOB_CANCELLED : JOB_LIVE;
+        bool first = !j->spec;
+        if (cancelled && j->state != JOB_CANCELLED)
+            j->cancelled_at = stamp;
+        j->state = cancelled || j->doomed ? JOB_CANCELLED : JOB_LIVE;
         j->submitted.ms = (int64_t)submitted;
         if (!j->spec) {
             struct spec s;
             json_object *w = NULL;
             json_object_object_get_ex(value, "w", &w);
-            if (!codec_spec_read(w, &s)) {
+            if (!codec_spec_read(w, &s) || !codec_awaits_read(w, &s)) {
                 LOG_ERROR("job_unreadable", "job=%s", id);
                 return;
             }
             j->spec = g_memdup2(&s, sizeof s);
             j->tasks = s.tasks;
         }
+        j->known = true;
+        if (first)
+            pipeline_take(v, j);
+        if (j->state == JOB_CANCELLED)
+            pipeline_tell(v, j);
     }
     j->known = value != NULL;
     j->stamp = stamp;
@@ -417,6 +503,7 @@
     host_copy(value, "b", h->build, sizeof h->build);
     host_copy(value, "y", h->yard, sizeof h->yard);
     json_flag(value, "l", &h->loaners);
+    g_clear_pointer(&h->about, g_free);
     json_object *list = json_list(value, "i");
     g_ptr_array_set_size(h->images, 0);
     for (size_t i = 0; list && i < json_object_array_length(list); i++)
@@ -425,115 +512,25 @@
 
 /* ---- pages ---- */
 
-char *machine_about(const char *addr, const char *build, const char *yard, bool loaners)
+const char *view_about(struct view *v, const char *host)
 {
-    if (!*addr || strpbrk(addr, " ,") || strpbrk(build, " ,") || strpbrk(yard, " ,"))
+    struct host_record *h = view_host(v, host);
+    if (!h || h->stamp.v)
         return NULL;
-    return g_strdup_printf("%s,%s,%s,%d", addr, build, yard, loaners);
-}
-
-char *host_record_about(const struct host_record *h)
-{
-    return h && !h->stamp.v ? machine_about(h->addr, h->build, h->yard, h->loaners) : NULL;
-}
-
-void page_write_task(struct page_writer *w, host_id host, const char *about, job_id job,
-                     attempt_no attempt, uint32_t index)
-{
-    bool same_host = w->text->len && host_eq(w->host, host);
-    bool same_job = same_host && job_eq(w->job, job);
-    if (!same_host)
-        g_string_append_printf(w->text, "@%s ", host.s);
-    if (!same_host && about)
-        g_string_append_printf(w->text, "=%s ", about);
-    if (!same_job)
-        g_string_append_printf(w->text, "#%s ", job.s);
-    if (!same_job || w->attempt.v != attempt.v)
-        g_string_append_printf(w->text, "*%" G_GUINT64_FORMAT " ", attempt.v);
-    g_string_append_printf(w->text, "%u ", index);
-    w->host = host;
-    w->job = job;
-    w->attempt = attempt;
-}
-
-void page_write_done(struct page_writer *w, job_id job, uint32_t chunk, const GByteArray *bits)
-{
-    static const char digits[] = "0123456789abcdef";
-    guint n = bits->len;
-    while (n && !bits->data[n - 1])
-        n--;
-    if (!w->text->len || !job_eq(w->job, job))
-        g_string_append_printf(w->text, "#%s ", job.s);
-    g_string_append_printf(w->text, "%u:", chunk);
-    for (guint i = 0; i < n; i++) {
-        g_string_append_c(w->text, digits[bits->data[i] >> 4]);
-        g_string_append_c(w->text, digits[bits->data[i] & 15]);
-    }
-    g_string_append_c(w->text, ' ');
-    w->job = job;
-}
-
-void bits_grow(GByteArray *bits, guint len)
-{
-    guint old = bits->len;
-    if (old >= len)
-        return;
-    g_byte_array_set_size(bits, len);
-    memset(bits->data + old, 0, len - old);
-}
-
-/* The next word of a page's text, which ends at a blank; NULL when there is none. */
-static const char *next_word(const char **at, size_t *len)
-{
-    const char *word = *at + strspn(*at, " ");
-    *len = strcspn(word, " ");
-    *at = word + *len;
-    return *len ? word : NULL;
-}
-
-enum { NAME_SIZE = 64 }; /* more than any name has */
-
-/* The name that a word holds behind its mark. */
-static const char *word_name(const char *word, size_t len, char *name)
-{
-    g_strlcpy(name, "", NAME_SIZE);
-    strncat(name, word + 1, MIN(len - 1, NAME_SIZE - 1));
-    return name;
+    if (!h->about)
+        h->about = machine_about(h->addr, h->build, h->yard, h->loaners);
+    return h->about;
 }
 
-void page_read_done(const char *text, page_chunk take, void *ctx)
-{
-    job_id job;
-    bool named = false;
-    size_t n;
-    char name[NAME_SIZE];
-    for (const char *at = text, *word; (word = next_word(&at, &n));) {
-        if (*word == '#') {
-            named = job_id_from(&job, word_name(word, n, name));
-        } else if (named && g_ascii_isdigit(*word)) {
-            char *bits;
-            uint32_t chunk = (uint32_t)strtoul(word, &bits, 10);
-            GByteArray *bytes = g_byte_array_new();
-            for (bits += *bits == ':'; bits + 1 < at; bits += 2) {
-                guint8 b =
-                    (guint8)(g_ascii_xdigit_value(bits[0]) << 4 | g_ascii_xdigit_value(bits[1]));
-                g_byte_array_append(bytes, &b, 1);
-            }
-            take(ctx, job, chunk, bytes);
-            g_byte_array_unref(bytes);
-        }
-    }
-}
-
-static void merge_done(void *ctx, job_id id, uint32_t chunk, const GByteArray *bits)
+static void merge_done(void *ctx, job_id id, uint32_t unit, const GByteArray *bits)
 {
     struct view *v = ctx;
     struct job *j = job_make(v, id.s);
-    if (!j || chunk > 100000 / DONE_CHUNK || (j->known && !j->spec))
+    if (!j || (j->known && !j->spec))
         return;
     if (!j->done)
         j->done = g_byte_array_new();
-    guint base = chunk * DONE_CHUNK / 8;
+    guint base = unit * MARK_BYTES;
     bits_grow(j->done, base + bits->len);
     bool news = false;
     for (guint i = 0; i < bits->len; i++) {
@@ -554,54 +551,48 @@
     uint32_t index;
 };
 
-/* "=ADDRESS,TYPE,ZONE,SPOT" */
-static void read_about(struct host_record *h, const char *word, size_t len)
+static void read_about(struct host_record *h, const char *about)
 {
-    char *text = g_strndup(word + 1, len - 1), **part = g_strsplit(text, ",", -1);
+    char **part = g_strsplit(about, ",", -1);
     if (!h->stamp.v && g_strv_length(part) == 4) {
         g_strlcpy(h->addr, part[0], sizeof h->addr);
         g_strlcpy(h->build, part[1], sizeof h->build);
         g_strlcpy(h->yard, part[2], sizeof h->yard);
         h->loaners = strcmp(part[3], "1") == 0;
+        g_clear_pointer(&h->about, g_free);
     }
     g_strfreev(part);
-    g_free(text);
-}
-
-/* Reads the run records of a page: what is known is marked as read, the rest is put by. */
-static void read_tasks(struct view *v, struct page *g, const char *text, GArray *fresh)
-{
-    struct host_record *h = NULL;
-    struct job *j = NULL;
-    attempt_no attempt = {0};
-    size_t n;
-    char name[NAME_SIZE];
-    for (const char *at = text, *word; (word = next_word(&at, &n));) {
-        if (*word == '@') {
-            h = host_make(v, word_name(word, n, name));
-        } else if (*word == '=') {
-            if (h)
-                read_about(h, word, n);
-        } else if (*word == '#') {
-            j = job_make(v, word_name(word, n, name));
-        } else if (*word == '*') {
-            attempt.v = g_ascii_strtoull(word + 1, NULL, 10);
-        } else if (h && j) {
-            uint32_t index = (uint32_t)strtoul(word, NULL, 10);
-            struct placed *p = job_placed(j, index);
-            if (p && p->host == h && p->attempt.v == attempt.v) {
-                if (p->page != g) { /* it came from another page */
-                    g_ptr_array_remove_fast(p->page->tasks, p);
-                    g_ptr_array_add(g->tasks, p);
-                }
-                p->page = g;
-                p->read = g->read;
-            } else {
-                struct fresh f = {h, j, attempt, index};
-                g_array_append_val(fresh, f);
-            }
-        }
+}
+
+struct page_reading {
+    struct view *view;
+    struct page *page;
+    GArray *fresh; /* struct fresh */
+};
+
+/* What is known is marked as read, the rest is put by. */
+static void read_task(void *ctx, const struct page_rec *r)
+{
+    struct page_reading *x = ctx;
+    struct page *g = x->page;
+    struct host_record *h = host_make(x->view, r->host.s);
+    struct job *j = job_make(x->view, r->job.s);
+    if (!h || !j)
+        return;
+    if (r->about)
+        read_about(h, r->about);
+    struct placed *p = job_placed(j, r->index);
+    if (!p || p->host != h || p->attempt.v != r->attempt.v) {
+        struct fresh f = {h, j, r->attempt, r->index};
+        g_array_append_val(x->fresh, f);
+        return;
+    }
+    if (p->page != g) { /* it came from another page */
+        g_ptr_array_remove_fast(p->page->tasks, p);
+        g_ptr_array_add(g->tasks, p);
     }
+    p->page = g;
+    p->read = g->read;
 }
 
 static void apply_page(struct view *v, const char *key, json_object *value, revision stamp)
@@ -625,7 +616,8 @@
     g->bytes = strlen(text) + strlen(done);
     GArray *fresh = g_array_new(FALSE, FALSE, sizeof(struct fresh));
     GHashTable *left = g_hash_table_new(NULL, NULL); /* struct host_record that lost a task */
-    read_tasks(v, g, text, fresh);
+    struct page_reading reading = {v, g, fresh};
+    page_read(text, read_task, &reading);
     for (guint i = 0; i < g->tasks->len;) {
         struct placed *p = g->tasks->pdata[i];
         if (p->read == g->read) {
@@ -671,11 +663,22 @@
         n->stamp = stamp;
         json_u64(value, "i", &n->incarnation.v);
         host_copy(value, "b", n->back, sizeof n->back);
+        json_u64(value, "v", &n->version);
         g_hash_table_replace(v->nodes, n->label, n);
     }
     note(v, (struct change){.kind = CHANGE_NODES});
 }
 
+static void apply_version(struct view *v, const char *label, json_object *value)
+{
+    uint64_t version = 0;
+    if (json_u64(value, "v", &version))
+        g_hash_table_replace(v->spoken, g_strdup(label), GUINT_TO_POINTER((guint)version));
+    else
+        g_hash_table_remove(v->spoken, label);
+    note(v, (struct change){.kind = CHANGE_NODES});
+}
+
 static void apply_leader(struct view *v, json_object *value, revision stamp)
 {
     const char *label = NULL;
@@ -736,6 +739,8 @@
         v->older = true;
     else if (g_str_has_prefix(key, "ll/n/"))
         apply_node(v, key + 5, value, stamp);
+    else if (g_str_has_prefix(key, "ll/v/"))
+        apply_version(v, key + 5, value);
     else if (strcmp(key, KEY_LEADER) == 0)
         apply_leader(v, value, stamp);
     else if (strcmp(key, KEY_MAP) == 0)
@@ -752,6 +757,56 @@
     }
 }
 
+/* ---- jobs that others need and that are not in memory ---- */
+
+enum { SEEK_MS = 1000, MOST_SOUGHT = 16 };
+
+struct seek {
+    struct view *view;
+    job_id job;
+};
+
+static void sought(void *arg, const struct net_answer *a)
+{
+    struct seek *s = arg;
+    struct view *v = s->view;
+    json_object *o = a->status == 200 ? json_read(a->body, a->len) : NULL, *value = NULL;
+    revision stamp;
+    v->sought--;
+    if (json_object_object_get_ex(o, "V", &value) && json_u64(o, "Stamp", &stamp.v) && value) {
+        char *key = key_job(s->job);
+        apply(v, key, value, stamp);
+        publish(v);
+        g_free(key);
+    }
+    json_object_put(o);
+    g_free(s);
+}
+
+static void seek_one(void *ctx, job_id id)
+{
+    struct view *v = ctx;
+    if (v->sought >= MOST_SOUGHT)
+        return;
+    struct seek *s = g_new(struct seek, 1);
+    *s = (struct seek){v, id};
+    v->sought++;
+    char *key = key_job(id), *path = g_strconcat("/keys/", key, NULL);
+    store_request(v->store, LANE_NORMAL, "GET", path, NULL, ANSWER_MS, 10000, 0, sought, s);
+    g_free(key);
+    g_free(path);
+}
+
+/* A job that another one needs may have been over for so long that it was not kept. */
+static void seek_unknown(struct view *v)
+{
+    mono_time now = loop_now(v->loop);
+    if (!v->ready || v->reload_seen || v->sought || time_ms_since(now, v->sought_at) < SEEK_MS)
+        return;
+    v->sought_at = now;
+    pipeline_each_unknown(v->pipeline, seek_one, v);
+}
+
 /* ---- reading everything ---- */
 
 static void reload_page(struct view *v);
--- a/src/view.h
+++ b/src/view.h
@@ -1,12 +1,15 @@
 /* Every node's replica of our keys, at a revision, kept up by one watch.
  *
  * Keys: ll/n/LABEL a live node, ll/leader, ll/map, ll/types, ll/j/JOB, ll/h/HOST what a machine is,
+ * ll/v/LABEL what its processes understand, for good,
  * ll/p/LABEL/N the pages on which LABEL keeps the run records of its machines and the tasks that it
  * saw done. A node's changes go to one page or a few, however many machines they are on: writes are
  * what the state service has least of. */
 #ifndef LL_VIEW_H
 #define LL_VIEW_H
 
+#include "page.h"
+#include "pipeline.h"
 #include "store.h"
 
 #define KEY_ROOT "ll/"
@@ -14,7 +17,9 @@
 #define KEY_MAP "ll/map"
 #define KEY_TYPES "ll/types"
 
-enum { DONE_CHUNK = 8192 };
+/* What a node understands, as it says in its own key. 0 (nothing is said): before jobs could need
+ * others, a machine's records could be on several pages, and marks could begin within a chunk. */
+enum { NODE_VERSION = 1 };
 
 enum job_state { JOB_LIVE, JOB_CANCELLED, JOB_DONE };
 
@@ -26,6 +31,13 @@
     revision stamp;
     struct spec *spec; /* NULL once it is over for good */
     wall_time submitted;
+    wall_time since; /* when it could first have begun: the last job that it needs was done */
+    wall_time ended; /* 0: not over, or not known */
+    wall_time due;   /* by which it has to be done, also for those that need it */
+    int urgency;     /* the highest of its own and of those that need it */
+    bool waits;      /* for jobs that it needs: no task of it may start */
+    bool doomed;     /* a job that it needs is cancelled, and so it is */
+    revision cancelled_at;
     GByteArray *done; /* a bit a task; NULL when none is */
     uint32_t tasks, n_done;
     GHashTable *placed; /* index + 1 -> struct placed; NULL when none is */
@@ -48,6 +60,7 @@
     revision stamp;    /* 0: only pages name it */
     GPtrArray *tasks;  /* struct placed */
     GPtrArray *images; /* interned names of what was fetched before, the newest last */
+    char *about;       /* see view_about */
 };
 
 /* Part of the run records: of the machines of one node, as that node wrote it. After a change of
@@ -67,6 +80,7 @@
     char back[24];
     lease_id incarnation;
     revision stamp;
+    uint64_t version; /* of what it understands: see NODE_VERSION */
 };
 
 struct map_entry {
@@ -102,12 +116,14 @@
     bool ready;
     bool older; /* there are records of an earlier version */
     revision at;
-    mono_time fresh;   /* the view was the newest then */
-    GHashTable *jobs;  /* id -> struct job */
-    GHashTable *hosts; /* id -> struct host_record */
-    GHashTable *pages; /* key -> struct page */
-    GHashTable *nodes; /* label -> struct node_record */
-    char *leader;      /* label, or NULL */
+    mono_time fresh;    /* the view was the newest then */
+    GHashTable *jobs;   /* id -> struct job */
+    GHashTable *hosts;  /* id -> struct host_record */
+    GHashTable *pages;  /* key -> struct page */
+    GHashTable *nodes;  /* label -> struct node_record */
+    GHashTable *spoken; /* label -> version that a process of it has said it understands */
+    struct pipeline *pipeline;
+    char *leader; /* label, or NULL */
     lease_id leader_incarnation;
     revision leader_stamp;
     epoch_no epoch;
@@ -128,6 +144,8 @@
     struct timer watch_timer, expire_timer;
     double watch_level;
     mono_time watch_at, asked;
+    mono_time sought_at; /* jobs that others need were last asked for */
+    guint sought;        /* and are not answered yet */
     GHashTable *reload_seen;
     char *reload_from;
     revision reload_base;
@@ -158,34 +176,10 @@
 char *key_job(job_id id);
 char *key_host(host_id id);
 char *key_node(const char *label);
+char *key_version(const char *label);
 char *key_page(const char *label, int number);
 
-/* ---- the text of a page ----
- *
- * Run records: "@HOST #JOB *ATTEMPT INDEX INDEX ..."; each word holds until the next of its kind.
- * "=ADDRESS,TYPE,ZONE,SPOT" behind "@HOST" says what a machine is that has no record of its own
- * yet: these are written when there are writes to spare.
- * Done: "#JOB CHUNK:BITS ...", the bits of a chunk in hexadecimal, eight tasks to two digits, the
- * first task in the lowest bit; zeros at the end are left out. */
-struct page_writer {
-    GString *text;
-    host_id host;
-    job_id job;
-    attempt_no attempt;
-};
-
-/* Makes an array of bits at least so long, with zeros. */
-void bits_grow(GByteArray *bits, guint len);
-/* about: of machine_about(), or NULL. */
-void page_write_task(struct page_writer *w, host_id host, const char *about, job_id job,
-                     attempt_no attempt, uint32_t index);
-/* NULL when it cannot be said in one word. */
-char *machine_about(const char *addr, const char *build, const char *yard, bool loaners);
 /* What a page has to say of a machine, as far as the view knows it; NULL: nothing. */
-char *host_record_about(const struct host_record *h);
-void page_write_done(struct page_writer *w, job_id job, uint32_t chunk, const GByteArray *bits);
-/* Calls back for every chunk of a text of done tasks. */
-typedef void (*page_chunk)(void *ctx, job_id job, uint32_t chunk, const GByteArray *bits);
-void page_read_done(const char *text, page_chunk take, void *ctx);
+const char *view_about(struct view *v, const char *host);
 
 #endif
--- a/tests/world.h
+++ b/tests/world.h
@@ -28,6 +28,9 @@
     double report_s, lease_s, cancel_s;
     double rps, write_rps, cloud_rps;
     int txn_ops, fd_limit, boot_ms;
+    /* Limits of the state service that the settings say are to come; 0: they say nothing. */
+    double next_value_kb, next_write_rps;
+    int next_txn_ops;
 };
 
 struct wnet {
@@ -78,6 +81,8 @@
     int process[WORLD_MOST_NODES]; /* counts a node's processes: an address may be used again */
     fate_fn fate;
     bool state_down;
+    double state_value_kb; /* what the state service allows: more fails the test */
+    int state_txn_ops;
     int too_old;     /* watches that are answered 410 */
     guint most_news; /* in one answer to a watch */
     int deaf_node;   /* neither hears workers nor reaches them; -1: none */
@@ -116,6 +121,8 @@
                              bool loaners);
 /* Writes a key of the state service by hand. */
 void world_put(struct world *w, const char *key, const char *text);
+/* From now on the state service allows no more than the plan's next limits. */
+void world_limits_fall(struct world *w);
 /* Carries out what was held back, late. */
 void world_deliver_held(struct world *w);
 
