--- /dev/null
+++ b/tests/test_upgrade.c
@@ -0,0 +1,432 @@
+/* The version in production (0.3.0, what is called version 0 here) and this one on each other's
+ * data, and limits of the state service that fall. The values below were written by that version,
+ * in this world, and are what a node of it leaves behind. */
+#include "part_state.h"
+#include "world.h"
+
+#include <string.h>
+
+static const char *const production[][2] = {
+    {"ll/h/host-000001", "{\"a\":\"10.1.0.1:9000\",\"b\":\"g8\",\"y\":\"a\",\"l\":true,\"i\":[]}"},
+    {"ll/h/host-000002", "{\"a\":\"10.1.0.2:9000\",\"b\":\"g8\",\"y\":\"a\",\"l\":true,\"i\":[]}"},
+    {"ll/h/host-000003", "{\"a\":\"10.1.0.3:9000\",\"b\":\"g8\",\"y\":\"a\",\"l\":true,\"i\":[]}"},
+    {"ll/h/host-000004", "{\"a\":\"10.1.0.4:9000\",\"b\":\"g8\",\"y\":\"a\",\"l\":true,\"i\":[]}"},
+    {"ll/h/host-000005", "{\"a\":\"10.1.0.5:9000\",\"b\":\"g8\",\"y\":\"a\",\"l\":true,\"i\":[]}"},
+    {"ll/j/wk-000001",
+     "{\"t\":1700000003000,\"w\":{\"Id\":\"wk-000001\",\"Lot\":\"lot\",\"Crew\":\"blue\",\"Mould\":"
+     "\"img-1\",\"Form\":\"sweep\",\"Urgency\":\"high\",\"Pieces\":6,\"Vcpus\":2.0,\"Cards\":0.0,"
+     "\"MemoryGb\":1.0,\"ImageGb\":1.0,\"OneZone\":false,\"Apart\":false,\"Loaners\":true,"
+     "\"ExpectedS\":10.0,\"MarkEveryS\":0.0,\"StowS\":0.0}}"},
+    {"ll/j/wk-000002", "{\"f\":\"cancelled\",\"n\":3}"},
+    {"ll/j/wk-000003",
+     "{\"t\":1700000003020,\"w\":{\"Id\":\"wk-000003\",\"Lot\":\"lot\",\"Crew\":\"red\",\"Mould\":"
+     "\"img-1\",\"Form\":\"sweep\",\"Urgency\":\"high\",\"Pieces\":40,\"Vcpus\":0.5,\"Cards\":0.0,"
+     "\"MemoryGb\":1.0,\"ImageGb\":1.0,\"OneZone\":false,\"Apart\":false,\"Loaners\":true,"
+     "\"ExpectedS\":10.0,\"MarkEveryS\":0.0,\"StowS\":0.0,\"DueS\":90.0}}"},
+    {"ll/j/wk-000004", "{\"f\":\"done\",\"n\":2}"},
+    {"ll/map", "{\"e\":1,\"n\":[{\"n\":\"mast-0\",\"i\":1},{\"n\":\"mast-1\",\"i\":2},{\"n\":"
+               "\"mast-2\",\"i\":3}]}"},
+    {"ll/p/mast-1/0",
+     "{\"t\":\"@host-000002 #wk-000003 *1048592 0 1 *1048593 2 3 *1048595 4 5 *1048596 6 *1048598 "
+     "8 "
+     "9 *1048599 10 11 *1048601 12 13 *1048602 14 15 *1048619 32 @host-000004 #wk-000001 *1048610 "
+     "3 *1048613 4 #wk-000003 *1048608 16 17 *1048609 18 19 *1048611 20 21 *1048612 22 23 "
+     "\",\"d\":\"#wk-000003 0:80 \"}"},
+    {"ll/p/mast-2/0",
+     "{\"t\":\"@host-000003 #wk-000001 *1048605 0 #wk-000003 *1048614 24 25 *1048615 26 27 "
+     "*1048617 28 29 *1048618 30 31 @host-000005 #wk-000001 *1048607 2 *1048616 5 \",\"d\":"
+     "\"#wk-000001 0:02 #wk-000004 0:02 \"}"},
+    {"ll/types",
+     "{\"Builds\":[{\"Label\":\"g8\",\"Vcpus\":8.0,\"Cards\":0.0,\"MemoryGb\":32.0,\"LocalGb\":"
+     "100.0,\"FetchGbPerS\":1.0,\"Price\":1.0,\"MarketPrice\":0.40000000000000002,\"ReadyS\":5.0,"
+     "\"Yards\":[\"a\",\"b\"]}]}"},
+};
+
+static const struct world_plan plan = {.nodes = WORLD_NODES,
+                                       .workers = WORLD_WORKERS,
+                                       .report_s = 1,
+                                       .lease_s = 10,
+                                       .cancel_s = 30,
+                                       .rps = 400,
+                                       .write_rps = 200,
+                                       .cloud_rps = 3,
+                                       .txn_ops = 16,
+                                       .fd_limit = 800,
+                                       .boot_ms = 10,
+                                       .next_value_kb = 2,
+                                       .next_write_rps = 100,
+                                       .next_txn_ops = 5};
+
+static struct worker *worker_named(struct world *w, const char *id)
+{
+    for (int i = 0; i < w->plan.workers; i++)
+        if (w->workers[i].up && strcmp(w->workers[i].id, id) == 0)
+            return &w->workers[i];
+    return NULL;
+}
+
+static void run_task(void *ctx, const struct page_rec *r)
+{
+    struct worker *k = worker_named(ctx, r->host.s);
+    if (k) {
+        worker_has(k, r->job.s, r->index, r->attempt.v);
+        k->helm = 1;
+    }
+}
+
+/* A page as production wrote it; what it says runs on its machines. */
+static void page_stands(struct world *w, const char *key, const char *value)
+{
+    json_object *o = json_tokener_parse(value);
+    const char *text;
+    assert_true(json_text(o, "t", &text));
+    page_read(text, run_task, w);
+    json_object_put(o);
+    world_put(w, key, value);
+}
+
+static int recorded(struct world *w, int node)
+{
+    GHashTableIter it;
+    struct page *g;
+    int n = 0;
+    g_hash_table_iter_init(&it, w->nodes[node]->view->pages);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&g))
+        n += (int)g->tasks->len;
+    return n;
+}
+
+/* No page is longer than the state service takes by now. */
+static void expect_short_pages(struct world *w, int node)
+{
+    GHashTableIter it;
+    struct page *g;
+    g_hash_table_iter_init(&it, w->nodes[node]->view->pages);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&g))
+        if (g->bytes > (gsize)(w->plan.next_value_kb * 1024))
+            fail_msg("%s: %zu", g->key, g->bytes);
+}
+
+static struct world *production_world(const struct world_plan *p, int machines)
+{
+    struct world *w = world_new_sized(p);
+    w->capacity = 0;
+    for (int i = 0; i < machines; i++)
+        world_worker(w, i, "a", true);
+    return w;
+}
+
+/* All nodes ran the old version and are gone; the new one comes up on what they left. */
+static void what_production_left_goes_on(void **state)
+{
+    (void)state;
+    struct world *w = production_world(&plan, 6);
+    for (guint i = 0; i < G_N_ELEMENTS(production); i++) {
+        if (g_str_has_prefix(production[i][0], "ll/p/"))
+            page_stands(w, production[i][0], production[i][1]);
+        else
+            world_put(w, production[i][0], production[i][1]);
+    }
+    for (int i = 0; i < WORLD_NODES; i++)
+        world_start(w, i);
+    world_run(w, 8000);
+    /* Nothing that ran is started again; only the task that was done is not on a machine. */
+    assert_int_equal(world_on_machines(w, "wk-000001"), 5);
+    assert_int_equal(world_on_machines(w, "wk-000003"), 32); /* 16 processors, the team's limit */
+    world_expect_stage(w, 0, "wk-000002", "cancelled");
+    world_expect_stage(w, 1, "wk-000004", "done");
+    for (int round = 0; round < 6; round++) {
+        worker_exit_all(w, "wk-000001", "done");
+        worker_exit_all(w, "wk-000003", "done");
+        world_run(w, 4000);
+    }
+    world_expect_stage(w, 2, "wk-000001", "done");
+    world_expect_stage(w, 0, "wk-000003", "done");
+    assert_false(world_ran_twice(w));
+    assert_int_equal(world_starts(w), 7); /* tasks 33 to 39, which had waited for the limit */
+    world_free(w);
+}
+
+enum { LONG_JOBS = 132 };
+
+/* Pages of production at their longest: jobs of one task each, with long names, on six machines. */
+static void long_pages_stand(struct world *w, const char *first, const char *second)
+{
+    world_put(w, "ll/types", production[G_N_ELEMENTS(production) - 1][1]);
+    world_put(w, "ll/map", "{\"e\":1,\"n\":[{\"n\":\"mast-0\",\"i\":901}]}");
+    GString *text[2] = {g_string_new("{\"t\":\""), g_string_new("{\"t\":\"")};
+    for (int i = 0; i < LONG_JOBS; i++) {
+        char id[48];
+        g_snprintf(id, sizeof id, "wk-%03d-a-long-name-that-takes-much-of-the-page", i);
+        char *spec = world_job(id, "sweep", 1, "blue", 0.2, "");
+        char *key = g_strconcat("ll/j/", id, NULL);
+        char *value = g_strdup_printf("{\"t\":1700000000000,\"w\":%s}", spec);
+        world_put(w, key, value);
+        int host = i * 6 / LONG_JOBS; /* three machines a page */
+        GString *s = text[host / 3];
+        if (i == 0 || host != (i - 1) * 6 / LONG_JOBS)
+            g_string_append_printf(s, "@host-00000%d =10.1.0.%d:9000,g8,a,1 ", host + 1, host + 1);
+        g_string_append_printf(s, "#%s *%d 0 ", id, 1048576 + i);
+        g_free(spec);
+        g_free(key);
+        g_free(value);
+    }
+    /* Marks of jobs that are long over take room, too, until the page is written again. */
+    for (int k = 0; k < 2; k++) {
+        g_string_append(text[k], "\",\"d\":\"");
+        for (int i = 0; text[k]->len < 8100 && i < 2000; i++)
+            g_string_append_printf(text[k], "#wk-%06d 0:ff ", i);
+        g_string_append(text[k], "\"}");
+        assert_in_range(text[k]->len, 4000, 8192);
+        page_stands(w, k ? second : first, text[k]->str);
+        g_string_free(text[k], TRUE);
+    }
+}
+
+static void finish_long_jobs(struct world *w)
+{
+    for (int i = 0; i < w->plan.workers; i++) {
+        struct worker *k = &w->workers[i];
+        for (guint t = 0; k->up && t < k->tasks->len; t++)
+            strcpy(g_array_index(k->tasks, struct wtask, t).stage, "exited"),
+                strcpy(g_array_index(k->tasks, struct wtask, t).cause, "done");
+    }
+    world_run(w, 25000);
+    for (int i = 0; i < LONG_JOBS; i++) {
+        char id[48];
+        g_snprintf(id, sizeof id, "wk-%03d-a-long-name-that-takes-much-of-the-page", i);
+        world_expect_stage(w, i % w->plan.nodes, id, "done");
+    }
+}
+
+/* The limits fall at some moment while nodes take over, split, and are killed and started: every
+ * record is kept, nothing is started again, and no value or transaction is refused (the state
+ * service's stand-in fails the test). */
+static void long_pages(const struct world_plan *p, int fall_ms, int kill_ms)
+{
+    struct world *w = production_world(p, 6);
+    long_pages_stand(w, "ll/p/mast-0/0", "ll/p/mast-2/3");
+    if (fall_ms == 0)
+        world_limits_fall(w);
+    for (int ms = 0; ms < 14000; ms += 50) {
+        if (ms == fall_ms)
+            world_limits_fall(w);
+        if (ms == 0 || ms == 1000 || ms == 2500)
+            world_start(w, ms == 0 ? 1 : ms == 1000 ? 0 : 2);
+        int node = kill_ms % 2;
+        if (ms == kill_ms && w->nodes[node]) {
+            world_kill(w, node);
+            world_start(w, node);
+        }
+        world_run(w, 50);
+    }
+    for (int i = 0; i < p->nodes; i++) {
+        assert_int_equal(recorded(w, i), LONG_JOBS);
+        expect_short_pages(w, i);
+    }
+    assert_int_equal(world_starts(w), 0);
+    finish_long_jobs(w);
+    assert_false(world_ran_twice(w));
+    world_free(w);
+}
+
+static void long_pages_are_split_whenever_limits_fall(void **state)
+{
+    (void)state;
+    const int falls[] = {0, 950, 1050, 1150, 2450, 2600, 2750, 6000};
+    for (guint i = 0; i < G_N_ELEMENTS(falls); i++)
+        long_pages(&plan, falls[i], i % 2 ? 1100 + 50 * (int)i : 2651);
+}
+
+/* So little is allowed that a page cannot be split in one transaction. */
+static void pages_are_copied_where_a_transaction_is_too_small(void **state)
+{
+    (void)state;
+    struct world_plan p = plan;
+    p.next_value_kb = 1;
+    p.next_txn_ops = 4;
+    long_pages(&p, 0, 100000);
+    long_pages(&p, 1050, 2700);
+    for (int kill = 2551; kill < 3600; kill += 150) /* in the middle of it */
+        long_pages(&p, 500, kill);
+}
+
+/* One node of the old version lives. It takes its machines over from the page on which it noted
+ * them: they stay there, while what belongs to others may move. */
+static void machines_of_an_old_owner_stay_on_their_page(void **state)
+{
+    (void)state;
+    struct world *w = production_world(&plan, 6);
+    long_pages_stand(w, "ll/p/mast-0/0", "ll/p/mast-0/1");
+    world_put(w, "ll/n/mast-2", "{\"i\":77,\"b\":\"10.0.0.3:8081\"}");
+    world_start(w, 0);
+    world_start(w, 1);
+    world_run(w, 6000);
+    struct view *v = w->nodes[0]->view;
+    assert_true(part_plain(w->nodes[0]->part));
+    GHashTableIter it;
+    struct host_record *h;
+    int old = 0;
+    g_hash_table_iter_init(&it, v->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
+        struct page *page = NULL;
+        for (guint i = 0; i < h->tasks->len; i++) { /* one page a machine */
+            struct placed *t = h->tasks->pdata[i];
+            assert_true(!page || page == t->page);
+            page = t->page;
+        }
+        if (strcmp(map_owner(v, h->id.s), "mast-2") != 0)
+            continue;
+        old++;
+        assert_true(page && (strcmp(page->key, "ll/p/mast-0/0") == 0 ||
+                             strcmp(page->key, "ll/p/mast-0/1") == 0));
+    }
+    assert_true(old > 0);
+    assert_int_equal(recorded(w, 1), LONG_JOBS);
+    /* Then it is started again, as the new version. */
+    world_remove(w, "ll/n/mast-2");
+    world_start(w, 2);
+    world_limits_fall(w);
+    world_run(w, 9000);
+    assert_false(part_plain(w->nodes[0]->part));
+    expect_short_pages(w, 2);
+    assert_int_equal(recorded(w, 2), LONG_JOBS);
+    assert_int_equal(world_starts(w), 0);
+    finish_long_jobs(w);
+    world_free(w);
+}
+
+static enum fate slow_split(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    return strcmp(r->path, "/txn") == 0 && strstr(r->body, "\"Set\":\"ll\\/p\\/mast-2\\/0\"")
+               ? FATE_SLOW
+               : FATE_NORMAL;
+}
+
+/* A node that is to take machines over from a long page looks up where their records are when it
+ * does so: meanwhile another one splits that page. */
+static void a_page_is_split_while_it_is_taken_over(void **state)
+{
+    (void)state;
+    struct world *w = production_world(&plan, 6);
+    long_pages_stand(w, "ll/p/mast-2/3", "ll/p/mast-2/4");
+    w->fate = slow_split;
+    for (int i = 0; i < WORLD_NODES; i++)
+        world_start(w, i);
+    world_run(w, 5000);
+    world_kill(w, 2);
+    world_run(w, 9000);
+    assert_int_equal(recorded(w, 0), LONG_JOBS);
+    world_start(w, 2);
+    world_run(w, 6000);
+    assert_int_equal(recorded(w, 1), LONG_JOBS);
+    finish_long_jobs(w);
+    assert_int_equal(world_starts(w), 0);
+    world_free(w);
+}
+
+/* A description that was stored when more was allowed: what is stored of the cancelled job is
+ * shorter, and goes on counting its tasks. */
+static void a_long_job_can_be_cancelled(void **state)
+{
+    (void)state;
+    struct world *w = production_world(&plan, 4);
+    for (int i = 0; i < WORLD_NODES; i++)
+        world_start(w, i);
+    world_run(w, 3000);
+    GString *builds = g_string_new(",\"Builds\":[\"g8\"");
+    for (int i = 0; i < 60; i++)
+        g_string_append_printf(builds,
+                               ",\"a-type-of-machine-with-a-long-name-that-no-cloud-has-%d\"", i);
+    g_string_append_c(builds, ']');
+    char *spec = world_job("wk-1", "daemon", 4, "blue", 2.0, builds->str);
+    char *value = g_strdup_printf("{\"t\":1700000000000,\"w\":%s}", spec);
+    assert_true(strlen(value) > 2048);
+    /* A new one would not be taken. */
+    assert_int_equal(world_ask(w, 0, "POST", "/work", spec).status, 422);
+    world_put(w, "ll/j/wk-1", value);
+    world_limits_fall(w);
+    world_run(w, 4000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 4);
+    assert_int_equal(world_ask(w, 1, "POST", "/work/wk-1/abort", NULL).status, 200);
+    assert_true(strlen(world_key(w, "ll/j/wk-1")) < 2048);
+    world_run(w, 4000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 0);
+    world_expect_stage(w, 2, "wk-1", "cancelled");
+    assert_non_null(strstr(world_key(w, "ll/j/wk-1"), "\"f\""));
+    g_free(spec);
+    g_free(value);
+    g_string_free(builds, TRUE);
+    world_free(w);
+}
+
+static int refusals;
+
+static enum fate fewer_writes(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    bool writes = strcmp(r->path, "/txn") == 0 && strstr(r->body, "\"Set\"");
+    return writes && refusals > 0 && refusals-- ? FATE_TOO_MANY : FATE_NORMAL;
+}
+
+/* One 429 is nothing; several say that fewer writes are granted by now. None is lost. */
+static void refused_writes_slow_the_writer(void **state)
+{
+    (void)state;
+    struct world *w = production_world(&plan, 6);
+    for (int i = 0; i < WORLD_NODES; i++)
+        world_start(w, i);
+    world_run(w, 3000);
+    w->fate = fewer_writes;
+    refusals = 1;
+    assert_int_equal(world_submit(w, 0, "wk-1", "sweep", 6).status, 201);
+    assert_true(store_limits(w->nodes[0]->store)->write_rps > 150);
+    refusals = 6;
+    assert_int_equal(world_submit(w, 0, "wk-2", "sweep", 6).status, 201);
+    world_run(w, 4000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 6);
+    assert_int_equal(world_on_machines(w, "wk-2"), 6);
+    bool slowed = false;
+    for (int i = 0; i < WORLD_NODES; i++)
+        slowed = slowed || store_limits(w->nodes[i]->store)->write_rps <= 100;
+    assert_true(slowed);
+    world_free(w);
+}
+
+/* Marks of a long job within short values: its last tasks are not said behind a long word of zeros.
+ */
+static void marks_of_a_long_job_are_short(void **state)
+{
+    (void)state;
+    GByteArray *bits = g_byte_array_new();
+    GString *text = g_string_new(NULL);
+    bits_grow(bits, 1);
+    bits->data[0] = 5;
+    job_id job;
+    assert_true(job_id_from(&job, "wk-1"));
+    page_write_done(text, job, 7, bits, false);
+    assert_string_equal(text->str, "#wk-1 0+896:05 ");
+    g_string_truncate(text, 0);
+    page_write_done(text, job, 9, bits, true);
+    assert_int_equal(text->len, strlen("#wk-1 1:") + 2 * 128 + strlen("05 "));
+    g_string_free(text, TRUE);
+    g_byte_array_unref(bits);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(what_production_left_goes_on),
+        cmocka_unit_test(long_pages_are_split_whenever_limits_fall),
+        cmocka_unit_test(pages_are_copied_where_a_transaction_is_too_small),
+        cmocka_unit_test(machines_of_an_old_owner_stay_on_their_page),
+        cmocka_unit_test(a_page_is_split_while_it_is_taken_over),
+        cmocka_unit_test(a_long_job_can_be_cancelled),
+        cmocka_unit_test(refused_writes_slow_the_writer),
+        cmocka_unit_test(marks_of_a_long_job_are_short),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
