--- a/src/leader.c
+++ b/src/leader.c
@@ -18,6 +18,7 @@
     AVOID_MS = 1500,
     SWEEP_MS = 5000,
     STUCK_S = 20,
+    MOST_CANCELLING = 4,
     MOST_PAUSE_MS = 40000, /* of a job that fails everywhere */
 };
 
@@ -350,12 +351,14 @@
 struct finish {
     struct leader *leader;
     job_id job;
+    bool cancelled;
 };
 
 static void finish_seen(void *arg, bool ok)
 {
     struct finish *f = arg;
     (void)ok;
+    f->leader->cancelling -= f->cancelled;
     struct ljob *j = ljob_get(f->leader, f->job.s);
     if (j)
         j->finishing = false;
@@ -386,8 +389,9 @@
     g_free(key);
     j->finishing = true;
     struct finish *f = g_new(struct finish, 1);
-    *f = (struct finish){l, j->id};
-    store_txn(l->store, LANE_URGENT, t, finish_answered, f);
+    *f = (struct finish){l, j->id, v->state == JOB_CANCELLED};
+    l->cancelling += f->cancelled;
+    store_txn(l->store, f->cancelled ? LANE_NORMAL : LANE_URGENT, t, finish_answered, f);
 }
 
 static void consider_end(struct leader *l, struct ljob *j)
@@ -397,7 +401,10 @@
         return;
     if (v->state == JOB_LIVE && v->n_done == v->tasks)
         finish(l, j, v, "done");
-    else if (v->state == JOB_CANCELLED && !v->placed && !g_hash_table_size(j->entries))
+    /* Many may be cancelled with one. All nodes know that already: it can wait behind other writes.
+     */
+    else if (v->state == JOB_CANCELLED && !v->placed && !g_hash_table_size(j->entries) &&
+             l->cancelling < MOST_CANCELLING)
         finish(l, j, v, "cancelled");
 }
 
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -125,6 +125,7 @@
     mono_time scaled_at, swept_at;
     mono_time idle_at; /* it last could not act: an outage */
     bool sweeping;
+    int cancelling; /* ends of cancelled jobs that are being stored */
     double demand_peak;
     bool services; /* some run; the next two tell of them */
     struct room service_usual;
--- a/tests/test_pipeline.c
+++ b/tests/test_pipeline.c
@@ -264,6 +264,35 @@
     assert_int_equal(world_starts(w), 2);
 }
 
+/* Hundreds of jobs need one that is cancelled: all are answered at once, and their ends are stored
+ * little by little, behind what users submit meanwhile. */
+static void many_are_cancelled_with_one(void **state)
+{
+    struct world *w = *state;
+    enum { JOBS = 300 };
+    world_submit(w, 0, "wk-1", "sweep", 1);
+    for (int i = 0; i < JOBS; i++) {
+        char id[16];
+        g_snprintf(id, sizeof id, "wk-a%d", i);
+        assert_int_equal(submit(w, i % 3, id, 1, "[\"wk-1\"]").status, 201);
+    }
+    world_run(w, 2000);
+    assert_int_equal(world_ask(w, 1, "POST", "/work/wk-1/abort", NULL).status, 200);
+    int before = w->writes;
+    world_run(w, 200);
+    assert_in_range(w->writes - before, 0, 60);
+    world_expect_stage(w, 2, "wk-a299", "cancelled");
+    struct user_answer a = world_submit(w, 0, "wk-2", "sweep", 1);
+    assert_int_equal(a.status, 201);
+    assert_in_range(a.took_ms, 0, 200);
+    world_run(w, 20000);
+    for (int i = 0; i < JOBS; i++) {
+        char *key = g_strdup_printf("ll/j/wk-a%d", i);
+        assert_non_null(strstr(world_key(w, key), "\"f\":\"cancelled\""));
+        g_free(key);
+    }
+}
+
 static void two_cancels_of_what_it_needs_are_one(void **state)
 {
     struct world *w = *state;
@@ -362,6 +391,7 @@
         WORLD_TEST(a_new_leader_starts_what_was_set_free),
         WORLD_TEST(names_are_checked),
         WORLD_TEST(a_cancel_takes_all_after_it_along),
+        WORLD_TEST(many_are_cancelled_with_one),
         WORLD_TEST(two_cancels_of_what_it_needs_are_one),
         WORLD_TEST(a_cancel_that_comes_too_late_lets_the_rest_go_on),
         WORLD_TEST(what_left_memory_is_read),
