--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -751,6 +751,41 @@
         assert_int_equal(w->workers[i].tasks->len, 8);
 }
 
+struct health {
+    struct http_replier replier;
+    uint64_t told;
+};
+
+static void hear_health(struct http_replier *self, conn_ref to, int status, const char *fields,
+                        const char *body, size_t len)
+{
+    (void)to;
+    (void)fields;
+    assert_int_equal(status, 200);
+    cJSON *m = cJSON_ParseWithLength(body, len);
+    assert_true(bus_u64(m, "told", &((struct health *)self)->told));
+    cJSON_Delete(m);
+}
+
+/* A node that tells a user of a cancellation has to say so to the others, which may keep leases
+ * only if they know of it: also when it had to read the job's key, as it had left memory. */
+static void a_cancellation_read_from_its_key_is_told_of(void **state)
+{
+    struct world *w = *state;
+    for (int i = 0; i < WORLD_NODES; i++)
+        w->nodes[i]->view->most_over = 0;
+    world_submit(w, 0, "wk-1", "sweep", 1);
+    assert_int_equal(world_ask(w, 0, "POST", "/work/wk-1/abort", NULL).status, 200);
+    world_run(w, 6000);
+    assert_null(view_job(w->nodes[2]->view, "wk-1"));
+    world_expect_stage(w, 2, "wk-1", "cancelled");
+    static const char question[] = "{\"from\":\"mast-0\"}";
+    struct http_request q = {"POST", "/bus/health", "", question, strlen(question), NULL};
+    struct health h = {{hear_health}, 0};
+    bus_serve(w->nodes[2]->bus, &h.replier, (conn_ref){1}, &q);
+    assert_true(h.told > 0);
+}
+
 enum { CHUNK_TASKS = 8192 };
 
 /* The marks of a large job are in chunks; all of them make it done. */
@@ -828,6 +863,7 @@
         WORLD_TEST(a_service_leaves_a_recalled_machine_in_time),
         WORLD_TEST(a_sick_machine_is_given_back),
         WORLD_TEST(a_sick_machine_keeps_its_services),
+        WORLD_TEST(a_cancellation_read_from_its_key_is_told_of),
         WORLD_TEST(jobs_that_come_to_sick_machines_go_on),
         WORLD_TEST(a_large_job_is_done_by_all_its_chunks),
         WORLD_TEST(idle_machines_are_returned),
