--- a/src/leader.c
+++ b/src/leader.c
@@ -258,6 +258,7 @@
     if (!e || e->attempt.v != attempt.v)
         return;
     struct lhost *h = lhost_get(l, e->host.s);
+    j->gang_broken = true;
     if (h) {
         room_sub(&h->booked, j->room);
         if (j->service)
@@ -655,6 +656,8 @@
  * is at fault itself, and tries again ever more seldom until its user cancels it. */
 static void on_fault(struct leader *l, struct ljob *j, struct lhost *h, enum cause cause)
 {
+    if (cause == CAUSE_INCOMPLETE) /* another task of its gang was missing */
+        return;
     if (cause != CAUSE_ERROR) {
         h->avoid_until = time_add_ms(loop_now(l->loop), 5000);
         return;
@@ -664,6 +667,9 @@
         j->failed_on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_hash_table_add(j->failed_on, g_strdup(h->id.s));
     bool at_fault = v && v->n_done == 0 && failed_alone(l, j) >= 3;
+    /* Its tasks fail within a moment of one another: that is one try, not many. */
+    if (at_fault && time_before(loop_now(l->loop), j->not_before))
+        return;
     if (at_fault) {
         j->failures++;
         int64_t pause = MIN(MOST_PAUSE_MS, 4000LL << MIN(j->failures, 5));
@@ -724,7 +730,10 @@
     if (!j)
         return;
     struct deal *d = g_hash_table_lookup(j->deals, leader_key_of(i));
-    if (!d || d->attempt.v != attempt.v)
+    /* A gang's task may be dealt again under the same attempt: an answer that is said again must
+     * not take back the later deal. */
+    uint64_t number = 0;
+    if (!d || d->attempt.v != attempt.v || (bus_u64(x, "n", &number) && number != d->number))
         return;
     if (d->host)
         d->host->avoid_until = time_add_ms(loop_now(l->loop), AVOID_MS);
--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -39,7 +39,7 @@
 
 struct room leader_host_free_room(const struct lhost *h)
 {
-    return room_left(room_left(h->total, h->booked), h->dealt);
+    return room_left(room_left(room_left(h->total, h->booked), h->dealt), h->held);
 }
 
 /* How many of a job's tasks are in a zone, or are about to be. */
@@ -104,6 +104,7 @@
     struct lhost *h;
     g_hash_table_iter_init(&it, l->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
+        h->held = (struct room){0};
         if (h->told && !h->loaners && h->zone >= 0)
             l->zone_cpus[h->zone] += (double)h->total.cpus.milli / 1000;
         if (leader_host_takes(l, h))
@@ -190,6 +191,7 @@
     struct deal *d = g_new0(struct deal, 1);
     d->attempt = attempt;
     d->host = h;
+    d->number = ++l->deals;
     d->since = loop_now(l->loop);
     g_strlcpy(d->yard, h->yard, sizeof d->yard);
     g_hash_table_insert(j->deals, leader_key_of(index), d);
@@ -203,6 +205,7 @@
     struct deal *d = g_hash_table_lookup(j->deals, leader_key_of(index));
     struct job *v = view_job(l->view, j->id.s);
     cJSON *x = bus_task(j->id, index, d->attempt);
+    bus_put_u64(x, "n", d->number);
     if (v->spec->one_zone || v->spec->apart)
         cJSON_AddStringToObject(x, "y", d->yard);
     if (bound)
@@ -552,7 +555,10 @@
     /* What was stopped for it before and is not off the record yet is room that is on its way:
      * while few writes are allowed that takes several seconds, and all would be stopped over and
      * over. */
-    int64_t n = MIN(leader_count_allowed(l, j, v) - j->clearing, PREEMPT_TASKS);
+    int64_t n = MIN(leader_count_allowed(l, j, v) - j->held - j->clearing, PREEMPT_TASKS);
+    /* Nothing is stopped for a part of a gang. */
+    if (v->spec->form == FORM_GANG && (int64_t)all->len < n)
+        n = 0;
     for (int64_t k = 0; k < n; k++) {
         struct clearing *best = cheapest(l, &c, all);
         if (!best) {
@@ -625,13 +631,45 @@
     return dealt;
 }
 
-static struct lhost *best_host(struct leader *l, struct ljob *j, const struct spec *s)
+/* The best machines for so many tasks of a job, in one zone or (-1) in any; a machine stands there
+ * once for each task. */
+static GPtrArray *places(struct leader *l, struct ljob *j, const struct spec *s, uint32_t most,
+                         int zone)
 {
+    GPtrArray *out = g_ptr_array_new();
     count_zones(l, j, s);
-    GArray *c = choices(l, j, s, false);
-    struct lhost *h = c->len ? g_array_index(c, struct choice, 0).host : NULL;
-    g_array_unref(c);
-    return h;
+    GArray *hosts = choices(l, j, s, false);
+    for (guint i = 0; i < hosts->len && out->len < most; i++) {
+        struct lhost *h = g_array_index(hosts, struct choice, i).host;
+        int64_t holds = room_times(leader_host_free_room(h), j->room);
+        for (int64_t k = 0; k < holds && out->len < most && (zone < 0 || h->zone == zone) &&
+                            zone_allowed(l, j, s, h->zone);
+             k++) {
+            g_ptr_array_add(out, h);
+            if (h->zone >= 0)
+                l->zone_tasks[h->zone]++;
+        }
+    }
+    g_array_unref(hosts);
+    return out;
+}
+
+/* The same for a whole gang, or as much of it as finds room. One that has to be in one zone goes
+ * where most of it does. */
+static GPtrArray *gang_places(struct leader *l, struct ljob *j, const struct spec *s, uint32_t most)
+{
+    if (!s->one_zone)
+        return places(l, j, s, most, -1);
+    GPtrArray *best = g_ptr_array_new();
+    for (guint z = 0; z < l->settings->zones->len && best->len < most; z++) {
+        GPtrArray *here = places(l, j, s, most, (int)z);
+        if (here->len > best->len) {
+            g_ptr_array_unref(best);
+            best = g_ptr_array_ref(here);
+        }
+        g_ptr_array_unref(here);
+    }
+    return best;
 }
 
 /* A gang that lost a task cannot go on: what is left of it is stopped, and it starts whole again
@@ -656,10 +694,32 @@
         halt(l, j, GPOINTER_TO_UINT(key) - 1, e, v->spec->stow_s);
 }
 
-/* All tasks of a gang are dealt at once, each to a machine where it has room, or none is. */
+/* Tasks that a part could not place are dealt once more, under the attempt of the others: as they
+ * were never on record, the gang has not begun, and waits for them. */
+static void gang_complete(struct leader *l, struct ljob *j, struct job *v)
+{
+    if (!j->gang.v || j->gang_broken)
+        return;
+    for (uint32_t i = 0; i < v->tasks; i++) {
+        if (!task_waits(j, v, i) || !room_holds(leader_limit_left(&l->teams[j->team]), j->room))
+            continue;
+        GPtrArray *place = places(l, j, v->spec, 1, -1);
+        if (place->len) {
+            book(l, j, i, j->gang, place->pdata[0]);
+            deal_to(l, j, i, true);
+        }
+        g_ptr_array_unref(place);
+    }
+}
+
+/* All tasks of a gang are dealt at once, each to a machine where it has room, or none is. Then what
+ * room there is for it is held for this pass, or others would take it as soon as it is free and the
+ * gang would never find enough at once. Whoever comes first holds first, so no two gangs hold what
+ * the other one needs. */
 static bool deal_gang(struct leader *l, struct ljob *j, struct job *v)
 {
     if (g_hash_table_size(j->entries) || g_hash_table_size(j->deals) || v->placed) {
+        gang_complete(l, j, v);
         gang_mend(l, j, v);
         return false;
     }
@@ -668,28 +728,26 @@
     struct room all = {{j->room.cpus.milli * left}, {j->room.gpus.milli * left}, {0}};
     if (!left || !within(t->used, all, t->team->cpus_max, t->team->gpus_max))
         return false;
-    GArray *booked = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-    attempt_no attempt = next_attempt(l);
-    bool whole = true;
-    for (uint32_t i = 0; i < v->tasks && whole; i++) {
-        if (job_task_done(v, i))
-            continue;
-        struct lhost *h = best_host(l, j, v->spec);
-        whole = h != NULL;
-        if (!h)
-            break;
-        book(l, j, i, attempt, h);
-        g_array_append_val(booked, i);
-    }
-    for (guint i = 0; i < booked->len; i++) {
-        uint32_t index = g_array_index(booked, uint32_t, i);
-        if (whole)
-            deal_to(l, j, index, true);
-        else
-            leader_deal_drop(l, j, index);
+    GPtrArray *hosts = is_full(l, v->spec) ? g_ptr_array_new() : gang_places(l, j, v->spec, left);
+    bool whole = hosts->len == left;
+    if (whole) {
+        j->gang = next_attempt(l);
+        j->gang_broken = false;
+        for (uint32_t i = 0, k = 0; i < v->tasks; i++) {
+            if (job_task_done(v, i))
+                continue;
+            book(l, j, i, j->gang, hosts->pdata[k++]);
+            deal_to(l, j, i, true);
+        }
+    } else {
+        for (guint i = 0; i < hosts->len; i++)
+            room_add(&((struct lhost *)hosts->pdata[i])->held, j->room);
+        j->held = hosts->len;
+        j->blocked = true;
+        note_full(l, v->spec);
+        preempt(l, j, v, false);
     }
-    j->blocked = !whole;
-    g_array_unref(booked);
+    g_ptr_array_unref(hosts);
     return whole;
 }
 
@@ -799,6 +857,7 @@
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&j)) {
         struct job *v = view_job(l->view, j->id.s);
         j->blocked = false;
+        j->held = 0;
         /* What it needs is done once that is durable and seen here, whoever led when it was. */
         if (!v || !v->known || v->state != JOB_LIVE || !v->spec || v->waits ||
             time_before(now, j->not_before))
--- a/src/leader_scale.c
+++ b/src/leader_scale.c
@@ -160,6 +160,7 @@
     struct lteam *t = &l->teams[j->team];
     struct room left = room_left(leader_limit_left(t), t->wanted);
     int64_t n = MIN(leader_count_allowed(l, j, v), room_times(left, j->room));
+    n = MAX(n - j->held, 0); /* for the rest of a gang room is there */
     room_add(&t->wanted, (struct room){{j->room.cpus.milli * n}, {j->room.gpus.milli * n}, {0}});
     return n;
 }
@@ -336,7 +337,7 @@
 bool leader_host_idle(const struct lhost *h)
 {
     return !h->booked.cpus.milli && !h->booked.memory.milli && !h->dealt.cpus.milli &&
-           !h->dealt.memory.milli;
+           !h->dealt.memory.milli && !h->held.cpus.milli && !h->held.memory.milli;
 }
 
 /* Whether the next services would miss the machine. */
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -20,6 +20,7 @@
 struct deal {
     attempt_no attempt;
     struct lhost *host; /* where there was room; the part may choose another of its machines */
+    uint64_t number;    /* of all deals of this leader */
     mono_time since;
     char yard[48];
 };
@@ -36,6 +37,7 @@
     uint32_t cursor;             /* no task below it waits */
     bool finishing;
     bool blocked;     /* in this pass: no machine has room */
+    uint32_t held;    /* in this pass: tasks of a gang for which room is held */
     bool in_time;     /* in this pass: what its class is expected to do can still be done */
     bool aged;        /* in this pass: it has waited for so long that it has its place again */
     bool overdue;     /* and for longer still */
@@ -44,6 +46,10 @@
     int clearing; /* tasks that were stopped for it and are on record still */
     int failures;
     GHashTable *failed_on;
+    /* The attempt under which its tasks were dealt together, by this leader; 0: none. Broken: one
+     * of them was on record and is not any more, so that it may have begun to run. */
+    attempt_no gang;
+    bool gang_broken;
     mono_time gang_since;
 };
 
@@ -62,6 +68,7 @@
     GPtrArray *images; /* interned */
     int zone;          /* in settings->zones, or -1 */
     struct room total, booked, dealt, pinned;
+    struct room held; /* in this pass: for gangs that lack more room still */
     mono_time idle_since, avoid_until;
     bool told;            /* in its owner's last digest */
     mono_time sick_until; /* it failed the tasks of several jobs */
@@ -111,7 +118,7 @@
     bool leading;
     epoch_no epoch;
     mono_time epoch_at;
-    uint64_t generation, attempts;
+    uint64_t generation, attempts, deals;
     GHashTable *jobs, *hosts, *parts;
     GHashTable *paces; /* job -> struct job_pace */
     struct lteam *teams;
--- a/src/part.c
+++ b/src/part.c
@@ -128,6 +128,7 @@
         LOG_ERROR("deal_malformed", "at=%s", at ? at : "");
         return;
     }
+    bus_u64(x, "n", &d.number);
     g_strlcpy(d.yard, yard ? yard : "", sizeof d.yard);
     g_strlcpy(d.at, at ? at : "", sizeof d.at);
     d.since = d.queue_since = loop_now(p->loop);
@@ -163,7 +164,8 @@
             i++;
             continue;
         }
-        struct dealt d = {.job = r->job, .index = r->index, .attempt = r->attempt};
+        struct dealt d = {
+            .job = r->job, .index = r->index, .attempt = r->attempt, .number = r->deal};
         if (r->tried)
             p->want_raise = true;
         else
@@ -349,7 +351,9 @@
     cJSON *back = cJSON_AddArrayToObject(m, "back");
     for (guint i = 0; i < p->back->len; i++) {
         struct dealt *d = &g_array_index(p->back, struct dealt, i);
-        cJSON_AddItemToArray(back, bus_task(d->job, d->index, d->attempt));
+        cJSON *x = bus_task(d->job, d->index, d->attempt);
+        bus_put_u64(x, "n", d->number);
+        cJSON_AddItemToArray(back, x);
     }
     cJSON *news = cJSON_AddArrayToObject(m, "news");
     for (guint i = 0; i < p->news->len; i++)
--- a/src/part_place.c
+++ b/src/part_place.c
@@ -183,6 +183,7 @@
     part_record_new(p, h, d->job);
     struct run *r = part_run_add(h, d->job, d->index, d->attempt, s);
     r->phase = RUN_NEW;
+    r->deal = d->number;
     r->placed_at = loop_now(p->loop);
     r->pool = pool;
     LOG_DEBUG("placed", "job=%s task=%u machine=%s class=%d pool=%d image=%d", d->job.s, d->index,
@@ -229,8 +230,11 @@
         const struct machine_type *t = type_smallest(p->view->types, s);
         d->class = t ? arq_class(room_share(room_of_spec(s), room_of_type(t))) : ARQ_CLASSES;
         d->queue = d->class;
-        g_queue_push_tail(&p->queues[d->queue], g_memdup2(d, sizeof *d));
-        return true;
+        /* What is bound to a machine chooses first: of the others none needs just that one. */
+        if (!d->at[0]) {
+            g_queue_push_tail(&p->queues[d->queue], g_memdup2(d, sizeof *d));
+            return true;
+        }
     }
     enum arq_move move = consult(p, d, s, rule_time);
     struct survey v = {.none = true};
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -25,8 +25,9 @@
     bool foreign; /* it is on a page of another node still; which one the view knows */
     int put;      /* with in_txn, the page that it comes to; -1: it leaves the records */
     bool in_txn;
-    bool tried;  /* it was in a transaction, of which nobody may know what became */
-    bool listed; /* in the report at hand */
+    bool tried;    /* it was in a transaction, of which nobody may know what became */
+    uint64_t deal; /* its number; 0: not dealt to this process */
+    bool listed;   /* in the report at hand */
     bool seen;
     bool vanished; /* it was seen, and is not any more, with no proof that it is over */
     enum task_state state;
@@ -88,10 +89,11 @@
     job_id job;
     uint32_t index;
     attempt_no attempt;
-    char yard[48]; /* "": any */
-    char at[48];   /* "": any machine */
-    int class;     /* 0: the job is not in view yet */
-    int queue;     /* the class whose queue it is in */
+    uint64_t number; /* of the deal, as the leader counts them */
+    char yard[48];   /* "": any */
+    char at[48];     /* "": any machine */
+    int class;       /* 0: the job is not in view yet */
+    int queue;       /* the class whose queue it is in */
     mono_time since, queue_since;
 };
 
