--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -681,6 +681,40 @@
         assert_true(w->workers[i].up);
 }
 
+/* An array whose later tasks take longer, on all machines alike: none of them is slow. A service
+ * keeps the machines, and no more can be rented; nothing is left waiting. */
+static void tasks_that_take_longer_and_longer_go_on(void **state)
+{
+    enum { MACHINES = 4, TASKS = 60, WAVE = 12 };
+    static const int64_t takes_ms[] = {4000, 10000, 25000, 60000, 60000};
+    struct world *w = *state;
+    w->capacity = 0;
+    for (int i = 0; i < MACHINES; i++)
+        world_worker(w, i, i % 2 ? "a" : "b", false);
+    world_run(w, 3000);
+    char *service = world_job("wk-0", "daemon", MACHINES, "blue", 5.0, "");
+    assert_int_equal(world_ask(w, 0, "POST", "/work", service).status, 201);
+    g_free(service);
+    world_run(w, 5000);
+    assert_int_equal(world_on_machines(w, "wk-0"), MACHINES); /* one on each */
+    char *array = world_job("wk-1", "sweep", TASKS, "blue", 1.0, "");
+    assert_int_equal(world_ask(w, 0, "POST", "/work", array).status, 201);
+    g_free(array);
+    for (int s = 0; s < 300; s++) {
+        world_run(w, 1000);
+        world_look(w);
+        for (int i = 0; i < MACHINES; i++)
+            for (uint32_t t = 0; w->workers[i].up && t < TASKS; t++) {
+                struct wtask *x = worker_task(&w->workers[i], "wk-1", t);
+                if (x && strcmp(x->stage, "running") == 0 &&
+                    time_ms_since(loop_now(w->loop), x->since) >= takes_ms[t / WAVE])
+                    worker_exit(&w->workers[i], "wk-1", t, "done");
+            }
+    }
+    assert_int_equal(w->returned, 0);
+    world_expect_stage(w, 0, "wk-1", "done");
+}
+
 /* The cloud's notice: a service leaves at once, and runs elsewhere before its machine is gone. */
 static void a_service_leaves_a_recalled_machine_in_time(void **state)
 {
@@ -886,6 +920,7 @@
         WORLD_TEST(a_guarantee_is_taken_from_what_is_borrowed),
         WORLD_TEST(a_job_that_fails_everywhere_backs_off),
         WORLD_TEST(a_slow_machine_gets_nothing_more),
+        WORLD_TEST(tasks_that_take_longer_and_longer_go_on),
         WORLD_TEST(a_service_leaves_a_recalled_machine_in_time),
         WORLD_TEST(a_sick_machine_is_given_back),
         WORLD_TEST(a_sick_machine_keeps_its_services),
