Where all machines seem slow none is

Cause: a task's time is held against the mean of its job's tasks. Where later tasks take longer on all machines alike, all of them passed the bound, took nothing more, and an array was left waiting beside free room for ever. A machine is slow only beside the one in the middle by now.

--- a/src/leader.c
+++ b/src/leader.c
@@ -622,9 +622,31 @@
     j->mean_s += (took_s - j->mean_s) / ++j->n;
 }
 
-bool leader_host_slow(const struct lhost *h)
+static gint by_value(gconstpointer a, gconstpointer b)
 {
-    return h->paced >= SLOW_AFTER && h->pace > SLOW_PACE;
+    double x = *(const double *)a, y = *(const double *)b;
+    return (x > y) - (x < y);
+}
+
+/* The pace of the machine in the middle. Tasks of a job may take ever longer wherever they run, and
+ * where all machines seem slow none is. */
+void leader_measure_paces(struct leader *l)
+{
+    GArray *paces = g_array_new(FALSE, FALSE, sizeof(double));
+    GHashTableIter it;
+    struct lhost *h;
+    g_hash_table_iter_init(&it, l->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+        if (h->told && h->paced >= SLOW_AFTER)
+            g_array_append_val(paces, h->pace);
+    g_array_sort(paces, by_value);
+    l->usual_pace = paces->len ? g_array_index(paces, double, (paces->len - 1) / 2) : 1;
+    g_array_unref(paces);
+}
+
+bool leader_host_slow(const struct leader *l, const struct lhost *h)
+{
+    return h->paced >= SLOW_AFTER && h->pace > SLOW_PACE * MAX(l->usual_pace, 1);
 }
 
 /* Tasks of other jobs have failed on the machine, too. */
@@ -741,7 +763,7 @@
     g_hash_table_iter_init(&it, l->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
         if (h->owner && strcmp(h->owner, owner) == 0 &&
-            (leader_host_slow(h) || time_before(now, h->sick_until)))
+            (leader_host_slow(l, h) || time_before(now, h->sick_until)))
             cJSON_AddItemToArray(list, cJSON_CreateString(h->id.s));
     return o;
 }
--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -31,7 +31,7 @@
 {
     mono_time now = loop_now(l->loop);
     struct fleet_machine *m = g_hash_table_lookup(fleet_machines(l->fleet), h->id.s);
-    return h->told && !time_before(now, h->sick_until) && !leader_host_slow(h) &&
+    return h->told && !time_before(now, h->sick_until) && !leader_host_slow(l, h) &&
            (h->flags & HOST_KNOWN) && !(h->flags & (HOST_LOST | HOST_RECALLED | HOST_QUIET)) &&
            !fleet_gone(l->fleet, h->id.s) && !(m && m->returning) &&
            !time_before(now, h->avoid_until);
--- a/src/leader_scale.c
+++ b/src/leader_scale.c
@@ -388,7 +388,7 @@
             fleet_return(l->fleet, h->id, "sick");
         else if ((h->flags & HOST_RECALLED) && leader_host_idle(h))
             fleet_return(l->fleet, h->id, "recalled");
-        else if (leader_host_slow(h) && leader_host_idle(h))
+        else if (leader_host_slow(l, h) && leader_host_idle(h))
             fleet_return(l->fleet, h->id, "slow");
     }
     struct fleet_machine *m;
@@ -465,6 +465,7 @@
     l->demand_peak = MAX(used, l->demand_peak + (used - l->demand_peak) * MIN(passed / 60, 1));
     if (log_debug_on())
         log_fleet(l);
+    leader_measure_paces(l);
     measure_services(l);
     rent_for_demand(l);
     return_useless(l);
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -114,6 +114,7 @@
     uint64_t generation, attempts;
     GHashTable *jobs, *hosts, *parts;
     GHashTable *paces; /* job -> struct job_pace */
+    double usual_pace; /* of the machines */
     struct lteam *teams;
     int n_teams;
     int first_team;       /* that this pass begins with */
@@ -136,7 +137,8 @@
 };
 
 /* leader.c: the ledger and the leader's messages */
-bool leader_host_slow(const struct lhost *h);
+void leader_measure_paces(struct leader *l);
+bool leader_host_slow(const struct leader *l, const struct lhost *h);
 struct ljob *ljob_get(struct leader *l, const char *id);
 gpointer leader_key_of(uint32_t index);
 struct lhost *lhost_get(struct leader *l, const char *id);
