--- a/src/leader_scale.c
+++ b/src/leader_scale.c
@@ -164,13 +164,23 @@
     return n;
 }
 
+/* The zone that a job which has to be in one has tasks in already, where the rest of it must go;
+ * NULL: none. */
+static const char *settled_zone(struct leader *l, struct ljob *j, const struct spec *s)
+{
+    for (guint i = 0; s->one_zone && i < l->settings->zones->len; i++)
+        if (leader_in_zone(l, j, l->settings->zones->pdata[i]))
+            return l->settings->zones->pdata[i];
+    return NULL;
+}
+
 static void want_job(struct leader *l, GArray *rooms, GArray *orders, struct ljob *j, struct job *v,
                      bool pressing)
 {
     const struct spec *s = v->spec;
     int64_t n = count_wanted(l, j, v);
     if (!s->apart) {
-        want_tasks(l, rooms, orders, j, s, n, NULL, pressing);
+        want_tasks(l, rooms, orders, j, s, n, settled_zone(l, j, s), pressing);
         return;
     }
     /* Each zone may take up to half of the tasks. */
