--- a/tests/world.c
+++ b/tests/world.c
@@ -870,7 +870,7 @@
     (void)to;
     (void)fields;
     char *text = g_strndup(body, len);
-    flight_answer(((struct bus_reply *)self)->flight, status, text);
+    flight_text(((struct bus_reply *)self)->flight, status, text);
     g_free(text);
     g_free(self);
 }
