--- /dev/null
+++ b/tests/test_gangs.c
@@ -0,0 +1,333 @@
+/* Gangs, played by workers as the protocol describes them: they gather, run together, and end
+ * together. */
+#include "world.h"
+
+#include <stdio.h>
+
+/* ---- what the tests share ---- */
+
+/* Workers play gangs; nothing can be rented. */
+static struct world *gang_world(void **state)
+{
+    struct world *w = *state;
+    w->play_gangs = true;
+    w->capacity = 0;
+    return w;
+}
+
+static void submit(struct world *w, const char *id, const char *form, const char *urgency,
+                   int tasks, double cpus)
+{
+    char *job = world_job(id, form, tasks, "blue", cpus, "");
+    char *by = g_strdup_printf("\"Urgency\":\"%s\"", urgency);
+    char *body = world_swapped(job, "\"Urgency\":\"high\"", by);
+    assert_int_equal(world_ask(w, 0, "POST", "/work", body).status, 201);
+    g_free(job);
+    g_free(by);
+    g_free(body);
+}
+
+/* A machine of a part other than the leader's, which is reached by messages. */
+static struct worker *far_machine(struct world *w, int i, const char *yard)
+{
+    const char *leader = w->nodes[world_leader_index(w)]->settings->label;
+    struct worker *k = world_worker(w, i, yard, true);
+    while (strcmp(map_owner(w->nodes[0]->view, k->id), leader) == 0) {
+        timer_stop(w->loop, &k->report);
+        k = world_worker(w, i, yard, true);
+    }
+    return k;
+}
+
+/* The machine on which a task is and has not exited. */
+static struct worker *machine_with(struct world *w, const char *job, uint32_t index)
+{
+    for (int i = 0; i < w->plan.workers; i++) {
+        struct worker *k = &w->workers[i];
+        struct wtask *t = k->up ? worker_task(k, job, index) : NULL;
+        if (t && strcmp(t->stage, "exited") != 0)
+            return k;
+    }
+    return NULL;
+}
+
+/* Tasks of a gang under that attempt that have not exited. */
+static int under_attempt(struct world *w, const char *job, uint64_t attempt)
+{
+    int n = 0;
+    for (int i = 0; i < w->plan.workers; i++)
+        for (guint t = 0; w->workers[i].up && t < w->workers[i].tasks->len; t++) {
+            struct wtask *x = &g_array_index(w->workers[i].tasks, struct wtask, t);
+            n += strcmp(x->job.s, job) == 0 && x->attempt == attempt &&
+                 strcmp(x->stage, "exited") != 0;
+        }
+    return n;
+}
+
+/* All tasks of a gang run, under one attempt, which is told. */
+static uint64_t runs_whole(struct world *w, const char *job, uint32_t tasks)
+{
+    uint64_t attempt = 0;
+    for (uint32_t i = 0; i < tasks; i++) {
+        struct worker *k = machine_with(w, job, i);
+        assert_non_null(k);
+        struct wtask *t = worker_task(k, job, i);
+        assert_string_equal(t->stage, "running");
+        assert_true(!attempt || t->attempt == attempt);
+        attempt = t->attempt;
+    }
+    assert_int_equal(world_on_machines(w, job), tasks);
+    return attempt;
+}
+
+/* One task is done, and so all are. */
+static void ends_whole(struct world *w, const char *job)
+{
+    struct worker *k = machine_with(w, job, 0);
+    assert_non_null(k);
+    worker_exit(k, job, 0, "done");
+    world_run(w, 6000);
+    world_expect_stage(w, 1, job, "done");
+}
+
+/* ---- how a gang begins ---- */
+
+static struct worker *recalled;
+
+/* The machine of the first task that is dealt by message gets its notice while that is on its way.
+ */
+static enum fate recall_on_the_way(struct world *w, int node, const struct net_request *r)
+{
+    (void)node;
+    const char *at = strcmp(r->path, "/bus/deal") == 0 && !recalled && r->body
+                         ? strstr(r->body, "\"h\":\"host-")
+                         : NULL;
+    if (!at)
+        return FATE_NORMAL;
+    for (int i = 0; i < w->plan.workers; i++)
+        if (w->workers[i].up && strncmp(at + strlen("\"h\":\""), w->workers[i].id, 11) == 0)
+            recalled = &w->workers[i];
+    assert_non_null(recalled);
+    recalled->recall_s = 100;
+    return FATE_SLOW;
+}
+
+/* A task that its part could not place is dealt again under the attempt of the others, which wait
+ * for it and are not stopped. */
+static void a_task_that_was_given_back_joins_the_others(void **state)
+{
+    struct world *w = gang_world(state);
+    for (int i = 0; i < 5; i++)
+        far_machine(w, i, i % 2 ? "a" : "b");
+    world_run(w, 4000);
+    recalled = NULL;
+    w->fate = recall_on_the_way;
+    submit(w, "wk-1", "gang", "high", 4, 8.0);
+    world_run(w, 8000);
+    assert_non_null(recalled);
+    runs_whole(w, "wk-1", 4);
+    assert_int_equal(world_starts(w), 4); /* each once */
+    assert_int_equal(world_gang_begun(w, "wk-1"), 1);
+    assert_int_equal(recalled->starts, 0);
+    ends_whole(w, "wk-1");
+}
+
+static int lost_answers, lost_deals;
+
+/* The machine is recalled as above; then the answer to the message that gives the deal back is
+ * lost, and the later deal does not get through before that is said again. */
+static enum fate lose_the_answer_to_the_back(struct world *w, int node, const struct net_request *r)
+{
+    bool back = strcmp(r->path, "/bus/digest") == 0 && r->body && strstr(r->body, "\"back\":[{");
+    if (back)
+        return ++lost_answers == 1 ? FATE_ANSWER_LOST : FATE_NORMAL;
+    if (lost_answers == 1 && strcmp(r->path, "/bus/deal") == 0) {
+        lost_deals++;
+        return FATE_LOST;
+    }
+    return lost_answers ? FATE_NORMAL : recall_on_the_way(w, node, r);
+}
+
+/* The message that gives a deal back is said again, after that task was dealt once more under the
+ * same attempt: it does not take the later deal back. */
+static void a_deal_that_is_given_back_twice_is_dealt_again_once(void **state)
+{
+    struct world *w = gang_world(state);
+    for (int i = 0; i < 7; i++)
+        far_machine(w, i, i % 2 ? "a" : "b");
+    world_run(w, 4000);
+    recalled = NULL;
+    lost_answers = lost_deals = 0;
+    w->fate = lose_the_answer_to_the_back;
+    submit(w, "wk-1", "gang", "high", 4, 8.0);
+    world_run(w, 15000);
+    assert_int_equal(lost_answers, 2);
+    assert_true(lost_deals > 0);
+    runs_whole(w, "wk-1", 4);
+    assert_int_equal(world_starts(w), 4);
+    assert_int_equal(world_gang_begun(w, "wk-1"), 1);
+    ends_whole(w, "wk-1");
+}
+
+/* Room for a part of a gang is held for it: arrays of the same team and urgency that keep coming
+ * do not take it for ever. */
+static void room_for_a_part_of_a_gang_is_held(void **state)
+{
+    enum { TAKES_MS = 8000 };
+    struct world *w = gang_world(state);
+    world_worker(w, 6, "b", true);
+    world_worker(w, 7, "a", true);
+    world_run(w, 3000);
+    int arrays = 0;
+    for (int s = 0; s < 60; s++) {
+        if (s % 2 == 0) { /* two tasks every four seconds are all that is done meanwhile */
+            char id[16];
+            g_snprintf(id, sizeof id, "wk-1%03d", arrays++);
+            submit(w, id, "sweep", "high", 1, 4.0);
+        }
+        if (s == 10) {
+            submit(w, "wk-2", "gang", "high", 4, 4.0);
+        }
+        world_run(w, 1000);
+        for (int i = 6; i <= 7; i++)
+            for (guint n = 0; n < w->workers[i].tasks->len; n++) {
+                struct wtask *t = &g_array_index(w->workers[i].tasks, struct wtask, n);
+                if (strcmp(t->stage, "running") == 0 && strcmp(t->job.s, "wk-2") != 0 &&
+                    time_ms_since(loop_now(w->loop), t->since) >= TAKES_MS)
+                    worker_exit(&w->workers[i], t->job.s, t->index, "done");
+            }
+    }
+    runs_whole(w, "wk-2", 4);
+    assert_int_equal(world_gang_begun(w, "wk-2"), 1);
+}
+
+/* ---- whom a gang may stop ---- */
+
+static void a_gang_stops_less_urgent_work_to_begin(void **state)
+{
+    struct world *w = gang_world(state);
+    world_worker(w, 6, "b", true);
+    world_worker(w, 7, "a", true);
+    world_run(w, 3000);
+    submit(w, "wk-1", "sweep", "normal", 8, 2.0);
+    world_run(w, 5000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 8);
+    submit(w, "wk-2", "gang", "high", 2, 4.0);
+    world_run(w, 6000);
+    runs_whole(w, "wk-2", 2);
+    assert_int_equal(world_on_machines(w, "wk-1"), 4);
+}
+
+static void nothing_is_stopped_for_a_part_of_a_gang(void **state)
+{
+    struct world *w = gang_world(state);
+    world_worker(w, 7, "a", true);
+    world_run(w, 3000);
+    submit(w, "wk-1", "sweep", "high", 4, 2.0); /* as urgent as the gang */
+    world_run(w, 3000);
+    world_worker(w, 6, "b", true);
+    world_run(w, 3000);
+    submit(w, "wk-2", "sweep", "normal", 4, 2.0);
+    world_run(w, 3000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 4);
+    assert_int_equal(world_on_machines(w, "wk-2"), 4);
+    submit(w, "wk-3", "gang", "high", 2, 8.0);
+    world_run(w, 10000);
+    assert_int_equal(world_on_machines(w, "wk-2"), 4);
+    assert_int_equal(world_starts(w), 8);
+}
+
+/* ---- how it begins anew ---- */
+
+/* Runs until the gang runs whole under another attempt; meanwhile nothing of a new attempt is on
+ * machines while a task of the old one is on record. */
+static void begins_anew(struct world *w, const char *job, uint32_t tasks, uint64_t old, int64_t ms)
+{
+    bool seen_old = false;
+    for (int64_t t = 0; t < ms; t += 5) {
+        world_run(w, 5);
+        struct node *n = w->nodes[w->nodes[0] ? 0 : 1];
+        bool on_record = false;
+        GHashTableIter it;
+        struct host_record *rec;
+        g_hash_table_iter_init(&it, n->view->hosts);
+        while (g_hash_table_iter_next(&it, NULL, (gpointer *)&rec))
+            for (guint i = 0; i < rec->tasks->len; i++) {
+                struct placed *p = rec->tasks->pdata[i];
+                on_record = on_record || (strcmp(p->job->id.s, job) == 0 && p->attempt.v == old);
+            }
+        seen_old = seen_old || on_record;
+        if (on_record)
+            assert_int_equal(world_on_machines(w, job), under_attempt(w, job, old));
+    }
+    assert_true(seen_old);
+    assert_true(runs_whole(w, job, tasks) > old);
+    assert_int_equal(world_gang_begun(w, job), 2);
+    assert_int_equal(world_starts(w), 2 * tasks); /* none alone, under the old attempt */
+}
+
+static uint64_t begin_on_four(struct world *w)
+{
+    for (int i = 3; i < 8; i++)
+        world_worker(w, i, i % 2 ? "a" : "b", true);
+    world_run(w, 4000);
+    submit(w, "wk-1", "gang", "high", 4, 8.0);
+    world_run(w, 5000);
+    return runs_whole(w, "wk-1", 4);
+}
+
+/* A task fails while the machine of another one is not heard: nothing begins before that one's end
+ * is proven. */
+static void a_gang_that_lost_a_task_begins_anew_after_proof(void **state)
+{
+    struct world *w = gang_world(state);
+    uint64_t old = begin_on_four(w);
+    struct worker *silent = machine_with(w, "wk-1", 2);
+    silent->silent = true;
+    worker_exit(machine_with(w, "wk-1", 1), "wk-1", 1, "error");
+    world_worker(w, 0, "a", true);
+    world_worker(w, 1, "b", true);
+    begins_anew(w, "wk-1", 4, old, 40000);
+    ends_whole(w, "wk-1");
+}
+
+static void a_gang_of_which_a_machine_is_new_begins_anew(void **state)
+{
+    struct world *w = gang_world(state);
+    uint64_t old = begin_on_four(w);
+    worker_new_session(machine_with(w, "wk-1", 3), false);
+    begins_anew(w, "wk-1", 4, old, 25000);
+    ends_whole(w, "wk-1");
+}
+
+/* Many tasks of one job fail within a moment on several sick machines: that is one try. */
+static void tasks_that_fail_together_are_one_try(void **state)
+{
+    struct world *w = gang_world(state);
+    for (int i = 2; i < 8; i++)
+        world_worker(w, i, i % 2 ? "a" : "b", true);
+    world_run(w, 4000);
+    submit(w, "wk-1", "gang", "high", 24, 2.0);
+    world_run(w, 5000);
+    runs_whole(w, "wk-1", 24);
+    worker_exit_all(w, "wk-1", "error");
+    world_run(w, 6000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 0); /* it pauses */
+    world_run(w, 12000);
+    runs_whole(w, "wk-1", 24);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        WORLD_TEST_SETTLED(a_task_that_was_given_back_joins_the_others),
+        WORLD_TEST_SETTLED(a_deal_that_is_given_back_twice_is_dealt_again_once),
+        WORLD_TEST(room_for_a_part_of_a_gang_is_held),
+        WORLD_TEST(a_gang_stops_less_urgent_work_to_begin),
+        WORLD_TEST(nothing_is_stopped_for_a_part_of_a_gang),
+        WORLD_TEST_SETTLED(a_gang_that_lost_a_task_begins_anew_after_proof),
+        WORLD_TEST_SETTLED(a_gang_of_which_a_machine_is_new_begins_anew),
+        WORLD_TEST(tasks_that_fail_together_are_one_try),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/world.c
+++ b/tests/world.c
@@ -509,6 +509,8 @@
         json_put_text(x, "Stage", t->stage);
         if (*t->cause)
             json_put_text(x, "Cause", t->cause);
+        if (t->stored)
+            json_object_object_add(x, "Stored", json_object_new_boolean(true));
         json_object_array_add(list, x);
     }
     json_object_object_add(o, "Pieces", list);
@@ -533,6 +535,200 @@
     g_array_set_size(k->tasks, 0);
 }
 
+/* ---- gangs ---- */
+
+/* One attempt of a gang. */
+struct wattempt {
+    uint64_t number;
+    bool begun;
+    mono_time lost_at, halted_at; /* 0: neither */
+    GPtrArray *on;                /* struct wtask: those that have not exited, in this turn */
+    GPtrArray *where;             /* struct worker, of each */
+    bool done, torn;              /* torn: some do not reach the others */
+};
+
+struct wgang {
+    guint tasks;
+    double stow_s, mark_s;
+    int begun, saved;
+    GArray *attempts; /* struct wattempt */
+};
+
+static void attempt_clear(gpointer q)
+{
+    struct wattempt *a = q;
+    g_ptr_array_unref(a->on);
+    g_ptr_array_unref(a->where);
+}
+
+static void gang_free(gpointer q)
+{
+    struct wgang *g = q;
+    g_array_unref(g->attempts);
+    g_free(g);
+}
+
+static struct wgang *gang_of(struct world *w, const char *job)
+{
+    return w->play_gangs ? g_hash_table_lookup(w->gangs, job) : NULL;
+}
+
+/* A submission, of which workers fetch the description. */
+static void gang_submitted(struct world *w, const char *body)
+{
+    json_object *o = json_read(body, strlen(body));
+    const char *id, *form;
+    uint64_t tasks;
+    if (o && json_text(o, "Id", &id) && json_text(o, "Form", &form) && strcmp(form, "gang") == 0 &&
+        json_u64(o, "Pieces", &tasks) && !g_hash_table_contains(w->gangs, id)) {
+        struct wgang *g = g_new0(struct wgang, 1);
+        g->tasks = (guint)tasks;
+        json_number(o, "StowS", &g->stow_s);
+        json_number(o, "MarkEveryS", &g->mark_s);
+        g->attempts = g_array_new(FALSE, TRUE, sizeof(struct wattempt));
+        g_array_set_clear_func(g->attempts, attempt_clear);
+        g_hash_table_insert(w->gangs, g_strdup(id), g);
+    }
+    json_object_put(o);
+}
+
+static struct wattempt *attempt_of(struct wgang *g, uint64_t number)
+{
+    for (guint i = 0; i < g->attempts->len; i++)
+        if (g_array_index(g->attempts, struct wattempt, i).number == number)
+            return &g_array_index(g->attempts, struct wattempt, i);
+    struct wattempt a = {.number = number, .on = g_ptr_array_new(), .where = g_ptr_array_new()};
+    g_array_append_val(g->attempts, a);
+    return &g_array_index(g->attempts, struct wattempt, g->attempts->len - 1);
+}
+
+int world_gang_begun(struct world *w, const char *job)
+{
+    struct wgang *g = gang_of(w, job);
+    return g ? g->begun : 0;
+}
+
+int world_gang_saved(struct world *w, const char *job)
+{
+    struct wgang *g = gang_of(w, job);
+    return g ? g->saved : 0;
+}
+
+/* A halt comes to a task: whether it saves, and exits later. */
+static bool gang_saves(struct world *w, struct wtask *t, double grace_s)
+{
+    struct wgang *g = gang_of(w, t->job.s);
+    if (!g || g->mark_s <= 0 || grace_s < g->stow_s)
+        return false;
+    if (strcmp(t->stage, "flushing") == 0)
+        return grace_s > 0;
+    if (strcmp(t->stage, "running") != 0)
+        return false;
+    strcpy(t->stage, "flushing");
+    t->since = loop_now(w->loop);
+    struct wattempt *a = attempt_of(g, t->attempt);
+    if (!a->halted_at.us)
+        a->halted_at = t->since;
+    return true;
+}
+
+/* All of an attempt that still can exits with that. */
+static void attempt_exits(struct wattempt *a, const char *cause, bool stored)
+{
+    for (guint i = 0; i < a->on->len; i++) {
+        struct wtask *t = a->on->pdata[i];
+        struct worker *k = a->where->pdata[i];
+        if (k->silent) /* it hangs, and notices when it goes on */
+            continue;
+        worker_exit(k, t->job.s, t->index, cause);
+        t->stored = stored;
+    }
+}
+
+static void attempt_step(struct world *w, struct wgang *g, struct wattempt *a)
+{
+    mono_time now = loop_now(w->loop);
+    int64_t peer_ms = (int64_t)(w->settings[0]->gang_peer_s * 1000),
+            wait_ms = (int64_t)(w->settings[0]->gang_wait_s * 1000);
+    bool whole = a->on->len == g->tasks && !a->torn;
+    if (!a->begun && whole) {
+        a->begun = true;
+        g->begun++;
+        for (guint i = 0; i < a->on->len; i++) {
+            strcpy(((struct wtask *)a->on->pdata[i])->stage, "running");
+            ((struct wtask *)a->on->pdata[i])->since = now;
+        }
+        return;
+    }
+    for (guint i = 0; i < a->on->len; i++) { /* also who comes when the others are gone */
+        struct wtask *t = a->on->pdata[i];
+        struct worker *k = a->where->pdata[i];
+        if (strcmp(t->stage, "gathering") == 0 && !k->silent &&
+            time_ms_since(now, t->since) >= wait_ms)
+            worker_exit(k, t->job.s, t->index, "incomplete");
+    }
+    if (!a->begun || !a->on->len)
+        return;
+    if (a->done) {
+        attempt_exits(a, "done", false);
+        return;
+    }
+    guint told = 0, saved = 0;
+    for (guint i = 0; i < a->on->len; i++) {
+        struct wtask *t = a->on->pdata[i];
+        bool here = strcmp(t->stage, "flushing") == 0;
+        told += here;
+        saved += here && (double)time_ms_since(now, t->since) >= g->stow_s * 1000;
+    }
+    if (whole && saved == g->tasks) {
+        g->saved++;
+        attempt_exits(a, "halted", true);
+        return;
+    }
+    if (!whole && !a->lost_at.us)
+        a->lost_at = now;
+    if ((a->lost_at.us && time_ms_since(now, a->lost_at) >= peer_ms - 1000) ||
+        (a->halted_at.us && told < g->tasks && time_ms_since(now, a->halted_at) >= peer_ms))
+        attempt_exits(a, "peers", false);
+}
+
+/* What the tasks of gangs do by themselves. */
+static void play_gangs(struct world *w)
+{
+    GHashTableIter it;
+    struct wgang *g;
+    g_hash_table_iter_init(&it, w->gangs);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&g))
+        for (guint i = 0; i < g->attempts->len; i++) {
+            struct wattempt *a = &g_array_index(g->attempts, struct wattempt, i);
+            g_ptr_array_set_size(a->on, 0);
+            g_ptr_array_set_size(a->where, 0);
+            a->torn = false;
+        }
+    for (int i = 0; i < w->plan.workers; i++) {
+        struct worker *k = &w->workers[i];
+        for (guint n = 0; k->up && n < k->tasks->len; n++) {
+            struct wtask *t = &g_array_index(k->tasks, struct wtask, n);
+            g = gang_of(w, t->job.s);
+            if (!g)
+                continue;
+            struct wattempt *a = attempt_of(g, t->attempt);
+            if (strcmp(t->stage, "exited") == 0) {
+                a->done = a->done || strcmp(t->cause, "done") == 0;
+                continue;
+            }
+            struct worker *first = a->where->len ? a->where->pdata[0] : k;
+            a->torn = a->torn || k->silent || first->silent || k->only != first->only;
+            g_ptr_array_add(a->on, t);
+            g_ptr_array_add(a->where, k);
+        }
+    }
+    g_hash_table_iter_init(&it, w->gangs);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&g))
+        for (guint i = 0; i < g->attempts->len; i++)
+            attempt_step(w, g, &g_array_index(g->attempts, struct wattempt, i));
+}
+
 /* Carries out a command that was sent at that moment. */
 static void worker_order(struct worker *k, json_object *o, mono_time sent)
 {
@@ -547,7 +743,9 @@
         if (t && t->attempt == attempt)
             return;
         assert_null(t); /* the service does not start a task where its worker still shows it */
-        struct wtask n = {job, index, attempt, "running", "", loop_now(k->world->loop)};
+        struct wtask n = {job, index, attempt, "running", "", loop_now(k->world->loop), false};
+        if (gang_of(k->world, job.s))
+            strcpy(n.stage, "gathering");
         struct worker *other = g_hash_table_lookup(k->world->last_on, name);
         struct wtask *x =
             other && other->up && other != k ? worker_task(other, job.s, index) : NULL;
@@ -558,7 +756,10 @@
         rules_started(k->world->rules, loop_now(k->world->loop), sent, &m, job.s, index);
         k->starts++;
     } else if (strcmp(verb, "halt") == 0) {
-        if (t && t->attempt == attempt && strcmp(t->stage, "exited") != 0)
+        double grace_s = 0;
+        json_number(o, "WindDownS", &grace_s);
+        if (t && t->attempt == attempt && strcmp(t->stage, "exited") != 0 &&
+            !gang_saves(k->world, t, grace_s))
             worker_exit(k, job.s, index, "halted");
     } else if (t && t->attempt == attempt && strcmp(t->stage, "exited") == 0) {
         g_array_remove_index(k->tasks, (guint)(t - (struct wtask *)k->tasks->data));
@@ -914,7 +1115,7 @@
     struct world *w = f->world;
     char *text = g_strndup(body, len);
     char *other = w->between ? w->between(w, f->node, f->path, text) : NULL;
-    flight_answer(f, status, other ? other : text);
+    flight_text(f, status, other ? other : text);
     g_free(other);
     g_free(text);
     g_free(self);
@@ -1004,6 +1205,8 @@
 {
     struct world *w = arg;
     timer_start(w->loop, &w->tick, TICK_MS);
+    if (w->play_gangs)
+        play_gangs(w);
     if (w->state_down) {
         /* When an outage is over, every lease has its full time again. */
         GHashTableIter it;
@@ -1041,6 +1244,7 @@
     w->workers = g_new0(struct worker, plan->workers);
     w->worker_addrs = g_hash_table_new(g_str_hash, g_str_equal);
     w->last_on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    w->gangs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, gang_free);
     log_setup(g_getenv("LOG_LEVEL") ? g_getenv("LOG_LEVEL") : "error", "test");
     twice = false;
     w->loop = loop_new_fake();
@@ -1092,6 +1296,7 @@
     g_free(w->workers);
     g_hash_table_unref(w->worker_addrs);
     g_hash_table_unref(w->last_on);
+    g_hash_table_unref(w->gangs);
     g_array_unref(w->events);
     g_hash_table_unref(w->leases);
     g_hash_table_unref(w->answers);
@@ -1145,6 +1350,8 @@
     c->body = body ? body : "";
     rules_types(w->rules, w->types);
     rules_asked(w->rules, c->sent, method, path, c->body);
+    if (w->play_gangs && strcmp(path, "/work") == 0)
+        gang_submitted(w, c->body);
     struct http_request q = {method, path, "", body ? body : "", body ? strlen(body) : 0, NULL};
     assert_non_null(w->nodes[node]);
     frontend_serve(w->nodes[node]->frontend, &w->replier, ref, &q);
--- a/tests/world.h
+++ b/tests/world.h
@@ -56,6 +56,7 @@
     uint64_t attempt;
     char stage[16], cause[16];
     mono_time since;
+    bool stored; /* it was stopped, and what it had done is saved */
 };
 
 struct worker {
@@ -116,6 +117,8 @@
     GHashTable *worker_addrs; /* address -> struct worker */
     GHashTable *last_on;      /* task -> struct worker that started it last */
     const char *types;        /* what the cloud says of them */
+    bool play_gangs;          /* workers play gangs as the protocol describes them */
+    GHashTable *gangs;        /* job -> struct wgang, of those submitted since */
     /* replies to what the test asked */
     struct rules *rules;
     struct http_replier replier;
@@ -169,6 +172,9 @@
 void worker_new_session(struct worker *k, bool anew);
 /* A copy of an earlier report arrives at a node; nobody waits for the answer. */
 void world_say_again(struct world *w, int node, const char *report);
+/* With play_gangs: how often a gang of that job has begun, and how often one saved as a whole. */
+int world_gang_begun(struct world *w, const char *job);
+int world_gang_saved(struct world *w, const char *job);
 /* How many starts all workers have seen. */
 int world_starts(struct world *w);
 /* How many tasks were ever on two machines at once. */
