--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -27,6 +27,15 @@
     g_free(body);
 }
 
+static void submit_in_one_zone(struct world *w, const char *id, int tasks, double cpus)
+{
+    char *job = world_job(id, "gang", tasks, "blue", cpus, "");
+    char *body = world_swapped(job, "\"OneZone\":false", "\"OneZone\":true");
+    assert_int_equal(world_ask(w, 0, "POST", "/work", body).status, 201);
+    g_free(job);
+    g_free(body);
+}
+
 /* A machine of a part other than the leader's, which is reached by messages. */
 static struct worker *far_machine(struct world *w, int i, const char *yard)
 {
@@ -218,6 +227,22 @@
     assert_int_equal(world_on_machines(w, "wk-1"), 4);
 }
 
+/* Several tasks of a gang may share a machine: also then room is made for it. */
+static void a_gang_that_shares_machines_stops_less_urgent_work(void **state)
+{
+    struct world *w = gang_world(state);
+    world_worker(w, 6, "b", true);
+    world_worker(w, 7, "a", true);
+    world_run(w, 3000);
+    submit(w, "wk-1", "sweep", "normal", 8, 2.0);
+    world_run(w, 5000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 8);
+    submit(w, "wk-2", "gang", "high", 6, 2.0);
+    world_run(w, 10000);
+    runs_whole(w, "wk-2", 6);
+    assert_int_equal(world_on_machines(w, "wk-1"), 2);
+}
+
 static void nothing_is_stopped_for_a_part_of_a_gang(void **state)
 {
     struct world *w = gang_world(state);
@@ -237,6 +262,60 @@
     assert_int_equal(world_starts(w), 8);
 }
 
+/* Room for all of it would be made, but half of that in a zone where the gang could not use it. */
+static void nothing_is_stopped_for_a_gang_that_fits_no_zone(void **state)
+{
+    struct world *w = gang_world(state);
+    world_worker(w, 6, "b", true);
+    world_worker(w, 7, "a", true);
+    world_run(w, 3000);
+    submit(w, "wk-1", "sweep", "normal", 8, 2.0);
+    world_run(w, 5000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 8);
+    submit_in_one_zone(w, "wk-2", 2, 8.0);
+    world_run(w, 10000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 8);
+    assert_int_equal(world_starts(w), 8);
+}
+
+/* Room is made in the one zone where there can be enough; the other one holds a free place. */
+static void a_gang_in_one_zone_stops_less_urgent_work_there(void **state)
+{
+    struct world *w = gang_world(state);
+    world_worker(w, 5, "b", true);
+    world_worker(w, 6, "b", true);
+    world_run(w, 3000);
+    submit(w, "wk-1", "sweep", "normal", 8, 2.0);
+    world_run(w, 5000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 8);
+    world_worker(w, 7, "a", true);
+    world_run(w, 3000);
+    submit_in_one_zone(w, "wk-2", 2, 8.0);
+    world_run(w, 8000);
+    runs_whole(w, "wk-2", 2);
+    assert_null(worker_task(&w->workers[7], "wk-2", 0));
+    assert_null(worker_task(&w->workers[7], "wk-2", 1));
+}
+
+/* The other zone has the better machine, with the image, but not room for all. */
+static void a_gang_in_one_zone_goes_where_all_of_it_has_room(void **state)
+{
+    struct world *w = gang_world(state);
+    struct worker *better = world_worker(w, 7, "a", true);
+    world_run(w, 3000);
+    submit(w, "wk-1", "sweep", "high", 1, 2.0);
+    world_run(w, 3000);
+    worker_exit_all(w, "wk-1", "done");
+    world_worker(w, 5, "b", true);
+    world_worker(w, 6, "b", true);
+    world_run(w, 4000);
+    submit_in_one_zone(w, "wk-2", 2, 8.0);
+    world_run(w, 6000);
+    runs_whole(w, "wk-2", 2);
+    assert_null(worker_task(better, "wk-2", 0));
+    assert_null(worker_task(better, "wk-2", 1));
+}
+
 /* ---- how it begins anew ---- */
 
 /* Runs until the gang runs whole under another attempt; meanwhile nothing of a new attempt is on
@@ -324,7 +403,11 @@
         WORLD_TEST_SETTLED(a_deal_that_is_given_back_twice_is_dealt_again_once),
         WORLD_TEST(room_for_a_part_of_a_gang_is_held),
         WORLD_TEST(a_gang_stops_less_urgent_work_to_begin),
+        WORLD_TEST(a_gang_that_shares_machines_stops_less_urgent_work),
         WORLD_TEST(nothing_is_stopped_for_a_part_of_a_gang),
+        WORLD_TEST(nothing_is_stopped_for_a_gang_that_fits_no_zone),
+        WORLD_TEST(a_gang_in_one_zone_stops_less_urgent_work_there),
+        WORLD_TEST(a_gang_in_one_zone_goes_where_all_of_it_has_room),
         WORLD_TEST_SETTLED(a_gang_that_lost_a_task_begins_anew_after_proof),
         WORLD_TEST_SETTLED(a_gang_of_which_a_machine_is_new_begins_anew),
         WORLD_TEST(tasks_that_fail_together_are_one_try),
