--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -646,7 +646,7 @@
                             zone_allowed(l, j, s, h->zone);
              k++) {
             g_ptr_array_add(out, h);
-            if (h->zone >= 0)
+            if (h->zone >= 0 && s->apart) /* one zone is for the caller to settle */
                 l->zone_tasks[h->zone]++;
         }
     }
