--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -537,6 +537,49 @@
     return false;
 }
 
+/* How many tasks there would be room for on a machine if all that may be stopped was. */
+static int64_t would_hold(struct leader *l, const struct claim *c, struct lhost *h)
+{
+    struct room free = leader_host_free_room(h);
+    GArray *victims = victims_on(l, h, c);
+    for (guint i = 0; i < victims->len; i++)
+        room_add(&free, g_array_index(victims, struct victim, i).job->room);
+    g_array_unref(victims);
+    return room_times(free, c->job->room);
+}
+
+/* For how many tasks of a gang room has to be made beside what is held for it: all that it lacks,
+ * or none when it would still not be whole. One that has to be in one zone has it made in one where
+ * that is enough, and where the least is lacking; the machines of others are passed over. */
+static int64_t gang_lacks(struct leader *l, const struct claim *c, GArray *all, int64_t lacks)
+{
+    struct ljob *j = c->job;
+    bool one_zone = c->view->spec->one_zone;
+    guint zones = one_zone ? l->settings->zones->len : 1;
+    int64_t least = 0;
+    int best = -1;
+    for (guint z = 0; z < zones; z++) {
+        int64_t need = one_zone && (int)z != j->held_zone ? lacks + j->held : lacks, holds = 0;
+        for (guint i = 0; i < all->len; i++) {
+            struct lhost *h = g_array_index(all, struct clearing, i).host;
+            if (!one_zone || h->zone == (int)z)
+                holds += would_hold(l, c, h);
+        }
+        if (holds >= need && (best < 0 || need < least)) {
+            best = (int)z;
+            least = need;
+        }
+    }
+    for (guint i = 0; one_zone && i < all->len; i++) {
+        struct clearing *x = &g_array_index(all, struct clearing, i);
+        if (x->host->zone != best)
+            x->loss = -1;
+    }
+    if (best >= 0)
+        j->clear_zone = best;
+    return least;
+}
+
 /* Makes room for tasks that fit nowhere, by stopping work of lower priority where that loses the
  * least. What is stopped is off the record a moment later, and ranks behind. */
 static void preempt(struct leader *l, struct ljob *j, struct job *v, bool image)
@@ -555,10 +598,11 @@
     /* What was stopped for it before and is not off the record yet is room that is on its way:
      * while few writes are allowed that takes several seconds, and all would be stopped over and
      * over. */
-    int64_t n = MIN(leader_count_allowed(l, j, v) - j->held - j->clearing, PREEMPT_TASKS);
-    /* Nothing is stopped for a part of a gang. */
-    if (v->spec->form == FORM_GANG && (int64_t)all->len < n)
-        n = 0;
+    int64_t n = leader_count_allowed(l, j, v) - j->held - j->clearing;
+    bool gang = v->spec->form == FORM_GANG;
+    if (gang && n > 0)
+        n = gang_lacks(l, &c, all, n);
+    n = MIN(n, PREEMPT_TASKS);
     for (int64_t k = 0; k < n; k++) {
         struct clearing *best = cheapest(l, &c, all);
         if (!best) {
@@ -568,9 +612,9 @@
         }
         clear_room(l, &c, best);
         weigh(l, &c, best);
-        if (v->spec->one_zone)
+        if (v->spec->one_zone && !gang)
             break; /* the zone is settled once this one is placed */
-        if (best->host->zone >= 0)
+        if (best->host->zone >= 0 && v->spec->apart)
             l->zone_tasks[best->host->zone]++;
     }
     g_array_unref(all);
@@ -655,17 +699,21 @@
 }
 
 /* The same for a whole gang, or as much of it as finds room. One that has to be in one zone goes
- * where most of it does. */
+ * where all of it does; else to where room is being made for it, or where most of it finds some. */
 static GPtrArray *gang_places(struct leader *l, struct ljob *j, const struct spec *s, uint32_t most)
 {
     if (!s->one_zone)
         return places(l, j, s, most, -1);
     GPtrArray *best = g_ptr_array_new();
+    guint best_worth = 0;
     for (guint z = 0; z < l->settings->zones->len && best->len < most; z++) {
         GPtrArray *here = places(l, j, s, most, (int)z);
-        if (here->len > best->len) {
+        bool clears = j->clearing && (int)z == j->clear_zone;
+        guint worth = here->len == most ? 2 * most : here->len + (clears ? most : 0);
+        if (worth > best_worth) {
             g_ptr_array_unref(best);
             best = g_ptr_array_ref(here);
+            best_worth = worth;
         }
         g_ptr_array_unref(here);
     }
@@ -743,6 +791,7 @@
         for (guint i = 0; i < hosts->len; i++)
             room_add(&((struct lhost *)hosts->pdata[i])->held, j->room);
         j->held = hosts->len;
+        j->held_zone = hosts->len ? ((struct lhost *)hosts->pdata[0])->zone : -1;
         j->blocked = true;
         note_full(l, v->spec);
         preempt(l, j, v, false);
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -38,6 +38,8 @@
     bool finishing;
     bool blocked;     /* in this pass: no machine has room */
     uint32_t held;    /* in this pass: tasks of a gang for which room is held */
+    int held_zone;    /* where that is, for one that has to be in one zone */
+    int clear_zone;   /* where room was made for it last; the same */
     bool in_time;     /* in this pass: what its class is expected to do can still be done */
     bool aged;        /* in this pass: it has waited for so long that it has its place again */
     bool overdue;     /* and for longer still */
