--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -73,6 +73,21 @@
     return n;
 }
 
+/* Tasks of a job that a node sees on record, under that attempt or (0) any. */
+static int on_record(struct world *w, int node, const char *job, uint64_t attempt)
+{
+    int n = 0;
+    GHashTableIter it;
+    struct host_record *rec;
+    g_hash_table_iter_init(&it, w->nodes[node]->view->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&rec))
+        for (guint i = 0; i < rec->tasks->len; i++) {
+            struct placed *p = rec->tasks->pdata[i];
+            n += strcmp(p->job->id.s, job) == 0 && (!attempt || p->attempt.v == attempt);
+        }
+    return n;
+}
+
 /* All tasks of a gang run, under one attempt, which is told. */
 static uint64_t runs_whole(struct world *w, const char *job, uint32_t tasks)
 {
@@ -96,7 +111,7 @@
     assert_non_null(k);
     worker_exit(k, job, 0, "done");
     world_run(w, 6000);
-    world_expect_stage(w, 1, job, "done");
+    world_expect_stage(w, w->nodes[1] ? 1 : 0, job, "done");
 }
 
 /* ---- how a gang begins ---- */
@@ -178,8 +193,8 @@
     ends_whole(w, "wk-1");
 }
 
-/* Room for a part of a gang is held for it: arrays of the same team and urgency that keep coming
- * do not take it for ever. */
+/* Room for a part of a gang is held for it: arrays of the same team and urgency that keep coming,
+ * twice as many as can run, do not take it for ever. */
 static void room_for_a_part_of_a_gang_is_held(void **state)
 {
     enum { TAKES_MS = 8000 };
@@ -187,16 +202,12 @@
     world_worker(w, 6, "b", true);
     world_worker(w, 7, "a", true);
     world_run(w, 3000);
-    int arrays = 0;
-    for (int s = 0; s < 60; s++) {
-        if (s % 2 == 0) { /* two tasks every four seconds are all that is done meanwhile */
-            char id[16];
-            g_snprintf(id, sizeof id, "wk-1%03d", arrays++);
-            submit(w, id, "sweep", "high", 1, 4.0);
-        }
-        if (s == 10) {
+    for (int s = 0; s < 80; s++) {
+        char id[16];
+        g_snprintf(id, sizeof id, "wk-1%03d", s);
+        submit(w, id, "sweep", "high", 1, 4.0);
+        if (s == 10)
             submit(w, "wk-2", "gang", "high", 4, 4.0);
-        }
         world_run(w, 1000);
         for (int i = 6; i <= 7; i++)
             for (guint n = 0; n < w->workers[i].tasks->len; n++) {
@@ -278,7 +289,18 @@
     assert_int_equal(world_starts(w), 8);
 }
 
-/* Room is made in the one zone where there can be enough; the other one holds a free place. */
+static struct worker *slow_to_hear;
+
+static enum fate commands_come_late_to_one(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    bool there = strcmp(r->path, "/commands") == 0 && strcmp(r->addr, slow_to_hear->addr) == 0;
+    return there ? FATE_SLOW : FATE_NORMAL;
+}
+
+/* Room is made in the one zone where there can be enough, on one machine later than on the other;
+ * the other zone has a free place. */
 static void a_gang_in_one_zone_stops_less_urgent_work_there(void **state)
 {
     struct world *w = gang_world(state);
@@ -290,11 +312,38 @@
     assert_int_equal(world_on_machines(w, "wk-1"), 8);
     world_worker(w, 7, "a", true);
     world_run(w, 3000);
+    slow_to_hear = &w->workers[6];
+    w->fate = commands_come_late_to_one;
+    int starts = world_starts(w);
     submit_in_one_zone(w, "wk-2", 2, 8.0);
     world_run(w, 8000);
     runs_whole(w, "wk-2", 2);
     assert_null(worker_task(&w->workers[7], "wk-2", 0));
     assert_null(worker_task(&w->workers[7], "wk-2", 1));
+    /* What was stopped did not begin again to be stopped once more. */
+    assert_int_equal(world_starts(w) - starts, 2 + world_on_machines(w, "wk-1"));
+}
+
+/* Less is lost in the other zone, but the gang would not be whole there. */
+static void a_gang_in_one_zone_stops_nothing_in_another(void **state)
+{
+    struct world *w = gang_world(state);
+    world_worker(w, 5, "b", true);
+    world_worker(w, 6, "b", true);
+    world_run(w, 3000);
+    submit(w, "wk-1", "sweep", "normal", 8, 2.0);
+    world_run(w, 5000);
+    world_worker(w, 7, "a", true);
+    world_run(w, 2000);
+    submit(w, "wk-2", "sweep", "normal", 4, 2.0);
+    world_run(w, 3000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 8);
+    assert_int_equal(world_on_machines(w, "wk-2"), 4);
+    submit_in_one_zone(w, "wk-3", 2, 8.0);
+    world_run(w, 8000);
+    runs_whole(w, "wk-3", 2);
+    assert_int_equal(world_on_machines(w, "wk-2"), 4);
+    assert_int_equal(world_starts(w), 14);
 }
 
 /* The other zone has the better machine, with the image, but not room for all. */
@@ -325,19 +374,10 @@
     bool seen_old = false;
     for (int64_t t = 0; t < ms; t += 5) {
         world_run(w, 5);
-        struct node *n = w->nodes[w->nodes[0] ? 0 : 1];
-        bool on_record = false;
-        GHashTableIter it;
-        struct host_record *rec;
-        g_hash_table_iter_init(&it, n->view->hosts);
-        while (g_hash_table_iter_next(&it, NULL, (gpointer *)&rec))
-            for (guint i = 0; i < rec->tasks->len; i++) {
-                struct placed *p = rec->tasks->pdata[i];
-                on_record = on_record || (strcmp(p->job->id.s, job) == 0 && p->attempt.v == old);
-            }
-        seen_old = seen_old || on_record;
-        if (on_record)
-            assert_int_equal(world_on_machines(w, job), under_attempt(w, job, old));
+        if (!on_record(w, 0, job, old))
+            continue;
+        seen_old = true;
+        assert_int_equal(world_on_machines(w, job), under_attempt(w, job, old));
     }
     assert_true(seen_old);
     assert_true(runs_whole(w, job, tasks) > old);
@@ -396,6 +436,279 @@
     runs_whole(w, "wk-1", 24);
 }
 
+/* A gang that was not complete in time tells nothing of its machines, of which there are no others.
+ */
+static void incomplete_is_no_sign_of_a_sick_machine(void **state)
+{
+    struct world *w = gang_world(state);
+    for (int i = 4; i < 8; i++)
+        world_worker(w, i, i % 2 ? "a" : "b", true);
+    world_run(w, 4000);
+    submit(w, "wk-1", "gang", "high", 4, 8.0);
+    world_run(w, 5000);
+    uint64_t old = runs_whole(w, "wk-1", 4);
+    worker_exit_all(w, "wk-1", "incomplete");
+    world_run(w, 4000);
+    assert_true(runs_whole(w, "wk-1", 4) > old);
+    assert_int_equal(w->returned, 0);
+}
+
+static struct worker *unheard;
+
+/* The first machine to which a start is sent does not hear it, nor anything after it. */
+static enum fate one_hears_no_start(struct world *w, int node, const struct net_request *r)
+{
+    (void)node;
+    if (strcmp(r->path, "/commands") != 0 || unheard)
+        return FATE_NORMAL;
+    unheard = g_hash_table_lookup(w->worker_addrs, r->addr);
+    unheard->deaf = true;
+    return FATE_LOST;
+}
+
+/* A gang waits for its last task, and loses another one: the rest is stopped at once, and does not
+ * wait for what will not come. */
+static void a_gang_that_loses_a_task_before_it_began_is_stopped(void **state)
+{
+    struct world *w = gang_world(state);
+    for (int i = 3; i < 8; i++)
+        world_worker(w, i, i % 2 ? "a" : "b", true);
+    world_run(w, 4000);
+    unheard = NULL;
+    w->fate = one_hears_no_start;
+    submit(w, "wk-1", "gang", "high", 4, 8.0);
+    world_run(w, 2000);
+    assert_non_null(unheard);
+    assert_int_equal(world_on_machines(w, "wk-1"), 3);
+    for (uint32_t i = 0; i < 4; i++)
+        if (machine_with(w, "wk-1", i)) {
+            worker_new_session(machine_with(w, "wk-1", i), false);
+            break;
+        }
+    world_run(w, 10000); /* half of what they would wait for */
+    runs_whole(w, "wk-1", 4);
+    assert_int_equal(world_gang_begun(w, "wk-1"), 1);
+    ends_whole(w, "wk-1");
+}
+
+/* ---- nodes that end meanwhile ---- */
+
+static enum fate no_commands(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    return strcmp(r->path, "/commands") == 0 ? FATE_LOST : FATE_NORMAL;
+}
+
+/* All of a gang is on record, and no machine has heard of it yet. */
+static void record_a_gang(struct world *w)
+{
+    for (int i = 4; i < 8; i++)
+        far_machine(w, i, i % 2 ? "a" : "b");
+    world_worker(w, 3, "a", true);
+    world_run(w, 4000);
+    w->fate = no_commands;
+    submit(w, "wk-1", "gang", "high", 4, 8.0);
+    for (int i = 0; i < 300 && on_record(w, 0, "wk-1", 0) < 4; i++)
+        world_run(w, 5);
+    assert_int_equal(on_record(w, 0, "wk-1", 0), 4);
+    assert_int_equal(world_starts(w), 0);
+}
+
+static void a_node_that_dies_before_it_starts_its_part_harms_no_gang(void **state)
+{
+    struct world *w = gang_world(state);
+    record_a_gang(w);
+    world_kill(w, map_owner(w->nodes[0]->view, w->workers[4].id)[5] - '0');
+    w->fate = NULL;
+    world_run(w, 25000);
+    runs_whole(w, "wk-1", 4);
+    assert_int_equal(world_starts(w), 4);
+    assert_int_equal(world_gang_begun(w, "wk-1"), 1);
+    ends_whole(w, "wk-1");
+}
+
+static void a_leader_that_dies_before_a_gang_starts_harms_it_not(void **state)
+{
+    struct world *w = gang_world(state);
+    record_a_gang(w);
+    world_kill(w, world_leader_index(w));
+    w->fate = NULL;
+    world_run(w, 25000);
+    runs_whole(w, "wk-1", 4);
+    assert_int_equal(world_starts(w), 4);
+    assert_int_equal(world_gang_begun(w, "wk-1"), 1);
+}
+
+static int cannot_write;
+
+static enum fate one_writes_nothing(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    return strcmp(r->path, "/txn") == 0 && node == cannot_write ? FATE_REFUSED : FATE_NORMAL;
+}
+
+/* A part of the gang is on record when the leader dies: the next one cannot know what became of the
+ * rest, and begins with all of it anew. */
+static void a_gang_half_on_record_when_its_leader_dies_begins_anew(void **state)
+{
+    struct world *w = gang_world(state);
+    for (int i = 3; i < 8; i++)
+        far_machine(w, i, i % 2 ? "a" : "b");
+    world_run(w, 4000);
+    cannot_write = map_owner(w->nodes[0]->view, w->workers[4].id)[5] - '0';
+    w->fate = one_writes_nothing;
+    submit(w, "wk-1", "gang", "high", 4, 8.0);
+    world_run(w, 1500);
+    int before = world_on_machines(w, "wk-1");
+    assert_in_range(before, 1, 3);
+    world_kill(w, world_leader_index(w));
+    for (int i = 0; i < 1000 && !world_leader(w); i++)
+        world_run(w, 10);
+    w->fate = NULL;
+    world_run(w, 25000);
+    runs_whole(w, "wk-1", 4);
+    assert_int_equal(world_starts(w), 4 + before);
+    assert_int_equal(world_gang_begun(w, "wk-1"), 1);
+}
+
+static int halts;
+
+/* Of the messages that stop what is left of a gang only the first one arrives. */
+static enum fate only_the_first_halt(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    bool halt = strcmp(r->path, "/bus/deal") == 0 && strstr(r->body, "\"halt\"");
+    return halt && halts++ ? FATE_LOST : FATE_NORMAL;
+}
+
+static void a_leader_that_dies_between_two_halts_harms_no_gang(void **state)
+{
+    struct world *w = gang_world(state);
+    for (int i = 1; i < 8; i++)
+        far_machine(w, i, i % 2 ? "a" : "b");
+    world_run(w, 4000);
+    submit(w, "wk-1", "gang", "high", 6, 8.0);
+    world_run(w, 5000);
+    uint64_t old = runs_whole(w, "wk-1", 6);
+    halts = 0;
+    w->fate = only_the_first_halt;
+    worker_exit(machine_with(w, "wk-1", 2), "wk-1", 2, "error");
+    for (int i = 0; i < 2000 && world_on_machines(w, "wk-1") == 5; i++)
+        world_run(w, 2);
+    assert_true(halts > 0);
+    assert_in_range(world_on_machines(w, "wk-1"), 1, 4);
+    world_kill(w, world_leader_index(w));
+    w->fate = NULL;
+    world_run(w, 30000);
+    assert_true(runs_whole(w, "wk-1", 6) > old);
+    assert_int_equal(world_gang_begun(w, "wk-1"), 2);
+    assert_int_equal(world_starts(w), 12);
+}
+
+/* ---- what comes late ---- */
+
+static enum fate hold_commands(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    return strcmp(r->path, "/commands") == 0 ? FATE_HELD : FATE_NORMAL;
+}
+
+/* The starts of an old attempt arrive when the new one runs, also when that is over. */
+static void late_starts_of_an_old_attempt_start_nothing(void **state)
+{
+    struct world *w = gang_world(state);
+    for (int i = 4; i < 8; i++)
+        world_worker(w, i, i % 2 ? "a" : "b", true);
+    world_run(w, 4000);
+    w->fate = hold_commands;
+    submit(w, "wk-1", "gang", "high", 4, 8.0);
+    world_run(w, 4000); /* they start by the answers to reports */
+    uint64_t old = runs_whole(w, "wk-1", 4);
+    assert_true(w->held->len >= 4);
+    w->fate = NULL;
+    worker_exit(machine_with(w, "wk-1", 1), "wk-1", 1, "error");
+    world_run(w, 30000);
+    uint64_t attempt = runs_whole(w, "wk-1", 4);
+    assert_true(attempt > old);
+    int starts = world_starts(w);
+    world_deliver_held(w);
+    world_run(w, 3000);
+    assert_int_equal(world_starts(w), starts);
+    assert_true(runs_whole(w, "wk-1", 4) == attempt);
+    ends_whole(w, "wk-1");
+}
+
+/* The same for a task of an array that has nowhere else to go: its start may still be on its way,
+ * so its machine shows the old attempt until a new epoch. It does not wait for ever. */
+static void a_start_that_may_come_late_does_not_keep_its_task_from_running(void **state)
+{
+    struct world *w = gang_world(state);
+    struct worker *k = world_worker(w, 7, "a", true);
+    world_run(w, 4000);
+    w->fate = hold_commands;
+    submit(w, "wk-1", "sweep", "high", 1, 8.0);
+    world_run(w, 4000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 1);
+    w->fate = NULL;
+    worker_exit(k, "wk-1", 0, "error");
+    world_run(w, 30000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 1);
+    world_deliver_held(w);
+    world_run(w, 3000);
+    assert_int_equal(world_starts(w), 2);
+}
+
+static int cut_node;
+
+static enum fate cut_off(struct world *w, int node, const struct net_request *r)
+{
+    if (g_hash_table_contains(w->worker_addrs, r->addr))
+        return FATE_NORMAL; /* see worker.only */
+    bool to = r->addr[7] - '1' == cut_node && g_str_has_prefix(r->addr, "10.0.0.");
+    return (node == cut_node) != to ? FATE_LOST : FATE_NORMAL;
+}
+
+/* A zone is cut off with a node and a part of a gang: the rest exits, and the gang begins anew
+ * elsewhere once it is proven that the part is gone. */
+static void a_gang_of_which_a_zone_is_cut_off_begins_anew_after_proof(void **state)
+{
+    struct world *w = gang_world(state);
+    world_worker(w, 0, "a", true);
+    world_worker(w, 1, "b", true);
+    world_worker(w, 2, "b", true);
+    world_run(w, 4000);
+    submit(w, "wk-1", "gang", "high", 3, 8.0);
+    world_run(w, 5000);
+    uint64_t old = runs_whole(w, "wk-1", 3);
+    world_worker(w, 6, "a", true);
+    world_worker(w, 7, "a", true);
+    world_run(w, 2000);
+    cut_node = (world_leader_index(w) + 1) % 3;
+    w->fate = cut_off;
+    bool waited = false;
+    for (int ms = 0; ms < 90000; ms += 20) {
+        for (int i = 0; i < WORLD_WORKERS; i++) {
+            w->workers[i].only = strcmp(w->workers[i].yard, "b") == 0 ? cut_node : -1;
+            if (w->workers[i].up && w->workers[i].only < 0 && w->workers[i].node == cut_node)
+                w->workers[i].node = (cut_node + 1) % 3;
+        }
+        world_run(w, 20);
+        int recorded = on_record(w, (cut_node + 1) % 3, "wk-1", old);
+        if (recorded)
+            assert_int_equal(world_on_machines(w, "wk-1"), under_attempt(w, "wk-1", old));
+        waited = waited || (recorded && !world_on_machines(w, "wk-1"));
+        if (ms == 4500) /* all have noticed; what is cut off stays on record */
+            assert_true(recorded && !under_attempt(w, "wk-1", old));
+    }
+    assert_true(waited);
+    assert_true(runs_whole(w, "wk-1", 3) > old);
+    assert_int_equal(world_starts(w), 6);
+    assert_int_equal(world_gang_begun(w, "wk-1"), 2);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -407,10 +720,20 @@
         WORLD_TEST(nothing_is_stopped_for_a_part_of_a_gang),
         WORLD_TEST(nothing_is_stopped_for_a_gang_that_fits_no_zone),
         WORLD_TEST(a_gang_in_one_zone_stops_less_urgent_work_there),
+        WORLD_TEST(a_gang_in_one_zone_stops_nothing_in_another),
         WORLD_TEST(a_gang_in_one_zone_goes_where_all_of_it_has_room),
         WORLD_TEST_SETTLED(a_gang_that_lost_a_task_begins_anew_after_proof),
         WORLD_TEST_SETTLED(a_gang_of_which_a_machine_is_new_begins_anew),
         WORLD_TEST(tasks_that_fail_together_are_one_try),
+        WORLD_TEST(incomplete_is_no_sign_of_a_sick_machine),
+        WORLD_TEST_SETTLED(a_gang_that_loses_a_task_before_it_began_is_stopped),
+        WORLD_TEST_SETTLED(a_node_that_dies_before_it_starts_its_part_harms_no_gang),
+        WORLD_TEST_SETTLED(a_leader_that_dies_before_a_gang_starts_harms_it_not),
+        WORLD_TEST_SETTLED(a_gang_half_on_record_when_its_leader_dies_begins_anew),
+        WORLD_TEST_SETTLED(a_leader_that_dies_between_two_halts_harms_no_gang),
+        WORLD_TEST_SETTLED(late_starts_of_an_old_attempt_start_nothing),
+        WORLD_TEST_SETTLED(a_start_that_may_come_late_does_not_keep_its_task_from_running),
+        WORLD_TEST_SETTLED(a_gang_of_which_a_zone_is_cut_off_begins_anew_after_proof),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
