--- a/src/part_place.c
+++ b/src/part_place.c
@@ -8,6 +8,7 @@
     SWITCH_MS = 2000,
     GIVE_BACK_MS = 3000,
     PLACE_MS = 5,
+    KEPT_MS = 1000, /* a command that was not answered by then may come late */
 };
 
 bool part_host_open(struct part *p, struct host *h)
@@ -190,6 +191,30 @@
               h->id.s, d->class, pool, images_hold(h->images, s->image));
 }
 
+/* An earlier attempt that its machine shows still, and that cannot be cleared while a command for
+ * it may be on its way: only a new epoch ends that. */
+static bool kept_by_old(struct part *p, const struct dealt *d, const struct host *h)
+{
+    for (guint i = 0; i < h->runs->len; i++) {
+        struct run *r = h->runs->pdata[i];
+        if (r->index == d->index && job_eq(r->job, d->job) && r->phase == RUN_GONE &&
+            !part_may_clear(h, r) && time_ms_since(loop_now(p->loop), r->sent_at) > KEPT_MS)
+            return true;
+    }
+    return false;
+}
+
+/* Where else there is no room, such an attempt would keep its task from starting for ever. */
+static void raise_if_kept(struct part *p, const struct dealt *d)
+{
+    GHashTableIter it;
+    struct host *h;
+    g_hash_table_iter_init(&it, p->hosts);
+    while (!p->want_raise && g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
+        if (!d->at[0] || strcmp(d->at, h->id.s) == 0)
+            p->want_raise = kept_by_old(p, d, h);
+}
+
 void part_give_back(struct part *p, const struct dealt *d)
 {
     g_array_append_val(p->back, *d);
@@ -254,6 +279,7 @@
     if (v.none)
         note_none(p, d, s);
     if (v.none && (time_ms_since(now, d->since) > GIVE_BACK_MS || d->at[0])) {
+        raise_if_kept(p, d);
         part_give_back(p, d);
         return true;
     }
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -196,6 +196,8 @@
 
 /* part_worker.c: orders and reports */
 void part_push(struct part *p, struct host *h);
+/* Whether no command may start the attempt once more after it was cleared. */
+bool part_may_clear(const struct host *h, const struct run *r);
 /* How long a node that hears nothing from the state service may go on renewing workers' leases. */
 int64_t part_keeping_ms(const struct part *p);
 void part_probe(struct part *p, struct host *h);
--- a/src/part_worker.c
+++ b/src/part_worker.c
@@ -15,7 +15,7 @@
 
 /* clear makes the worker forget the attempt, after which a copy of its run command that is still on
  * its way would start the task once more. So it is only sent when there can be none. */
-static bool may_clear(struct host *h, const struct run *r)
+bool part_may_clear(const struct host *h, const struct run *r)
 {
     /* Commands of earlier owners are not counted in unsettled: their tokens were lower than ours.
      */
@@ -26,7 +26,8 @@
 {
     mono_time now = loop_now(p->loop);
     struct order o = {.job = r->job, .index = r->index, .attempt = r->attempt};
-    if (r->phase == RUN_GONE && !direct && r->seen && r->state == TASK_EXITED && may_clear(h, r)) {
+    if (r->phase == RUN_GONE && !direct && r->seen && r->state == TASK_EXITED &&
+        part_may_clear(h, r)) {
         o.verb = ORDER_CLEAR;
         g_array_append_val(out, o);
     }
