--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -193,19 +193,18 @@
     ends_whole(w, "wk-1");
 }
 
-/* Room for a part of a gang is held for it: arrays of the same team and urgency that keep coming,
- * twice as many as can run, do not take it for ever. */
-static void room_for_a_part_of_a_gang_is_held(void **state)
+/* An array of so many tasks comes every second, more than can run, and they take TAKES_MS; a gang
+ * of four tasks of four processors comes to two machines meanwhile. */
+static void play_arrays_against_a_gang(struct world *w, int tasks, double cpus, int for_s)
 {
     enum { TAKES_MS = 8000 };
-    struct world *w = gang_world(state);
     world_worker(w, 6, "b", true);
     world_worker(w, 7, "a", true);
     world_run(w, 3000);
-    for (int s = 0; s < 80; s++) {
+    for (int s = 0; s < for_s; s++) {
         char id[16];
         g_snprintf(id, sizeof id, "wk-1%03d", s);
-        submit(w, id, "sweep", "high", 1, 4.0);
+        submit(w, id, "sweep", "high", tasks, cpus);
         if (s == 10)
             submit(w, "wk-2", "gang", "high", 4, 4.0);
         world_run(w, 1000);
@@ -217,6 +216,33 @@
                     worker_exit(&w->workers[i], t->job.s, t->index, "done");
             }
     }
+}
+
+/* Room for a part of a gang is held for it: arrays of the same team and urgency that keep coming,
+ * twice as many as can run, do not take it for ever. */
+static void room_for_a_part_of_a_gang_is_held(void **state)
+{
+    struct world *w = gang_world(state);
+    play_arrays_against_a_gang(w, 1, 4.0, 80);
+    runs_whole(w, "wk-2", 4);
+    assert_int_equal(world_gang_begun(w, "wk-2"), 1);
+}
+
+/* Also against those whose tasks are smaller than the gang's. */
+static void room_for_a_part_of_a_gang_is_held_from_smaller_tasks(void **state)
+{
+    struct world *w = gang_world(state);
+    play_arrays_against_a_gang(w, 2, 2.0, 80);
+    runs_whole(w, "wk-2", 4);
+    assert_int_equal(world_gang_begun(w, "wk-2"), 1);
+}
+
+/* What becomes free is never enough for one of its tasks at once: all the same it begins within the
+ * time that the largest jobs have. */
+static void a_gang_does_not_wait_for_ever_behind_smaller_tasks(void **state)
+{
+    struct world *w = gang_world(state);
+    play_arrays_against_a_gang(w, 1, 2.0, 10 + RULES_BEGIN_MS / 1000);
     runs_whole(w, "wk-2", 4);
     assert_int_equal(world_gang_begun(w, "wk-2"), 1);
 }
@@ -709,12 +735,178 @@
     assert_int_equal(world_gang_begun(w, "wk-1"), 2);
 }
 
+/* ---- a seeded load ---- */
+
+enum { LOAD_S = 400, AFTER_S = 300, RUNS_MS = 12000 };
+
+/* A trouble, and when it is over; node or machine -1: there is none. */
+struct troubles {
+    int node, refused, silent, deaf;
+    int node_s, refused_s, silent_s, deaf_s, outage_s;
+};
+
+static char *job_of_a_load(GRand *luck, int number)
+{
+    static const double cpus[] = {1, 2, 4, 8};
+    static const char *const urgencies[] = {"\"high\"", "\"normal\"", "\"best_effort\""};
+    bool gang = g_rand_boolean(luck), red = g_rand_int_range(luck, 0, 3) == 0;
+    int tasks = g_rand_int_range(luck, 1, red ? 3 : 7);
+    double each = cpus[g_rand_int_range(luck, 0, gang && !red ? 4 : 2)];
+    if (gang && each == 8)
+        tasks = MIN(tasks, 4);
+    char *id = g_strdup_printf("wk-%03d", number);
+    char *job = world_job(id, gang ? "gang" : "sweep", tasks, red ? "red" : "blue", each, "");
+    char *urgent = world_swapped(job, "\"high\"", urgencies[g_rand_int_range(luck, 0, 3)]);
+    bool one_zone = gang && tasks * each <= 16 && g_rand_int_range(luck, 0, 3) == 0;
+    char *body = one_zone ? world_swapped(urgent, "\"OneZone\":false", "\"OneZone\":true")
+                          : g_strdup(urgent);
+    g_free(id);
+    g_free(job);
+    g_free(urgent);
+    return body;
+}
+
+/* Submits what waits for that, at any node, until it is refused. */
+static void submit_queued(struct world *w, GQueue *queue, int node)
+{
+    while (queue->head && w->nodes[node] &&
+           world_ask(w, node, "POST", "/work", queue->head->data).status / 100 == 2)
+        g_free(g_queue_pop_head(queue));
+}
+
+/* Plays a second: what has run for long enough is done; now and then a task fails. */
+static void load_second(struct world *w, GRand *luck, double fails)
+{
+    world_run(w, 1000);
+    for (int i = 0; i < WORLD_WORKERS; i++) {
+        struct worker *k = &w->workers[i];
+        for (guint n = 0; k->up && !k->silent && n < k->tasks->len; n++) {
+            struct wtask *t = &g_array_index(k->tasks, struct wtask, n);
+            if (strcmp(t->stage, "running") != 0)
+                continue;
+            if (time_ms_since(loop_now(w->loop), t->since) >= RUNS_MS)
+                worker_exit(k, t->job.s, t->index, "done");
+            else if (g_rand_double(luck) < fails)
+                worker_exit(k, t->job.s, t->index, "error");
+        }
+    }
+}
+
+static void end_due_troubles(struct world *w, struct troubles *t, int now)
+{
+    if (t->node >= 0 && now >= t->node_s) {
+        world_start(w, t->node);
+        t->node = -1;
+    }
+    if (t->refused >= 0 && now >= t->refused_s) {
+        w->refused[t->refused] = false;
+        t->refused = -1;
+    }
+    if (t->silent >= 0 && now >= t->silent_s) {
+        w->workers[t->silent].silent = false;
+        t->silent = -1;
+    }
+    if (t->deaf >= 0 && now >= t->deaf_s) {
+        w->workers[t->deaf].deaf = false;
+        t->deaf = -1;
+    }
+    if (now >= t->outage_s)
+        w->state_down = false;
+}
+
+static void begin_trouble(struct world *w, GRand *luck, struct troubles *t, int now)
+{
+    int any = g_rand_int_range(luck, 0, WORLD_WORKERS), end = now + g_rand_int_range(luck, 3, 20);
+    switch (g_rand_int_range(luck, 0, 5)) {
+    case 0:
+        if (t->node >= 0)
+            break;
+        t->node = any % WORLD_NODES;
+        t->node_s = end;
+        world_kill(w, t->node);
+        break;
+    case 1:
+        if (t->refused >= 0)
+            break;
+        t->refused = any % WORLD_NODES;
+        t->refused_s = end;
+        w->refused[t->refused] = true;
+        break;
+    case 2:
+        if (t->silent >= 0 || !w->workers[any].up)
+            break;
+        t->silent = any;
+        t->silent_s = end;
+        w->workers[any].silent = true;
+        break;
+    case 3:
+        if (t->deaf >= 0 || !w->workers[any].up)
+            break;
+        t->deaf = any;
+        t->deaf_s = end;
+        w->workers[any].deaf = true;
+        break;
+    default:
+        w->state_down = true;
+        t->outage_s = now + 4;
+    }
+}
+
+static void play_load(struct world *w, uint32_t seed)
+{
+    GRand *luck = g_rand_new_with_seed(seed);
+    struct troubles t = {.node = -1, .refused = -1, .silent = -1, .deaf = -1};
+    for (int i = 2; i < WORLD_WORKERS; i++)
+        world_worker(w, i, i % 2 ? "a" : "b", i % 3 != 0);
+    world_run(w, 4000);
+    int jobs = 0;
+    GQueue queue = G_QUEUE_INIT;
+    for (int now = 0; now < LOAD_S; now++) {
+        end_due_troubles(w, &t, now);
+        if (now % 7 == 6)
+            begin_trouble(w, luck, &t, now);
+        if (g_rand_double(luck) < 0.15)
+            g_queue_push_tail(&queue, job_of_a_load(luck, jobs++));
+        submit_queued(w, &queue, now % WORLD_NODES);
+        w->capacity = now % 5 ? w->capacity : 2;
+        load_second(w, luck, 0.002);
+    }
+    end_due_troubles(w, &t, INT_MAX);
+    world_run(w, 15000);
+    submit_queued(w, &queue, 0);
+    assert_null(queue.head);
+    for (int s = 0; s < AFTER_S; s++) {
+        w->capacity = s % 5 ? w->capacity : 2;
+        load_second(w, luck, 0);
+        world_look(w);
+    }
+    for (int n = 0; n < jobs; n++) {
+        char *id = g_strdup_printf("wk-%03d", n);
+        world_expect_stage(w, n % WORLD_NODES, id, "done");
+        g_free(id);
+    }
+    assert_true(jobs > 30);
+    g_rand_free(luck);
+}
+
+static void a_load_of_gangs_under_failures_ends(void **state)
+{
+    play_load(gang_world(state), 20261202);
+}
+
+static void another_load_of_gangs_under_failures_ends(void **state)
+{
+    play_load(gang_world(state), 41);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         WORLD_TEST_SETTLED(a_task_that_was_given_back_joins_the_others),
         WORLD_TEST_SETTLED(a_deal_that_is_given_back_twice_is_dealt_again_once),
         WORLD_TEST(room_for_a_part_of_a_gang_is_held),
+        WORLD_TEST(room_for_a_part_of_a_gang_is_held_from_smaller_tasks),
+        WORLD_TEST(a_gang_does_not_wait_for_ever_behind_smaller_tasks),
         WORLD_TEST(a_gang_stops_less_urgent_work_to_begin),
         WORLD_TEST(a_gang_that_shares_machines_stops_less_urgent_work),
         WORLD_TEST(nothing_is_stopped_for_a_part_of_a_gang),
@@ -734,6 +926,8 @@
         WORLD_TEST_SETTLED(late_starts_of_an_old_attempt_start_nothing),
         WORLD_TEST_SETTLED(a_start_that_may_come_late_does_not_keep_its_task_from_running),
         WORLD_TEST_SETTLED(a_gang_of_which_a_zone_is_cut_off_begins_anew_after_proof),
+        WORLD_TEST_SETTLED(a_load_of_gangs_under_failures_ends),
+        WORLD_TEST_SETTLED(another_load_of_gangs_under_failures_ends),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -544,13 +544,14 @@
     mono_time lost_at, halted_at; /* 0: neither */
     GPtrArray *on;                /* struct wtask: those that have not exited, in this turn */
     GPtrArray *where;             /* struct worker, of each */
-    bool done, torn;              /* torn: some do not reach the others */
+    bool torn;                    /* some do not reach the others */
 };
 
 struct wgang {
     guint tasks;
     double stow_s, mark_s;
     int begun, saved;
+    bool done;        /* a task that is started once more is done at once: the result is kept */
     GArray *attempts; /* struct wattempt */
 };
 
@@ -651,6 +652,10 @@
     int64_t peer_ms = (int64_t)(w->settings[0]->gang_peer_s * 1000),
             wait_ms = (int64_t)(w->settings[0]->gang_wait_s * 1000);
     bool whole = a->on->len == g->tasks && !a->torn;
+    if (g->done) {
+        attempt_exits(a, "done", false);
+        return;
+    }
     if (!a->begun && whole) {
         a->begun = true;
         g->begun++;
@@ -669,10 +674,6 @@
     }
     if (!a->begun || !a->on->len)
         return;
-    if (a->done) {
-        attempt_exits(a, "done", false);
-        return;
-    }
     guint told = 0, saved = 0;
     for (guint i = 0; i < a->on->len; i++) {
         struct wtask *t = a->on->pdata[i];
@@ -714,7 +715,7 @@
                 continue;
             struct wattempt *a = attempt_of(g, t->attempt);
             if (strcmp(t->stage, "exited") == 0) {
-                a->done = a->done || strcmp(t->cause, "done") == 0;
+                g->done = g->done || strcmp(t->cause, "done") == 0;
                 continue;
             }
             struct worker *first = a->where->len ? a->where->pdata[0] : k;
