--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -247,6 +247,27 @@
     assert_int_equal(world_gang_begun(w, "wk-2"), 1);
 }
 
+/* A gang that is larger than all machines, of which no more can be had, does not keep others from
+ * those. */
+static void a_gang_that_fits_nowhere_keeps_nobody_waiting(void **state)
+{
+    struct world *w = gang_world(state);
+    world_worker(w, 6, "b", false);
+    world_worker(w, 7, "a", false);
+    world_run(w, 3000);
+    submit(w, "wk-1", "gang", "high", 3, 8.0);
+    world_run(w, 3000);
+    submit(w, "wk-2", "sweep", "high", 4, 2.0);
+    world_run(w, 80000);
+    assert_int_equal(world_on_machines(w, "wk-2"), 4);
+    worker_exit_all(w, "wk-2", "done");
+    world_run(w, 80000); /* the gang has waited for so long that it goes before others */
+    submit(w, "wk-3", "sweep", "high", 4, 2.0);
+    world_run(w, 80000);
+    assert_int_equal(world_on_machines(w, "wk-3"), 4);
+    assert_int_equal(world_on_machines(w, "wk-1"), 0);
+}
+
 /* ---- whom a gang may stop ---- */
 
 static void a_gang_stops_less_urgent_work_to_begin(void **state)
@@ -907,6 +928,7 @@
         WORLD_TEST(room_for_a_part_of_a_gang_is_held),
         WORLD_TEST(room_for_a_part_of_a_gang_is_held_from_smaller_tasks),
         WORLD_TEST(a_gang_does_not_wait_for_ever_behind_smaller_tasks),
+        WORLD_TEST(a_gang_that_fits_nowhere_keeps_nobody_waiting),
         WORLD_TEST(a_gang_stops_less_urgent_work_to_begin),
         WORLD_TEST(a_gang_that_shares_machines_stops_less_urgent_work),
         WORLD_TEST(nothing_is_stopped_for_a_part_of_a_gang),
