--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -760,6 +760,41 @@
     }
 }
 
+/* Smaller tasks would take what becomes free on a machine before it is enough for a task of the
+ * gang. One that has waited for long holds all that is free on further machines, those first that
+ * run the least, until they would have room for what it lacks; if there are enough. */
+static void hold_machines(struct leader *l, struct ljob *j, const struct spec *s, GPtrArray *held,
+                          int64_t lacks)
+{
+    int zone = s->one_zone && held->len ? ((struct lhost *)held->pdata[0])->zone : -1;
+    GArray *more = g_array_new(FALSE, FALSE, sizeof(struct choice));
+    int64_t holds = -(int64_t)held->len;
+    loop_work(l->loop, l->open->len);
+    count_zones(l, j, s);
+    for (guint i = 0; i < l->open->len; i++) {
+        struct lhost *h = l->open->pdata[i];
+        struct choice c = {h, -room_share(h->booked, h->total)};
+        int64_t n = room_times(room_left(h->total, h->pinned), j->room);
+        if (!n || !host_allowed(l, j, s, h) || (s->one_zone && zone >= 0 && h->zone != zone))
+            continue;
+        if (s->one_zone)
+            zone = h->zone;
+        g_array_append_val(more, c);
+        holds += n;
+    }
+    g_array_sort(more, by_score);
+    for (guint i = 0; i < more->len && lacks > 0 && holds >= lacks; i++) {
+        struct lhost *h = g_array_index(more, struct choice, i).host;
+        int64_t n = room_times(room_left(h->total, h->pinned), j->room);
+        for (guint k = 0; k < held->len; k++)
+            n -= held->pdata[k] == h;
+        room_add(&h->held, leader_host_free_room(h));
+        lacks -= n;
+        holds -= n;
+    }
+    g_array_unref(more);
+}
+
 /* All tasks of a gang are dealt at once, each to a machine where it has room, or none is. Then what
  * room there is for it is held for this pass, or others would take it as soon as it is free and the
  * gang would never find enough at once. Whoever comes first holds first, so no two gangs hold what
@@ -795,6 +830,8 @@
         j->blocked = true;
         note_full(l, v->spec);
         preempt(l, j, v, false);
+        if (j->aged)
+            hold_machines(l, j, v->spec, hosts, (int64_t)left - hosts->len);
     }
     g_ptr_array_unref(hosts);
     return whole;
