--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -14,6 +14,7 @@
     NO_WAY_MS = 1000, /* a zone in which nothing can be moved is let be */
     ATTEMPT_BITS = 20,
     MOST_DEFICIT = 10000000,
+    HOPE_MS = 60000, /* for machines that a gang lacks */
 };
 
 /* A job that has waited for so long has its place in the queue again, late or not: the largest,
@@ -105,6 +106,7 @@
     g_hash_table_iter_init(&it, l->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
         h->held = (struct room){0};
+        h->wanted = false;
         if (h->told && !h->loaners && h->zone >= 0)
             l->zone_cpus[h->zone] += (double)h->total.cpus.milli / 1000;
         if (leader_host_takes(l, h))
@@ -760,6 +762,25 @@
     }
 }
 
+/* Whether a gang would find room if nothing but services ran on the machines that there are. */
+static bool could_be_whole(struct leader *l, struct ljob *j, const struct spec *s, uint32_t left)
+{
+    guint zones = s->one_zone ? l->settings->zones->len : 1;
+    bool whole = false;
+    loop_work(l->loop, l->open->len);
+    count_zones(l, j, s);
+    for (guint z = 0; z < zones && !whole; z++) {
+        int64_t n = 0;
+        for (guint i = 0; i < l->open->len; i++) {
+            struct lhost *h = l->open->pdata[i];
+            if (host_allowed(l, j, s, h) && (!s->one_zone || h->zone == (int)z))
+                n += room_times(room_left(h->total, h->pinned), j->room);
+        }
+        whole = n >= left;
+    }
+    return whole;
+}
+
 /* Smaller tasks would take what becomes free on a machine before it is enough for a task of the
  * gang. One that has waited for long holds all that is free on further machines, those first that
  * run the least, until they would have room for what it lacks; if there are enough. */
@@ -823,13 +844,22 @@
             deal_to(l, j, i, true);
         }
     } else {
-        for (guint i = 0; i < hosts->len; i++)
-            room_add(&((struct lhost *)hosts->pdata[i])->held, j->room);
         j->held = hosts->len;
         j->held_zone = hosts->len ? ((struct lhost *)hosts->pdata[0])->zone : -1;
         j->blocked = true;
-        note_full(l, v->spec);
-        preempt(l, j, v, false);
+        /* More machines may be on their way, but not for ever. */
+        bool hope =
+            loop_wall(l->loop).ms - v->since.ms < HOPE_MS || could_be_whole(l, j, v->spec, left);
+        for (guint i = 0; i < hosts->len; i++) {
+            struct lhost *h = hosts->pdata[i];
+            h->wanted = true;
+            if (hope)
+                room_add(&h->held, j->room);
+        }
+        if (hope || !hosts->len)
+            note_full(l, v->spec);
+        if (hope)
+            preempt(l, j, v, false);
         if (j->aged)
             hold_machines(l, j, v->spec, hosts, (int64_t)left - hosts->len);
     }
--- a/src/leader_scale.c
+++ b/src/leader_scale.c
@@ -337,7 +337,7 @@
 bool leader_host_idle(const struct lhost *h)
 {
     return !h->booked.cpus.milli && !h->booked.memory.milli && !h->dealt.cpus.milli &&
-           !h->dealt.memory.milli && !h->held.cpus.milli && !h->held.memory.milli;
+           !h->dealt.memory.milli && !h->held.cpus.milli && !h->held.memory.milli && !h->wanted;
 }
 
 /* Whether the next services would miss the machine. */
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -71,6 +71,7 @@
     int zone;          /* in settings->zones, or -1 */
     struct room total, booked, dealt, pinned;
     struct room held; /* in this pass: for gangs that lack more room still */
+    bool wanted;      /* in this pass: by a gang that it is not held for, as others are missing */
     mono_time idle_since, avoid_until;
     bool told;            /* in its owner's last digest */
     mono_time sick_until; /* it failed the tasks of several jobs */
