--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -247,6 +247,22 @@
     assert_int_equal(world_gang_begun(w, "wk-2"), 1);
 }
 
+/* The rest of the machines that a gang needs may be on their way: what is there is held. */
+static void room_is_held_while_machines_are_on_their_way(void **state)
+{
+    struct world *w = gang_world(state);
+    world_worker(w, 7, "a", true);
+    world_run(w, 3000);
+    submit(w, "wk-1", "gang", "high", 2, 8.0);
+    world_run(w, 10000); /* or a smaller job would go before it */
+    submit(w, "wk-2", "sweep", "high", 4, 2.0);
+    world_run(w, 20000);
+    assert_int_equal(world_on_machines(w, "wk-2"), 0);
+    world_worker(w, 6, "b", true);
+    world_run(w, 5000);
+    runs_whole(w, "wk-1", 2);
+}
+
 /* A gang that is larger than all machines, of which no more can be had, does not keep others from
  * those. */
 static void a_gang_that_fits_nowhere_keeps_nobody_waiting(void **state)
@@ -538,6 +554,75 @@
     ends_whole(w, "wk-1");
 }
 
+/* ---- gangs that save ---- */
+
+/* A gang of three that saves, and runs. */
+static uint64_t begin_one_that_saves(struct world *w)
+{
+    for (int i = 4; i < 8; i++)
+        world_worker(w, i, i % 2 ? "a" : "b", true);
+    world_run(w, 4000);
+    char *job = world_job("wk-1", "gang", 3, "blue", 8.0, "");
+    char *marks = world_swapped(job, "\"MarkEveryS\":0.0", "\"MarkEveryS\":5.0");
+    char *body = world_swapped(marks, "\"StowS\":0.0", "\"StowS\":1.0");
+    assert_int_equal(world_ask(w, 0, "POST", "/work", body).status, 201);
+    g_free(job);
+    g_free(marks);
+    g_free(body);
+    world_run(w, 5000);
+    return runs_whole(w, "wk-1", 3);
+}
+
+/* Someone who has the token stops a task, with time to save. */
+static void stop_with_grace(struct world *w, uint32_t index, uint64_t attempt)
+{
+    struct worker *k = machine_with(w, "wk-1", index);
+    assert_non_null(k);
+    char *body = g_strdup_printf("{\"Helm\":%" G_GUINT64_FORMAT ",\"Shift\":%" G_GUINT64_FORMAT
+                                 ",\"Orders\":[{\"Verb\":\"halt\",\"Piece\":\"wk-1/%u\","
+                                 "\"Try\":%" G_GUINT64_FORMAT ",\"WindDownS\":2.0}]}",
+                                 k->helm, k->shift, index, attempt);
+    struct net_request r = {.addr = k->addr,
+                            .method = "POST",
+                            .path = "/commands",
+                            .body = body,
+                            .len = strlen(body),
+                            .timeout_ms = 4000};
+    w->nets[0].net.request(&w->nets[0].net, &r, NULL, NULL);
+    g_free(body);
+}
+
+/* All are told in time: the gang saves, and goes on under a new attempt. */
+static void a_gang_that_is_stopped_as_a_whole_saves_and_goes_on(void **state)
+{
+    struct world *w = gang_world(state);
+    uint64_t old = begin_one_that_saves(w);
+    for (uint32_t i = 0; i < 3; i++) {
+        stop_with_grace(w, i, old);
+        world_run(w, 300);
+    }
+    world_run(w, 8000);
+    assert_int_equal(world_gang_saved(w, "wk-1"), 1);
+    assert_true(runs_whole(w, "wk-1", 3) > old);
+    assert_int_equal(world_gang_begun(w, "wk-1"), 2);
+    ends_whole(w, "wk-1");
+}
+
+/* One is told and the others are not: they exit, nothing is saved, and the gang begins anew. */
+static void a_gang_of_which_one_is_stopped_begins_anew(void **state)
+{
+    struct world *w = gang_world(state);
+    uint64_t old = begin_one_that_saves(w);
+    stop_with_grace(w, 1, old);
+    world_run(w, 3500);
+    assert_int_equal(under_attempt(w, "wk-1", old), 3); /* what has saved waits for the others */
+    world_run(w, 8000);
+    assert_int_equal(world_gang_saved(w, "wk-1"), 0);
+    assert_true(runs_whole(w, "wk-1", 3) > old);
+    assert_int_equal(world_gang_begun(w, "wk-1"), 2);
+    ends_whole(w, "wk-1");
+}
+
 /* ---- nodes that end meanwhile ---- */
 
 static enum fate no_commands(struct world *w, int node, const struct net_request *r)
@@ -928,6 +1013,7 @@
         WORLD_TEST(room_for_a_part_of_a_gang_is_held),
         WORLD_TEST(room_for_a_part_of_a_gang_is_held_from_smaller_tasks),
         WORLD_TEST(a_gang_does_not_wait_for_ever_behind_smaller_tasks),
+        WORLD_TEST(room_is_held_while_machines_are_on_their_way),
         WORLD_TEST(a_gang_that_fits_nowhere_keeps_nobody_waiting),
         WORLD_TEST(a_gang_stops_less_urgent_work_to_begin),
         WORLD_TEST(a_gang_that_shares_machines_stops_less_urgent_work),
@@ -941,6 +1027,8 @@
         WORLD_TEST(tasks_that_fail_together_are_one_try),
         WORLD_TEST(incomplete_is_no_sign_of_a_sick_machine),
         WORLD_TEST_SETTLED(a_gang_that_loses_a_task_before_it_began_is_stopped),
+        WORLD_TEST_SETTLED(a_gang_that_is_stopped_as_a_whole_saves_and_goes_on),
+        WORLD_TEST_SETTLED(a_gang_of_which_one_is_stopped_begins_anew),
         WORLD_TEST_SETTLED(a_node_that_dies_before_it_starts_its_part_harms_no_gang),
         WORLD_TEST_SETTLED(a_leader_that_dies_before_a_gang_starts_harms_it_not),
         WORLD_TEST_SETTLED(a_gang_half_on_record_when_its_leader_dies_begins_anew),
