A gang hopes for machines as long as a slow boot takes, a minute at most

The time for which it holds was 60 s everywhere; it follows from the boot time now, so room_is_held_while_machines_are_on_their_way looks at every step of 15 s instead of once after 30 s (a boot takes 5 s there). At most four gangs hold whole machines in a pass, and sixteen looks for attempts in the way are made: both are looked for again.

--- a/src/leader_deal.c
+++ b/src/leader_deal.c
@@ -14,7 +14,8 @@
     NO_WAY_MS = 1000, /* a zone in which nothing can be moved is let be */
     ATTEMPT_BITS = 20,
     MOST_DEFICIT = 10000000,
-    HOPE_MS = 60000, /* for machines that a gang lacks */
+    MOST_HOLDING = 4, /* gangs that hold whole machines, in a pass */
+    MOST_HOPE_MS = 60000,
 };
 
 /* A job that has waited for so long has its place in the queue again, late or not: the largest,
@@ -100,6 +101,7 @@
     memset(l->zone_cpus, 0, sizeof *l->zone_cpus * l->settings->zones->len);
     g_ptr_array_set_size(l->open, 0);
     g_array_set_size(l->full, 0);
+    l->holding = 0;
     loop_work(l->loop, g_hash_table_size(l->hosts));
     GHashTableIter it;
     struct lhost *h;
@@ -816,6 +818,13 @@
     g_array_unref(more);
 }
 
+/* How long a gang may hope for machines that are on their way: as long as slow ones take to boot
+ * and report, but less than others may be kept waiting beside free room. */
+static double hope_ms(struct leader *l)
+{
+    return MIN((leader_slowest_boot(l) * 3 + l->settings->report_s * 1.25) * 1000, MOST_HOPE_MS);
+}
+
 /* All tasks of a gang are dealt at once, each to a machine where it has room, or none is. Then what
  * room there is for it is held for this pass, or others would take it as soon as it is free and the
  * gang would never find enough at once. Whoever comes first holds first, so no two gangs hold what
@@ -837,6 +846,7 @@
     if (whole) {
         j->gang = next_attempt(l);
         j->gang_broken = false;
+        j->lacks_since = (mono_time){0};
         for (uint32_t i = 0, k = 0; i < v->tasks; i++) {
             if (job_task_done(v, i))
                 continue;
@@ -847,9 +857,11 @@
         j->held = hosts->len;
         j->held_zone = hosts->len ? ((struct lhost *)hosts->pdata[0])->zone : -1;
         j->blocked = true;
-        /* More machines may be on their way, but not for ever. */
-        bool hope =
-            loop_wall(l->loop).ms - v->since.ms < HOPE_MS || could_be_whole(l, j, v->spec, left);
+        mono_time now = loop_now(l->loop);
+        if (!j->lacks_since.us)
+            j->lacks_since = now;
+        bool hope = (double)time_ms_since(now, j->lacks_since) < hope_ms(l) ||
+                    could_be_whole(l, j, v->spec, left);
         for (guint i = 0; i < hosts->len; i++) {
             struct lhost *h = hosts->pdata[i];
             h->wanted = true;
@@ -860,7 +872,7 @@
             note_full(l, v->spec);
         if (hope)
             preempt(l, j, v, false);
-        if (j->aged)
+        if (j->aged && l->holding++ < MOST_HOLDING)
             hold_machines(l, j, v->spec, hosts, (int64_t)left - hosts->len);
     }
     g_ptr_array_unref(hosts);
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -53,6 +53,7 @@
     attempt_no gang;
     bool gang_broken;
     mono_time gang_since;
+    mono_time lacks_since; /* it has found no room for all its tasks since then; 0: it has */
 };
 
 /* How long the tasks of a job took. It outlives the job, as the slowest are told of last. */
@@ -130,6 +131,7 @@
     int first_team;       /* that this pass begins with */
     GPtrArray *open;      /* struct lhost: that take work in this pass */
     GArray *full;         /* struct lack: what found no room in this pass */
+    int holding;          /* gangs that hold whole machines in this pass */
     uint32_t *zone_tasks; /* of the job that is being dealt, by zone */
     int running[4];       /* tasks on record, by urgency */
     struct timer tick, pass;
--- a/src/part_place.c
+++ b/src/part_place.c
@@ -8,6 +8,7 @@
     SWITCH_MS = 2000,
     GIVE_BACK_MS = 3000,
     PLACE_MS = 5,
+    MOST_KEPT_LOOKS = 16,
     KEPT_MS = 1000, /* a command that was not answered by then may come late */
 };
 
@@ -209,6 +210,9 @@
 {
     GHashTableIter it;
     struct host *h;
+    if (p->kept_looks++ >= MOST_KEPT_LOOKS) /* it is dealt again, and looked for then */
+        return;
+    loop_work(p->loop, g_hash_table_size(p->hosts));
     g_hash_table_iter_init(&it, p->hosts);
     while (!p->want_raise && g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
         if (!d->at[0] || strcmp(d->at, h->id.s) == 0)
@@ -298,6 +302,7 @@
     if (!membership_valid(p->members))
         return;
     mono_time now = loop_now(p->loop);
+    p->kept_looks = 0;
     bool rule_time = time_ms_since(now, p->last_switch) >= SWITCH_MS;
     if (!rule_time && !p->room_news)
         return;
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -162,7 +162,8 @@
     GPtrArray *roomy; /* struct host: that may have room, while the queues are gone through */
     struct timer tick, flush, digest;
     mono_time last_switch;
-    GArray *nones; /* struct lack: what found no machine in this look at the queues */
+    int kept_looks; /* for attempts that keep a task from its machine, in this look */
+    GArray *nones;  /* struct lack: what found no machine in this look at the queues */
     struct timer place;
 };
 
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -254,10 +254,12 @@
     world_worker(w, 7, "a", true);
     world_run(w, 3000);
     submit(w, "wk-1", "gang", "high", 2, 8.0);
-    world_run(w, 10000); /* or a smaller job would go before it */
+    world_run(w, 6000); /* or a smaller job would go before it */
     submit(w, "wk-2", "sweep", "high", 4, 2.0);
-    world_run(w, 20000);
-    assert_int_equal(world_on_machines(w, "wk-2"), 0);
+    for (int t = 0; t < 90; t++) { /* up to three times the 5 s that a boot takes */
+        world_run(w, 100);
+        assert_int_equal(world_on_machines(w, "wk-2"), 0);
+    }
     world_worker(w, 6, "b", true);
     world_run(w, 5000);
     runs_whole(w, "wk-1", 2);
