--- a/src/frontend.c
+++ b/src/frontend.c
@@ -152,7 +152,7 @@
 static void reply_job(struct frontend *f, struct http_replier *r, conn_ref to, const struct job *j)
 {
     if (j->state == JOB_CANCELLED)
-        peers_told_cancel(f->peers, j->cancelled_at);
+        peers_told_cancel(f->peers, j->id, j->cancelled_at);
     reply(r, to, 200, job_text(j));
 }
 
@@ -168,6 +168,12 @@
 {
     struct ask *a = arg;
     struct frontend *f = a->frontend;
+    if (a->action == ACTION_CANCEL) {
+        /* Its user may hear of it from now on, from whichever node. */
+        if (o->result == TXN_DONE)
+            peers_told_cancel(f->peers, a->job, o->at);
+        peers_cancel_over(f->peers, a->job, o->result);
+    }
     if (a->answered) {
         ask_end(a); /* its user asks again */
     } else if (o->result == TXN_DONE) {
@@ -178,8 +184,6 @@
                   codec_job_answer(a->job, a->doomed ? "cancelled" : "queued", -1, 0));
         else
             reply(a->replier, a->from, 200, codec_job_answer(a->job, "cancelled", -1, 0));
-        if (a->action == ACTION_CANCEL)
-            peers_told_cancel(f->peers, o->at);
         ask_end(a);
     } else if (o->result == TXN_CONFLICT && ++a->rounds < WRITE_ROUNDS) {
         view_await(f->view, o->at, ask_step, a);
@@ -231,6 +235,7 @@
         value = job_value(spec, j->submitted.ms, true);
         json_object_put(spec);
     }
+    peers_cancel_sent(a->frontend->peers, a->job);
     write_job(a, j->stamp, value);
 }
 
--- a/src/part.c
+++ b/src/part.c
@@ -12,6 +12,7 @@
 };
 
 static void part_view(struct part *p, const GArray *changes);
+static void heed_job(struct part *p, job_id id);
 static void digest(void *arg);
 static void tick(void *arg);
 static int on_deal(void *ctx, const char *from, const cJSON *m, cJSON **answer);
@@ -20,6 +21,8 @@
 {
     if (m->kind == MSG_VIEW)
         part_view((struct part *)self, m->body);
+    if (m->kind == MSG_CANCELLED)
+        heed_job((struct part *)self, *(job_id *)m->body);
 }
 
 static void host_free(gpointer q)
@@ -68,6 +71,7 @@
     timer_init(&p->digest, digest, p);
     timer_init(&p->place, part_place_all, p);
     view_listen(p->view, &p->actor);
+    peers_listen(p->peers, &p->actor);
     bus_handle(p->bus, "deal", on_deal, p);
     return p;
 }
@@ -432,8 +436,7 @@
 
 static void heed_job(struct part *p, job_id id)
 {
-    struct job *j = view_job(p->view, id.s);
-    if (!j || !j->known || j->state == JOB_LIVE)
+    if (!part_job_over(p, id))
         return;
     GHashTableIter it;
     struct host *h;
@@ -443,7 +446,7 @@
         for (guint i = 0; i < h->runs->len; i++) {
             struct run *r = h->runs->pdata[i];
             if (job_eq(r->job, id) && r->phase != RUN_GONE) {
-                part_run_stop(r, 0);
+                part_run_heed_job(p, r);
                 any = true;
             }
         }
--- a/src/part_host.c
+++ b/src/part_host.c
@@ -120,12 +120,30 @@
     }
 }
 
+/* A cancellation that may hold counts only while this node can do nothing about it but wait: else
+ * the view will tell soon, and the task would be stopped and started in turns. */
+bool part_job_over(struct part *p, job_id id)
+{
+    struct job *j = view_job(p->view, id.s);
+    if (j && j->known && j->state != JOB_LIVE)
+        return true;
+    enum cancel_news news = peers_cancelled(p->peers, id);
+    return news == CANCEL_SURE || (news == CANCEL_MAY && !membership_valid(p->members));
+}
+
 /* Takes a run for what its job has become. */
 void part_run_heed_job(struct part *p, struct run *r)
 {
-    struct job *j = view_job(p->view, r->job.s);
-    if (j && j->known && j->state != JOB_LIVE)
-        part_run_stop(r, 0);
+    if (!part_job_over(p, r->job))
+        return;
+    part_run_stop(r, 0);
+    r->wind_down_s = 0; /* what it would save is of no use any more */
+    if (r->over_since.us)
+        return;
+    r->over_since = peers_cancelled(p->peers, r->job) ? peers_cancelled_since(p->peers, r->job)
+                                                      : p->view->before;
+    if (!r->over_since.us)
+        r->over_since = loop_now(p->loop);
 }
 
 static bool is_own(const struct part *p, const struct page *g)
--- a/src/part_state.h
+++ b/src/part_state.h
@@ -40,6 +40,7 @@
     bool stop;
     double wind_down_s;
     mono_time halt_at;
+    mono_time over_since; /* its job may have been called cancelled since then; 0: it was not */
 };
 
 struct host {
@@ -180,6 +181,9 @@
 bool part_host_has_run(const struct host *h);
 void part_run_stop(struct run *r, double wind_down_s);
 void part_run_heed_job(struct part *p, struct run *r);
+/* Whether a job is over for all that this node knows, from its view or from other nodes: what runs
+ * of it is to be stopped. */
+bool part_job_over(struct part *p, job_id id);
 void part_host_sync(struct part *p, struct host *h, int page); /* -1: all */
 bool part_lease_surely_over(struct part *p, struct host *h);
 void part_free_all_runs(struct part *p, struct host *h, const char *why);
--- a/src/part_worker.c
+++ b/src/part_worker.c
@@ -59,14 +59,18 @@
     g_array_append_val(out, o);
 }
 
+/* A node that may not act may still end what is cancelled: that is final, whoever owns the machine
+ * by now. */
 static GArray *host_orders(struct part *p, struct host *h, bool direct)
 {
     GArray *out = g_array_new(FALSE, TRUE, sizeof(struct order));
-    if (!membership_valid(p->members))
-        return out;
-    for (guint i = 0; i < h->runs->len && out->len < 300; i++)
-        order_for_run(p, h, h->runs->pdata[i], direct, out);
-    if (direct)
+    bool valid = membership_valid(p->members);
+    for (guint i = 0; i < h->runs->len && out->len < 300; i++) {
+        struct run *r = h->runs->pdata[i];
+        if (valid || (r->stop && part_job_over(p, r->job)))
+            order_for_run(p, h, r, direct, out);
+    }
+    if (direct || !valid)
         return out;
     for (guint i = 0; i < h->strays->len && out->len < 300; i++) {
         const struct report_task *t = &g_array_index(h->strays, struct report_task, i);
@@ -269,6 +273,60 @@
            time_ms_since(loop_now(p->loop), p->view->fresh) < part_keeping_ms(p);
 }
 
+/* Halts for all that a report names of jobs that are over. */
+static GArray *halts_for(struct part *p, const struct report *rep)
+{
+    GArray *out = g_array_new(FALSE, TRUE, sizeof(struct order));
+    for (guint i = 0; i < rep->tasks->len && out->len < 300; i++) {
+        const struct report_task *t = &g_array_index(rep->tasks, struct report_task, i);
+        if (t->state == TASK_EXITED || !part_job_over(p, t->job))
+            continue;
+        struct order o = {
+            .verb = ORDER_HALT, .job = t->job, .index = t->index, .attempt = t->attempt};
+        g_array_append_val(out, o);
+    }
+    return out;
+}
+
+static bool names_attempt(const struct report *rep, const struct placed *x)
+{
+    for (guint i = 0; i < rep->tasks->len; i++) {
+        const struct report_task *t = &g_array_index(rep->tasks, struct report_task, i);
+        if (t->attempt.v == x->attempt.v && t->index == x->index && job_eq(t->job, x->job->id))
+            return true;
+    }
+    return false;
+}
+
+/* A task of a job that is over is on record, and the worker does not name it: its command may still
+ * be on its way, and no answer can end it. Only another session can, if no epoch can be raised. */
+static bool awaits_cancelled(struct part *p, const struct report *rep)
+{
+    const struct host_record *rec = view_host(p->view, rep->host.s);
+    for (guint i = 0; rec && i < rec->tasks->len; i++) {
+        const struct placed *x = rec->tasks->pdata[i];
+        if (part_job_over(p, x->job->id) && !names_attempt(rep, x))
+            return true;
+    }
+    return false;
+}
+
+/* The same on a machine of this node's own, which knows how long its job may have been called
+ * cancelled: the lease is not renewed when that would let the command be carried out after
+ * cancel_s. */
+static bool lease_has_to_end(struct part *p, const struct host *h)
+{
+    if (membership_valid(p->members))
+        return false;
+    for (guint i = 0; i < h->runs->len; i++) {
+        const struct run *r = h->runs->pdata[i];
+        if (r->phase == RUN_RECORDED && !r->seen && r->over_since.us &&
+            time_ms_since(loop_now(p->loop), r->over_since) >= part_keeping_ms(p))
+            return true;
+    }
+    return false;
+}
+
 struct handed_on {
     struct http_replier *replier;
     conn_ref from;
@@ -284,13 +342,21 @@
 
 /* Sends a worker to its machine's owner. One that is back soon could not reach it: its report is
  * handed on instead, so that its lease is renewed although the owner cannot hear it. */
-static void redirect(struct part *p, struct http_replier *replier, conn_ref from, const char *host,
-                     const char *owner, const struct http_request *q)
+static void redirect(struct part *p, struct http_replier *replier, conn_ref from,
+                     const struct report *rep, const char *owner, const struct http_request *q)
 {
     mono_time now = loop_now(p->loop);
+    const char *host = rep->host.s;
+    if (!q->via && may_shelter(p, owner) && awaits_cancelled(p, rep)) {
+        reply_text(replier, from, 503, g_strdup("{}"));
+        return;
+    }
     if (!q->via && may_shelter(p, owner)) {
+        GArray *halts = halts_for(p, rep);
         peers_sheltered(p->peers);
-        reply_text(replier, from, 200, codec_orders_write(p->epoch, 0, NULL, 0));
+        reply_text(replier, from, 200,
+                   codec_orders_write(p->epoch, 0, (struct order *)halts->data, halts->len));
+        g_array_unref(halts);
         return;
     }
     struct redirect *r = g_hash_table_lookup(p->redirects, host);
@@ -372,9 +438,13 @@
     }
     h = host_of_report(p, rep);
     bool taken = take_report(p, h, rep, via);
+    if (lease_has_to_end(p, h)) {
+        reply_text(replier, from, 503, g_strdup("{}"));
+        return;
+    }
     h->answered = loop_now(p->loop);
     GArray *orders =
-        taken ? host_orders(p, h, false) : g_array_new(FALSE, TRUE, sizeof(struct order));
+        taken && membership_valid(p->members) ? host_orders(p, h, false) : halts_for(p, rep);
     reply_text(replier, from, 200,
                codec_orders_write(p->epoch, 0, (struct order *)orders->data, orders->len));
     g_array_unref(orders);
@@ -396,7 +466,7 @@
     if (!owner || p->epoch.v != p->view->epoch.v || !may_keep_leases(p) || rep.helm > p->epoch.v)
         reply_text(replier, from, 503, g_strdup("{}"));
     else if (strcmp(owner, p->settings->label) != 0)
-        redirect(p, replier, from, rep.host.s, owner, q);
+        redirect(p, replier, from, &rep, owner, q);
     else
         report_owned(p, replier, from, &rep, q->via ? q->via : "");
     report_clear(&rep);
--- a/src/peers.h
+++ b/src/peers.h
@@ -19,7 +19,7 @@
  */
 bool peers_alone(const struct peers *p);
 /* Until that moment no node can have told a user of a cancellation that this node does not know of,
- * as all of them said so: see docs/safety.md. {0}: nothing is known. */
+ * as all of them have handed over what they told: see docs/safety.md. {0}: nothing is known. */
 mono_time peers_quiet_until(const struct peers *p);
 /* Neither the state service nor that node answers this one, and no other node is served that might
  * speak for both. */
@@ -33,7 +33,27 @@
  * first. */
 bool peers_leases_over(struct peers *p, mono_time last, int64_t lease_ms, int64_t keep_ms);
 
+/* ---- cancellations that the view may not show yet ---- */
+
 /* This node tells a user that a job is cancelled, which its record says since that revision. */
-void peers_told_cancel(struct peers *p, revision of);
+void peers_told_cancel(struct peers *p, job_id job, revision of);
+/* A transaction that cancels a job is on its way; and what became of it: one of which nobody knows
+ * may have been carried out, or be so later. */
+void peers_cancel_sent(struct peers *p, job_id job);
+void peers_cancel_over(struct peers *p, job_id job, enum txn_result result);
+
+enum cancel_news {
+    CANCEL_NONE, /* nothing is known beside the view */
+    CANCEL_MAY,  /* some transaction may have cancelled it, or may yet do so */
+    CANCEL_SURE, /* its record says so */
+};
+enum cancel_news peers_cancelled(const struct peers *p, job_id job);
+/* No user can have been told before that moment. */
+mono_time peers_cancelled_since(const struct peers *p, job_id job);
+
+/* The message that the listener gets when a job's cancellation becomes known here: its body is a
+ * job_id. */
+enum { MSG_CANCELLED = 101 };
+void peers_listen(struct peers *p, struct actor *listener);
 
 #endif
--- a/src/view.c
+++ b/src/view.c
@@ -1008,6 +1008,7 @@
     v->reload_seen = NULL;
     g_clear_pointer(&v->reload_from, g_free);
     v->at = v->reload_base;
+    v->before = v->fresh;
     v->fresh = v->asked;
     /* Run records of a version that wrote them otherwise: acting without them would start tasks
      * twice. */
@@ -1100,6 +1101,7 @@
         }
     }
     v->at.v = MAX(v->at.v, ledger);
+    v->before = v->fresh;
     v->fresh = v->asked;
     json_object_put(o);
     publish(v);
--- a/src/view.h
+++ b/src/view.h
@@ -128,6 +128,7 @@
     bool older; /* there are records of an earlier version */
     revision at;
     mono_time fresh;    /* the view was the newest then */
+    mono_time before;   /* and the one before then: what is new here came after that */
     GHashTable *jobs;   /* id -> struct job */
     GHashTable *hosts;  /* id -> struct host_record */
     GHashTable *pages;  /* key -> struct page */
--- /dev/null
+++ b/tests/test_gap.c
@@ -0,0 +1,514 @@
+/* Cancellations that one node has told of and another does not see: the state service refuses a
+ * node alone, then it is away for all for longer than cancel_s, while workers go on reporting. What
+ * was cancelled has to be gone in time all the same, and what was not has to go on. */
+#include "part_state.h"
+#include "world.h"
+
+#include <string.h>
+
+enum { CANCEL_MS = 30000, OUTAGE_MS = 60000, EACH = 12 };
+
+/* One of them is cancelled, the other one goes on. */
+static const char *victim, *keeper;
+
+static int owner_of(struct world *w, const char *machine)
+{
+    return map_owner(w->nodes[0]->view, machine)[5] - '0';
+}
+
+static bool holds(struct world *w, int node, const char *job)
+{
+    for (int i = 0; i < WORLD_WORKERS; i++) {
+        struct worker *k = &w->workers[i];
+        for (guint t = 0; owner_of(w, k->id) == node && t < k->tasks->len; t++)
+            if (strcmp(g_array_index(k->tasks, struct wtask, t).job.s, job) == 0)
+                return true;
+    }
+    return false;
+}
+
+/* Two jobs on eight machines; the one of which the leader has some itself is the victim. */
+static void two_services(struct world *w)
+{
+    w->capacity = 0;
+    for (int i = 0; i < WORLD_WORKERS; i++) {
+        char next[16];
+        do /* every node has some */
+            g_snprintf(next, sizeof next, "host-%06d", ++w->rented);
+        while (owner_of(w, next) != i % WORLD_NODES);
+        w->rented--;
+        world_worker(w, i, i % 2 ? "a" : "b", false);
+    }
+    world_run(w, 4000);
+    world_submit(w, 0, "wk-1", "daemon", EACH);
+    world_submit(w, 0, "wk-2", "daemon", EACH);
+    world_run(w, 8000);
+    assert_int_equal(world_on_machines(w, "wk-1"), EACH);
+    assert_int_equal(world_on_machines(w, "wk-2"), EACH);
+    bool first = holds(w, world_leader_index(w), "wk-1");
+    victim = first ? "wk-1" : "wk-2";
+    keeper = first ? "wk-2" : "wk-1";
+    assert_true(holds(w, world_leader_index(w), victim));
+}
+
+static int cancel(struct world *w, int node, const char *job)
+{
+    char *path = g_strdup_printf("/work/%s/abort", job);
+    struct user_answer a = world_ask(w, node, "POST", path, NULL);
+    g_free(path);
+    return a.status;
+}
+
+/* From the moment when a user was told: all tasks are gone within cancel_s, and stay so. */
+static void ends_in_time(struct world *w, const char *job, int64_t ms)
+{
+    world_run(w, CANCEL_MS - 1000);
+    assert_int_equal(world_on_machines(w, job), 0);
+    for (int64_t t = CANCEL_MS - 1000; t < ms; t += 500) {
+        world_run(w, 500);
+        assert_int_equal(world_on_machines(w, job), 0);
+    }
+}
+
+static void end_trouble(struct world *w)
+{
+    w->fate = NULL;
+    w->between = NULL;
+    w->state_down = false;
+    w->capacity = 16; /* what stood idle may have been given back */
+    memset(w->refused, 0, sizeof w->refused);
+    world_run(w, 10000);
+    assert_int_equal(world_on_machines(w, keeper), EACH);
+}
+
+/* The cancellation comes that long after the node is refused, and the outage that long after it
+ * was told of. */
+struct edge {
+    int cancel_ms, outage_ms;
+};
+
+static void refused_then_outage(struct world *w, struct edge e, int told_by)
+{
+    two_services(w);
+    int refused = world_leader_index(w);
+    told_by = (refused + told_by) % 3;
+    if (e.cancel_ms < 0) {
+        assert_int_equal(cancel(w, told_by, victim), 200);
+        world_run(w, -e.cancel_ms);
+        w->refused[refused] = true;
+    } else {
+        w->refused[refused] = true;
+        world_run(w, e.cancel_ms);
+        assert_int_equal(cancel(w, told_by, victim), 200);
+    }
+    world_run(w, e.outage_ms);
+    w->state_down = true;
+    int starts = world_starts(w);
+    ends_in_time(w, victim, OUTAGE_MS);
+    assert_int_equal(world_starts(w), starts);
+    assert_int_equal(world_on_machines(w, keeper), EACH); /* its leases were kept */
+    end_trouble(w);
+    world_expect_stage(w, 0, victim, "cancelled");
+}
+
+/* Before, at and after each edge, told by each other node. The tasks end by a halt, not with all
+ * that is on their machines. */
+static void a_refused_leader_ends_what_others_cancelled(void **state)
+{
+    static const struct edge edges[] = {{-40, 0},  {0, 0},     {0, 1000},
+                                        {1500, 0}, {1500, 30}, {1500, 1500}};
+    for (guint i = 0; i < 2 * G_N_ELEMENTS(edges); i++) {
+        refused_then_outage(*state, edges[i / 2], 1 + (int)i % 2);
+        world_close(state);
+        world_open(state);
+    }
+}
+
+static int refused_watcher;
+static enum fate refuse_watches(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    return node == refused_watcher && g_str_has_prefix(r->path, "/watch") ? FATE_LOST : FATE_NORMAL;
+}
+
+/* The state service carries the cancellation out for the leader, which tells its user; but its
+ * watch never shows it, as it is refused from that moment on. */
+static void a_node_heeds_what_it_has_told_itself(void **state)
+{
+    struct world *w = *state;
+    two_services(w);
+    int leader = world_leader_index(w);
+    w->fate = refuse_watches;
+    refused_watcher = leader;
+    world_run(w, 2500);
+    assert_int_equal(cancel(w, leader, victim), 200);
+    w->refused[leader] = true;
+    w->state_down = true;
+    ends_in_time(w, victim, OUTAGE_MS);
+    assert_int_equal(world_on_machines(w, keeper), EACH);
+    end_trouble(w);
+}
+
+/* All nodes know of it, but the halts are lost: nobody may write, and yet they are said again. */
+static bool lose_commands;
+static enum fate losing_commands(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    return lose_commands && strcmp(r->path, "/commands") == 0 ? FATE_LOST : FATE_NORMAL;
+}
+
+static void a_halt_that_was_lost_is_said_again_in_an_outage(void **state)
+{
+    struct world *w = *state;
+    two_services(w);
+    w->fate = losing_commands;
+    lose_commands = true;
+    for (int i = 0; i < WORLD_WORKERS; i++) /* and none of them reports until it is too late */
+        w->workers[i].quiet_until = time_add_ms(loop_now(w->loop), 6500);
+    assert_int_equal(cancel(w, 0, victim), 200);
+    world_run(w, 200);
+    w->state_down = true;
+    world_run(w, 5500); /* the nodes' own leases are over by now */
+    assert_int_equal(world_on_machines(w, victim), EACH);
+    lose_commands = false;
+    world_run(w, 2000);
+    assert_int_equal(world_on_machines(w, victim), 0);
+    world_run(w, OUTAGE_MS);
+    assert_int_equal(world_on_machines(w, keeper), EACH);
+    end_trouble(w);
+}
+
+/* A command to start a task is on its way to a machine while its job is cancelled. Nobody can raise
+ * the epoch, so the lease has to end before the command may be carried out after cancel_s. */
+static bool hold_commands;
+static enum fate holding_commands(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    return hold_commands && strcmp(r->path, "/commands") == 0 ? FATE_HELD : FATE_NORMAL;
+}
+
+static void a_late_start_of_a_cancelled_task_is_too_late(void **state)
+{
+    struct world *w = *state;
+    two_services(w);
+    w->fate = holding_commands;
+    hold_commands = true;
+    for (int i = 0; i < WORLD_WORKERS; i++) /* else the command goes with an answer, too */
+        w->workers[i].quiet_until = time_add_ms(loop_now(w->loop), 2500);
+    assert_int_equal(world_submit(w, 0, "wk-3", "daemon", 4).status, 201);
+    world_run(w, 1000);
+    assert_true(w->held->len > 0);
+    assert_int_equal(cancel(w, 1, "wk-3"), 200);
+    w->state_down = true;
+    world_run(w, CANCEL_MS + 1000);
+    hold_commands = false;
+    int starts = world_starts(w);
+    world_deliver_held(w);
+    world_run(w, 5000);
+    assert_int_equal(world_starts(w), starts);
+    assert_int_equal(world_on_machines(w, "wk-3"), 0);
+    world_run(w, OUTAGE_MS);
+    end_trouble(w);
+}
+
+/* No machine reports for a while: the halts go straight to them, and at once. */
+static void halts_do_not_wait_for_reports(void **state)
+{
+    struct world *w = *state;
+    two_services(w);
+    int refused = world_leader_index(w);
+    w->state_down = true;
+    world_run(w, 6000); /* its own lease does not surely hold any more */
+    w->refused[refused] = true;
+    w->state_down = false;
+    world_run(w, 1500);
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        w->workers[i].quiet_until = time_add_ms(loop_now(w->loop), 8000);
+    assert_int_equal(cancel(w, (refused + 1) % 3, victim), 200);
+    w->state_down = true;
+    world_run(w, 2000);
+    assert_int_equal(world_on_machines(w, victim), 0);
+    end_trouble(w);
+}
+
+/* Whoever told of it ends and is back: nobody can say what it told, and nobody's leases are kept.
+ */
+static void a_node_that_told_ends_in_the_outage(void **state)
+{
+    struct world *w = *state;
+    two_services(w);
+    int refused = world_leader_index(w), told_by = (refused + 1) % 3;
+    w->refused[refused] = true;
+    world_run(w, 300);
+    assert_int_equal(cancel(w, told_by, victim), 200);
+    w->state_down = true;
+    world_kill(w, told_by);
+    world_run(w, 50);
+    world_start(w, told_by);
+    ends_in_time(w, victim, OUTAGE_MS);
+    end_trouble(w);
+}
+
+static enum fate cut_between_nodes(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    return g_str_has_suffix(r->addr, ":8081") ? FATE_LOST : FATE_NORMAL;
+}
+
+static void peers_that_cannot_be_asked_may_have_told(void **state)
+{
+    struct world *w = *state;
+    two_services(w);
+    int refused = world_leader_index(w);
+    w->refused[refused] = true;
+    w->fate = cut_between_nodes;
+    world_run(w, 300);
+    assert_int_equal(cancel(w, (refused + 1) % 3, victim), 200);
+    w->state_down = true;
+    ends_in_time(w, victim, OUTAGE_MS);
+    end_trouble(w);
+}
+
+/* A machine hangs when its halt comes, and goes on within its lease: it has the halt then, or gets
+ * it with the answer to its first report. */
+static void a_machine_that_hangs_over_the_halt(void **state)
+{
+    struct world *w = *state;
+    two_services(w);
+    int refused = world_leader_index(w);
+    w->refused[refused] = true;
+    world_run(w, 300);
+    for (int i = 0; i < WORLD_WORKERS; i += 2)
+        w->workers[i].silent = true;
+    assert_int_equal(cancel(w, (refused + 1) % 3, victim), 200);
+    w->state_down = true;
+    world_run(w, 8000);
+    for (int i = 0; i < WORLD_WORKERS; i += 2)
+        w->workers[i].silent = false;
+    world_run(w, 3000);
+    assert_int_equal(world_on_machines(w, victim), 0);
+    assert_int_equal(world_on_machines(w, keeper), EACH);
+    ends_in_time(w, victim, OUTAGE_MS);
+    end_trouble(w);
+}
+
+/* What a node said before it told anybody comes once more, in the place of what it says now. */
+static char *first_said[WORLD_NODES];
+static char *say_the_first_again(struct world *w, int node, const char *path, const char *body)
+{
+    (void)w;
+    if (!strstr(path, "health") || !strstr(body, "\"cancelled\""))
+        return NULL;
+    if (!first_said[node] && strstr(body, "\"served\":false"))
+        first_said[node] = g_strdup(body);
+    return g_strdup(first_said[node]); /* NULL at first */
+}
+
+static void a_copy_of_an_old_answer_is_no_answer(void **state)
+{
+    struct world *w = *state;
+    two_services(w);
+    memset(first_said, 0, sizeof first_said);
+    world_run(w, 15000);
+    w->between = say_the_first_again;
+    int refused = world_leader_index(w);
+    w->refused[refused] = true;
+    w->state_down = true;
+    world_run(w, 2000); /* nobody is served, and nobody has told anything */
+    assert_non_null(first_said[refused]);
+    w->state_down = false;
+    world_run(w, 1500);
+    assert_int_equal(cancel(w, (refused + 1) % 3, victim), 200);
+    w->state_down = true;
+    ends_in_time(w, victim, OUTAGE_MS);
+    end_trouble(w);
+    for (int i = 0; i < WORLD_NODES; i++)
+        g_free(first_said[i]);
+}
+
+/* Twice within one lease, and the second time by the other node. */
+static void it_happens_twice_within_a_lease(void **state)
+{
+    struct world *w = *state;
+    two_services(w);
+    world_submit(w, 0, "wk-3", "daemon", 8);
+    world_run(w, 8000);
+    assert_int_equal(world_on_machines(w, "wk-3"), 8);
+    int refused = world_leader_index(w);
+    w->refused[refused] = true;
+    world_run(w, 200);
+    assert_int_equal(cancel(w, (refused + 1) % 3, victim), 200);
+    w->state_down = true;
+    world_run(w, 4000);
+    w->state_down = false; /* but the leader is refused on */
+    world_run(w, 1200);
+    assert_int_equal(cancel(w, (refused + 2) % 3, "wk-3"), 200);
+    w->state_down = true;
+    world_run(w, CANCEL_MS - 5400);
+    assert_int_equal(world_on_machines(w, victim), 0);
+    ends_in_time(w, "wk-3", OUTAGE_MS);
+    assert_int_equal(world_on_machines(w, keeper), EACH);
+    end_trouble(w);
+}
+
+/* ---- a cancellation of which nobody knows whether it holds ---- */
+
+static enum fate cancel_fate;
+static enum fate losing_cancels(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    return strcmp(r->path, "/txn") == 0 && strstr(r->body, "\"c\":true") ? cancel_fate
+                                                                         : FATE_NORMAL;
+}
+
+static void may_hold(struct world *w, enum fate fate)
+{
+    two_services(w);
+    int refused = world_leader_index(w), asked = (refused + 1) % 3;
+    w->fate = losing_cancels;
+    cancel_fate = fate;
+    w->refused[refused] = true;
+    world_run(w, 300);
+    assert_int_equal(cancel(w, asked, victim), 503);
+    w->state_down = true;
+    for (int i = 0; i < 20; i++) { /* what may not hold is told to nobody */
+        world_run(w, 1400);
+        char *path = g_strconcat("/work/", victim, NULL);
+        struct user_answer a = world_ask(w, i % 3, "GET", path, NULL);
+        g_free(path);
+        assert_true(a.status == 503 || fate == FATE_ANSWER_LOST);
+    }
+    world_run(w, 1000);
+    assert_int_equal(world_on_machines(w, victim), 0);
+    world_run(w, OUTAGE_MS);
+    assert_int_equal(world_on_machines(w, keeper), EACH);
+    end_trouble(w);
+}
+
+static void a_cancel_without_an_answer_may_hold(void **state)
+{
+    may_hold(*state, FATE_ANSWER_LOST);
+    world_expect_stage(*state, 0, victim, "cancelled");
+    assert_int_equal(world_on_machines(*state, victim), 0);
+}
+
+/* It never arrived: the job was not cancelled, and goes on once somebody can write again. */
+static void a_cancel_that_did_not_hold_harms_nothing(void **state)
+{
+    struct world *w = *state;
+    may_hold(w, FATE_LOST);
+    world_run(w, 10000);
+    world_expect_stage(w, 0, victim, "running");
+    assert_int_equal(world_on_machines(w, victim), EACH);
+    cancel_fate = FATE_NORMAL;
+    assert_int_equal(cancel(w, 2, victim), 200);
+    ends_in_time(w, victim, CANCEL_MS);
+}
+
+/* ---- a zone that is cut off ---- */
+
+static int lone_node;
+static enum fate only_workers(struct world *w, int node, const struct net_request *r)
+{
+    (void)w;
+    bool state = strcmp(r->addr, "10.2.0.1:2379") == 0, back = g_str_has_suffix(r->addr, ":8081");
+    char lone[32];
+    g_snprintf(lone, sizeof lone, "10.0.0.%d:8081", lone_node + 1);
+    return (node == lone_node && (state || back)) || strcmp(r->addr, lone) == 0 ? FATE_LOST
+                                                                                : FATE_NORMAL;
+}
+
+/* The owners' halts of some machines are lost, and the only node that these then reach does not own
+ * them. It knows of the cancellation, and its answers end the tasks. */
+static void a_node_that_shelters_ends_what_is_cancelled(void **state)
+{
+    struct world *w = *state;
+    two_services(w);
+    w->fate = losing_commands;
+    lose_commands = true;
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        w->workers[i].quiet_until = time_add_ms(loop_now(w->loop), 2000);
+    assert_int_equal(cancel(w, 0, victim), 200);
+    world_run(w, 500);
+    lone_node = (world_leader_index(w) + 1) % 3;
+    w->fate = only_workers;
+    for (int i = 0; i < WORLD_WORKERS; i++) {
+        w->workers[i].only = lone_node;
+        w->workers[i].quiet_until = time_add_ms(loop_now(w->loop), 6500);
+    }
+    world_run(w, 10000);
+    assert_int_equal(world_on_machines(w, victim), 0);
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        w->workers[i].only = -1;
+    end_trouble(w);
+}
+
+static enum fate holding_commands_losing_maps(struct world *w, int node,
+                                              const struct net_request *r)
+{
+    (void)w;
+    (void)node;
+    if (strcmp(r->path, "/commands") == 0)
+        return FATE_HELD;
+    return strcmp(r->path, "/txn") == 0 && strstr(r->body, "\"Set\":\"ll\\/map") ? FATE_REFUSED
+                                                                                 : FATE_NORMAL;
+}
+
+static enum fate only_workers_holding(struct world *w, int node, const struct net_request *r)
+{
+    return strcmp(r->path, "/commands") == 0 ? FATE_HELD : only_workers(w, node, r);
+}
+
+/* A command is on its way for a job that was cancelled some time ago, and nobody could raise the
+ * epoch. The node that shelters the machine then lets its lease end. */
+static void a_late_start_on_a_sheltered_machine_is_too_late(void **state)
+{
+    struct world *w = *state;
+    two_services(w);
+    w->fate = holding_commands_losing_maps;
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        w->workers[i].quiet_until = time_add_ms(loop_now(w->loop), 2500);
+    assert_int_equal(world_submit(w, 0, "wk-3", "daemon", 4).status, 201);
+    world_run(w, 1000);
+    assert_true(w->held->len > 0);
+    assert_int_equal(cancel(w, 1, "wk-3"), 200);
+    world_run(w, 9000);
+    lone_node = (world_leader_index(w) + 1) % 3;
+    w->refused[lone_node] = true; /* so that nothing more comes by its watch */
+    w->fate = only_workers_holding;
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        w->workers[i].only = w->workers[i].node = lone_node;
+    world_run(w, CANCEL_MS - 8500);
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        w->workers[i].only = -1;
+    int starts = world_starts(w);
+    world_deliver_held(w);
+    assert_int_equal(world_starts(w), starts);
+    end_trouble(w);
+    assert_int_equal(world_on_machines(w, "wk-3"), 0);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        WORLD_TEST(a_refused_leader_ends_what_others_cancelled),
+        WORLD_TEST(a_node_heeds_what_it_has_told_itself),
+        WORLD_TEST(a_halt_that_was_lost_is_said_again_in_an_outage),
+        WORLD_TEST(a_late_start_of_a_cancelled_task_is_too_late),
+        WORLD_TEST(halts_do_not_wait_for_reports),
+        WORLD_TEST(a_node_that_told_ends_in_the_outage),
+        WORLD_TEST(peers_that_cannot_be_asked_may_have_told),
+        WORLD_TEST(a_machine_that_hangs_over_the_halt),
+        WORLD_TEST(a_copy_of_an_old_answer_is_no_answer),
+        WORLD_TEST(it_happens_twice_within_a_lease),
+        WORLD_TEST(a_cancel_without_an_answer_may_hold),
+        WORLD_TEST(a_cancel_that_did_not_hold_harms_nothing),
+        WORLD_TEST(a_node_that_shelters_ends_what_is_cancelled),
+        WORLD_TEST(a_late_start_on_a_sheltered_machine_is_too_late),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/world.h
+++ b/tests/world.h
@@ -90,6 +90,9 @@
     int process[WORLD_MOST_NODES]; /* counts a node's processes: an address may be used again */
     fate_fn fate;
     bool state_down;
+    bool refused[WORLD_MOST_NODES]; /* the state service refuses this node alone */
+    /* What arrives of an answer between nodes; the text belongs to the caller. NULL: as it is. */
+    char *(*between)(struct world *w, int node, const char *path, const char *body);
     double state_value_kb; /* what the state service allows: more fails the test */
     int state_txn_ops;
     int too_old;                /* watches that are answered 410 */
