--- a/src/codec.c
+++ b/src/codec.c
@@ -235,7 +235,7 @@
     return g_str_has_prefix(s, "wk-") && s[3] && job_id_from(out, s);
 }
 
-static bool user_id(json_object *o, job_id *out)
+bool codec_id_read(json_object *o, job_id *out)
 {
     const char *s;
     return json_text(o, "Id", &s) && user_id_from(out, s);
@@ -247,7 +247,7 @@
     s->due_s = -1;
     int form = 0, urgency = 0;
     uint64_t pieces = 0;
-    bool ok = user_id(o, &s->id) && name_field(o, "Lot", &s->lot) &&
+    bool ok = codec_id_read(o, &s->id) && name_field(o, "Lot", &s->lot) &&
               name_field(o, "Crew", &s->crew) && image_field(o, &s->image) &&
               word_field(o, "Form", form_words, G_N_ELEMENTS(form_words), &form) &&
               word_field(o, "Urgency", urgency_words, G_N_ELEMENTS(urgency_words), &urgency) &&
--- a/src/codec.h
+++ b/src/codec.h
@@ -93,6 +93,8 @@
 /* Strict: one JSON text and nothing behind it, nested 16 deep at most. NULL otherwise. */
 json_object *json_read(const char *text, size_t len);
 
+/* The id of a submission, whatever else is wrong with it. */
+bool codec_id_read(json_object *o, job_id *out);
 /* Without what it awaits. */
 bool codec_spec_read(json_object *o, struct spec *out);
 /* Adds that: each job once. False when it is no list of jobs, too long, or names the job itself. */
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -47,10 +47,10 @@
     uint32_t tasks;
     job_id *awaits; /* jobs that it needs */
     guint n_awaits, checked;
-    bool behind;     /* the view was past a barrier since it came */
-    bool doomed;     /* one of them is cancelled */
-    bool impossible; /* it would be refused, were it not known already */
-    bool read;       /* its key was read, and is not there */
+    bool behind; /* the view was past a barrier since it came */
+    bool doomed; /* one of them is cancelled */
+    int refusal; /* the status that it gets, were it not known already; 0: none */
+    bool read;   /* its key was read, and is not there */
     int rounds;
 };
 
@@ -345,7 +345,7 @@
 static bool read_key(struct ask *a)
 {
     struct frontend *f = a->frontend;
-    if (!f->view->forgot || a->read || (a->action == ACTION_SUBMIT && !a->rounds && !a->impossible))
+    if (!f->view->forgot || a->read || (a->action == ACTION_SUBMIT && !a->rounds && !a->refusal))
         return false;
     char *key = key_job(a->job);
     store_read(f->store, LANE_URGENT, key, ANSWER_MS, ANSWER_MS, key_answered, a);
@@ -367,8 +367,9 @@
         return;
     if (!ok) {
         ask_refuse(a);
-    } else if (a->action == ACTION_SUBMIT && !j && a->impossible) {
-        reply_error(a->replier, a->from, 422, "can never run");
+    } else if (a->action == ACTION_SUBMIT && !j && a->refusal) {
+        reply_error(a->replier, a->from, a->refusal,
+                    a->refusal == 400 ? "malformed" : "can never run");
     } else if (a->action == ACTION_SUBMIT && !j) {
         if (awaits_known(a))
             write_job(a, (revision){0}, new_value(a));
@@ -434,11 +435,23 @@
 {
     struct spec s;
     json_object *o = json_read(q->body, q->body_len);
+    job_id id;
+    bool named = codec_id_read(o, &id);
     bool ok = codec_spec_read(o, &s), awaits_ok = ok && codec_awaits_read(o, &s);
     json_object_put(o);
+    if (!named) {
+        reply_error(r, from, 400, "malformed");
+        return;
+    }
     if (!ok || !awaits_ok) {
-        reply_error(r, from, ok ? 422 : 400, ok ? "what it awaits is malformed" : "malformed");
+        /* Whoever repeats the submission of an accepted job is told of that job, whatever the body
+         * says this time. */
+        struct ask *bad = ask_new(f, r, from, ACTION_SUBMIT, id);
         spec_clear(&s);
+        if (!bad)
+            return;
+        bad->refusal = ok ? 422 : 400;
+        view_barrier(f->view, ask_step, bad);
         return;
     }
     struct job *known = f->view->ready ? known_job(f, s.id) : NULL;
@@ -454,8 +467,9 @@
         a->tasks = s.tasks;
         a->n_awaits = s.n_awaits;
         a->awaits = g_steal_pointer(&s.awaits);
-        a->impossible = !known && (!can_run(f, &s) || !can_store(f, a->spec));
-        if (known || a->impossible)
+        if (!known && (!can_run(f, &s) || !can_store(f, a->spec)))
+            a->refusal = 422;
+        if (known || a->refusal)
             view_barrier(f->view, ask_step, a);
         else
             ask_step(a, true); /* the write tells if it was there */
--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -20,6 +20,14 @@
     return rec ? rec->tasks->len : 0;
 }
 
+static int cancel_job(struct world *w, int node, const char *job)
+{
+    char *path = g_strdup_printf("/work/%s/abort", job);
+    int status = world_ask(w, node, "POST", path, NULL).status;
+    g_free(path);
+    return status;
+}
+
 static void two_ordinary_machines(struct world *w)
 {
     w->capacity = 0;
@@ -635,6 +643,70 @@
     world_expect_stage(w, 2, "wk-01", "done");
 }
 
+/* A submission that lacks a field gets 400 and one that can never run 422, whoever is asked and
+ * however often; neither is ever accepted. One of an accepted job gets that job's state, whatever
+ * it says. */
+static void what_cannot_be_taken_is_told_so(void **state)
+{
+    struct world *w = *state;
+    static const char *const fields[] = {
+        "\"Lot\":\"lot\",",      "\"Crew\":\"blue\",",  "\"Form\":\"gang\",",
+        "\"Urgency\":\"high\",", "\"Pieces\":2,",       "\"Vcpus\":2.0,",
+        "\"Cards\":0.0,",        "\"MemoryGb\":1.0,",   "\"Mould\":\"img-1\",",
+        "\"ImageGb\":1.0,",      "\"OneZone\":false,",  "\"Apart\":false,",
+        "\"Loaners\":true,",     "\"ExpectedS\":10.0,", "\"MarkEveryS\":0.0,",
+        ",\"StowS\":0.0",
+    };
+    char *good = world_job("wk-1", "gang", 2, "blue", 2.0, "");
+    for (int round = 0; round < 2; round++) {
+        for (guint i = 0; i < G_N_ELEMENTS(fields); i++) {
+            char *bad = world_swapped(good, fields[i], "");
+            for (int n = 0; n < WORLD_NODES; n++)
+                assert_int_equal(world_ask(w, n, "POST", "/work", bad).status, round ? 200 : 400);
+            g_free(bad);
+        }
+        char *never[] = {
+            world_job("wk-1", "gang", 2, "nobody", 2.0, ""), /* no such team */
+            world_job("wk-1", "gang", 2, "blue", 9.0, ""),   /* fits no machine */
+            world_job("wk-1", "gang", 9, "blue", 8.0, ""),   /* all of it passes the limit */
+            world_job("wk-1", "daemon", 9, "blue", 8.0, ""),
+        };
+        for (guint i = 0; i < G_N_ELEMENTS(never); i++) {
+            for (int n = 0; n < WORLD_NODES; n++)
+                assert_int_equal(world_ask(w, n, "POST", "/work", never[i]).status,
+                                 round ? 200 : 422);
+            g_free(never[i]);
+        }
+        if (!round) {
+            assert_int_equal(world_ask(w, 0, "GET", "/work/wk-1", NULL).status, 404);
+            assert_int_equal(world_ask(w, 1, "POST", "/work", good).status, 201);
+        }
+    }
+    char *array = world_job("wk-2", "sweep", 9, "blue", 8.0, ""); /* one task is within it */
+    assert_int_equal(world_ask(w, 0, "POST", "/work", array).status, 201);
+    g_free(array);
+    /* Whether it was accepted cannot be told now. */
+    char *bad = world_swapped(good, "\"Vcpus\":2.0,", "");
+    w->state_down = true;
+    world_run(w, 500);
+    assert_int_equal(world_ask(w, 0, "POST", "/work", bad).status, 503);
+    w->state_down = false;
+    world_run(w, 3000);
+    /* Nor is it forgotten once it is over and left memory. */
+    worker_exit_all(w, "wk-1", "done");
+    world_run(w, 3000);
+    world_expect_stage(w, 0, "wk-1", "done");
+    w->nodes[0]->view->most_over = 0;
+    world_submit(w, 0, "wk-3", "sweep", 1);
+    assert_int_equal(cancel_job(w, 0, "wk-3"), 200);
+    world_run(w, 3000);
+    assert_null(view_job(w->nodes[0]->view, "wk-1"));
+    struct user_answer a = world_ask(w, 0, "POST", "/work", bad);
+    assert_true(a.status == 200 && strstr(a.body, "done"));
+    g_free(bad);
+    g_free(good);
+}
+
 /* More machines go at once than a transaction may hold writes for, which the world asserts. */
 static void many_machines_go_at_once(void **state)
 {
@@ -948,6 +1020,7 @@
         WORLD_TEST(all_nodes_back_at_once_go_on),
         WORLD_TEST(a_leader_goes_on_after_an_outage),
         WORLD_TEST(old_jobs_are_read_when_asked_for),
+        WORLD_TEST(what_cannot_be_taken_is_told_so),
         WORLD_TEST(many_machines_go_at_once),
         WORLD_TEST(a_node_that_was_away_reads_pages),
         WORLD_TEST(a_worker_that_counts_anew_is_believed),
