--- /dev/null
+++ b/tests/test_rules.c
@@ -0,0 +1,393 @@
+/* The rules that the test world judges by can be broken, each of them: what happens is told to them
+ * line by line, and the rule that they name is compared. */
+#include "world.h"
+
+#include <stdio.h>
+
+/* What a case consists of: words, the first of which says what happens.
+ *   submit ID MORE STATUS STAGE   MORE: fields of its own, which replace the usual ones
+ *   poll ID STATUS STAGE, abort ID STATUS STAGE
+ *   start TASK MACHINE SENT_S, exit TASK MACHINE, done TASK MACHINE
+ *   wait S, look, shares
+ * SENT_S: when the command was sent. */
+struct judged_case {
+    const char *name, *events;
+    const char *rule; /* NULL: nothing is broken */
+};
+
+static const struct rules_machine machines[] = {
+    {"a1", "g8", "a", false},  {"a2", "g8", "a", false}, {"b1", "g8", "b", false},
+    {"spot", "g8", "a", true}, {"x1", "x9", "a", false},
+};
+
+static const char types_text[] =
+    "{\"Builds\":[{\"Label\":\"g8\",\"Vcpus\":8,\"Cards\":0,\"MemoryGb\":32,"
+    "\"Yards\":[\"a\",\"b\"]},"
+    "{\"Label\":\"x9\",\"Vcpus\":4,\"Cards\":0,\"MemoryGb\":8,\"Yards\":[\"a\"]}]}";
+
+static const struct judged_case cases[] = {
+    {"all is well",
+     "submit wk-1 - 201 queued\nstart wk-1/0 a1 0\nstart wk-1/1 b1 0\npoll wk-1 200 running\n"
+     "done wk-1/0 a1\ndone wk-1/1 b1\npoll wk-1 200 done\nwait 100\npoll wk-1 200 done",
+     NULL},
+    {"a start by a command sent after the cancellation",
+     "submit wk-1 - 201 queued\nabort wk-1 200 cancelled\nwait 1\nstart wk-1/0 a1 1",
+     "ran_cancelled"},
+    {"a start that was on its way",
+     "submit wk-1 - 201 queued\nwait 1\nabort wk-1 200 cancelled\nwait 20\nstart wk-1/0 a1 0\n"
+     "wait 9\nexit wk-1/0 a1",
+     NULL},
+    {"a start that was on its way for too long",
+     "submit wk-1 - 201 queued\nwait 1\nabort wk-1 200 cancelled\nwait 31\nstart wk-1/0 a1 0",
+     "ran_cancelled"},
+    {"a task that leaves too late",
+     "submit wk-1 - 201 queued\nstart wk-1/0 a1 0\nabort wk-1 200 cancelled\nwait 31\n"
+     "exit wk-1/0 a1",
+     "ran_cancelled"},
+    {"a task that is there at the end",
+     "submit wk-1 - 201 queued\nstart wk-1/0 a1 0\nabort wk-1 200 cancelled\nwait 31",
+     "ran_cancelled"},
+    {"a task that leaves in time",
+     "submit wk-1 - 201 queued\nstart wk-1/0 a1 0\nabort wk-1 200 cancelled\nwait 29\n"
+     "exit wk-1/0 a1\nwait 10",
+     NULL},
+    {"a cancellation that only a poll told",
+     "submit wk-1 - 201 queued\nabort wk-1 503 -\nwait 1\npoll wk-1 200 cancelled\nwait 1\n"
+     "start wk-1/0 a1 2",
+     "ran_cancelled"},
+    {"a cancellation that nobody was told of yet",
+     "submit wk-1 - 201 queued\nabort wk-1 503 -\nwait 1\nstart wk-1/0 a1 1", NULL},
+    {"cancelled with one that it awaits",
+     "submit wk-0 - 201 queued\nsubmit wk-1 \"Awaits\":[\"wk-0\"] 201 queued\n"
+     "abort wk-0 200 cancelled\npoll wk-1 200 cancelled",
+     NULL},
+    {"cancelled, then queued",
+     "submit wk-1 - 201 queued\nabort wk-1 200 cancelled\nwait 1\npoll wk-1 200 queued",
+     "went_back"},
+    {"cancelled, then done",
+     "submit wk-1 \"Pieces\":1 201 queued\nstart wk-1/0 a1 0\ndone wk-1/0 a1\n"
+     "abort wk-1 200 cancelled\npoll wk-1 200 done",
+     "went_back"},
+    {"done, then cancelled",
+     "submit wk-1 \"Pieces\":1 201 queued\nstart wk-1/0 a1 0\ndone wk-1/0 a1\n"
+     "poll wk-1 200 done\nabort wk-1 200 cancelled",
+     "went_back"},
+    {"done, then running",
+     "submit wk-1 \"Pieces\":1 201 queued\nstart wk-1/0 a1 0\ndone wk-1/0 a1\npoll wk-1 200 done\n"
+     "wait 1\npoll wk-1 200 running",
+     "went_back"},
+    {"done, then submitted as if it were new",
+     "submit wk-1 \"Pieces\":1 201 queued\nstart wk-1/0 a1 0\ndone wk-1/0 a1\npoll wk-1 200 done\n"
+     "wait 1\nsubmit wk-1 \"Pieces\":1 201 queued",
+     "went_back"},
+    {"cancelled by nobody", "submit wk-1 - 201 queued\npoll wk-1 200 cancelled", "went_back"},
+    {"cancelled with another that is not awaited",
+     "submit wk-0 - 201 queued\nsubmit wk-1 - 201 queued\nabort wk-0 200 cancelled\n"
+     "poll wk-1 200 cancelled",
+     "went_back"},
+    {"accepted, then 404", "submit wk-1 - 201 queued\nwait 1\npoll wk-1 404 -", "forgotten"},
+    {"accepted, then an abort gets 404", "submit wk-1 - 201 queued\nwait 1\nabort wk-1 404 -",
+     "forgotten"},
+    {"accepted, then 422", "submit wk-1 - 201 queued\nwait 1\nsubmit wk-1 - 422 -", "forgotten"},
+    {"accepted, then 400", "submit wk-1 - 201 queued\nwait 1\nsubmit wk-1 - 400 -", "forgotten"},
+    {"accepted, then 503", "submit wk-1 - 201 queued\nwait 1\nsubmit wk-1 - 503 -", NULL},
+    {"404 while it was not known whether it was accepted",
+     "submit wk-1 - 503 -\npoll wk-1 404 -\npoll wk-1 200 queued", NULL},
+    {"never submitted", "poll wk-1 200 queued", "invented"},
+    {"never submitted, and cancelled", "abort wk-1 200 cancelled", "invented"},
+    {"refused, and known", "submit wk-1 - 422 -\npoll wk-1 200 queued", "invented"},
+    {"a task that nobody submitted", "start wk-1/0 a1 0", "invented"},
+    {"a task behind the last one", "submit wk-1 - 201 queued\nstart wk-1/2 a1 0", "invented"},
+    {"done too early",
+     "submit wk-1 - 201 queued\nstart wk-1/0 a1 0\nstart wk-1/1 a1 0\ndone wk-1/0 a1\n"
+     "exit wk-1/1 a1\npoll wk-1 200 done",
+     "not_done"},
+    {"a task done twice is not two",
+     "submit wk-1 - 201 queued\nstart wk-1/0 a1 0\ndone wk-1/0 a1\nstart wk-1/0 a2 0\n"
+     "done wk-1/0 a2\npoll wk-1 200 done",
+     "not_done"},
+    {"accepted without a field", "submit wk-1 \"Mould\":null 201 queued", "accepted"},
+    {"accepted with a text for a number", "submit wk-1 \"Vcpus\":\"2\" 201 queued", "accepted"},
+    {"accepted with no task", "submit wk-1 \"Pieces\":0 201 queued", "accepted"},
+    {"accepted in no known form", "submit wk-1 \"Form\":\"pile\" 201 queued", "accepted"},
+    {"accepted of an unknown team", "submit wk-1 \"Crew\":\"green\" 201 queued", "accepted"},
+    {"accepted though it fits no type", "submit wk-1 \"Vcpus\":9.0 201 queued", "accepted"},
+    {"accepted though it fits no allowed type",
+     "submit wk-1 \"Vcpus\":6.0,\"Builds\":[\"x9\"] 201 queued", "accepted"},
+    {"accepted though it fits no type of its zone",
+     "submit wk-1 \"Builds\":[\"x9\"],\"Yard\":\"b\" 201 queued", "accepted"},
+    {"accepted, a gang beyond the limit",
+     "submit wk-1 \"Crew\":\"red\",\"Form\":\"gang\",\"Pieces\":9 201 queued", "accepted"},
+    {"accepted, a service beyond the limit",
+     "submit wk-1 \"Crew\":\"red\",\"Form\":\"daemon\",\"Pieces\":9 201 queued", "accepted"},
+    {"an array may be longer than the limit",
+     "submit wk-1 \"Crew\":\"red\",\"Pieces\":9 201 queued", NULL},
+    {"over the limit",
+     "submit wk-1 \"Crew\":\"red\",\"Vcpus\":8.0,\"Pieces\":3 201 queued\nstart wk-1/0 a1 0\n"
+     "start wk-1/1 a2 0\nstart wk-1/2 b1 0",
+     "quota"},
+    {"over the limit with another job",
+     "submit wk-1 \"Crew\":\"red\",\"Vcpus\":8.0 201 queued\nsubmit wk-2 \"Crew\":\"red\" 201 "
+     "queued\n"
+     "start wk-1/0 a1 0\nstart wk-1/1 a2 0\nstart wk-2/0 b1 0",
+     "quota"},
+    {"one leaves before the next one",
+     "submit wk-1 \"Crew\":\"red\",\"Vcpus\":8.0,\"Pieces\":3 201 queued\nstart wk-1/0 a1 0\n"
+     "start wk-1/1 a2 0\nexit wk-1/0 a1\nstart wk-1/2 b1 0",
+     NULL},
+    {"a type that is not allowed", "submit wk-1 \"Builds\":[\"g8\"] 201 queued\nstart wk-1/0 x1 0",
+     "wrong_place"},
+    {"a zone that is not allowed", "submit wk-1 \"Yard\":\"a\" 201 queued\nstart wk-1/0 b1 0",
+     "wrong_place"},
+    {"a kind that is not allowed", "submit wk-1 \"Loaners\":false 201 queued\nstart wk-1/0 spot 0",
+     "wrong_place"},
+    {"two zones instead of one",
+     "submit wk-1 \"OneZone\":true 201 queued\nstart wk-1/0 a1 0\nstart wk-1/1 b1 0",
+     "wrong_place"},
+    {"two zones, but one after the other",
+     "submit wk-1 \"OneZone\":true 201 queued\nstart wk-1/0 a1 0\nexit wk-1/0 a1\n"
+     "start wk-1/1 b1 0",
+     NULL},
+    {"more than half in one zone",
+     "submit wk-1 \"Apart\":true,\"Pieces\":3 201 queued\nstart wk-1/0 a1 0\nstart wk-1/1 a2 0\n"
+     "start wk-1/2 a1 0",
+     "wrong_place"},
+    {"half, rounded up, in one zone",
+     "submit wk-1 \"Apart\":true,\"Pieces\":3 201 queued\nstart wk-1/0 a1 0\nstart wk-1/1 a2 0\n"
+     "start wk-1/2 b1 0",
+     NULL},
+    {"on two machines", "submit wk-1 - 201 queued\nstart wk-1/0 a1 0\nstart wk-1/0 b1 0",
+     "ran_twice"},
+    {"before what it awaits",
+     "submit wk-0 - 201 queued\nsubmit wk-1 \"Awaits\":[\"wk-0\"] 201 queued\nstart wk-1/0 a1 0",
+     "too_early"},
+    {"left waiting with room for it", "submit wk-1 - 201 queued\nlook\nwait 90\nlook", "waits"},
+    {"a gang left waiting with room for it",
+     "submit wk-1 \"Form\":\"gang\" 201 queued\nlook\nwait 90\nlook", "waits"},
+    {"left waiting, not for long enough", "submit wk-1 - 201 queued\nlook\nwait 89\nlook", NULL},
+    {"left waiting while there was no room",
+     "submit wk-1 \"Vcpus\":8.0,\"Builds\":[\"g8\"],\"Loaners\":false,\"Pieces\":4 201 queued\n"
+     "start wk-1/0 a1 0\nstart wk-1/1 a2 0\nstart wk-1/2 b1 0\nlook\nwait 90\nlook",
+     NULL},
+    {"left waiting at its team's limit",
+     "submit wk-1 \"Crew\":\"red\",\"Vcpus\":8.0,\"Pieces\":3 201 queued\nstart wk-1/0 a1 0\n"
+     "start wk-1/1 a2 0\nlook\nwait 90\nlook",
+     NULL},
+    {"a gang for which there is room for a part only",
+     "submit wk-1 \"Form\":\"gang\",\"Vcpus\":8.0,\"Yard\":\"b\" 201 queued\nlook\nwait 90\nlook",
+     NULL},
+    {"a third of a class served",
+     "submit wk-1 \"Pieces\":1 201 queued\nsubmit wk-2 \"Crew\":\"red\",\"Pieces\":1 201 queued\n"
+     "submit wk-3 \"Crew\":\"red\",\"Pieces\":1 201 queued\nstart wk-1/0 a1 0\nshares",
+     "shares"},
+    {"no job of a team served",
+     "submit wk-1 \"Pieces\":1 201 queued\nsubmit wk-2 \"Lot\":\"b\",\"Pieces\":1 201 queued\n"
+     "submit wk-3 \"Crew\":\"red\",\"Pieces\":1 201 queued\nstart wk-1/0 a1 0\n"
+     "start wk-2/0 a1 0\nshares",
+     "shares"},
+    {"the largest of a class late",
+     "submit wk-1 \"Pieces\":1 201 queued\nsubmit wk-2 - 201 queued\nstart wk-1/0 a1 0\n"
+     "wait 241\nstart wk-2/0 a1 241\nstart wk-2/1 a1 241\nshares",
+     "shares"},
+    {"half of each served, the largest in time",
+     "submit wk-1 \"Pieces\":1 201 queued\nsubmit wk-2 - 201 queued\nwait 239\n"
+     "start wk-2/0 a1 239\nstart wk-2/1 a1 239\nshares",
+     NULL},
+};
+
+/* The usual job, some of whose fields are replaced. */
+static char *body_with(const char *id, const char *more)
+{
+    char *usual = world_job(id, "sweep", 2, "blue", 2.0, "");
+    json_object *o = json_tokener_parse(usual);
+    char *text = g_strdup_printf("{%s}", strcmp(more, "-") == 0 ? "" : more);
+    json_object *own = json_tokener_parse(text);
+    assert_non_null(own);
+    json_object_object_foreach(own, name, value)
+        json_object_object_add(o, name, json_object_get(value));
+    char *out = g_strdup(json_object_to_json_string(o));
+    json_object_put(o);
+    json_object_put(own);
+    g_free(usual);
+    g_free(text);
+    return out;
+}
+
+static void answered(struct rules *r, mono_time now, const char *method, const char *path,
+                     const char *body, char **tail)
+{
+    char *answer = g_strdup_printf("{\"Stage\":\"%s\"}", tail[1]);
+    rules_asked(r, now, method, path, body);
+    rules_answered(r, now, now, method, path, body, atoi(tail[0]), answer);
+    g_free(answer);
+}
+
+static const struct rules_machine *machine_named(const char *id)
+{
+    for (guint i = 0; i < G_N_ELEMENTS(machines); i++)
+        if (strcmp(machines[i].id, id) == 0)
+            return &machines[i];
+    fail_msg("no machine %s", id);
+    return NULL;
+}
+
+static void play_task(struct rules *r, mono_time now, char **w)
+{
+    char **task = g_strsplit(w[1], "/", 2);
+    const struct rules_machine *m = machine_named(w[2]);
+    uint32_t index = (uint32_t)atoi(task[1]);
+    if (strcmp(w[0], "start") == 0) {
+        rules_started(r, now, (mono_time){atoi(w[3]) * INT64_C(1000000)}, m, task[0], index);
+    } else {
+        rules_left(r, now, m->id, task[0], index);
+        if (strcmp(w[0], "done") == 0)
+            rules_done(r, task[0], index);
+    }
+    g_strfreev(task);
+}
+
+static void play_event(struct rules *r, mono_time *now, const char *line)
+{
+    char **w = g_strsplit(line, " ", -1);
+    char *path = w[1] ? g_strconcat("/work/", w[1], NULL) : NULL;
+    if (strcmp(w[0], "submit") == 0) {
+        char *body = body_with(w[1], w[2]);
+        answered(r, *now, "POST", "/work", body, w + 3);
+        g_free(body);
+    } else if (strcmp(w[0], "poll") == 0) {
+        answered(r, *now, "GET", path, "", w + 2);
+    } else if (strcmp(w[0], "abort") == 0) {
+        char *abort_path = g_strconcat(path, "/abort", NULL);
+        answered(r, *now, "POST", abort_path, "", w + 2);
+        g_free(abort_path);
+    } else if (strcmp(w[0], "wait") == 0) {
+        *now = time_add_ms(*now, 1000 * atoi(w[1]));
+    } else if (strcmp(w[0], "look") == 0) {
+        rules_look(r, *now, machines, G_N_ELEMENTS(machines));
+    } else if (strcmp(w[0], "shares") == 0) {
+        rules_shares(r);
+    } else {
+        play_task(r, *now, w);
+    }
+    g_free(path);
+    g_strfreev(w);
+}
+
+/* Whether all complaints are of that rule. */
+static bool only_of(const char *broken, const char *rule)
+{
+    char **lines = g_strsplit(broken, "\n", -1), *want = g_strconcat(rule, ": ", NULL);
+    bool all = true;
+    for (int i = 0; lines[i]; i++)
+        all = all && g_str_has_prefix(lines[i], want);
+    g_strfreev(lines);
+    g_free(want);
+    return all;
+}
+
+static void each_rule_can_be_broken(void **state)
+{
+    (void)state;
+    struct world *w = world_new(); /* for its settings */
+    int wrong = 0;
+    for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+        const struct judged_case *c = &cases[i];
+        struct rules *r = rules_new(w->settings[0]);
+        rules_types(r, types_text);
+        mono_time now = {0};
+        char **lines = g_strsplit(c->events, "\n", -1);
+        for (int n = 0; lines[n]; n++)
+            play_event(r, &now, lines[n]);
+        const char *broken = rules_end(r, now);
+        bool as_wanted = c->rule ? broken && only_of(broken, c->rule) : !broken;
+        wrong += !as_wanted;
+        if (!as_wanted)
+            print_error("%s: wanted %s, got %s\n", c->name, c->rule ? c->rule : "nothing",
+                        broken ? broken : "nothing");
+        g_strfreev(lines);
+        rules_free(r);
+    }
+    assert_int_equal(wrong, 0);
+    world_free(w);
+}
+
+/* What a test writes by hand is known from then on, and not more than that. */
+static void what_is_written_by_hand_is_known(void **state)
+{
+    (void)state;
+    struct world *w = world_new();
+    struct rules *r = rules_new(w->settings[0]);
+    mono_time now = {1000};
+    rules_types(r, types_text);
+    rules_job_by_hand(r, now, "wk-1", "{\"f\":\"done\",\"n\":1}");
+    rules_job_by_hand(r, now, "wk-2", "{\"f\":\"cancelled\",\"n\":1}");
+    char *spec = body_with("wk-3", "\"Crew\":\"red\",\"Vcpus\":8.0,\"Pieces\":3");
+    char *value = g_strdup_printf("{\"t\":1,\"w\":%s}", spec);
+    rules_job_by_hand(r, now, "wk-3", value);
+    play_event(r, &now, "poll wk-1 200 done");
+    play_event(r, &now, "poll wk-2 200 cancelled");
+    rules_task_by_hand(r, now, machine_named("a1"), "wk-3", 0);
+    rules_task_by_hand(r, now, machine_named("a2"), "wk-3", 1);
+    assert_null(rules_end(r, now));
+    play_event(r, &now, "start wk-3/2 b1 0"); /* what is there by hand counts */
+    assert_non_null(strstr(rules_end(r, now), "quota: "));
+    play_event(r, &now, "poll wk-1 404 -");
+    assert_non_null(strstr(rules_end(r, now), "forgotten: "));
+    play_event(r, &now, "poll wk-3 200 cancelled");
+    assert_non_null(strstr(rules_end(r, now), "went_back: "));
+    g_free(spec);
+    g_free(value);
+    rules_free(r);
+    world_free(w);
+}
+
+/* The world tells the rules of what happens in it: a lie by hand is seen. */
+static void the_world_is_judged(void **state)
+{
+    struct world *w = *state;
+    world_submit(w, 0, "wk-1", "sweep", 2);
+    world_submit(w, 0, "wk-2", "daemon", 1);
+    world_run(w, 8000);
+    assert_null(rules_end(w->rules, loop_now(w->loop)));
+    world_put(w, "ll/j/wk-1", "{\"f\":\"done\",\"n\":2}");
+    world_run(w, 500);
+    world_expect_stage(w, 0, "wk-1", "done");
+    assert_non_null(strstr(rules_end(w->rules, loop_now(w->loop)), "not_done: wk-1"));
+    world_put(w, "ll/j/wk-9", "{\"f\":\"done\",\"n\":2}");
+    world_run(w, 500);
+    world_expect_stage(w, 1, "wk-9", "done");
+    assert_non_null(strstr(rules_end(w->rules, loop_now(w->loop)), "invented: wk-9"));
+    world_remove(w, "ll/j/wk-2");
+    world_run(w, 500);
+    assert_int_equal(world_ask(w, 2, "GET", "/work/wk-2", NULL).status, 404);
+    assert_non_null(strstr(rules_end(w->rules, loop_now(w->loop)), "forgotten: wk-2"));
+    world_free(w);
+}
+
+static void a_settled_world_knows_all_its_jobs(void **state)
+{
+    struct world *w = *state;
+    world_submit(w, 0, "wk-1", "sweep", 2);
+    world_submit(w, 1, "wk-2", "daemon", 2);
+    world_ask(w, 1, "POST", "/work/wk-2/abort", NULL);
+    w->state_down = true;
+    world_kill(w, 2);
+    world_run(w, 12000);
+    world_settle(w, 100000);
+    assert_int_equal(world_on_machines(w, "wk-1"), 2);
+    GPtrArray *kept = rules_kept_jobs(w->rules);
+    assert_int_equal(kept->len, 1);
+    assert_string_equal(kept->pdata[0], "/work/wk-1");
+    g_ptr_array_unref(kept);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(each_rule_can_be_broken),
+        cmocka_unit_test(what_is_written_by_hand_is_known),
+        cmocka_unit_test_setup(the_world_is_judged, world_open),
+        WORLD_TEST(a_settled_world_knows_all_its_jobs),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -801,6 +801,8 @@
     char *whole = g_strdup_printf("{\"t\":\"\",\"d\":\"#wk-1 0:%s 1:%s \"}", bits->str, bits->str);
     g_string_truncate(bits, 2 * (20000 - 2 * CHUNK_TASKS) / 8);
     char *last = g_strdup_printf("{\"t\":\"\",\"d\":\"#wk-1 2:%s \"}", bits->str);
+    for (uint32_t t = 0; t < 20000; t++) /* as the pages say */
+        rules_done(w->rules, "wk-1", t);
     world_put(w, "ll/p/mast-7/1", last);
     world_run(w, 2000);
     world_expect_stage(w, 1, "wk-1", "queued");
--- a/tests/world.h
+++ b/tests/world.h
@@ -4,6 +4,7 @@
 #define LL_TEST_WORLD_H
 
 #include "node.h"
+#include "rules.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -113,6 +114,7 @@
     GHashTable *last_on;      /* task -> struct worker that started it last */
     const char *types;        /* what the cloud says of them */
     /* replies to what the test asked */
+    struct rules *rules;
     struct http_replier replier;
     GHashTable *answers;
     uint64_t next_conn;
@@ -133,6 +135,8 @@
                              bool loaners);
 /* Writes a key of the state service by hand. */
 void world_put(struct world *w, const char *key, const char *text);
+/* The same for a job that no user submitted, or its end: the rules take its value for true. */
+void world_put_job(struct world *w, const char *job, const char *value);
 void world_remove(struct world *w, const char *key);
 const char *world_key(struct world *w, const char *key); /* its text, or NULL */
 /* A task is on a machine, as some node started it that nobody sees here. */
@@ -170,8 +174,15 @@
 int world_leader_index(struct world *w);
 void world_expect_stage(struct world *w, int node, const char *job, const char *stage);
 
+/* A look whether a job waits in vain: every second, and only while there are no troubles. */
+void world_look(struct world *w);
+/* Ends all troubles, runs the world, and looks: nothing waits in vain, all nodes know all jobs. */
+void world_settle(struct world *w, int64_t ms);
+/* Frees the world, and fails the test if a rule was broken in it. */
+void world_end(struct world *w);
+
 /* A test of whole nodes: begins with a world in which all nodes are up, and ends with a look
- * whether any task ever ran twice. */
+ * whether any rule was broken. */
 int world_open(void **state);
 int world_close(void **state);
 #define WORLD_TEST(f) cmocka_unit_test_setup_teardown(f, world_open, world_close)
