--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -918,6 +918,49 @@
     assert_int_equal(world_starts(w), ended + world_on_machines(w, "wk-1"));
 }
 
+/* Users ask all nodes, and repeat the submission; the world sees to it that nothing is older.
+ * stage NULL: whatever it may be. */
+static void ask_all(struct world *w, const char *job, const char *stage)
+{
+    char *path = g_strconcat("/work/", job, NULL);
+    for (int i = 0; i < WORLD_NODES; i++) {
+        struct user_answer a = world_ask(w, i, "GET", path, NULL);
+        assert_int_equal(a.status, 200);
+        assert_true(!stage || strstr(a.body, stage));
+        assert_int_equal(world_submit(w, i, job, "sweep", 2).status, 200);
+    }
+    g_free(path);
+}
+
+/* What the nodes' views show is half a second old, and yet no node tells anything older than what
+ * another one has told. */
+static void no_node_tells_anything_older(void **state)
+{
+    struct world *w = *state;
+    two_ordinary_machines(w);
+    w->fate = late_watches;
+    for (int i = 0; i < WORLD_NODES; i++) {
+        char id[16], path[32];
+        g_snprintf(id, sizeof id, "wk-%d", i);
+        g_snprintf(path, sizeof path, "/work/%s/abort", id);
+        assert_int_equal(world_submit(w, i, id, "sweep", 2).status, 201);
+        ask_all(w, id, NULL);
+        world_run(w, 3000);
+        assert_int_equal(world_ask(w, i, "POST", path, NULL).status, 200);
+        ask_all(w, id, "\"cancelled\"");
+        g_snprintf(id, sizeof id, "wk-1%d", i);
+        assert_int_equal(world_submit(w, i, id, "sweep", 2).status, 201);
+        world_run(w, 3000);
+        worker_exit_all(w, id, "done");
+        char *all = g_strconcat("/work/", id, NULL);
+        struct user_answer a = {0};
+        for (int n = 0; n < 300 && !strstr(a.body, "\"Stage\":\"done\""); n++)
+            a = world_ask(w, n % WORLD_NODES, "GET", all, NULL);
+        g_free(all);
+        ask_all(w, id, "\"Stage\":\"done\"");
+    }
+}
+
 static void a_worker_back_with_a_new_session_lost_its_tasks(void **state)
 {
     struct world *w = *state;
@@ -956,6 +999,7 @@
         WORLD_TEST(a_page_in_disorder_changes_hands),
         WORLD_TEST(records_leave_the_page_they_were_put_on),
         WORLD_TEST(a_view_that_lags_frees_nothing),
+        WORLD_TEST(no_node_tells_anything_older),
         WORLD_TEST_SETTLED(a_worker_back_with_a_new_session_lost_its_tasks),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -37,6 +37,29 @@
     assert_int_equal(world_ask(w, 0, "GET", "/nowhere", NULL).status, 404);
 }
 
+/* Each of the fields that a submission must have. */
+static void a_job_that_lacks_a_field_is_refused(void **state)
+{
+    struct world *w = *state;
+    char *usual = world_job("wk-1", "sweep", 1, "blue", 2.0, "");
+    json_object *whole = json_tokener_parse(usual);
+    int n = 0;
+    json_object_object_foreach(whole, name, value)
+    {
+        (void)value;
+        json_object *less = json_tokener_parse(usual);
+        json_object_object_del(less, name);
+        const char *body = json_object_to_json_string(less);
+        assert_int_equal(world_ask(w, n++ % WORLD_NODES, "POST", "/work", body).status, 400);
+        json_object_put(less);
+    }
+    assert_int_equal(n, 17);
+    assert_int_equal(world_ask(w, 0, "GET", "/work/wk-1", NULL).status, 404);
+    assert_int_equal(world_ask(w, 0, "POST", "/work", usual).status, 201);
+    json_object_put(whole);
+    g_free(usual);
+}
+
 static void a_team_never_passes_its_limit(void **state)
 {
     struct world *w = *state;
@@ -836,6 +859,7 @@
     const struct CMUnitTest tests[] = {
         WORLD_TEST(an_array_runs_and_is_done_everywhere),
         WORLD_TEST(unknown_jobs_get_404_and_bad_ones_are_refused),
+        WORLD_TEST(a_job_that_lacks_a_field_is_refused),
         WORLD_TEST_SETTLED(a_team_never_passes_its_limit),
         WORLD_TEST_SETTLED(a_cancelled_job_is_gone_and_stays_cancelled),
         WORLD_TEST(a_late_run_after_its_task_is_over_starts_nothing),
