--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -121,6 +121,7 @@
     uint64_t generation, attempts, deals;
     GHashTable *jobs, *hosts, *parts;
     GHashTable *paces; /* job -> struct job_pace */
+    double usual_pace; /* of the machines */
     struct lteam *teams;
     int n_teams;
     int first_team;       /* that this pass begins with */
@@ -143,7 +144,8 @@
 };
 
 /* leader.c: the ledger and the leader's messages */
-bool leader_host_slow(const struct lhost *h);
+void leader_measure_paces(struct leader *l);
+bool leader_host_slow(const struct leader *l, const struct lhost *h);
 struct ljob *ljob_get(struct leader *l, const char *id);
 gpointer leader_key_of(uint32_t index);
 struct lhost *lhost_get(struct leader *l, const char *id);
