--- a/src/frontend.c
+++ b/src/frontend.c
@@ -164,6 +164,15 @@
 
 static void ask_step(void *arg, bool ok);
 
+/* The other nodes know of the cancellation, too. */
+static void cancel_announced(void *arg)
+{
+    struct ask *a = arg;
+    if (!a->answered)
+        reply(a->replier, a->from, 200, codec_job_answer(a->job, "cancelled", -1, 0));
+    ask_end(a);
+}
+
 static void written(void *arg, const struct txn_outcome *o)
 {
     struct ask *a = arg;
@@ -179,11 +188,12 @@
     } else if (o->result == TXN_DONE) {
         /* It is on record, so this may be said from now on. */
         LOG_DEBUG("answered", "job=%s action=%d", a->job.s, a->action);
-        if (a->action == ACTION_SUBMIT)
-            reply(a->replier, a->from, 201,
-                  codec_job_answer(a->job, a->doomed ? "cancelled" : "queued", -1, 0));
-        else
-            reply(a->replier, a->from, 200, codec_job_answer(a->job, "cancelled", -1, 0));
+        if (a->action == ACTION_CANCEL) {
+            peers_announce_cancel(f->peers, a->job, o->at, cancel_announced, a);
+            return;
+        }
+        reply(a->replier, a->from, 201,
+              codec_job_answer(a->job, a->doomed ? "cancelled" : "queued", -1, 0));
         ask_end(a);
     } else if (o->result == TXN_CONFLICT && ++a->rounds < WRITE_ROUNDS) {
         view_await(f->view, o->at, ask_step, a);
--- a/src/peers.c
+++ b/src/peers.c
@@ -10,6 +10,7 @@
     FRESH_MS = 3000,    /* a view that is older shows nobody's absence */
     MOST_TOLD = 4000,   /* cancellations that are remembered */
     MOST_HANDED = 1000, /* and handed over in one answer */
+    ANNOUNCE_MS = 100,
 };
 
 struct peer {
@@ -204,6 +205,55 @@
             g_hash_table_iter_remove(&it);
 }
 
+static int on_cancelled(void *ctx, const char *from, const cJSON *m, cJSON **answer)
+{
+    (void)from;
+    (void)answer;
+    const char *id = bus_text(m, "j");
+    job_id job;
+    revision of;
+    if (!id || !job_id_from(&job, id) || !bus_u64(m, "r", &of.v))
+        return 400;
+    learn(ctx, job, of);
+    return 200;
+}
+
+struct announcement {
+    guint out;
+    void (*done)(void *arg);
+    void *arg;
+};
+
+static void announced(void *arg, int status, const cJSON *answer)
+{
+    (void)status;
+    (void)answer;
+    struct announcement *a = arg;
+    if (--a->out)
+        return;
+    a->done(a->arg);
+    g_free(a);
+}
+
+void peers_announce_cancel(struct peers *p, job_id job, revision of, void (*done)(void *arg),
+                           void *arg)
+{
+    const GArray *all = p->settings->siblings;
+    if (!all->len) {
+        done(arg);
+        return;
+    }
+    struct announcement *a = g_new(struct announcement, 1);
+    *a = (struct announcement){all->len, done, arg};
+    for (guint i = 0; i < all->len; i++) {
+        cJSON *m = cJSON_CreateObject();
+        cJSON_AddStringToObject(m, "j", job.s);
+        bus_put_u64(m, "r", of.v);
+        bus_send(p->bus, g_array_index(all, struct sibling, i).label, "cancelled", m, ANNOUNCE_MS,
+                 announced, a);
+    }
+}
+
 /* Adds what a node whose view stands at that revision may not know. */
 static void hand_over(struct peers *p, uint64_t at, cJSON *answer)
 {
@@ -295,6 +345,7 @@
     timer_init(&p->ask, ask, p);
     bus_handle(bus, "health", on_health, p);
     bus_handle(bus, "kept", on_kept, p);
+    bus_handle(bus, "cancelled", on_cancelled, p);
     return p;
 }
 
--- a/src/peers.h
+++ b/src/peers.h
@@ -37,6 +37,10 @@
 
 /* This node tells a user that a job is cancelled, which its record says since that revision. */
 void peers_told_cancel(struct peers *p, job_id job, revision of);
+/* Says so to the other nodes, before the user is told: done is called once all of them know, so
+ * that none starts anything of the job any more, or a moment later if some cannot be reached. */
+void peers_announce_cancel(struct peers *p, job_id job, revision of, void (*done)(void *arg),
+                           void *arg);
 /* A transaction that cancels a job is on its way; and what became of it: one of which nobody knows
  * may have been carried out, or be so later. */
 void peers_cancel_sent(struct peers *p, job_id job);
--- a/tests/test_gap.c
+++ b/tests/test_gap.c
@@ -31,6 +31,7 @@
 static void two_services(struct world *w)
 {
     w->capacity = 0;
+    w->lost = "/cancelled"; /* what is said at once: here it has to be asked for */
     for (int i = 0; i < WORLD_WORKERS; i++) {
         char next[16];
         do /* every node has some */
@@ -354,6 +355,34 @@
     end_trouble(w);
 }
 
+/* Before its user is told, all nodes know of a cancellation, whatever their views show, and none
+ * sends a start any more. One that cannot be reached is waited for a moment only. */
+static void all_nodes_know_before_the_user(void **state)
+{
+    struct world *w = *state;
+    two_services(w);
+    w->lost = NULL;
+    for (int node = 0; node < WORLD_NODES; node++)
+        w->refused[node] = node != 1;
+    assert_int_equal(cancel(w, 1, victim), 200);
+    job_id job;
+    assert_true(job_id_from(&job, victim));
+    for (int node = 0; node < WORLD_NODES; node++) {
+        assert_int_equal(peers_cancelled(w->nodes[node]->peers, job), CANCEL_SURE);
+        assert_true(node == 1 || view_job(w->nodes[node]->view, victim)->state == JOB_LIVE);
+    }
+    world_run(w, 500); /* the halts have gone out, no watch having told anything */
+    assert_int_equal(world_on_machines(w, victim), 0);
+    end_trouble(w);
+    world_submit(w, 0, "wk-3", "sweep", 1);
+    w->lost = "/cancelled";
+    char *path = g_strdup("/work/wk-3/abort");
+    struct user_answer a = world_ask(w, 0, "POST", path, NULL);
+    assert_int_equal(a.status, 200);
+    assert_in_range(a.took_ms, 0, 200);
+    g_free(path);
+}
+
 /* ---- a cancellation of which nobody knows whether it holds ---- */
 
 static enum fate cancel_fate;
@@ -505,6 +534,7 @@
         WORLD_TEST_SETTLED(a_machine_that_hangs_over_the_halt),
         WORLD_TEST_SETTLED(a_copy_of_an_old_answer_is_no_answer),
         WORLD_TEST_SETTLED(it_happens_twice_within_a_lease),
+        WORLD_TEST_SETTLED(all_nodes_know_before_the_user),
         WORLD_TEST_SETTLED(a_cancel_without_an_answer_may_hold),
         WORLD_TEST_SETTLED(a_cancel_that_did_not_hold_harms_nothing),
         WORLD_TEST_SETTLED(a_node_that_shelters_ends_what_is_cancelled),
--- a/tests/world.h
+++ b/tests/world.h
@@ -92,6 +92,7 @@
     fate_fn fate;
     bool state_down;
     bool refused[WORLD_MOST_NODES]; /* the state service refuses this node alone */
+    const char *lost; /* a kind of message between nodes, all of which are lost; NULL: none */
     /* What arrives of an answer between nodes; the text belongs to the caller. NULL: as it is. */
     char *(*between)(struct world *w, int node, const char *path, const char *body);
     double state_value_kb; /* what the state service allows: more fails the test */
