--- a/tests/world.c
+++ b/tests/world.c
@@ -1427,6 +1427,23 @@
     return -1;
 }
 
+int world_cancel(struct world *w, int node, const char *job)
+{
+    char *path = g_strdup_printf("/work/%s/abort", job);
+    int status = world_ask(w, node, "POST", path, NULL).status;
+    g_free(path);
+    return status;
+}
+
+enum fate world_only_workers(struct world *w, int node, const struct net_request *r)
+{
+    bool state = strcmp(r->addr, "10.2.0.1:2379") == 0, back = g_str_has_suffix(r->addr, ":8081");
+    char lone[32];
+    g_snprintf(lone, sizeof lone, "10.0.0.%d:8081", w->lone + 1);
+    return (node == w->lone && (state || back)) || strcmp(r->addr, lone) == 0 ? FATE_LOST
+                                                                              : FATE_NORMAL;
+}
+
 void world_expect_stage(struct world *w, int node, const char *job, const char *stage)
 {
     char *path = g_strconcat("/work/", job, NULL),
--- a/tests/world.h
+++ b/tests/world.h
@@ -93,6 +93,7 @@
     fate_fn fate;
     bool state_down;
     bool refused[WORLD_MOST_NODES]; /* the state service refuses this node alone */
+    int lone;                       /* the node that world_only_workers cuts off */
     const char *lost; /* a kind of message between nodes, all of which are lost; NULL: none */
     /* What arrives of an answer between nodes; the text belongs to the caller. NULL: as it is. */
     char *(*between)(struct world *w, int node, const char *path, const char *body);
@@ -182,6 +183,10 @@
 bool world_ran_twice(struct world *w);
 struct node *world_leader(struct world *w);
 int world_leader_index(struct world *w);
+/* Cancels a job at a node; the status that its user gets. */
+int world_cancel(struct world *w, int node, const char *job);
+/* A fate: the node w->lone and the others do not reach one another, nor it the state service. */
+enum fate world_only_workers(struct world *w, int node, const struct net_request *r);
 void world_expect_stage(struct world *w, int node, const char *job, const char *stage);
 
 /* A look whether a job waits in vain: every second, and only while there are no troubles. */
