--- a/daemon/main.c
+++ b/daemon/main.c
@@ -47,34 +47,36 @@
     return ok;
 }
 
-static int run(const struct settings *s, const struct policy *policy)
+static int run(const struct settings *settings, const struct policy *policy)
 {
     struct loop *loop = loop_new();
     /* Workers and users come in, and any worker may have to be reached: all of them, when this is
      * the last node. Beyond the limits the connection that idles longest makes room. */
-    int fds = s->fd_limit - KEPT_FDS;
-    int kept = PER_ADDRESS * (s->size + 1); /* to nodes, state service and cloud */
+    int fds = settings->fd_limit - KEPT_FDS;
+    int kept = PER_ADDRESS * (settings->size + 1); /* to nodes, state service and cloud */
     struct http_client_limits client = {.connections = MAX(fds * 3 / 8 - kept, 8),
                                         .per_address = PER_ADDRESS,
                                         .queue = MAX(fds, 2000),
-                                        .answer_size = settings_answer_bytes(s),
+                                        .answer_size = settings_answer_bytes(settings),
                                         .connect_ms = 1500,
                                         .idle_ms = 20000};
     struct net *net = http_client_new(loop, client);
-    http_client_keep(net, s->state_addr);
-    http_client_keep(net, s->cloud_addr);
-    for (guint i = 0; i < s->siblings->len; i++)
-        http_client_keep(net, g_array_index(s->siblings, struct sibling, i).endpoint);
-    struct node *node = node_new(loop, net, s, policy);
+    http_client_keep(net, settings->state_addr);
+    http_client_keep(net, settings->cloud_addr);
+    for (guint i = 0; i < settings->siblings->len; i++)
+        http_client_keep(net, g_array_index(settings->siblings, struct sibling, i).endpoint);
+    struct node *node = node_new(loop, net, settings, policy);
     struct http_limits api = {fds * 9 / 16, 64 << 10, 90000, 10000};
-    struct http_limits back = {MAX(fds / 16, 4 * s->size), settings_answer_bytes(s), 90000, 10000};
+    struct http_limits back = {MAX(fds / 16, 4 * settings->size), settings_answer_bytes(settings),
+                               90000, 10000};
     char *error = NULL;
-    if (!http_server_new(loop, s->api_addr, api, frontend_serve, node->frontend, &error) ||
-        !http_server_new(loop, s->back_addr, back, bus_serve, node->bus, &error)) {
+    if (!http_server_new(loop, settings->api_addr, api, frontend_serve, node->frontend, &error) ||
+        !http_server_new(loop, settings->back_addr, back, bus_serve, node->bus, &error)) {
         LOG_ERROR("listen", "%s", error);
         return 1;
     }
-    LOG_INFO("start", "version=%s api=%s back=%s", LL_VERSION, s->api_addr, s->back_addr);
+    LOG_INFO("start", "version=%s api=%s back=%s", LL_VERSION, settings->api_addr,
+             settings->back_addr);
     node_start(node);
     loop_run(loop);
     return 0;
@@ -83,62 +85,62 @@
 static int check_policy(const char *path)
 {
     char *error = NULL;
-    struct policy *p = policy_load(path, &error);
-    if (!p) {
+    struct policy *policy = policy_load(path, &error);
+    if (!policy) {
         int rc = usage_error(error);
         g_free(error);
         return rc;
     }
-    policy_free(p);
+    policy_free(policy);
     printf("%s: fine\n", path);
     return 0;
 }
 
 /* Reads all that a node needs, and runs it unless it was only to be checked. */
-static int start(const struct options *o)
+static int start(const struct options *options)
 {
     char *error = NULL;
-    struct settings *s = settings_load(o->config, &error);
-    struct policy *p = NULL;
+    struct settings *settings = settings_load(options->config, &error);
+    struct policy *policy = NULL;
     int rc = EXIT_USAGE;
-    if (s)
-        p = o->policy ? policy_load(o->policy, &error) : policy_default();
+    if (settings)
+        policy = options->policy ? policy_load(options->policy, &error) : policy_default();
     const char *level = g_getenv("LOG_LEVEL");
-    if (!p)
+    if (!policy)
         rc = usage_error(error);
-    else if (!log_setup(level && *level ? level : "info", s->label))
+    else if (!log_setup(level && *level ? level : "info", settings->label))
         rc = usage_error("LOG_LEVEL: must be error, info or debug");
-    else if (o->check)
-        rc = printf("%s: fine\n", o->config) < 0;
+    else if (options->check)
+        rc = printf("%s: fine\n", options->config) < 0;
     else
-        rc = run(s, p);
+        rc = run(settings, policy);
     g_free(error);
-    if (p)
-        policy_free(p);
-    if (s)
-        settings_free(s);
+    if (policy)
+        policy_free(policy);
+    if (settings)
+        settings_free(settings);
     return rc;
 }
 
 int main(int argc, char **argv)
 {
-    struct options o = {0};
+    struct options options = {0};
     GError *problem = NULL;
     int rc = 0;
-    if (!parse(argc, argv, &o, &problem)) {
+    if (!parse(argc, argv, &options, &problem)) {
         rc = usage_error(problem->message);
         g_error_free(problem);
-    } else if (o.version) {
+    } else if (options.version) {
         puts("linenlandingd " LL_VERSION);
-    } else if (o.check_policy) {
-        rc = check_policy(o.check_policy);
-    } else if (!o.config) {
+    } else if (options.check_policy) {
+        rc = check_policy(options.check_policy);
+    } else if (!options.config) {
         rc = usage_error("--config FILE is missing");
     } else {
-        rc = start(&o);
+        rc = start(&options);
     }
-    g_free(o.config);
-    g_free(o.policy);
-    g_free(o.check_policy);
+    g_free(options.config);
+    g_free(options.policy);
+    g_free(options.check_policy);
     return rc;
 }
--- a/src/arq.h
+++ b/src/arq.h
@@ -19,12 +19,13 @@
     double mu, sigma; /* of a log-normal, once there are enough */
 };
 
-void arq_busy_add(struct arq_busy *b, double seconds);
+void arq_busy_add(struct arq_busy *busy, double seconds);
 /* Chance that a machine that has been busy for age stays so for t more. With too few samples, busy
  * periods are taken for exponential with the mean given. */
-double arq_busy_stays(const struct arq_busy *b, double age, double t, double mean);
+double arq_busy_stays(const struct arq_busy *busy, double age, double t, double mean);
 /* Chance that at least one of the machines, busy for these ages, is free within t. */
-double arq_free_chance(const struct arq_busy *b, const double *ages, int n, double t, double mean);
+double arq_free_chance(const struct arq_busy *busy, const double *ages, int n, double t,
+                       double mean);
 
 enum arq_move {
     ARQ_STAY,
@@ -42,7 +43,7 @@
 
 /* (S - wt_i) Q_i Pr_i against the same of the next class, S = 1.05 CT - P, as long as
  * wt_i + wt_j + P < 0.05 CT. */
-enum arq_move arq_switch(const struct arq_terms *t);
+enum arq_move arq_switch(const struct arq_terms *terms);
 /* How long a task may wait in all. */
 double arq_patience(double run_s, double classify_s);
 
--- a/src/codec.c
+++ b/src/codec.c
@@ -43,21 +43,21 @@
 {
     if (len > INT32_MAX || has_foreign_quotes(text, len))
         return NULL;
-    struct json_tokener *t = json_tokener_new_ex(16);
-    json_tokener_set_flags(t, JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
-    json_object *o = json_tokener_parse_ex(t, text, (int)len);
-    if (json_tokener_get_error(t) == json_tokener_continue) /* a number at the very end */
-        o = json_tokener_parse_ex(t, "", 1);
-    bool whole = json_tokener_get_error(t) == json_tokener_success;
-    size_t used = json_tokener_get_parse_end(t);
+    struct json_tokener *tokener = json_tokener_new_ex(16);
+    json_tokener_set_flags(tokener, JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
+    json_object *object = json_tokener_parse_ex(tokener, text, (int)len);
+    if (json_tokener_get_error(tokener) == json_tokener_continue) /* a number at the very end */
+        object = json_tokener_parse_ex(tokener, "", 1);
+    bool whole = json_tokener_get_error(tokener) == json_tokener_success;
+    size_t used = json_tokener_get_parse_end(tokener);
     for (; whole && used < len; used++)
         whole = strchr(" \t\r\n", text[used]) && text[used];
-    json_tokener_free(t);
+    json_tokener_free(tokener);
     if (!whole) {
-        json_object_put(o);
+        json_object_put(object);
         return NULL;
     }
-    return o;
+    return object;
 }
 
 /* ---- json-c helpers ---- */
@@ -114,35 +114,35 @@
     return json_object_is_type(v, json_type_array) ? v : NULL;
 }
 
-void json_put_text(json_object *o, const char *field, const char *value)
+void json_put_text(json_object *object, const char *field, const char *value)
 {
-    json_object_object_add(o, field, json_object_new_string(value));
+    json_object_object_add(object, field, json_object_new_string(value));
 }
 
-void json_put_u64(json_object *o, const char *field, uint64_t value)
+void json_put_u64(json_object *object, const char *field, uint64_t value)
 {
-    json_object_object_add(o, field, json_object_new_uint64(value));
+    json_object_object_add(object, field, json_object_new_uint64(value));
 }
 
-static void put_number(json_object *o, const char *field, double value)
+static void put_number(json_object *object, const char *field, double value)
 {
-    json_object_object_add(o, field, json_object_new_double(value));
+    json_object_object_add(object, field, json_object_new_double(value));
 }
 
-static void put_flag(json_object *o, const char *field, bool value)
+static void put_flag(json_object *object, const char *field, bool value)
 {
-    json_object_object_add(o, field, json_object_new_boolean(value));
+    json_object_object_add(object, field, json_object_new_boolean(value));
 }
 
-static bool is_null(json_object *o, const char *field)
+static bool is_null(json_object *object, const char *field)
 {
-    return field_of(o, field) == NULL;
+    return field_of(object, field) == NULL;
 }
 
-static bool short_text(json_object *o, const char *field, char *out, size_t size)
+static bool short_text(json_object *object, const char *field, char *out, size_t size)
 {
     const char *s;
-    if (!json_text(o, field, &s) || strlen(s) >= size)
+    if (!json_text(object, field, &s) || strlen(s) >= size)
         return false;
     strcpy(out, s);
     return true;
@@ -155,51 +155,51 @@
     return urgency_words[u];
 }
 
-void spec_clear(struct spec *s)
+void spec_clear(struct spec *spec)
 {
-    g_free(s->lot);
-    g_free(s->crew);
-    if (s->image)
-        g_ref_string_release(s->image);
-    g_free(s->yard);
-    g_free(s->awaits);
-    g_strfreev(s->builds);
-    memset(s, 0, sizeof *s);
+    g_free(spec->job_class);
+    g_free(spec->team_name);
+    if (spec->image)
+        g_ref_string_release(spec->image);
+    g_free(spec->zone);
+    g_free(spec->awaits);
+    g_strfreev(spec->type_names);
+    memset(spec, 0, sizeof *spec);
 }
 
-static bool name_field(json_object *o, const char *field, char **out)
+static bool name_field(json_object *object, const char *field, char **out)
 {
     const char *s;
-    if (!json_text(o, field, &s) || !*s || strlen(s) > 200)
+    if (!json_text(object, field, &s) || !*s || strlen(s) > 200)
         return false;
     *out = g_strdup(s);
     return true;
 }
 
 /* Compared by address: images are looked up for every machine that might be chosen. */
-static bool image_field(json_object *o, char **out)
+static bool image_field(json_object *object, char **out)
 {
     char *name = NULL;
-    if (!name_field(o, "Mould", &name))
+    if (!name_field(object, "Mould", &name))
         return false;
     *out = g_ref_string_new_intern(name);
     g_free(name);
     return true;
 }
 
-static bool amount_field(json_object *o, const char *field, amount *out)
+static bool amount_field(json_object *object, const char *field, amount *out)
 {
     double x;
-    if (!json_number(o, field, &x) || x < 0 || x > 1e9)
+    if (!json_number(object, field, &x) || x < 0 || x > 1e9)
         return false;
     /* Rounded up, as limits are rounded down. */
     out->milli = (int64_t)ceil(x * 1000 - 1e-6);
     return true;
 }
 
-static bool span_field(json_object *o, const char *field, double *out)
+static bool span_field(json_object *object, const char *field, double *out)
 {
-    return json_number(o, field, out) && *out >= 0 && *out < 1e9;
+    return json_number(object, field, out) && *out >= 0 && *out < 1e9;
 }
 
 static bool builds_field(json_object *o, char ***out)
@@ -221,10 +221,11 @@
     return ok;
 }
 
-static bool word_field(json_object *o, const char *field, const char *const *words, int n, int *out)
+static bool word_field(json_object *object, const char *field, const char *const *words, int n,
+                       int *out)
 {
     const char *s;
-    if (!json_text(o, field, &s))
+    if (!json_text(object, field, &s))
         return false;
     *out = word_index(words, n, s);
     return *out >= 0;
@@ -235,48 +236,51 @@
     return g_str_has_prefix(s, "wk-") && s[3] && job_id_from(out, s);
 }
 
-bool codec_id_read(json_object *o, job_id *out)
+bool codec_id_read(json_object *object, job_id *out)
 {
     const char *s;
-    return json_text(o, "Id", &s) && user_id_from(out, s);
+    return json_text(object, "Id", &s) && user_id_from(out, s);
 }
 
-bool codec_spec_read(json_object *o, struct spec *s)
+bool codec_spec_read(json_object *object, struct spec *spec)
 {
-    memset(s, 0, sizeof *s);
-    s->due_s = -1;
+    memset(spec, 0, sizeof *spec);
+    spec->due_s = -1;
     int form = 0, urgency = 0;
     uint64_t pieces = 0;
-    bool ok = codec_id_read(o, &s->id) && name_field(o, "Lot", &s->lot) &&
-              name_field(o, "Crew", &s->crew) && image_field(o, &s->image) &&
-              word_field(o, "Form", form_words, G_N_ELEMENTS(form_words), &form) &&
-              word_field(o, "Urgency", urgency_words, G_N_ELEMENTS(urgency_words), &urgency) &&
-              json_u64(o, "Pieces", &pieces) && pieces >= 1 && pieces <= 100000 &&
-              amount_field(o, "Vcpus", &s->cpus) && amount_field(o, "Cards", &s->gpus) &&
-              amount_field(o, "MemoryGb", &s->memory) && span_field(o, "ImageGb", &s->image_gb) &&
-              builds_field(o, &s->builds) &&
-              (is_null(o, "Yard") || name_field(o, "Yard", &s->yard)) &&
-              json_flag(o, "OneZone", &s->one_zone) && json_flag(o, "Apart", &s->apart) &&
-              json_flag(o, "Loaners", &s->loaners) && span_field(o, "ExpectedS", &s->expected_s) &&
-              span_field(o, "MarkEveryS", &s->mark_every_s) && span_field(o, "StowS", &s->stow_s) &&
-              (is_null(o, "DueS") || span_field(o, "DueS", &s->due_s));
-    s->form = form;
-    s->urgency = urgency;
-    s->tasks = (uint32_t)pieces;
+    bool ok =
+        codec_id_read(object, &spec->id) && name_field(object, "Lot", &spec->job_class) &&
+        name_field(object, "Crew", &spec->team_name) && image_field(object, &spec->image) &&
+        word_field(object, "Form", form_words, G_N_ELEMENTS(form_words), &form) &&
+        word_field(object, "Urgency", urgency_words, G_N_ELEMENTS(urgency_words), &urgency) &&
+        json_u64(object, "Pieces", &pieces) && pieces >= 1 && pieces <= 100000 &&
+        amount_field(object, "Vcpus", &spec->cpus) && amount_field(object, "Cards", &spec->gpus) &&
+        amount_field(object, "MemoryGb", &spec->memory) &&
+        span_field(object, "ImageGb", &spec->image_gb) && builds_field(object, &spec->type_names) &&
+        (is_null(object, "Yard") || name_field(object, "Yard", &spec->zone)) &&
+        json_flag(object, "OneZone", &spec->one_zone) && json_flag(object, "Apart", &spec->apart) &&
+        json_flag(object, "Loaners", &spec->spot) &&
+        span_field(object, "ExpectedS", &spec->expected_s) &&
+        span_field(object, "MarkEveryS", &spec->checkpoint_s) &&
+        span_field(object, "StowS", &spec->save_s) &&
+        (is_null(object, "DueS") || span_field(object, "DueS", &spec->due_s));
+    spec->form = form;
+    spec->urgency = urgency;
+    spec->tasks = (uint32_t)pieces;
     if (!ok)
-        spec_clear(s);
+        spec_clear(spec);
     return ok;
 }
 
-static bool awaits(const struct spec *s, job_id id)
+static bool awaits(const struct spec *spec, job_id id)
 {
-    for (guint i = 0; i < s->n_awaits; i++)
-        if (job_eq(s->awaits[i], id))
+    for (guint i = 0; i < spec->n_awaits; i++)
+        if (job_eq(spec->awaits[i], id))
             return true;
     return false;
 }
 
-bool codec_awaits_read(json_object *o, struct spec *s)
+bool codec_awaits_read(json_object *o, struct spec *spec)
 {
     if (is_null(o, "Awaits"))
         return true;
@@ -284,86 +288,86 @@
     size_t n = list ? json_object_array_length(list) : 0;
     if (!list || n > MOST_AWAITS)
         return false;
-    s->awaits = n ? g_new(job_id, n) : NULL;
+    spec->awaits = n ? g_new(job_id, n) : NULL;
     for (size_t i = 0; i < n; i++) {
         json_object *v = json_object_array_get_idx(list, i);
         job_id id;
         const char *name =
             json_object_is_type(v, json_type_string) ? json_object_get_string(v) : "";
         if (strlen(name) != (size_t)json_object_get_string_len(v) || !user_id_from(&id, name) ||
-            job_eq(id, s->id))
+            job_eq(id, spec->id))
             return false;
-        if (!awaits(s, id))
-            s->awaits[s->n_awaits++] = id;
+        if (!awaits(spec, id))
+            spec->awaits[spec->n_awaits++] = id;
     }
     return true;
 }
 
-json_object *codec_spec_write(const struct spec *s)
-{
-    json_object *o = json_object_new_object();
-    json_put_text(o, "Id", s->id.s);
-    json_put_text(o, "Lot", s->lot);
-    json_put_text(o, "Crew", s->crew);
-    json_put_text(o, "Mould", s->image);
-    json_put_text(o, "Form", form_words[s->form]);
-    json_put_text(o, "Urgency", urgency_words[s->urgency]);
-    json_put_u64(o, "Pieces", s->tasks);
-    put_number(o, "Vcpus", s->cpus.milli / 1000.0);
-    put_number(o, "Cards", s->gpus.milli / 1000.0);
-    put_number(o, "MemoryGb", s->memory.milli / 1000.0);
-    put_number(o, "ImageGb", s->image_gb);
-    if (s->builds) {
+json_object *codec_spec_write(const struct spec *spec)
+{
+    json_object *object = json_object_new_object();
+    json_put_text(object, "Id", spec->id.s);
+    json_put_text(object, "Lot", spec->job_class);
+    json_put_text(object, "Crew", spec->team_name);
+    json_put_text(object, "Mould", spec->image);
+    json_put_text(object, "Form", form_words[spec->form]);
+    json_put_text(object, "Urgency", urgency_words[spec->urgency]);
+    json_put_u64(object, "Pieces", spec->tasks);
+    put_number(object, "Vcpus", spec->cpus.milli / 1000.0);
+    put_number(object, "Cards", spec->gpus.milli / 1000.0);
+    put_number(object, "MemoryGb", spec->memory.milli / 1000.0);
+    put_number(object, "ImageGb", spec->image_gb);
+    if (spec->type_names) {
         json_object *list = json_object_new_array();
-        for (int i = 0; s->builds[i]; i++)
-            json_object_array_add(list, json_object_new_string(s->builds[i]));
-        json_object_object_add(o, "Builds", list);
+        for (int i = 0; spec->type_names[i]; i++)
+            json_object_array_add(list, json_object_new_string(spec->type_names[i]));
+        json_object_object_add(object, "Builds", list);
     }
-    if (s->yard)
-        json_put_text(o, "Yard", s->yard);
-    put_flag(o, "OneZone", s->one_zone);
-    put_flag(o, "Apart", s->apart);
-    put_flag(o, "Loaners", s->loaners);
-    put_number(o, "ExpectedS", s->expected_s);
-    put_number(o, "MarkEveryS", s->mark_every_s);
-    put_number(o, "StowS", s->stow_s);
-    if (s->due_s >= 0)
-        put_number(o, "DueS", s->due_s);
-    if (s->n_awaits) {
+    if (spec->zone)
+        json_put_text(object, "Yard", spec->zone);
+    put_flag(object, "OneZone", spec->one_zone);
+    put_flag(object, "Apart", spec->apart);
+    put_flag(object, "Loaners", spec->spot);
+    put_number(object, "ExpectedS", spec->expected_s);
+    put_number(object, "MarkEveryS", spec->checkpoint_s);
+    put_number(object, "StowS", spec->save_s);
+    if (spec->due_s >= 0)
+        put_number(object, "DueS", spec->due_s);
+    if (spec->n_awaits) {
         json_object *list = json_object_new_array();
-        for (guint i = 0; i < s->n_awaits; i++)
-            json_object_array_add(list, json_object_new_string(s->awaits[i].s));
-        json_object_object_add(o, "Awaits", list);
+        for (guint i = 0; i < spec->n_awaits; i++)
+            json_object_array_add(list, json_object_new_string(spec->awaits[i].s));
+        json_object_object_add(object, "Awaits", list);
     }
-    return o;
+    return object;
 }
 
-static char *finish(json_object *o)
+static char *finish(json_object *object)
 {
-    char *s = g_strdup(json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
-    json_object_put(o);
+    char *s = g_strdup(json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN));
+    json_object_put(object);
     return s;
 }
 
 char *codec_job_answer(job_id id, const char *stage, long done, long running)
 {
-    json_object *o = json_object_new_object();
-    json_put_text(o, "Id", id.s);
-    json_put_text(o, "Stage", stage);
+    json_object *object = json_object_new_object();
+    json_put_text(object, "Id", id.s);
+    json_put_text(object, "Stage", stage);
     if (done >= 0) {
-        json_object_object_add(o, "done", json_object_new_int64(done));
-        json_object_object_add(o, "running", json_object_new_int64(running));
+        json_object_object_add(object, "done", json_object_new_int64(done));
+        json_object_object_add(object, "running", json_object_new_int64(running));
     }
-    return finish(o);
+    return finish(object);
 }
 
 /* ---- workers ---- */
 
-void report_clear(struct report *r)
+void report_clear(struct report *report)
 {
-    if (r->tasks)
-        g_array_unref(r->tasks);
-    r->tasks = NULL;
+    if (report->tasks)
+        g_array_unref(report->tasks);
+    report->tasks = NULL;
 }
 
 bool task_name_read(const char *text, job_id *job, uint32_t *index)
@@ -382,124 +386,129 @@
     return job_id_from(job, name);
 }
 
-static bool report_task_read(json_object *o, struct report_task *t)
+static bool report_task_read(json_object *object, struct report_task *task)
 {
     const char *name, *state, *cause = NULL;
-    if (!json_text(o, "Piece", &name) || !task_name_read(name, &t->job, &t->index) ||
-        !json_u64(o, "Try", &t->attempt.v) || !json_text(o, "Stage", &state))
+    if (!json_text(object, "Piece", &name) || !task_name_read(name, &task->job, &task->index) ||
+        !json_u64(object, "Try", &task->attempt.v) || !json_text(object, "Stage", &state))
         return false;
     int st = WORD(state_words, state);
     if (st < 0)
         return false;
-    t->state = st;
-    t->cause = CAUSE_UNKNOWN;
-    if (st == TASK_EXITED && json_text(o, "Cause", &cause)) {
+    task->state = st;
+    task->cause = CAUSE_UNKNOWN;
+    if (st == TASK_EXITED && json_text(object, "Cause", &cause)) {
         int c = WORD(cause_words, cause);
         if (c >= 0)
-            t->cause = c;
+            task->cause = c;
     }
-    t->stored = false;
-    json_flag(o, "Stored", &t->stored);
+    task->stored = false;
+    json_flag(object, "Stored", &task->stored);
     return true;
 }
 
-bool codec_report_read(json_object *o, struct report *r)
+bool codec_report_read(json_object *object, struct report *report)
 {
-    memset(r, 0, sizeof *r);
+    memset(report, 0, sizeof *report);
     char host[48];
-    r->recall_s = -1;
-    if (!short_text(o, "Mast", host, sizeof host) || !host_id_from(&r->host, host) ||
-        !short_text(o, "Address", r->addr, sizeof r->addr) ||
-        !short_text(o, "Build", r->build, sizeof r->build) ||
-        !short_text(o, "Yard", r->yard, sizeof r->yard) || !json_flag(o, "Loaners", &r->loaners) ||
-        !json_u64(o, "Shift", &r->shift) || !json_u64(o, "Tally", &r->tally) ||
-        !json_u64(o, "Helm", &r->helm))
+    report->reclaim_notice_s = -1;
+    if (!short_text(object, "Mast", host, sizeof host) || !host_id_from(&report->host, host) ||
+        !short_text(object, "Address", report->addr, sizeof report->addr) ||
+        !short_text(object, "Build", report->type_name, sizeof report->type_name) ||
+        !short_text(object, "Yard", report->zone, sizeof report->zone) ||
+        !json_flag(object, "Loaners", &report->spot) ||
+        !json_u64(object, "Shift", &report->session) ||
+        !json_u64(object, "Tally", &report->sequence) || !json_u64(object, "Helm", &report->token))
         return false;
-    if (!is_null(o, "RecallS") && !json_number(o, "RecallS", &r->recall_s))
+    if (!is_null(object, "RecallS") && !json_number(object, "RecallS", &report->reclaim_notice_s))
         return false;
-    json_object *list = json_list(o, "Pieces");
-    if (!list && !is_null(o, "Pieces"))
+    json_object *list = json_list(object, "Pieces");
+    if (!list && !is_null(object, "Pieces"))
         return false;
-    r->tasks = g_array_new(FALSE, FALSE, sizeof(struct report_task));
+    report->tasks = g_array_new(FALSE, FALSE, sizeof(struct report_task));
     for (size_t i = 0; list && i < json_object_array_length(list); i++) {
-        struct report_task t;
-        if (!report_task_read(json_object_array_get_idx(list, i), &t)) {
-            report_clear(r);
+        struct report_task task;
+        if (!report_task_read(json_object_array_get_idx(list, i), &task)) {
+            report_clear(report);
             return false;
         }
-        g_array_append_val(r->tasks, t);
+        g_array_append_val(report->tasks, task);
     }
     return true;
 }
 
-char *codec_orders_write(epoch_no helm, uint64_t shift, const struct order *orders, guint n)
+char *codec_commands_write(epoch_no token, uint64_t session, const struct command *commands,
+                           guint n)
 {
     json_object *o = json_object_new_object(), *list = json_object_new_array();
-    json_put_u64(o, "Helm", helm.v);
-    if (shift)
-        json_put_u64(o, "Shift", shift);
+    json_put_u64(o, "Helm", token.v);
+    if (session)
+        json_put_u64(o, "Shift", session);
     for (guint i = 0; i < n; i++) {
         json_object *x = json_object_new_object();
         char name[64];
-        snprintf(name, sizeof name, "%s/%u", orders[i].job.s, orders[i].index);
-        json_put_text(x, "Verb", verb_words[orders[i].verb]);
+        snprintf(name, sizeof name, "%s/%u", commands[i].job.s, commands[i].index);
+        json_put_text(x, "Verb", verb_words[commands[i].verb]);
         json_put_text(x, "Piece", name);
-        json_put_u64(x, "Try", orders[i].attempt.v);
-        if (orders[i].verb == ORDER_HALT)
-            put_number(x, "WindDownS", orders[i].wind_down_s);
+        json_put_u64(x, "Try", commands[i].attempt.v);
+        if (commands[i].verb == COMMAND_HALT)
+            put_number(x, "WindDownS", commands[i].grace_s);
         json_object_array_add(list, x);
     }
     json_object_object_add(o, "Orders", list);
     return finish(o);
 }
 
-char *codec_harbour_write(const char *label)
+char *codec_redirect_write(const char *label)
 {
-    json_object *o = json_object_new_object();
+    json_object *object = json_object_new_object();
     if (label)
-        json_put_text(o, "Harbour", label);
-    return finish(o);
+        json_put_text(object, "Harbour", label);
+    return finish(object);
 }
 
 /* ---- cloud ---- */
 
 static void clear_type(gpointer p)
 {
-    g_strfreev(((struct machine_type *)p)->yards);
+    g_strfreev(((struct machine_type *)p)->zones);
 }
 
-static bool type_read(json_object *o, struct machine_type *t)
+static bool type_read(json_object *object, struct machine_type *type)
 {
-    memset(t, 0, sizeof *t);
-    json_object *yards = json_list(o, "Yards");
-    if (!short_text(o, "Label", t->name, sizeof t->name) || !amount_field(o, "Vcpus", &t->cpus) ||
-        !amount_field(o, "Cards", &t->gpus) || !amount_field(o, "MemoryGb", &t->memory) ||
-        !json_number(o, "LocalGb", &t->local_gb) ||
-        !json_number(o, "FetchGbPerS", &t->fetch_gb_per_s) || !json_number(o, "Price", &t->price) ||
-        !json_number(o, "MarketPrice", &t->market_price) ||
-        !json_number(o, "ReadyS", &t->ready_s) || !yards)
+    memset(type, 0, sizeof *type);
+    json_object *zones = json_list(object, "Yards");
+    if (!short_text(object, "Label", type->name, sizeof type->name) ||
+        !amount_field(object, "Vcpus", &type->cpus) ||
+        !amount_field(object, "Cards", &type->gpus) ||
+        !amount_field(object, "MemoryGb", &type->memory) ||
+        !json_number(object, "LocalGb", &type->image_cache_gb) ||
+        !json_number(object, "FetchGbPerS", &type->fetch_gb_per_s) ||
+        !json_number(object, "Price", &type->price) ||
+        !json_number(object, "MarketPrice", &type->spot_price) ||
+        !json_number(object, "ReadyS", &type->boot_s) || !zones)
         return false;
-    size_t n = json_object_array_length(yards);
-    t->yards = g_new0(char *, n + 1);
+    size_t n = json_object_array_length(zones);
+    type->zones = g_new0(char *, n + 1);
     for (size_t i = 0; i < n; i++)
-        t->yards[i] = g_strdup(json_object_get_string(json_object_array_get_idx(yards, i)));
+        type->zones[i] = g_strdup(json_object_get_string(json_object_array_get_idx(zones, i)));
     return true;
 }
 
-GArray *codec_types_read(json_object *o)
+GArray *codec_types_read(json_object *object)
 {
-    json_object *list = json_list(o, "Builds");
+    json_object *list = json_list(object, "Builds");
     if (!list)
         return NULL;
     GArray *types = g_array_new(FALSE, FALSE, sizeof(struct machine_type));
     g_array_set_clear_func(types, clear_type);
     for (size_t i = 0; i < json_object_array_length(list); i++) {
-        struct machine_type t;
-        if (!type_read(json_object_array_get_idx(list, i), &t)) {
+        struct machine_type type;
+        if (!type_read(json_object_array_get_idx(list, i), &type)) {
             g_array_unref(types);
             return NULL;
         }
-        g_array_append_val(types, t);
+        g_array_append_val(types, type);
     }
     return types;
 }
@@ -508,20 +517,20 @@
 {
     json_object *o = json_object_new_object(), *list = json_object_new_array();
     for (guint i = 0; i < types->len; i++) {
-        const struct machine_type *t = &g_array_index(types, struct machine_type, i);
-        json_object *x = json_object_new_object(), *yards = json_object_new_array();
-        json_put_text(x, "Label", t->name);
-        put_number(x, "Vcpus", t->cpus.milli / 1000.0);
-        put_number(x, "Cards", t->gpus.milli / 1000.0);
-        put_number(x, "MemoryGb", t->memory.milli / 1000.0);
-        put_number(x, "LocalGb", t->local_gb);
-        put_number(x, "FetchGbPerS", t->fetch_gb_per_s);
-        put_number(x, "Price", t->price);
-        put_number(x, "MarketPrice", t->market_price);
-        put_number(x, "ReadyS", t->ready_s);
-        for (int k = 0; t->yards[k]; k++)
-            json_object_array_add(yards, json_object_new_string(t->yards[k]));
-        json_object_object_add(x, "Yards", yards);
+        const struct machine_type *type = &g_array_index(types, struct machine_type, i);
+        json_object *x = json_object_new_object(), *zones = json_object_new_array();
+        json_put_text(x, "Label", type->name);
+        put_number(x, "Vcpus", type->cpus.milli / 1000.0);
+        put_number(x, "Cards", type->gpus.milli / 1000.0);
+        put_number(x, "MemoryGb", type->memory.milli / 1000.0);
+        put_number(x, "LocalGb", type->image_cache_gb);
+        put_number(x, "FetchGbPerS", type->fetch_gb_per_s);
+        put_number(x, "Price", type->price);
+        put_number(x, "MarketPrice", type->spot_price);
+        put_number(x, "ReadyS", type->boot_s);
+        for (int k = 0; type->zones[k]; k++)
+            json_object_array_add(zones, json_object_new_string(type->zones[k]));
+        json_object_object_add(x, "Yards", zones);
         json_object_array_add(list, x);
     }
     json_object_object_add(o, "Builds", list);
@@ -536,35 +545,36 @@
     GArray *out = g_array_new(FALSE, TRUE, sizeof(struct rental));
     for (size_t i = 0; i < json_object_array_length(list); i++) {
         json_object *x = json_object_array_get_idx(list, i);
-        struct rental r = {0};
+        struct rental rental = {0};
         const char *stage;
         char id[48];
         int st;
-        if (!short_text(x, "Id", id, sizeof id) || !host_id_from(&r.id, id) ||
-            !short_text(x, "Build", r.build, sizeof r.build) ||
-            !short_text(x, "Yard", r.yard, sizeof r.yard) || !json_flag(x, "Loaners", &r.loaners) ||
-            !json_text(x, "Stage", &stage) || (st = WORD(stage_words, stage)) < 0) {
+        if (!short_text(x, "Id", id, sizeof id) || !host_id_from(&rental.id, id) ||
+            !short_text(x, "Build", rental.type_name, sizeof rental.type_name) ||
+            !short_text(x, "Yard", rental.zone, sizeof rental.zone) ||
+            !json_flag(x, "Loaners", &rental.spot) || !json_text(x, "Stage", &stage) ||
+            (st = WORD(stage_words, stage)) < 0) {
             g_array_unref(out);
             return NULL;
         }
-        short_text(x, "Address", r.addr, sizeof r.addr);
-        json_number(x, "HeldS", &r.held_s);
-        r.stage = st;
-        g_array_append_val(out, r);
+        short_text(x, "Address", rental.addr, sizeof rental.addr);
+        json_number(x, "HeldS", &rental.age_s);
+        rental.stage = st;
+        g_array_append_val(out, rental);
     }
     return out;
 }
 
-char *codec_rent_write(const char *charter, const char *build, const char *yard, bool loaners,
+char *codec_rent_write(const char *charter, const char *type_name, const char *zone, bool spot,
                        int number)
 {
-    json_object *o = json_object_new_object();
-    json_put_text(o, "Charter", charter);
-    json_put_text(o, "Build", build);
-    json_put_text(o, "Yard", yard);
-    put_flag(o, "Loaners", loaners);
-    json_object_object_add(o, "Number", json_object_new_int(number));
-    return finish(o);
+    json_object *object = json_object_new_object();
+    json_put_text(object, "Charter", charter);
+    json_put_text(object, "Build", type_name);
+    json_put_text(object, "Yard", zone);
+    put_flag(object, "Loaners", spot);
+    json_object_object_add(object, "Number", json_object_new_int(number));
+    return finish(object);
 }
 
 GArray *codec_rented_read(json_object *o)
@@ -585,9 +595,9 @@
 
 char *codec_return_write(const host_id *hosts, guint n)
 {
-    json_object *o = json_object_new_object(), *list = json_object_new_array();
+    json_object *object = json_object_new_object(), *list = json_object_new_array();
     for (guint i = 0; i < n; i++)
         json_object_array_add(list, json_object_new_string(hosts[i].s));
-    json_object_object_add(o, "Masts", list);
-    return finish(o);
+    json_object_object_add(object, "Masts", list);
+    return finish(object);
 }
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -21,7 +21,7 @@
     struct store *store;
     struct view *view;
     const struct settings *settings;
-    struct part *part;
+    struct shard *shard;
     struct bus *bus;
     struct peers *peers;
     struct membership *members;
@@ -47,119 +47,122 @@
     uint32_t tasks;
     job_id *awaits; /* jobs that it needs */
     guint n_awaits, checked;
-    bool behind; /* the view was past a barrier since it came */
-    bool doomed; /* one of them is cancelled */
-    int refusal; /* the status that it gets, were it not known already; 0: none */
-    bool read;   /* its key was read, and is not there */
+    bool behind;             /* the view was past a barrier since it came */
+    bool upstream_cancelled; /* one of them is cancelled */
+    int refusal;             /* the status that it gets, were it not known already; 0: none */
+    bool read;               /* its key was read, and is not there */
     int rounds;
 };
 
-static void serve_here(void *ctx, struct http_replier *r, conn_ref from,
-                       const struct http_request *q);
+static void serve_here(void *ctx, struct http_replier *replier, conn_ref from,
+                       const struct http_request *request);
 static void sweep(void *arg);
 
-struct frontend *frontend_new(const struct node *n)
+struct frontend *frontend_new(const struct node *node)
 {
-    struct frontend *f = g_new0(struct frontend, 1);
-    *f = (struct frontend){.loop = n->loop,
-                           .store = n->store,
-                           .view = n->view,
-                           .settings = n->settings,
-                           .part = n->part,
-                           .bus = n->bus,
-                           .peers = n->peers,
-                           .members = n->members,
-                           .most_waiting = MAX(FEW_WAITING, n->settings->fd_limit / 4)};
-    g_queue_init(&f->asks);
-    timer_init(&f->sweep, sweep, f);
-    bus_on_relay(n->bus, serve_here, f);
-    return f;
+    struct frontend *frontend = g_new0(struct frontend, 1);
+    *frontend = (struct frontend){.loop = node->loop,
+                                  .store = node->store,
+                                  .view = node->view,
+                                  .settings = node->settings,
+                                  .shard = node->shard,
+                                  .bus = node->bus,
+                                  .peers = node->peers,
+                                  .members = node->members,
+                                  .most_waiting = MAX(FEW_WAITING, node->settings->fd_limit / 4)};
+    g_queue_init(&frontend->asks);
+    timer_init(&frontend->sweep, sweep, frontend);
+    bus_on_relay(node->bus, serve_here, frontend);
+    return frontend;
 }
 
-void frontend_free(struct frontend *f)
+void frontend_free(struct frontend *frontend)
 {
-    timer_stop(f->loop, &f->sweep);
-    g_free(f);
+    timer_stop(frontend->loop, &frontend->sweep);
+    g_free(frontend);
 }
 
-static void reply(struct http_replier *r, conn_ref to, int status, char *text)
+static void reply(struct http_replier *replier, conn_ref to, int status, char *text)
 {
-    r->reply(r, to, status, status == 503 ? "Retry-After: 1\r\n" : NULL, text, strlen(text));
+    replier->reply(replier, to, status, status == 503 ? "Retry-After: 1\r\n" : NULL, text,
+                   strlen(text));
     g_free(text);
 }
 
-static void reply_error(struct http_replier *r, conn_ref to, int status, const char *error)
+static void reply_error(struct http_replier *replier, conn_ref to, int status, const char *error)
 {
-    json_object *o = json_object_new_object();
-    json_put_text(o, "error", error);
-    reply(r, to, status, g_strdup(json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN)));
-    json_object_put(o);
+    json_object *object = json_object_new_object();
+    json_put_text(object, "error", error);
+    reply(replier, to, status,
+          g_strdup(json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN)));
+    json_object_put(object);
 }
 
-static void ask_answered(struct ask *a)
+static void ask_answered(struct ask *ask)
 {
-    if (!a->answered)
-        g_queue_unlink(&a->frontend->asks, &a->place);
-    a->answered = true;
+    if (!ask->answered)
+        g_queue_unlink(&ask->frontend->asks, &ask->place);
+    ask->answered = true;
 }
 
-static void ask_refuse(struct ask *a)
+static void ask_refuse(struct ask *ask)
 {
-    if (!a->answered)
-        reply_error(a->replier, a->from, 503, "the state service does not answer");
-    ask_answered(a);
+    if (!ask->answered)
+        reply_error(ask->replier, ask->from, 503, "the state service does not answer");
+    ask_answered(ask);
 }
 
-static void ask_end(struct ask *a)
+static void ask_end(struct ask *ask)
 {
-    ask_answered(a);
-    a->frontend->waiting--;
-    json_object_put(a->spec);
-    g_free(a->awaits);
-    g_free(a);
+    ask_answered(ask);
+    ask->frontend->waiting--;
+    json_object_put(ask->spec);
+    g_free(ask->awaits);
+    g_free(ask);
 }
 
 /* What cannot be told in time gets its answer while it is still of use, and at once when the state
  * service answers nobody here. */
 static void sweep(void *arg)
 {
-    struct frontend *f = arg;
-    mono_time now = loop_now(f->loop);
-    bool troubled = store_troubled(f->store);
-    struct ask *a;
-    while ((a = g_queue_peek_head(&f->asks)) &&
-           (troubled || time_ms_since(now, a->came) > ANSWER_MS))
-        ask_refuse(a);
-    if (f->asks.head)
-        timer_start(f->loop, &f->sweep, SWEEP_MS);
+    struct frontend *frontend = arg;
+    mono_time now = loop_now(frontend->loop);
+    bool troubled = store_troubled(frontend->store);
+    struct ask *ask;
+    while ((ask = g_queue_peek_head(&frontend->asks)) &&
+           (troubled || time_ms_since(now, ask->came) > ANSWER_MS))
+        ask_refuse(ask);
+    if (frontend->asks.head)
+        timer_start(frontend->loop, &frontend->sweep, SWEEP_MS);
 }
 
-static const char *stage_of(const struct job *j)
+static const char *stage_of(const struct job *job)
 {
-    if (j->state == JOB_DONE)
+    if (job->state == JOB_DONE)
         return "done";
-    if (j->state == JOB_CANCELLED)
+    if (job->state == JOB_CANCELLED)
         return "cancelled";
-    return j->placed ? "running" : "queued";
+    return job->placed ? "running" : "queued";
 }
 
-static char *job_text(const struct job *j)
+static char *job_text(const struct job *job)
 {
-    return codec_job_answer(j->id, stage_of(j), j->n_done,
-                            j->placed ? (long)g_hash_table_size(j->placed) : 0);
+    return codec_job_answer(job->id, stage_of(job), job->n_done,
+                            job->placed ? (long)g_hash_table_size(job->placed) : 0);
 }
 
-static void reply_job(struct frontend *f, struct http_replier *r, conn_ref to, const struct job *j)
+static void reply_job(struct frontend *frontend, struct http_replier *replier, conn_ref to,
+                      const struct job *job)
 {
-    if (j->state == JOB_CANCELLED)
-        peers_told_cancel(f->peers, j->id, j->cancelled_at);
-    reply(r, to, 200, job_text(j));
+    if (job->state == JOB_CANCELLED)
+        peers_told_cancel(frontend->peers, job->id, job->cancelled_at);
+    reply(replier, to, 200, job_text(job));
 }
 
-static struct job *known_job(struct frontend *f, job_id id)
+static struct job *known_job(struct frontend *frontend, job_id id)
 {
-    struct job *j = view_job(f->view, id.s);
-    return j && j->known ? j : NULL;
+    struct job *job = view_job(frontend->view, id.s);
+    return job && job->known ? job : NULL;
 }
 
 static void ask_step(void *arg, bool ok);
@@ -167,144 +170,147 @@
 /* The other nodes know of the cancellation, too. */
 static void cancel_announced(void *arg)
 {
-    struct ask *a = arg;
-    if (!a->answered)
-        reply(a->replier, a->from, 200, codec_job_answer(a->job, "cancelled", -1, 0));
-    ask_end(a);
+    struct ask *ask = arg;
+    if (!ask->answered)
+        reply(ask->replier, ask->from, 200, codec_job_answer(ask->job, "cancelled", -1, 0));
+    ask_end(ask);
 }
 
-static void written(void *arg, const struct txn_outcome *o)
+static void written(void *arg, const struct txn_outcome *outcome)
 {
-    struct ask *a = arg;
-    struct frontend *f = a->frontend;
-    if (a->action == ACTION_CANCEL) {
+    struct ask *ask = arg;
+    struct frontend *frontend = ask->frontend;
+    if (ask->action == ACTION_CANCEL) {
         /* Its user may hear of it from now on, from whichever node. */
-        if (o->result == TXN_DONE)
-            peers_told_cancel(f->peers, a->job, o->at);
-        peers_cancel_over(f->peers, a->job, o->result);
+        if (outcome->result == TXN_DONE)
+            peers_told_cancel(frontend->peers, ask->job, outcome->at);
+        peers_cancel_over(frontend->peers, ask->job, outcome->result);
     }
-    if (a->answered) {
-        ask_end(a); /* its user asks again */
-    } else if (o->result == TXN_DONE) {
+    if (ask->answered) {
+        ask_end(ask); /* its user asks again */
+    } else if (outcome->result == TXN_DONE) {
         /* It is on record, so this may be said from now on. */
-        LOG_DEBUG("answered", "job=%s action=%d", a->job.s, a->action);
-        if (a->action == ACTION_CANCEL) {
-            peers_announce_cancel(f->peers, a->job, o->at, cancel_announced, a);
+        LOG_DEBUG("answered", "job=%s action=%d", ask->job.s, ask->action);
+        if (ask->action == ACTION_CANCEL) {
+            peers_announce_cancel(frontend->peers, ask->job, outcome->at, cancel_announced, ask);
             return;
         }
-        reply(a->replier, a->from, 201,
-              codec_job_answer(a->job, a->doomed ? "cancelled" : "queued", -1, 0));
-        ask_end(a);
-    } else if (o->result == TXN_CONFLICT && ++a->rounds < WRITE_ROUNDS) {
-        view_await(f->view, o->at, ask_step, a);
-    } else if (o->result == TXN_UNKNOWN && ++a->rounds < WRITE_ROUNDS) {
-        view_barrier(f->view, ask_step, a);
+        reply(ask->replier, ask->from, 201,
+              codec_job_answer(ask->job, ask->upstream_cancelled ? "cancelled" : "queued", -1, 0));
+        ask_end(ask);
+    } else if (outcome->result == TXN_CONFLICT && ++ask->rounds < WRITE_ROUNDS) {
+        view_await(frontend->view, outcome->at, ask_step, ask);
+    } else if (outcome->result == TXN_UNKNOWN && ++ask->rounds < WRITE_ROUNDS) {
+        view_barrier(frontend->view, ask_step, ask);
     } else {
-        ask_refuse(a);
-        ask_end(a);
+        ask_refuse(ask);
+        ask_end(ask);
     }
 }
 
 static json_object *job_value(json_object *spec, int64_t submitted_ms, bool cancelled)
 {
-    json_object *o = json_object_new_object();
-    json_put_u64(o, "t", (uint64_t)submitted_ms);
-    json_object_object_add(o, "w", json_object_get(spec));
+    json_object *object = json_object_new_object();
+    json_put_u64(object, "t", (uint64_t)submitted_ms);
+    json_object_object_add(object, "w", json_object_get(spec));
     if (cancelled)
-        json_object_object_add(o, "c", json_object_new_boolean(true));
-    return o;
+        json_object_object_add(object, "c", json_object_new_boolean(true));
+    return object;
 }
 
-static void write_job(struct ask *a, revision stamp, json_object *value)
+static void write_job(struct ask *ask, revision stamp, json_object *value)
 {
-    struct txn *t = txn_new();
-    char *key = key_job(a->job);
-    txn_when(t, key, stamp);
-    txn_set(t, key, value, (lease_id){0});
+    struct txn *txn = txn_new();
+    char *key = key_job(ask->job);
+    txn_when(txn, key, stamp);
+    txn_set(txn, key, value, (lease_id){0});
     g_free(key);
-    store_txn(a->frontend->store, LANE_URGENT, t, written, a);
+    store_txn(ask->frontend->store, LANE_URGENT, txn, written, ask);
 }
 
 /* What a cancelled job's tasks take has to stay known until they are gone, but no more than that:
  * of a job that was stored when more was allowed the rest is left out, as nothing of it starts
  * again.
  */
-static void write_cancel(struct ask *a, struct job *j)
+static void write_cancel(struct ask *ask, struct job *job)
 {
-    json_object *spec = codec_spec_write(j->spec);
-    json_object *value = job_value(spec, j->submitted.ms, true);
+    json_object *spec = codec_spec_write(job->spec);
+    json_object *value = job_value(spec, job->submitted.ms, true);
     json_object_put(spec);
-    if (value_size(value) > store_limits(a->frontend->store)->value_bytes) {
-        struct spec s = *j->spec;
-        s.lot = s.image = "-";
-        s.builds = NULL;
-        s.yard = NULL;
+    if (value_size(value) > store_limits(ask->frontend->store)->value_bytes) {
+        struct spec s = *job->spec;
+        s.job_class = s.image = "-";
+        s.type_names = NULL;
+        s.zone = NULL;
         s.n_awaits = 0;
         json_object_put(value);
         spec = codec_spec_write(&s);
-        value = job_value(spec, j->submitted.ms, true);
+        value = job_value(spec, job->submitted.ms, true);
         json_object_put(spec);
     }
-    peers_cancel_sent(a->frontend->peers, a->job);
-    write_job(a, j->stamp, value);
+    peers_cancel_sent(ask->frontend->peers, ask->job);
+    write_job(ask, job->stamp, value);
 }
 
 /* ---- what a job needs ---- */
 
 /* Whether the key that was read is of a job that is over, and what became of it. */
-static bool answer_is_final(const struct net_answer *answer, struct job *j)
-{
-    json_object *o = answer->status > 0 ? json_read(answer->body, answer->len) : NULL, *v = NULL;
-    json_object_object_get_ex(o, "V", &v);
-    bool over = answer->status == 200 && json_u64(o, "Stamp", &j->stamp.v) && job_read_final(j, v);
-    j->cancelled_at = j->stamp;
-    json_object_put(o);
+static bool answer_is_final(const struct net_answer *answer, struct job *job)
+{
+    json_object *object = answer->status > 0 ? json_read(answer->body, answer->len) : NULL,
+                *v = NULL;
+    json_object_object_get_ex(object, "V", &v);
+    bool over =
+        answer->status == 200 && json_u64(object, "Stamp", &job->stamp.v) && job_read_final(job, v);
+    job->cancelled_at = job->stamp;
+    json_object_put(object);
     return over;
 }
 
 static void await_answered(void *arg, const struct net_answer *answer)
 {
-    struct ask *a = arg;
-    struct job j = {0};
-    bool over = answer_is_final(answer, &j);
+    struct ask *ask = arg;
+    struct job job = {0};
+    bool over = answer_is_final(answer, &job);
     if (over) {
-        a->doomed = a->doomed || j.state == JOB_CANCELLED;
-        a->checked++;
-        ask_step(a, true);
+        ask->upstream_cancelled = ask->upstream_cancelled || job.state == JOB_CANCELLED;
+        ask->checked++;
+        ask_step(ask, true);
         return;
     }
-    if (a->answered)
+    if (ask->answered)
         ;
     else if (answer->status == 404)
-        reply_error(a->replier, a->from, 422, "needs a job that was never accepted");
+        reply_error(ask->replier, ask->from, 422, "needs a job that was never accepted");
     else /* it cannot be read now, or is not over and will be in the view in a moment */
-        ask_refuse(a);
-    ask_end(a);
+        ask_refuse(ask);
+    ask_end(ask);
 }
 
 /* Whether all jobs that it needs were accepted; if not, or not known yet, the request is settled by
  * this or goes on later. A job that was accepted stays so: what the view shows needs no barrier.
  * One that the view does not show was never accepted, or has been over for long. */
-static bool awaits_known(struct ask *a)
-{
-    struct frontend *f = a->frontend;
-    for (; a->checked < a->n_awaits; a->checked++) {
-        job_id id = a->awaits[a->checked];
-        struct job *j = known_job(f, id);
-        if (j) {
-            a->doomed = a->doomed || j->state == JOB_CANCELLED;
+static bool awaits_known(struct ask *ask)
+{
+    struct frontend *frontend = ask->frontend;
+    for (; ask->checked < ask->n_awaits; ask->checked++) {
+        job_id id = ask->awaits[ask->checked];
+        struct job *job = known_job(frontend, id);
+        if (job) {
+            ask->upstream_cancelled = ask->upstream_cancelled || job->state == JOB_CANCELLED;
             continue;
         }
-        if (!a->behind) {
-            a->behind = true;
-            view_barrier(f->view, ask_step, a);
-        } else if (f->view->forgot) {
+        if (!ask->behind) {
+            ask->behind = true;
+            view_barrier(frontend->view, ask_step, ask);
+        } else if (frontend->view->forgot) {
             char *key = key_job(id);
-            store_read(f->store, LANE_URGENT, key, ANSWER_MS, ANSWER_MS, await_answered, a);
+            store_read(frontend->store, LANE_URGENT, key, ANSWER_MS, ANSWER_MS, await_answered,
+                       ask);
             g_free(key);
         } else {
-            reply_error(a->replier, a->from, 422, "needs a job that was never accepted");
-            ask_end(a);
+            reply_error(ask->replier, ask->from, 422, "needs a job that was never accepted");
+            ask_end(ask);
         }
         return false;
     }
@@ -313,52 +319,53 @@
 
 /* Jobs that are done are needed no more: they are not kept with the new one, so that nobody has to
  * remember them for its sake. One that needs a cancelled job is accepted, and is over at once. */
-static json_object *new_value(struct ask *a)
+static json_object *new_value(struct ask *ask)
 {
-    struct frontend *f = a->frontend;
-    if (a->doomed)
-        return job_final_value(JOB_CANCELLED, a->tasks, loop_wall(f->loop));
+    struct frontend *frontend = ask->frontend;
+    if (ask->upstream_cancelled)
+        return job_final_value(JOB_CANCELLED, ask->tasks, loop_wall(frontend->loop));
     json_object *spec = NULL, *left = json_object_new_array();
-    for (guint i = 0; i < a->n_awaits; i++) {
-        struct job *j = known_job(f, a->awaits[i]);
-        if (j && j->state != JOB_DONE)
-            json_object_array_add(left, json_object_new_string(j->id.s));
+    for (guint i = 0; i < ask->n_awaits; i++) {
+        struct job *job = known_job(frontend, ask->awaits[i]);
+        if (job && job->state != JOB_DONE)
+            json_object_array_add(left, json_object_new_string(job->id.s));
     }
-    json_object_deep_copy(a->spec, &spec, NULL);
+    json_object_deep_copy(ask->spec, &spec, NULL);
     json_object_object_add(spec, "Awaits", left);
     if (!json_object_array_length(left))
         json_object_object_del(spec, "Awaits");
-    json_object *value = job_value(spec, loop_wall(f->loop).ms, false);
+    json_object *value = job_value(spec, loop_wall(frontend->loop).ms, false);
     json_object_put(spec);
     return value;
 }
 
 static void key_answered(void *arg, const struct net_answer *answer)
 {
-    struct ask *a = arg;
-    struct job j = {.id = a->job};
-    bool over = answer_is_final(answer, &j);
+    struct ask *ask = arg;
+    struct job job = {.id = ask->job};
+    bool over = answer_is_final(answer, &job);
     if (answer->status == 404) {
-        a->read = true;
-        ask_step(a, true);
+        ask->read = true;
+        ask_step(ask, true);
         return;
     }
-    if (over && !a->answered)
-        reply_job(a->frontend, a->replier, a->from, &j);
+    if (over && !ask->answered)
+        reply_job(ask->frontend, ask->replier, ask->from, &job);
     else
-        ask_refuse(a);
-    ask_end(a);
+        ask_refuse(ask);
+    ask_end(ask);
 }
 
 /* A job that the view does not hold may have been over for so long that it is not kept in memory. A
  * submission that is new is found out by its write, without reading. */
-static bool read_key(struct ask *a)
+static bool read_key(struct ask *ask)
 {
-    struct frontend *f = a->frontend;
-    if (!f->view->forgot || a->read || (a->action == ACTION_SUBMIT && !a->rounds && !a->refusal))
+    struct frontend *frontend = ask->frontend;
+    if (!frontend->view->forgot || ask->read ||
+        (ask->action == ACTION_SUBMIT && !ask->rounds && !ask->refusal))
         return false;
-    char *key = key_job(a->job);
-    store_read(f->store, LANE_URGENT, key, ANSWER_MS, ANSWER_MS, key_answered, a);
+    char *key = key_job(ask->job);
+    store_read(frontend->store, LANE_URGENT, key, ANSWER_MS, ANSWER_MS, key_answered, ask);
     g_free(key);
     return true;
 }
@@ -366,172 +373,174 @@
 /* The view is now at a moment after the request came: what it shows may be told. */
 static void ask_step(void *arg, bool ok)
 {
-    struct ask *a = arg;
-    struct frontend *f = a->frontend;
-    struct job *j = known_job(f, a->job);
-    if (a->answered) {
-        ask_end(a);
+    struct ask *ask = arg;
+    struct frontend *frontend = ask->frontend;
+    struct job *job = known_job(frontend, ask->job);
+    if (ask->answered) {
+        ask_end(ask);
         return;
     }
-    if (ok && !j && read_key(a))
+    if (ok && !job && read_key(ask))
         return;
     if (!ok) {
-        ask_refuse(a);
-    } else if (a->action == ACTION_SUBMIT && !j && a->refusal) {
-        reply_error(a->replier, a->from, a->refusal,
-                    a->refusal == 400 ? "malformed" : "can never run");
-    } else if (a->action == ACTION_SUBMIT && !j) {
-        if (awaits_known(a))
-            write_job(a, (revision){0}, new_value(a));
+        ask_refuse(ask);
+    } else if (ask->action == ACTION_SUBMIT && !job && ask->refusal) {
+        reply_error(ask->replier, ask->from, ask->refusal,
+                    ask->refusal == 400 ? "malformed" : "can never run");
+    } else if (ask->action == ACTION_SUBMIT && !job) {
+        if (awaits_known(ask))
+            write_job(ask, (revision){0}, new_value(ask));
         return;
-    } else if (!j) {
-        reply_error(a->replier, a->from, 404, "no such job");
-    } else if (a->action == ACTION_CANCEL && j->state == JOB_LIVE) {
-        write_cancel(a, j);
+    } else if (!job) {
+        reply_error(ask->replier, ask->from, 404, "no such job");
+    } else if (ask->action == ACTION_CANCEL && job->state == JOB_LIVE) {
+        write_cancel(ask, job);
         return;
     } else {
-        reply_job(f, a->replier, a->from, j);
+        reply_job(frontend, ask->replier, ask->from, job);
     }
-    ask_end(a);
+    ask_end(ask);
 }
 
-static struct ask *ask_new(struct frontend *f, struct http_replier *r, conn_ref from,
+static struct ask *ask_new(struct frontend *frontend, struct http_replier *replier, conn_ref from,
                            enum action action, job_id job)
 {
-    const char *why = !f->view->ready                 ? "starting"
-                      : store_troubled(f->store)      ? "the state service does not answer"
-                      : f->waiting >= f->most_waiting ? "too many requests at once"
-                                                      : NULL;
+    const char *why = !frontend->view->ready            ? "starting"
+                      : store_troubled(frontend->store) ? "the state service does not answer"
+                      : frontend->waiting >= frontend->most_waiting ? "too many requests at once"
+                                                                    : NULL;
     if (why) {
-        reply_error(r, from, 503, why);
+        reply_error(replier, from, 503, why);
         return NULL;
     }
-    f->waiting++;
-    struct ask *a = g_new0(struct ask, 1);
-    *a = (struct ask){.frontend = f, .replier = r, .from = from, .action = action, .job = job};
-    a->came = loop_now(f->loop);
-    a->place.data = a;
-    g_queue_push_tail_link(&f->asks, &a->place);
-    if (!f->sweep.place)
-        timer_start(f->loop, &f->sweep, SWEEP_MS);
-    return a;
+    frontend->waiting++;
+    struct ask *ask = g_new0(struct ask, 1);
+    *ask = (struct ask){
+        .frontend = frontend, .replier = replier, .from = from, .action = action, .job = job};
+    ask->came = loop_now(frontend->loop);
+    ask->place.data = ask;
+    g_queue_push_tail_link(&frontend->asks, &ask->place);
+    if (!frontend->sweep.place)
+        timer_start(frontend->loop, &frontend->sweep, SWEEP_MS);
+    return ask;
 }
 
 /* ---- submissions ---- */
 
 /* Whether the job can ever run: its team is known, a machine type fits, the limit suffices. */
-static bool can_run(struct frontend *f, const struct spec *s)
+static bool can_run(struct frontend *frontend, const struct spec *spec)
 {
-    int team = settings_team(f->settings, s->crew);
-    if (team < 0 || !type_smallest(f->view->types, s))
+    int team = settings_team(frontend->settings, spec->team_name);
+    if (team < 0 || !type_smallest(frontend->view->types, spec))
         return false;
-    const struct team *t = &g_array_index(f->settings->teams, struct team, team);
-    int64_t n = s->form == FORM_ARRAY ? 1 : s->tasks;
-    return s->cpus.milli * n <= t->cpus_max.milli && s->gpus.milli * n <= t->gpus_max.milli;
+    const struct team *t = &g_array_index(frontend->settings->teams, struct team, team);
+    int64_t n = spec->form == FORM_ARRAY ? 1 : spec->tasks;
+    return spec->cpus.milli * n <= t->cpus_max.milli && spec->gpus.milli * n <= t->gpus_max.milli;
 }
 
 /* Whether its record is within what the state service takes, also when it says that the job is
  * cancelled. */
-static bool can_store(struct frontend *f, json_object *spec)
+static bool can_store(struct frontend *frontend, json_object *spec)
 {
     json_object *value = job_value(spec, INT64_MAX, true);
-    bool fits = value_size(value) <= store_limits(f->store)->value_bytes;
+    bool fits = value_size(value) <= store_limits(frontend->store)->value_bytes;
     json_object_put(value);
     return fits;
 }
 
-static void submit(struct frontend *f, struct http_replier *r, conn_ref from,
-                   const struct http_request *q)
+static void submit(struct frontend *frontend, struct http_replier *replier, conn_ref from,
+                   const struct http_request *request)
 {
-    struct spec s;
-    json_object *o = json_read(q->body, q->body_len);
+    struct spec spec;
+    json_object *object = json_read(request->body, request->body_len);
     job_id id;
-    bool named = codec_id_read(o, &id);
-    bool ok = codec_spec_read(o, &s), awaits_ok = ok && codec_awaits_read(o, &s);
-    json_object_put(o);
+    bool named = codec_id_read(object, &id);
+    bool ok = codec_spec_read(object, &spec), awaits_ok = ok && codec_awaits_read(object, &spec);
+    json_object_put(object);
     if (!named) {
-        reply_error(r, from, 400, "malformed");
+        reply_error(replier, from, 400, "malformed");
         return;
     }
     if (!ok || !awaits_ok) {
         /* Whoever repeats the submission of an accepted job is told of that job, whatever the body
          * says this time. */
-        struct ask *bad = ask_new(f, r, from, ACTION_SUBMIT, id);
-        spec_clear(&s);
+        struct ask *bad = ask_new(frontend, replier, from, ACTION_SUBMIT, id);
+        spec_clear(&spec);
         if (!bad)
             return;
         bad->refusal = ok ? 422 : 400;
-        view_barrier(f->view, ask_step, bad);
+        view_barrier(frontend->view, ask_step, bad);
         return;
     }
-    struct job *known = f->view->ready ? known_job(f, s.id) : NULL;
-    struct ask *a = NULL;
-    if (!f->view->types && !known)
-        reply_error(r, from, 503, "the machine types are not known yet");
-    else if (s.n_awaits && !known && !membership_all_understand(f->members))
-        reply_error(r, from, 503, "some nodes do not know yet of jobs that await others");
+    struct job *known = frontend->view->ready ? known_job(frontend, spec.id) : NULL;
+    struct ask *ask = NULL;
+    if (!frontend->view->types && !known)
+        reply_error(replier, from, 503, "the machine types are not known yet");
+    else if (spec.n_awaits && !known && !membership_all_understand(frontend->members))
+        reply_error(replier, from, 503, "some nodes do not know yet of jobs that await others");
     else
-        a = ask_new(f, r, from, ACTION_SUBMIT, s.id);
-    if (a) {
-        a->spec = codec_spec_write(&s);
-        a->tasks = s.tasks;
-        a->n_awaits = s.n_awaits;
-        a->awaits = g_steal_pointer(&s.awaits);
-        if (!known && (!can_run(f, &s) || !can_store(f, a->spec)))
-            a->refusal = 422;
-        if (known || a->refusal)
-            view_barrier(f->view, ask_step, a);
+        ask = ask_new(frontend, replier, from, ACTION_SUBMIT, spec.id);
+    if (ask) {
+        ask->spec = codec_spec_write(&spec);
+        ask->tasks = spec.tasks;
+        ask->n_awaits = spec.n_awaits;
+        ask->awaits = g_steal_pointer(&spec.awaits);
+        if (!known && (!can_run(frontend, &spec) || !can_store(frontend, ask->spec)))
+            ask->refusal = 422;
+        if (known || ask->refusal)
+            view_barrier(frontend->view, ask_step, ask);
         else
-            ask_step(a, true); /* the write tells if it was there */
+            ask_step(ask, true); /* the write tells if it was there */
     }
-    spec_clear(&s);
+    spec_clear(&spec);
 }
 
 /* ---- the rest ---- */
 
-static void get_or_cancel(struct frontend *f, struct http_replier *r, conn_ref from,
+static void get_or_cancel(struct frontend *frontend, struct http_replier *replier, conn_ref from,
                           enum action action, const char *id)
 {
     job_id job;
     if (!job_id_from(&job, id)) {
-        reply_error(r, from, 404, "no such job");
+        reply_error(replier, from, 404, "no such job");
         return;
     }
-    struct job *j = f->view->ready ? known_job(f, job) : NULL;
+    struct job *j = frontend->view->ready ? known_job(frontend, job) : NULL;
     if (j && j->state != JOB_LIVE) { /* final: nothing newer can be told */
-        reply_job(f, r, from, j);
+        reply_job(frontend, replier, from, j);
         return;
     }
-    struct ask *a = ask_new(f, r, from, action, job);
-    if (!a)
+    struct ask *ask = ask_new(frontend, replier, from, action, job);
+    if (!ask)
         return;
     if (action == ACTION_CANCEL && j)
-        ask_step(a, true); /* the write is conditioned on what is seen here */
+        ask_step(ask, true); /* the write is conditioned on what is seen here */
     else
-        view_barrier(f->view, ask_step, a);
+        view_barrier(frontend->view, ask_step, ask);
 }
 
 /* Ready as long as requests can be answered, by a peer if need be. An outage of the state service
  * that hits all nodes alike is no reason to take them all out, which would only prolong it. */
-static bool is_ready(struct frontend *f)
+static bool is_ready(struct frontend *frontend)
 {
-    if (!f->view->ready || !f->view->types || peers_alone(f->peers))
+    if (!frontend->view->ready || !frontend->view->types || peers_alone(frontend->peers))
         return false;
-    mono_time now = loop_now(f->loop), quiet = peers_quiet_until(f->peers);
-    return peers_served(f->peers) || (quiet.us && time_ms_since(now, quiet) < STALE_READY_MS / 2) ||
-           time_ms_since(now, f->view->fresh) < STALE_READY_MS;
+    mono_time now = loop_now(frontend->loop), quiet = peers_quiet_until(frontend->peers);
+    return peers_served(frontend->peers) ||
+           (quiet.us && time_ms_since(now, quiet) < STALE_READY_MS / 2) ||
+           time_ms_since(now, frontend->view->fresh) < STALE_READY_MS;
 }
 
-static void route_work(struct frontend *f, struct http_replier *r, conn_ref from,
-                       const struct http_request *q)
+static void route_work(struct frontend *frontend, struct http_replier *replier, conn_ref from,
+                       const struct http_request *request)
 {
-    bool post = strcmp(q->method, "POST") == 0, get = strcmp(q->method, "GET") == 0;
-    const char *rest = q->path + strlen("/work");
+    bool post = strcmp(request->method, "POST") == 0, get = strcmp(request->method, "GET") == 0;
+    const char *rest = request->path + strlen("/work");
     if (!*rest) {
         if (post)
-            submit(f, r, from, q);
+            submit(frontend, replier, from, request);
         else
-            reply_error(r, from, 405, "method not allowed");
+            reply_error(replier, from, 405, "method not allowed");
         return;
     }
     char *id = g_strdup(rest + 1);
@@ -539,13 +548,13 @@
     if (slash)
         *slash++ = 0;
     if (!slash && get)
-        get_or_cancel(f, r, from, ACTION_POLL, id);
+        get_or_cancel(frontend, replier, from, ACTION_POLL, id);
     else if (slash && strcmp(slash, "abort") == 0 && post)
-        get_or_cancel(f, r, from, ACTION_CANCEL, id);
+        get_or_cancel(frontend, replier, from, ACTION_CANCEL, id);
     else if (!slash || strcmp(slash, "abort") == 0)
-        reply_error(r, from, 405, "method not allowed");
+        reply_error(replier, from, 405, "method not allowed");
     else
-        reply_error(r, from, 404, "not found");
+        reply_error(replier, from, 404, "not found");
     g_free(id);
 }
 
@@ -555,15 +564,15 @@
     conn_ref from;
 };
 
-static void relay_answered(void *arg, const struct net_answer *a)
+static void relay_answered(void *arg, const struct net_answer *answer)
 {
-    struct relay *x = arg;
-    x->frontend->waiting--;
-    if (a->status > 0)
-        reply(x->replier, x->from, a->status, g_strndup(a->body, a->len));
+    struct relay *relay = arg;
+    relay->frontend->waiting--;
+    if (answer->status > 0)
+        reply(relay->replier, relay->from, answer->status, g_strndup(answer->body, answer->len));
     else
-        reply_error(x->replier, x->from, 503, "the state service does not answer");
-    g_free(x);
+        reply_error(relay->replier, relay->from, 503, "the state service does not answer");
+    g_free(relay);
 }
 
 static bool is_work(const char *path)
@@ -572,57 +581,58 @@
 }
 
 /* A node of an earlier version would take such a submission for one that needs nothing. */
-static bool names_others(const struct http_request *q)
+static bool names_others(const struct http_request *request)
 {
-    if (strcmp(q->path, "/work") != 0 || !q->body_len)
+    if (strcmp(request->path, "/work") != 0 || !request->body_len)
         return false;
-    json_object *o = json_read(q->body, q->body_len), *list = NULL;
-    bool any = json_object_is_type(o, json_type_object) &&
-               json_object_object_get_ex(o, "Awaits", &list) && list;
-    json_object_put(o);
+    json_object *object = json_read(request->body, request->body_len), *list = NULL;
+    bool any = json_object_is_type(object, json_type_object) &&
+               json_object_object_get_ex(object, "Awaits", &list) && list;
+    json_object_put(object);
     return any;
 }
 
 /* While the state service answers other nodes and not this one, they answer for it. */
-static bool hand_on(struct frontend *f, struct http_replier *r, conn_ref from,
-                    const struct http_request *q)
+static bool hand_on(struct frontend *frontend, struct http_replier *replier, conn_ref from,
+                    const struct http_request *request)
 {
-    const char *peer = peers_served(f->peers);
-    if (!peer || !is_work(q->path) || f->waiting >= f->most_waiting ||
-        (!membership_all_understand(f->members) && names_others(q)))
+    const char *peer = peers_served(frontend->peers);
+    if (!peer || !is_work(request->path) || frontend->waiting >= frontend->most_waiting ||
+        (!membership_all_understand(frontend->members) && names_others(request)))
         return false;
-    struct relay *x = g_new(struct relay, 1);
-    *x = (struct relay){f, r, from};
-    f->waiting++;
-    bus_relay(f->bus, peer, q, RELAY_MS, relay_answered, x);
+    struct relay *relay = g_new(struct relay, 1);
+    *relay = (struct relay){frontend, replier, from};
+    frontend->waiting++;
+    bus_relay(frontend->bus, peer, request, RELAY_MS, relay_answered, relay);
     return true;
 }
 
-static void serve_here(void *ctx, struct http_replier *r, conn_ref from,
-                       const struct http_request *q)
+static void serve_here(void *ctx, struct http_replier *replier, conn_ref from,
+                       const struct http_request *request)
 {
-    struct frontend *f = ctx;
-    if (is_work(q->path)) {
-        route_work(f, r, from, q);
-    } else if (strcmp(q->path, "/agent/beat") == 0) {
-        if (strcmp(q->method, "POST") == 0)
-            part_report(f->part, r, from, q);
+    struct frontend *frontend = ctx;
+    if (is_work(request->path)) {
+        route_work(frontend, replier, from, request);
+    } else if (strcmp(request->path, "/agent/beat") == 0) {
+        if (strcmp(request->method, "POST") == 0)
+            shard_report(frontend->shard, replier, from, request);
         else
-            reply_error(r, from, 405, "method not allowed");
-    } else if (strcmp(q->path, "/ready") == 0) {
-        if (strcmp(q->method, "GET") != 0)
-            reply_error(r, from, 405, "method not allowed");
-        else if (is_ready(f))
-            reply(r, from, 200, g_strdup("{}"));
+            reply_error(replier, from, 405, "method not allowed");
+    } else if (strcmp(request->path, "/ready") == 0) {
+        if (strcmp(request->method, "GET") != 0)
+            reply_error(replier, from, 405, "method not allowed");
+        else if (is_ready(frontend))
+            reply(replier, from, 200, g_strdup("{}"));
         else
-            reply_error(r, from, 503, "not ready");
+            reply_error(replier, from, 503, "not ready");
     } else {
-        reply_error(r, from, 404, "not found");
+        reply_error(replier, from, 404, "not found");
     }
 }
 
-void frontend_serve(void *ctx, struct http_replier *r, conn_ref from, const struct http_request *q)
+void frontend_serve(void *ctx, struct http_replier *replier, conn_ref from,
+                    const struct http_request *request)
 {
-    if (!hand_on(ctx, r, from, q))
-        serve_here(ctx, r, from, q);
+    if (!hand_on(ctx, replier, from, request))
+        serve_here(ctx, replier, from, request);
 }
--- a/src/frontend.h
+++ b/src/frontend.h
@@ -2,17 +2,17 @@
 #ifndef LL_FRONTEND_H
 #define LL_FRONTEND_H
 
-#include "part.h"
 #include "peers.h"
+#include "shard.h"
 
 struct frontend;
 
 struct node;
 
-struct frontend *frontend_new(const struct node *n);
-void frontend_free(struct frontend *f);
+struct frontend *frontend_new(const struct node *node);
+void frontend_free(struct frontend *frontend);
 /* For the server on the API's address. */
 void frontend_serve(void *frontend, struct http_replier *replier, conn_ref from,
-                    const struct http_request *r);
+                    const struct http_request *request);
 
 #endif
--- a/src/http.h
+++ b/src/http.h
@@ -60,7 +60,7 @@
 /* NULL with a message when the address cannot be listened on. */
 struct http_server *http_server_new(struct loop *loop, const char *addr, struct http_limits limits,
                                     http_handler handler, void *ctx, char **error);
-void http_server_free(struct http_server *s);
+void http_server_free(struct http_server *server);
 
 /* ---- client ---- */
 
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -60,85 +60,88 @@
     int links, waiting;
 };
 
-static void place_go(struct client *c, struct place *p);
+static void place_go(struct client *client, struct place *place);
 
-static void request_end(struct client *c, struct exchange *r, const struct net_answer *a)
+static void request_end(struct client *client, struct exchange *exchange,
+                        const struct net_answer *answer)
 {
-    timer_stop(c->loop, &r->timer);
-    if (!r->link && g_queue_remove(&r->place->waiting, r))
-        c->waiting--;
-    net_done done = r->done;
-    void *arg = r->arg;
-    g_free(r->bytes);
-    loop_free_later(c->loop, r);
-    done(arg, a);
+    timer_stop(client->loop, &exchange->timer);
+    if (!exchange->link && g_queue_remove(&exchange->place->waiting, exchange))
+        client->waiting--;
+    net_done done = exchange->done;
+    void *arg = exchange->arg;
+    g_free(exchange->bytes);
+    loop_free_later(client->loop, exchange);
+    done(arg, answer);
 }
 
-static void wake_soon(struct client *c)
+static void wake_soon(struct client *client)
 {
-    if (c->hungry.head && !c->wake.place)
-        timer_start(c->loop, &c->wake, 0);
+    if (client->hungry.head && !client->wake.place)
+        timer_start(client->loop, &client->wake, 0);
 }
 
 static void link_close(struct link *l)
 {
-    struct client *c = l->client;
+    struct client *client = l->client;
     idle_set(&l->client->idle, &l->idle, false);
-    wake_soon(c);
-    timer_stop(c->loop, &l->timer);
-    loop_unwatch(c->loop, &l->io);
+    wake_soon(client);
+    timer_stop(client->loop, &l->timer);
+    loop_unwatch(client->loop, &l->io);
     close(l->io.fd);
     g_byte_array_unref(l->in);
     g_ptr_array_remove_fast(l->place->links, l);
-    c->links--;
-    loop_free_later(c->loop, l);
+    client->links--;
+    loop_free_later(client->loop, l);
 }
 
-static void place_free(struct place *p)
+static void place_free(struct place *place)
 {
-    g_ptr_array_unref(p->links);
-    g_free(p->addr);
-    g_free(p);
+    g_ptr_array_unref(place->links);
+    g_free(place->addr);
+    g_free(place);
 }
 
 /* Machines come and go: addresses that nothing is sent to any more are forgotten each time their
  * number has doubled. */
-static void forget_places(struct client *c)
+static void forget_places(struct client *client)
 {
-    if (g_hash_table_size(c->places) < c->many_places)
+    if (g_hash_table_size(client->places) < client->many_places)
         return;
     GHashTableIter it;
-    struct place *p;
-    g_hash_table_iter_init(&it, c->places);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&p)) {
-        if (p->links->len || p->waiting.head || p->kept || p->hungry)
+    struct place *place;
+    g_hash_table_iter_init(&it, client->places);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&place)) {
+        if (place->links->len || place->waiting.head || place->kept || place->hungry)
             continue;
         g_hash_table_iter_remove(&it);
-        place_free(p);
+        place_free(place);
     }
-    c->many_places = MAX(2 * g_hash_table_size(c->places), FEW_PLACES);
+    client->many_places = MAX(2 * g_hash_table_size(client->places), FEW_PLACES);
 }
 
 /* Ends the connection and, with it, what it was carrying. */
 static void link_fail(struct link *l)
 {
-    struct client *c = l->client;
-    struct place *p = l->place;
-    struct exchange *r = l->now;
+    struct client *client = l->client;
+    struct place *place = l->place;
+    struct exchange *exchange = l->now;
     bool sent = l->sent > 0;
     link_close(l);
-    if (r) {
-        r->link = NULL;
-        request_end(c, r, &(struct net_answer){.status = sent ? NET_NO_ANSWER : NET_NOT_SENT});
+    if (exchange) {
+        exchange->link = NULL;
+        request_end(client, exchange,
+                    &(struct net_answer){.status = sent ? NET_NO_ANSWER : NET_NOT_SENT});
     }
-    place_go(c, p);
+    place_go(client, place);
 }
 
 static void link_write(struct link *l)
 {
-    struct exchange *r = l->now;
-    while (r && l->sent < r->len) {
-        ssize_t n = send(l->io.fd, r->bytes + l->sent, r->len - l->sent, MSG_NOSIGNAL);
+    struct exchange *exchange = l->now;
+    while (exchange && l->sent < exchange->len) {
+        ssize_t n =
+            send(l->io.fd, exchange->bytes + l->sent, exchange->len - l->sent, MSG_NOSIGNAL);
         if (n < 0 && (errno == EAGAIN || errno == EINTR))
             break;
         if (n < 0) {
@@ -147,19 +150,19 @@
         }
         l->sent += n;
     }
-    bool want = r && l->sent < r->len;
+    bool want = exchange && l->sent < exchange->len;
     if (want != l->want_write) {
         l->want_write = want;
         loop_rewatch(l->client->loop, &l->io, want ? EPOLLIN | EPOLLOUT : EPOLLIN);
     }
 }
 
-static void link_take(struct link *l, struct exchange *r)
+static void link_take(struct link *l, struct exchange *exchange)
 {
     idle_set(&l->client->idle, &l->idle, false);
-    l->now = r;
+    l->now = exchange;
     l->sent = 0;
-    r->link = l;
+    exchange->link = l;
     if (!l->connecting) {
         timer_stop(l->client->loop, &l->timer);
         link_write(l);
@@ -173,62 +176,62 @@
     timer_start(l->client->loop, &l->timer, l->client->limits.idle_ms);
 }
 
-static void link_answered(struct link *l, struct http_head *h, const char *body, size_t len,
+static void link_answered(struct link *l, struct http_head *head, const char *body, size_t len,
                           size_t used)
 {
-    struct client *c = l->client;
-    struct place *p = l->place;
-    struct exchange *r = l->now;
+    struct client *client = l->client;
+    struct place *place = l->place;
+    struct exchange *exchange = l->now;
     char *copy = g_strndup(body, len);
-    struct net_answer a = {h->status, copy, len, h->retry_after_s};
-    bool close_it = h->close || l->in->len > used || l->sent < r->len;
+    struct net_answer answer = {head->status, copy, len, head->retry_after_s};
+    bool close_it = head->close || l->in->len > used || l->sent < exchange->len;
     l->now = NULL;
-    r->link = NULL;
+    exchange->link = NULL;
     if (close_it) {
         link_close(l);
     } else {
         g_byte_array_set_size(l->in, 0);
         link_rests(l);
     }
-    request_end(c, r, &a);
+    request_end(client, exchange, &answer);
     g_free(copy);
-    place_go(c, p);
+    place_go(client, place);
 }
 
 static void link_parse(struct link *l)
 {
-    struct http_head h;
+    struct http_head head;
     const char *data = (const char *)l->in->data;
     size_t limit = l->client->limits.answer_size;
-    enum http_parsed r = http_parse_head(data, l->in->len, true, &h);
+    enum http_parsed r = http_parse_head(data, l->in->len, true, &head);
     if (r == HTTP_MORE)
         return;
     if (r != HTTP_DONE) {
         link_fail(l);
         return;
     }
-    const char *body = data + h.size;
-    if (h.chunked) {
+    const char *body = data + head.size;
+    if (head.chunked) {
         if (memcmp(data + l->in->len - 4, "\r\n\r\n", 4) != 0)
             return; /* long ones are not gone through again and again */
         GString *s = g_string_new(NULL);
         size_t used;
-        r = http_parse_chunks(body, l->in->len - h.size, limit, s, &used);
+        r = http_parse_chunks(body, l->in->len - head.size, limit, s, &used);
         if (r == HTTP_DONE)
-            link_answered(l, &h, s->str, s->len, h.size + used);
+            link_answered(l, &head, s->str, s->len, head.size + used);
         else if (r != HTTP_MORE)
             link_fail(l);
         g_string_free(s, TRUE);
         return;
     }
-    size_t len = h.content_length < 0 ? 0 : (size_t)h.content_length;
+    size_t len = head.content_length < 0 ? 0 : (size_t)head.content_length;
     if (len > limit) {
         LOG_ERROR("answer_too_large", "addr=%s bytes=%zu", l->place->addr, len);
         link_fail(l);
         return;
     }
-    if (l->in->len - h.size >= len)
-        link_answered(l, &h, body, len, h.size + len);
+    if (l->in->len - head.size >= len)
+        link_answered(l, &head, body, len, head.size + len);
 }
 
 static void link_ready(struct loop_io *io, uint32_t events)
@@ -275,11 +278,11 @@
     link_fail(arg);
 }
 
-static bool link_open(struct client *c, struct place *p, struct exchange *r)
+static bool link_open(struct client *client, struct place *place, struct exchange *exchange)
 {
     struct sockaddr_in sa = {.sin_family = AF_INET};
     uint16_t port;
-    if (!address_split(p->addr, &sa.sin_addr.s_addr, &port))
+    if (!address_split(place->addr, &sa.sin_addr.s_addr, &port))
         return false;
     sa.sin_port = htons(port);
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0), one = 1;
@@ -293,24 +296,24 @@
     struct link *l = g_new0(struct link, 1);
     l->io.fd = fd;
     l->io.ready = link_ready;
-    l->client = c;
-    l->place = p;
+    l->client = client;
+    l->place = place;
     l->connecting = true;
     l->in = g_byte_array_new();
     l->idle.place.data = l;
     timer_init(&l->timer, link_timeout, l);
-    timer_start(c->loop, &l->timer, c->limits.connect_ms);
-    g_ptr_array_add(p->links, l);
-    c->links++;
-    loop_watch(c->loop, &l->io, EPOLLOUT);
-    link_take(l, r);
+    timer_start(client->loop, &l->timer, client->limits.connect_ms);
+    g_ptr_array_add(place->links, l);
+    client->links++;
+    loop_watch(client->loop, &l->io, EPOLLOUT);
+    link_take(l, exchange);
     return true;
 }
 
-static struct link *free_link(struct place *p)
+static struct link *free_link(struct place *place)
 {
-    for (guint i = 0; i < p->links->len; i++) {
-        struct link *l = p->links->pdata[i];
+    for (guint i = 0; i < place->links->len; i++) {
+        struct link *l = place->links->pdata[i];
         if (!l->now && !l->connecting)
             return l;
     }
@@ -318,34 +321,35 @@
 }
 
 /* Closes the connection that nobody has used for longest, to any address. */
-static bool make_room(struct client *c)
+static bool make_room(struct client *client)
 {
-    if (!c->idle.head)
+    if (!client->idle.head)
         return false;
-    link_close(c->idle.head->data);
+    link_close(client->idle.head->data);
     return true;
 }
 
-static void place_go(struct client *c, struct place *p)
+static void place_go(struct client *client, struct place *place)
 {
-    while (p->waiting.head) {
+    while (place->waiting.head) {
         /* One that is free is used before room is made, which could close that very one. */
-        struct link *l = free_link(p);
-        if (!l && (int)p->links->len >= c->limits.per_address)
+        struct link *l = free_link(place);
+        if (!l && (int)place->links->len >= client->limits.per_address)
             return;
-        if (!l && !p->kept && c->links >= c->limits.connections && !make_room(c)) {
-            if (!p->hungry)
-                g_queue_push_tail(&c->hungry, p);
-            p->hungry = true;
+        if (!l && !place->kept && client->links >= client->limits.connections &&
+            !make_room(client)) {
+            if (!place->hungry)
+                g_queue_push_tail(&client->hungry, place);
+            place->hungry = true;
             return;
         }
-        struct exchange *r = g_queue_pop_head(&p->waiting);
-        c->waiting--;
+        struct exchange *exchange = g_queue_pop_head(&place->waiting);
+        client->waiting--;
         if (l) {
-            link_take(l, r);
-        } else if (!link_open(c, p, r)) {
-            r->link = NULL;
-            request_end(c, r, &(struct net_answer){.status = NET_NOT_SENT});
+            link_take(l, exchange);
+        } else if (!link_open(client, place, exchange)) {
+            exchange->link = NULL;
+            request_end(client, exchange, &(struct net_answer){.status = NET_NOT_SENT});
         }
     }
 }
@@ -353,37 +357,37 @@
 /* There may be room for those that found none. */
 static void wake(void *arg)
 {
-    struct client *c = arg;
-    for (guint n = c->hungry.length; n > 0; n--) {
-        struct place *p = g_queue_pop_head(&c->hungry);
-        p->hungry = false;
-        place_go(c, p);
-        if (p->hungry)
+    struct client *client = arg;
+    for (guint n = client->hungry.length; n > 0; n--) {
+        struct place *place = g_queue_pop_head(&client->hungry);
+        place->hungry = false;
+        place_go(client, place);
+        if (place->hungry)
             return;
     }
 }
 
 static void request_timeout(void *arg)
 {
-    struct exchange *r = arg;
-    if (r->link)
-        link_fail(r->link);
+    struct exchange *exchange = arg;
+    if (exchange->link)
+        link_fail(exchange->link);
     else
-        request_end(r->client, r, &(struct net_answer){.status = NET_NOT_SENT});
+        request_end(exchange->client, exchange, &(struct net_answer){.status = NET_NOT_SENT});
 }
 
-static struct place *place_make(struct client *c, const char *addr)
+static struct place *place_make(struct client *client, const char *addr)
 {
-    struct place *p = g_hash_table_lookup(c->places, addr);
-    if (p)
-        return p;
-    forget_places(c);
-    p = g_new0(struct place, 1);
-    p->addr = g_strdup(addr);
-    g_queue_init(&p->waiting);
-    p->links = g_ptr_array_new();
-    g_hash_table_insert(c->places, p->addr, p);
-    return p;
+    struct place *place = g_hash_table_lookup(client->places, addr);
+    if (place)
+        return place;
+    forget_places(client);
+    place = g_new0(struct place, 1);
+    place->addr = g_strdup(addr);
+    g_queue_init(&place->waiting);
+    place->links = g_ptr_array_new();
+    g_hash_table_insert(client->places, place->addr, place);
+    return place;
 }
 
 void http_client_keep(struct net *net, const char *addr)
@@ -391,76 +395,78 @@
     place_make((struct client *)net, addr)->kept = true;
 }
 
-static void client_request(struct net *net, const struct net_request *q, net_done done, void *arg)
+static void client_request(struct net *net, const struct net_request *request, net_done done,
+                           void *arg)
 {
-    struct client *c = (struct client *)net;
-    struct place *p = place_make(c, q->addr);
-    if (c->waiting >= c->limits.queue && !p->kept) {
+    struct client *client = (struct client *)net;
+    struct place *place = place_make(client, request->addr);
+    if (client->waiting >= client->limits.queue && !place->kept) {
         done(arg, &(struct net_answer){.status = NET_NOT_SENT});
         return;
     }
-    GString *s = g_string_sized_new(q->len + 160);
-    g_string_printf(s, "%s %s HTTP/1.1\r\nHost: %s\r\n", q->method, q->path, q->addr);
-    if (q->body)
+    GString *s = g_string_sized_new(request->len + 160);
+    g_string_printf(s, "%s %s HTTP/1.1\r\nHost: %s\r\n", request->method, request->path,
+                    request->addr);
+    if (request->body)
         g_string_append_printf(s, "Content-Type: application/json\r\nContent-Length: %zu\r\n",
-                               q->len);
+                               request->len);
     g_string_append(s, "\r\n");
-    if (q->body)
-        g_string_append_len(s, q->body, q->len);
-    struct exchange *r = g_new0(struct exchange, 1);
-    r->client = c;
-    r->len = s->len;
-    r->bytes = g_string_free(s, FALSE);
-    r->done = done;
-    r->arg = arg;
-    r->place = p;
-    timer_init(&r->timer, request_timeout, r);
-    timer_start(c->loop, &r->timer, q->timeout_ms);
-    g_queue_push_tail(&p->waiting, r);
-    c->waiting++;
-    place_go(c, p);
+    if (request->body)
+        g_string_append_len(s, request->body, request->len);
+    struct exchange *exchange = g_new0(struct exchange, 1);
+    exchange->client = client;
+    exchange->len = s->len;
+    exchange->bytes = g_string_free(s, FALSE);
+    exchange->done = done;
+    exchange->arg = arg;
+    exchange->place = place;
+    timer_init(&exchange->timer, request_timeout, exchange);
+    timer_start(client->loop, &exchange->timer, request->timeout_ms);
+    g_queue_push_tail(&place->waiting, exchange);
+    client->waiting++;
+    place_go(client, place);
 }
 
 struct net *http_client_new(struct loop *loop, struct http_client_limits limits)
 {
-    struct client *c = g_new0(struct client, 1);
-    c->net.request = client_request;
-    c->loop = loop;
-    c->limits = limits;
-    c->places = g_hash_table_new(g_str_hash, g_str_equal);
-    c->many_places = FEW_PLACES;
-    g_queue_init(&c->idle);
-    g_queue_init(&c->hungry);
-    timer_init(&c->wake, wake, c);
-    return &c->net;
+    struct client *client = g_new0(struct client, 1);
+    client->net.request = client_request;
+    client->loop = loop;
+    client->limits = limits;
+    client->places = g_hash_table_new(g_str_hash, g_str_equal);
+    client->many_places = FEW_PLACES;
+    g_queue_init(&client->idle);
+    g_queue_init(&client->hungry);
+    timer_init(&client->wake, wake, client);
+    return &client->net;
 }
 
 void http_client_free(struct net *net)
 {
-    struct client *c = (struct client *)net;
-    timer_stop(c->loop, &c->wake);
-    g_queue_clear(&c->hungry);
+    struct client *client = (struct client *)net;
+    timer_stop(client->loop, &client->wake);
+    g_queue_clear(&client->hungry);
     GHashTableIter it;
-    struct place *p;
-    g_hash_table_iter_init(&it, c->places);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&p)) {
-        struct exchange *r;
-        while ((r = g_queue_pop_head(&p->waiting))) {
-            timer_stop(c->loop, &r->timer);
-            g_free(r->bytes);
-            g_free(r);
+    struct place *place;
+    g_hash_table_iter_init(&it, client->places);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&place)) {
+        struct exchange *exchange;
+        while ((exchange = g_queue_pop_head(&place->waiting))) {
+            timer_stop(client->loop, &exchange->timer);
+            g_free(exchange->bytes);
+            g_free(exchange);
         }
-        while (p->links->len) {
-            struct link *l = p->links->pdata[0];
+        while (place->links->len) {
+            struct link *l = place->links->pdata[0];
             if (l->now) {
-                timer_stop(c->loop, &l->now->timer);
+                timer_stop(client->loop, &l->now->timer);
                 g_free(l->now->bytes);
                 g_free(l->now);
             }
             link_close(l);
         }
-        place_free(p);
+        place_free(place);
     }
-    g_hash_table_unref(c->places);
-    g_free(c);
+    g_hash_table_unref(client->places);
+    g_free(client);
 }
--- a/src/http_parse.c
+++ b/src/http_parse.c
@@ -31,30 +31,30 @@
     return true;
 }
 
-static enum http_parsed request_line(const char *p, const char *end, struct http_head *h)
+static enum http_parsed request_line(const char *p, const char *end, struct http_head *head)
 {
     const char *sp1 = memchr(p, ' ', end - p);
     const char *sp2 = sp1 ? memchr(sp1 + 1, ' ', end - sp1 - 1) : NULL;
-    if (!sp2 || !token_copy(h->method, sizeof h->method, p, sp1))
+    if (!sp2 || !token_copy(head->method, sizeof head->method, p, sp1))
         return HTTP_BAD;
-    if ((size_t)(sp2 - sp1) >= sizeof h->target)
+    if ((size_t)(sp2 - sp1) >= sizeof head->target)
         return HTTP_TOO_LARGE;
-    if (!token_copy(h->target, sizeof h->target, sp1 + 1, sp2) || h->target[0] != '/')
+    if (!token_copy(head->target, sizeof head->target, sp1 + 1, sp2) || head->target[0] != '/')
         return HTTP_BAD;
     if (end - sp2 != 9 || memcmp(sp2 + 1, "HTTP/1.", 7) != 0 || (sp2[8] != '0' && sp2[8] != '1'))
         return HTTP_BAD;
-    h->close = sp2[8] == '0';
+    head->close = sp2[8] == '0';
     return HTTP_DONE;
 }
 
-static enum http_parsed status_line(const char *p, const char *end, struct http_head *h)
+static enum http_parsed status_line(const char *p, const char *end, struct http_head *head)
 {
     int64_t status;
     if (end - p < 12 || memcmp(p, "HTTP/1.", 7) != 0 || p[8] != ' ' ||
         !digits(p + 9, p + 12, &status) || (end - p > 12 && p[12] != ' '))
         return HTTP_BAD;
-    h->close = p[7] == '0';
-    h->status = (int)status;
+    head->close = p[7] == '0';
+    head->status = (int)status;
     return HTTP_DONE;
 }
 
@@ -72,7 +72,7 @@
     return false;
 }
 
-static bool header_field(const char *p, const char *end, struct http_head *h)
+static bool header_field(const char *p, const char *end, struct http_head *head)
 {
     const char *colon = memchr(p, ':', end - p);
     if (!colon || colon == p)
@@ -88,26 +88,27 @@
     int64_t n;
     if (is_name(p, colon, "content-length")) {
         /* Two lengths that differ are how requests get smuggled past one another. */
-        if (!digits(v, end, &n) || (h->content_length >= 0 && h->content_length != n))
+        if (!digits(v, end, &n) || (head->content_length >= 0 && head->content_length != n))
             return false;
-        h->content_length = n;
+        head->content_length = n;
     } else if (is_name(p, colon, "transfer-encoding")) {
         if (!is_name(v, end, "chunked"))
             return false;
-        h->chunked = true;
+        head->chunked = true;
     } else if (is_name(p, colon, "connection")) {
         if (has_word(v, end, "close"))
-            h->close = true;
+            head->close = true;
         else if (has_word(v, end, "keep-alive"))
-            h->close = false;
+            head->close = false;
     } else if (is_name(p, colon, "retry-after")) {
         if (digits(v, end, &n) && n < 86400)
-            h->retry_after_s = (int)n;
+            head->retry_after_s = (int)n;
     }
     return true;
 }
 
-enum http_parsed http_parse_head(const char *data, size_t len, bool response, struct http_head *h)
+enum http_parsed http_parse_head(const char *data, size_t len, bool response,
+                                 struct http_head *head)
 {
     const char *stop = g_strstr_len(data, MIN(len, (size_t)HEAD_LIMIT), "\r\n\r\n");
     if (!stop) {
@@ -116,20 +117,20 @@
             return HTTP_BAD;
         return len >= HEAD_LIMIT ? HTTP_TOO_LARGE : HTTP_MORE;
     }
-    memset(h, 0, sizeof *h);
-    h->content_length = -1;
-    h->size = stop + 4 - data;
-    const char *p = data, *eol = g_strstr_len(p, h->size, "\r\n");
-    enum http_parsed r = response ? status_line(p, eol, h) : request_line(p, eol, h);
+    memset(head, 0, sizeof *head);
+    head->content_length = -1;
+    head->size = stop + 4 - data;
+    const char *p = data, *eol = g_strstr_len(p, head->size, "\r\n");
+    enum http_parsed r = response ? status_line(p, eol, head) : request_line(p, eol, head);
     if (r != HTTP_DONE)
         return r;
     while (eol < stop) {
         p = eol + 2;
         eol = g_strstr_len(p, stop + 2 - p, "\r\n");
-        if (!header_field(p, eol, h))
+        if (!header_field(p, eol, head))
             return HTTP_BAD;
     }
-    if (h->chunked && h->content_length >= 0)
+    if (head->chunked && head->content_length >= 0)
         return HTTP_BAD;
     return HTTP_DONE;
 }
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -38,238 +38,241 @@
     uint64_t next_ref;
 };
 
-static void conn_read(struct conn *c);
+static void conn_read(struct conn *conn);
 
-static void conn_close(struct conn *c)
+static void conn_close(struct conn *conn)
 {
-    struct http_server *s = c->server;
-    idle_set(&c->server->idle, &c->idle, false);
-    timer_stop(s->loop, &c->timer);
-    loop_unwatch(s->loop, &c->io);
-    close(c->io.fd);
-    g_byte_array_unref(c->in);
-    g_string_free(c->out, TRUE);
-    g_hash_table_remove(s->conns, &c->ref.v);
-    loop_free_later(s->loop, c);
+    struct http_server *server = conn->server;
+    idle_set(&conn->server->idle, &conn->idle, false);
+    timer_stop(server->loop, &conn->timer);
+    loop_unwatch(server->loop, &conn->io);
+    close(conn->io.fd);
+    g_byte_array_unref(conn->in);
+    g_string_free(conn->out, TRUE);
+    g_hash_table_remove(server->conns, &conn->ref.v);
+    loop_free_later(server->loop, conn);
 }
 
 /* What is read next is a new request, or the rest of one. */
-static void conn_await_request(struct conn *c)
+static void conn_await_request(struct conn *conn)
 {
-    c->state = CONN_READING;
-    idle_set(&c->server->idle, &c->idle, c->in->len == 0);
-    timer_start(c->server->loop, &c->timer,
-                c->in->len ? c->server->limits.request_ms : c->server->limits.idle_ms);
+    conn->state = CONN_READING;
+    idle_set(&conn->server->idle, &conn->idle, conn->in->len == 0);
+    timer_start(conn->server->loop, &conn->timer,
+                conn->in->len ? conn->server->limits.request_ms : conn->server->limits.idle_ms);
 }
 
-static void conn_write(struct conn *c)
+static void conn_write(struct conn *conn)
 {
-    while (c->out_at < c->out->len) {
-        ssize_t n = send(c->io.fd, c->out->str + c->out_at, c->out->len - c->out_at, MSG_NOSIGNAL);
+    while (conn->out_at < conn->out->len) {
+        ssize_t n = send(conn->io.fd, conn->out->str + conn->out_at, conn->out->len - conn->out_at,
+                         MSG_NOSIGNAL);
         if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
-            if (!c->want_write) {
-                c->want_write = true;
-                loop_rewatch(c->server->loop, &c->io, EPOLLIN | EPOLLOUT);
+            if (!conn->want_write) {
+                conn->want_write = true;
+                loop_rewatch(conn->server->loop, &conn->io, EPOLLIN | EPOLLOUT);
             }
             return;
         }
         if (n < 0) {
-            conn_close(c);
+            conn_close(conn);
             return;
         }
-        c->out_at += n;
+        conn->out_at += n;
     }
-    if (c->close_after) {
-        conn_close(c);
+    if (conn->close_after) {
+        conn_close(conn);
         return;
     }
-    if (c->want_write) {
-        c->want_write = false;
-        loop_rewatch(c->server->loop, &c->io, EPOLLIN);
+    if (conn->want_write) {
+        conn->want_write = false;
+        loop_rewatch(conn->server->loop, &conn->io, EPOLLIN);
     }
-    g_string_truncate(c->out, 0);
-    c->out_at = 0;
-    conn_await_request(c);
-    if (c->in->len)
-        conn_read(c);
+    g_string_truncate(conn->out, 0);
+    conn->out_at = 0;
+    conn_await_request(conn);
+    if (conn->in->len)
+        conn_read(conn);
 }
 
-static void conn_answer(struct conn *c, int status, const char *fields, const char *body,
+static void conn_answer(struct conn *conn, int status, const char *fields, const char *body,
                         size_t len)
 {
-    g_string_printf(c->out,
+    g_string_printf(conn->out,
                     "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n",
                     status, http_status_text(status), len);
     if (fields)
-        g_string_append(c->out, fields);
-    if (c->close_after)
-        g_string_append(c->out, "Connection: close\r\n");
-    g_string_append(c->out, "\r\n");
-    g_string_append_len(c->out, body, len);
-    c->state = CONN_WRITING;
-    timer_start(c->server->loop, &c->timer, c->server->limits.request_ms);
-    conn_write(c);
+        g_string_append(conn->out, fields);
+    if (conn->close_after)
+        g_string_append(conn->out, "Connection: close\r\n");
+    g_string_append(conn->out, "\r\n");
+    g_string_append_len(conn->out, body, len);
+    conn->state = CONN_WRITING;
+    timer_start(conn->server->loop, &conn->timer, conn->server->limits.request_ms);
+    conn_write(conn);
 }
 
-static void conn_refuse(struct conn *c, int status)
+static void conn_refuse(struct conn *conn, int status)
 {
-    c->close_after = true;
-    conn_answer(c, status, NULL, "{}", 2);
+    conn->close_after = true;
+    conn_answer(conn, status, NULL, "{}", 2);
 }
 
 /* Hands over the request at the front of the buffer, once it is whole. */
-static void conn_parse(struct conn *c)
+static void conn_parse(struct conn *conn)
 {
-    struct http_server *s = c->server;
-    struct http_head h;
-    const char *data = (const char *)c->in->data;
-    switch (http_parse_head(data, c->in->len, false, &h)) {
+    struct http_server *server = conn->server;
+    struct http_head head;
+    const char *data = (const char *)conn->in->data;
+    switch (http_parse_head(data, conn->in->len, false, &head)) {
     case HTTP_MORE:
         return;
     case HTTP_BAD:
-        conn_refuse(c, 400);
+        conn_refuse(conn, 400);
         return;
     case HTTP_TOO_LARGE:
-        conn_refuse(c, 431);
+        conn_refuse(conn, 431);
         return;
     case HTTP_DONE:
         break;
     }
     GString *unchunked = NULL;
-    const char *body = data + h.size;
+    const char *body = data + head.size;
     size_t body_len = 0, used = 0;
-    if (h.chunked) {
+    if (head.chunked) {
         unchunked = g_string_new(NULL);
-        enum http_parsed r =
-            http_parse_chunks(body, c->in->len - h.size, s->limits.body, unchunked, &used);
+        enum http_parsed r = http_parse_chunks(body, conn->in->len - head.size, server->limits.body,
+                                               unchunked, &used);
         if (r != HTTP_DONE) {
             g_string_free(unchunked, TRUE);
-            if (r == HTTP_TOO_LARGE || c->in->len > h.size + s->limits.body * 2)
-                conn_refuse(c, 413);
+            if (r == HTTP_TOO_LARGE || conn->in->len > head.size + server->limits.body * 2)
+                conn_refuse(conn, 413);
             else if (r == HTTP_BAD)
-                conn_refuse(c, 400);
+                conn_refuse(conn, 400);
             return;
         }
         body = unchunked->str;
         body_len = unchunked->len;
-    } else if (h.content_length > 0) {
-        if ((uint64_t)h.content_length > s->limits.body) {
-            conn_refuse(c, 413);
+    } else if (head.content_length > 0) {
+        if ((uint64_t)head.content_length > server->limits.body) {
+            conn_refuse(conn, 413);
             return;
         }
-        if (c->in->len - h.size < (size_t)h.content_length)
+        if (conn->in->len - head.size < (size_t)head.content_length)
             return;
-        body_len = used = h.content_length;
+        body_len = used = head.content_length;
     }
     char *text = g_strndup(body, body_len);
-    g_byte_array_remove_range(c->in, 0, h.size + used);
+    g_byte_array_remove_range(conn->in, 0, head.size + used);
     if (unchunked)
         g_string_free(unchunked, TRUE);
-    c->close_after = h.close;
-    c->state = CONN_WAITING;
-    idle_set(&c->server->idle, &c->idle, false);
-    timer_stop(s->loop, &c->timer);
-    char *query = strchr(h.target, '?');
+    conn->close_after = head.close;
+    conn->state = CONN_WAITING;
+    idle_set(&conn->server->idle, &conn->idle, false);
+    timer_stop(server->loop, &conn->timer);
+    char *query = strchr(head.target, '?');
     if (query)
         *query++ = 0;
-    struct http_request request = {h.method, h.target, query ? query : "", text, body_len, NULL};
-    s->handler(s->ctx, &s->replier, c->ref, &request);
+    struct http_request request = {head.method, head.target, query ? query : "",
+                                   text,        body_len,    NULL};
+    server->handler(server->ctx, &server->replier, conn->ref, &request);
     g_free(text);
 }
 
-static void conn_read(struct conn *c)
+static void conn_read(struct conn *conn)
 {
-    size_t before = c->in->len;
-    if (c->state != CONN_READING)
+    size_t before = conn->in->len;
+    if (conn->state != CONN_READING)
         return;
     if (before) {
-        idle_set(&c->server->idle, &c->idle, false);
-        conn_parse(c);
+        idle_set(&conn->server->idle, &conn->idle, false);
+        conn_parse(conn);
     }
 }
 
 static void conn_ready(struct loop_io *io, uint32_t events)
 {
-    struct conn *c = (struct conn *)io;
+    struct conn *conn = (struct conn *)io;
     if (events & EPOLLOUT) {
-        conn_write(c);
+        conn_write(conn);
         return;
     }
     char buf[16384];
     ssize_t n = recv(io->fd, buf, sizeof buf, 0);
-    loop_refresh(c->server->loop);
+    loop_refresh(conn->server->loop);
     if (n < 0 && (errno == EAGAIN || errno == EINTR))
         return;
     if (n <= 0) {
-        conn_close(c);
+        conn_close(conn);
         return;
     }
     /* There is no pipelining: whoever sends on while an answer is due gets no more room. */
-    if (c->state != CONN_READING && c->in->len + n > 16384) {
-        conn_close(c);
+    if (conn->state != CONN_READING && conn->in->len + n > 16384) {
+        conn_close(conn);
         return;
     }
-    bool first = c->in->len == 0;
-    g_byte_array_append(c->in, (guint8 *)buf, n);
-    if (c->state != CONN_READING)
+    bool first = conn->in->len == 0;
+    g_byte_array_append(conn->in, (guint8 *)buf, n);
+    if (conn->state != CONN_READING)
         return;
     if (first)
-        timer_start(c->server->loop, &c->timer, c->server->limits.request_ms);
-    conn_read(c);
+        timer_start(conn->server->loop, &conn->timer, conn->server->limits.request_ms);
+    conn_read(conn);
 }
 
 static void conn_timeout(void *arg)
 {
-    struct conn *c = arg;
-    if (c->state == CONN_READING && c->in->len) {
-        conn_refuse(c, 408);
+    struct conn *conn = arg;
+    if (conn->state == CONN_READING && conn->in->len) {
+        conn_refuse(conn, 408);
         return;
     }
-    conn_close(c);
+    conn_close(conn);
 }
 
-static void server_reply(struct http_replier *r, conn_ref to, int status, const char *fields,
+static void server_reply(struct http_replier *replier, conn_ref to, int status, const char *fields,
                          const char *body, size_t len)
 {
-    struct http_server *s = (struct http_server *)r;
-    struct conn *c = g_hash_table_lookup(s->conns, &to.v);
-    if (c && c->state == CONN_WAITING)
-        conn_answer(c, status, fields, body, len);
+    struct http_server *server = (struct http_server *)replier;
+    struct conn *conn = g_hash_table_lookup(server->conns, &to.v);
+    if (conn && conn->state == CONN_WAITING)
+        conn_answer(conn, status, fields, body, len);
 }
 
 static void server_accept(struct loop_io *io, uint32_t events)
 {
     (void)events;
-    struct http_server *s = (struct http_server *)((char *)io - offsetof(struct http_server, io));
+    struct http_server *server =
+        (struct http_server *)((char *)io - offsetof(struct http_server, io));
     for (int i = 0; i < 16; i++) {
         int fd = accept4(io->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0) {
             /* No socket left: make room by dropping the connection that has idled longest. */
-            if ((errno == EMFILE || errno == ENFILE) && s->idle.head)
-                conn_close(s->idle.head->data);
+            if ((errno == EMFILE || errno == ENFILE) && server->idle.head)
+                conn_close(server->idle.head->data);
             return;
         }
-        if ((int)g_hash_table_size(s->conns) >= s->limits.connections) {
-            if (!s->idle.head) {
+        if ((int)g_hash_table_size(server->conns) >= server->limits.connections) {
+            if (!server->idle.head) {
                 close(fd);
                 continue;
             }
-            conn_close(s->idle.head->data);
+            conn_close(server->idle.head->data);
         }
         int one = 1;
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-        struct conn *c = g_new0(struct conn, 1);
-        c->io.fd = fd;
-        c->io.ready = conn_ready;
-        c->server = s;
-        c->ref.v = ++s->next_ref;
-        c->in = g_byte_array_new();
-        c->out = g_string_new(NULL);
-        c->idle.place.data = c;
-        timer_init(&c->timer, conn_timeout, c);
-        g_hash_table_insert(s->conns, &c->ref.v, c);
-        loop_watch(s->loop, &c->io, EPOLLIN);
-        conn_await_request(c);
+        struct conn *conn = g_new0(struct conn, 1);
+        conn->io.fd = fd;
+        conn->io.ready = conn_ready;
+        conn->server = server;
+        conn->ref.v = ++server->next_ref;
+        conn->in = g_byte_array_new();
+        conn->out = g_string_new(NULL);
+        conn->idle.place.data = conn;
+        timer_init(&conn->timer, conn_timeout, conn);
+        g_hash_table_insert(server->conns, &conn->ref.v, conn);
+        loop_watch(server->loop, &conn->io, EPOLLIN);
+        conn_await_request(conn);
     }
 }
 
@@ -291,28 +294,28 @@
             close(fd);
         return NULL;
     }
-    struct http_server *s = g_new0(struct http_server, 1);
-    s->replier.reply = server_reply;
-    s->loop = loop;
-    s->limits = limits;
-    s->handler = handler;
-    s->ctx = ctx;
-    s->conns = g_hash_table_new(g_int64_hash, g_int64_equal);
-    g_queue_init(&s->idle);
-    s->io.fd = fd;
-    s->io.ready = server_accept;
-    loop_watch(loop, &s->io, EPOLLIN);
-    return s;
+    struct http_server *server = g_new0(struct http_server, 1);
+    server->replier.reply = server_reply;
+    server->loop = loop;
+    server->limits = limits;
+    server->handler = handler;
+    server->ctx = ctx;
+    server->conns = g_hash_table_new(g_int64_hash, g_int64_equal);
+    g_queue_init(&server->idle);
+    server->io.fd = fd;
+    server->io.ready = server_accept;
+    loop_watch(loop, &server->io, EPOLLIN);
+    return server;
 }
 
-void http_server_free(struct http_server *s)
+void http_server_free(struct http_server *server)
 {
-    GList *all = g_hash_table_get_values(s->conns);
+    GList *all = g_hash_table_get_values(server->conns);
     for (GList *l = all; l; l = l->next)
         conn_close(l->data);
     g_list_free(all);
-    loop_unwatch(s->loop, &s->io);
-    close(s->io.fd);
-    g_hash_table_unref(s->conns);
-    g_free(s);
+    loop_unwatch(server->loop, &server->io);
+    close(server->io.fd);
+    g_hash_table_unref(server->conns);
+    g_free(server);
 }
--- a/src/idle.h
+++ b/src/idle.h
@@ -11,15 +11,15 @@
     bool in;
 };
 
-static inline void idle_set(GQueue *list, struct idle_place *p, bool idle)
+static inline void idle_set(GQueue *list, struct idle_place *place, bool idle)
 {
-    if (p->in == idle)
+    if (place->in == idle)
         return;
-    p->in = idle;
+    place->in = idle;
     if (idle)
-        g_queue_push_tail_link(list, &p->place);
+        g_queue_push_tail_link(list, &place->place);
     else
-        g_queue_unlink(list, &p->place);
+        g_queue_unlink(list, &place->place);
 }
 
 #endif
--- a/src/leader.c
+++ b/src/leader.c
@@ -7,7 +7,7 @@
 enum {
     SLOW_AFTER = 5,
     SLOW_BESIDE = 3,
-    MOST_PACES = 10000,
+    MAX_RUN_TIMES = 10000,
     SICK_MS = 120000, /* then it may try again, if something kept it */
     TICK_MS = 200,
     PASS_MS = 8,
@@ -23,163 +23,165 @@
 };
 
 /* A machine is slow when its tasks take so many times as long as the others of their jobs. */
-static const double SLOW_PACE = 1.7;
+static const double SLOWDOWN_LIMIT = 1.7;
 
-static void on_view(struct leader *l, const GArray *changes);
+static void on_view(struct leader *leader, const GArray *changes);
 static void tick(void *arg);
 static void pass(void *arg);
-static void part_send(struct leader *l, struct lpart *p);
+static void shard_send(struct leader *leader, struct leader_shard *shard);
 static int on_digest(void *ctx, const char *from, const cJSON *m, cJSON **answer);
 
-static void pass_soon(struct leader *l)
+static void pass_soon(struct leader *leader)
 {
-    if (!l->pass.place)
-        timer_start(l->loop, &l->pass, PASS_MS);
+    if (!leader->pass.place)
+        timer_start(leader->loop, &leader->pass, PASS_MS);
 }
 
-static void receive(struct actor *self, const struct message *m)
+static void receive(struct actor *self, const struct message *message)
 {
-    struct leader *l = (struct leader *)self;
-    if (m->kind == MSG_VIEW)
-        on_view(l, m->body);
-    else if (m->kind == MSG_FLEET)
-        pass_soon(l);
+    struct leader *leader = (struct leader *)self;
+    if (message->kind == MSG_VIEW)
+        on_view(leader, message->body);
+    else if (message->kind == MSG_FLEET)
+        pass_soon(leader);
 }
 
 static void ljob_free(gpointer q)
 {
-    struct ljob *j = q;
-    g_hash_table_unref(j->entries);
-    g_hash_table_unref(j->deals);
-    if (j->failed_on)
-        g_hash_table_unref(j->failed_on);
-    g_free(j);
+    struct leader_job *job = q;
+    g_hash_table_unref(job->entries);
+    g_hash_table_unref(job->deals);
+    if (job->failed_on)
+        g_hash_table_unref(job->failed_on);
+    g_free(job);
 }
 
 static void lhost_free(gpointer q)
 {
-    struct lhost *h = q;
-    g_free(h->owner);
-    g_ptr_array_unref(h->images);
-    if (h->failed_jobs)
-        g_hash_table_unref(h->failed_jobs);
-    g_free(h);
+    struct leader_host *host = q;
+    g_free(host->owner);
+    g_ptr_array_unref(host->images);
+    if (host->failed_jobs)
+        g_hash_table_unref(host->failed_jobs);
+    g_free(host);
 }
 
 static void lpart_free(gpointer q)
 {
-    struct lpart *p = q;
-    cJSON_Delete(p->deal);
-    cJSON_Delete(p->halt);
-    cJSON_Delete(p->gone);
-    cJSON_Delete(p->sending);
-    g_free(p->label);
-    g_free(p);
-}
-
-struct leader *leader_new(const struct node *n, const struct policy *policy)
-{
-    const struct settings *settings = n->settings;
-    struct leader *l = g_new0(struct leader, 1);
-    l->actor = (struct actor){"leader", receive};
-    l->loop = n->loop;
-    l->store = n->store;
-    l->view = n->view;
-    l->members = n->members;
-    l->bus = n->bus;
-    l->settings = settings;
-    l->policy = policy;
-    l->fleet = fleet_new(n, &l->actor);
-    l->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ljob_free);
-    l->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lhost_free);
-    l->paces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    l->parts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lpart_free);
-    l->service_lack = g_new0(int64_t, settings->zones->len);
-    l->zone_cpus = g_new0(double, settings->zones->len);
-    l->zone_tasks = g_new0(uint32_t, settings->zones->len);
-    l->no_way = g_new0(struct no_way, settings->zones->len);
-    l->open = g_ptr_array_new();
-    l->full = g_array_new(FALSE, FALSE, sizeof(struct lack));
-    l->n_teams = (int)settings->teams->len;
-    l->teams = g_new0(struct lteam, l->n_teams);
-    for (int i = 0; i < l->n_teams; i++) {
-        l->teams[i].team = &g_array_index(settings->teams, struct team, i);
-        l->teams[i].ready = g_ptr_array_new();
+    struct leader_shard *shard = q;
+    cJSON_Delete(shard->deal);
+    cJSON_Delete(shard->halt);
+    cJSON_Delete(shard->gone);
+    cJSON_Delete(shard->sending);
+    g_free(shard->label);
+    g_free(shard);
+}
+
+struct leader *leader_new(const struct node *node, const struct policy *policy)
+{
+    const struct settings *settings = node->settings;
+    struct leader *leader = g_new0(struct leader, 1);
+    leader->actor = (struct actor){"leader", receive};
+    leader->loop = node->loop;
+    leader->store = node->store;
+    leader->view = node->view;
+    leader->members = node->members;
+    leader->bus = node->bus;
+    leader->settings = settings;
+    leader->policy = policy;
+    leader->fleet = fleet_new(node, &leader->actor);
+    leader->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ljob_free);
+    leader->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lhost_free);
+    leader->run_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    leader->shards = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lpart_free);
+    leader->service_lack = g_new0(int64_t, settings->zones->len);
+    leader->zone_cpus = g_new0(double, settings->zones->len);
+    leader->zone_tasks = g_new0(uint32_t, settings->zones->len);
+    leader->no_way = g_new0(struct no_way, settings->zones->len);
+    leader->open = g_ptr_array_new();
+    leader->full = g_array_new(FALSE, FALSE, sizeof(struct lack));
+    leader->n_teams = (int)settings->teams->len;
+    leader->teams = g_new0(struct leader_team, leader->n_teams);
+    for (int i = 0; i < leader->n_teams; i++) {
+        leader->teams[i].team = &g_array_index(settings->teams, struct team, i);
+        leader->teams[i].ready = g_ptr_array_new();
     }
-    timer_init(&l->tick, tick, l);
-    timer_init(&l->pass, pass, l);
-    view_listen(l->view, &l->actor);
-    bus_handle(l->bus, "digest", on_digest, l);
-    return l;
+    timer_init(&leader->tick, tick, leader);
+    timer_init(&leader->pass, pass, leader);
+    view_listen(leader->view, &leader->actor);
+    bus_handle(leader->bus, "digest", on_digest, leader);
+    return leader;
 }
 
-void leader_free(struct leader *l)
+void leader_free(struct leader *leader)
 {
-    timer_stop(l->loop, &l->tick);
-    timer_stop(l->loop, &l->pass);
-    fleet_free(l->fleet);
-    g_hash_table_unref(l->jobs);
-    g_hash_table_unref(l->hosts);
-    g_hash_table_unref(l->parts);
-    g_hash_table_unref(l->paces);
-    for (int i = 0; i < l->n_teams; i++)
-        g_ptr_array_unref(l->teams[i].ready);
-    g_free(l->teams);
-    g_free(l->service_lack);
-    g_free(l->zone_cpus);
-    g_free(l->zone_tasks);
-    g_free(l->no_way);
-    g_ptr_array_unref(l->open);
-    g_array_unref(l->full);
-    g_free(l);
+    timer_stop(leader->loop, &leader->tick);
+    timer_stop(leader->loop, &leader->pass);
+    fleet_free(leader->fleet);
+    g_hash_table_unref(leader->jobs);
+    g_hash_table_unref(leader->hosts);
+    g_hash_table_unref(leader->shards);
+    g_hash_table_unref(leader->run_times);
+    for (int i = 0; i < leader->n_teams; i++)
+        g_ptr_array_unref(leader->teams[i].ready);
+    g_free(leader->teams);
+    g_free(leader->service_lack);
+    g_free(leader->zone_cpus);
+    g_free(leader->zone_tasks);
+    g_free(leader->no_way);
+    g_ptr_array_unref(leader->open);
+    g_array_unref(leader->full);
+    g_free(leader);
 }
 
-void leader_start(struct leader *l)
+void leader_start(struct leader *leader)
 {
-    timer_start(l->loop, &l->tick, TICK_MS);
+    timer_start(leader->loop, &leader->tick, TICK_MS);
 }
 
 /* ---- the ledger ---- */
 
-struct ljob *ljob_get(struct leader *l, const char *id)
+struct leader_job *leader_job_get(struct leader *leader, const char *id)
 {
-    return g_hash_table_lookup(l->jobs, id);
+    return g_hash_table_lookup(leader->jobs, id);
 }
 
 /* NULL when the job's description is not known any more, which is only so once nothing of it is on
  * record. */
-static struct ljob *ljob_make(struct leader *l, job_id id)
-{
-    struct ljob *j = ljob_get(l, id.s);
-    if (j)
-        return j;
-    struct job *v = view_job(l->view, id.s);
-    int team = v && v->spec ? settings_team(l->settings, v->spec->crew) : -1;
+static struct leader_job *ljob_make(struct leader *leader, job_id id)
+{
+    struct leader_job *job = leader_job_get(leader, id.s);
+    if (job)
+        return job;
+    struct job *job_view = view_job(leader->view, id.s);
+    int team = job_view && job_view->spec
+                   ? settings_team(leader->settings, job_view->spec->team_name)
+                   : -1;
     if (team < 0)
         return NULL;
-    j = g_new0(struct ljob, 1);
-    j->id = id;
-    j->team = team;
-    j->room = room_of_spec(v->spec);
-    j->service = v->spec->form == FORM_SERVICE;
-    j->urgency = (enum urgency)v->urgency;
-    j->patience_s = leader_patience_s(l, v);
-    j->entries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    j->deals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    g_hash_table_insert(l->jobs, j->id.s, j);
-    return j;
+    job = g_new0(struct leader_job, 1);
+    job->id = id;
+    job->team = team;
+    job->room = room_of_spec(job_view->spec);
+    job->service = job_view->spec->form == FORM_SERVICE;
+    job->urgency = (enum urgency)job_view->urgency;
+    job->patience_s = leader_patience_s(leader, job_view);
+    job->entries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    job->deals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    g_hash_table_insert(leader->jobs, job->id.s, job);
+    return job;
 }
 
 /* Those that need a job lend it their urgency and their time, and may come and go. */
-static void ljob_lent(struct leader *l, struct ljob *j, const struct job *v)
+static void ljob_lent(struct leader *leader, struct leader_job *job, const struct job *job_view)
 {
-    if (!j)
+    if (!job)
         return;
-    int n = (int)g_hash_table_size(j->entries);
-    l->running[j->urgency] -= n;
-    j->urgency = (enum urgency)v->urgency;
-    l->running[j->urgency] += n;
-    j->patience_s = leader_patience_s(l, v);
+    int n = (int)g_hash_table_size(job->entries);
+    leader->running[job->urgency] -= n;
+    job->urgency = (enum urgency)job_view->urgency;
+    leader->running[job->urgency] += n;
+    job->patience_s = leader_patience_s(leader, job_view);
 }
 
 gpointer leader_key_of(uint32_t index)
@@ -187,107 +189,109 @@
     return GUINT_TO_POINTER(index + 1);
 }
 
-struct lhost *lhost_get(struct leader *l, const char *id)
+struct leader_host *leader_host_get(struct leader *leader, const char *id)
 {
-    return g_hash_table_lookup(l->hosts, id);
+    return g_hash_table_lookup(leader->hosts, id);
 }
 
-static struct lhost *lhost_make(struct leader *l, host_id id, const char *build, const char *yard,
-                                bool loaners)
+static struct leader_host *lhost_make(struct leader *leader, host_id id, const char *type_name,
+                                      const char *zone, bool spot)
 {
-    struct lhost *h = lhost_get(l, id.s);
-    if (!h) {
-        h = g_new0(struct lhost, 1);
-        h->id = id;
-        h->idle_since = loop_now(l->loop);
-        h->images = images_new();
-        g_hash_table_insert(l->hosts, h->id.s, h);
+    struct leader_host *host = leader_host_get(leader, id.s);
+    if (!host) {
+        host = g_new0(struct leader_host, 1);
+        host->id = id;
+        host->idle_since = loop_now(leader->loop);
+        host->images = images_new();
+        g_hash_table_insert(leader->hosts, host->id.s, host);
     }
-    guint zone;
-    bool known = g_ptr_array_find_with_equal_func(l->settings->zones, yard, g_str_equal, &zone);
-    h->zone = known ? (int)zone : -1;
-    g_strlcpy(h->build, build, sizeof h->build);
-    g_strlcpy(h->yard, yard, sizeof h->yard);
-    h->loaners = loaners;
-    const struct machine_type *t = type_named(l->view->types, build);
-    if (t)
-        h->total = room_of_type(t);
-    return h;
-}
-
-void leader_deal_drop(struct leader *l, struct ljob *j, uint32_t index)
-{
-    struct deal *d = g_hash_table_lookup(j->deals, leader_key_of(index));
-    if (!d)
+    guint zone_index;
+    bool known =
+        g_ptr_array_find_with_equal_func(leader->settings->zones, zone, g_str_equal, &zone_index);
+    host->zone_index = known ? (int)zone_index : -1;
+    g_strlcpy(host->type_name, type_name, sizeof host->type_name);
+    g_strlcpy(host->zone, zone, sizeof host->zone);
+    host->spot = spot;
+    const struct machine_type *type = type_named(leader->view->types, type_name);
+    if (type)
+        host->total = room_of_type(type);
+    return host;
+}
+
+void leader_deal_drop(struct leader *leader, struct leader_job *job, uint32_t index)
+{
+    struct deal *deal = g_hash_table_lookup(job->deals, leader_key_of(index));
+    if (!deal)
         return;
-    if (d->host)
-        room_sub(&d->host->dealt, j->room);
-    room_sub(&l->teams[j->team].used, j->room);
-    g_hash_table_remove(j->deals, leader_key_of(index));
-    j->cursor = MIN(j->cursor, index);
+    if (deal->host)
+        room_sub(&deal->host->dealt, job->room);
+    room_sub(&leader->teams[job->team].used, job->room);
+    g_hash_table_remove(job->deals, leader_key_of(index));
+    job->cursor = MIN(job->cursor, index);
 }
 
-static void entry_add(struct leader *l, job_id job, uint32_t index, attempt_no attempt,
+static void entry_add(struct leader *leader, job_id job, uint32_t index, attempt_no attempt,
                       host_id host)
 {
-    struct ljob *j = ljob_make(l, job);
+    struct leader_job *j = ljob_make(leader, job);
     if (!j || g_hash_table_contains(j->entries, leader_key_of(index)))
         return;
-    struct deal *d = g_hash_table_lookup(j->deals, leader_key_of(index));
-    if (d && d->attempt.v == attempt.v)
-        leader_deal_drop(l, j, index);
-    struct entry *e = g_new(struct entry, 1);
-    *e = (struct entry){.attempt = attempt, .host = host, .since = loop_now(l->loop)};
-    g_hash_table_insert(j->entries, leader_key_of(index), e);
-    room_add(&l->teams[j->team].used, j->room);
-    l->running[j->urgency]++;
-    struct host_record *rec = view_host(l->view, host.s);
-    struct lhost *h = lhost_get(l, host.s);
+    struct deal *deal = g_hash_table_lookup(j->deals, leader_key_of(index));
+    if (deal && deal->attempt.v == attempt.v)
+        leader_deal_drop(leader, j, index);
+    struct entry *entry = g_new(struct entry, 1);
+    *entry = (struct entry){.attempt = attempt, .host = host, .since = loop_now(leader->loop)};
+    g_hash_table_insert(j->entries, leader_key_of(index), entry);
+    room_add(&leader->teams[j->team].used, j->room);
+    leader->running[j->urgency]++;
+    struct host_record *rec = view_host(leader->view, host.s);
+    struct leader_host *h = leader_host_get(leader, host.s);
     if (!h && rec)
-        h = lhost_make(l, host, rec->build, rec->yard, rec->loaners);
+        h = lhost_make(leader, host, rec->type_name, rec->zone, rec->spot);
     if (h)
         room_add(&h->booked, j->room);
     if (h && j->service)
         room_add(&h->pinned, j->room);
 }
 
-static void entry_remove(struct leader *l, job_id job, uint32_t index, attempt_no attempt)
+static void entry_remove(struct leader *leader, job_id job, uint32_t index, attempt_no attempt)
 {
-    struct ljob *j = ljob_get(l, job.s);
-    struct entry *e = j ? g_hash_table_lookup(j->entries, leader_key_of(index)) : NULL;
-    if (!e || e->attempt.v != attempt.v)
+    struct leader_job *j = leader_job_get(leader, job.s);
+    struct entry *entry = j ? g_hash_table_lookup(j->entries, leader_key_of(index)) : NULL;
+    if (!entry || entry->attempt.v != attempt.v)
         return;
-    struct lhost *h = lhost_get(l, e->host.s);
+    struct leader_host *host = leader_host_get(leader, entry->host.s);
     j->gang_broken = true;
-    if (h) {
-        room_sub(&h->booked, j->room);
+    if (host) {
+        room_sub(&host->booked, j->room);
         if (j->service)
-            room_sub(&h->pinned, j->room);
-        h->idle_since = loop_now(l->loop);
+            room_sub(&host->pinned, j->room);
+        host->idle_since = loop_now(leader->loop);
     }
-    room_sub(&l->teams[j->team].used, j->room);
-    l->running[j->urgency]--;
-    if (e->halted)
-        room_sub(&l->teams[j->team].halting, j->room);
-    struct ljob *other = e->cleared_for.s[0] ? ljob_get(l, e->cleared_for.s) : NULL;
+    room_sub(&leader->teams[j->team].used, j->room);
+    leader->running[j->urgency]--;
+    if (entry->halted)
+        room_sub(&leader->teams[j->team].halting, j->room);
+    struct leader_job *other =
+        entry->cleared_for.s[0] ? leader_job_get(leader, entry->cleared_for.s) : NULL;
     if (other)
         other->clearing--;
     g_hash_table_remove(j->entries, leader_key_of(index));
     j->cursor = MIN(j->cursor, index);
 }
 
-struct lpart *lpart_make(struct leader *l, const char *label)
+struct leader_shard *leader_shard_get(struct leader *leader, const char *label)
 {
-    struct lpart *p = g_hash_table_lookup(l->parts, label);
-    if (!p) {
-        p = g_new0(struct lpart, 1);
-        p->label = g_strdup(label);
-        g_hash_table_insert(l->parts, p->label, p);
+    struct leader_shard *shard = g_hash_table_lookup(leader->shards, label);
+    if (!shard) {
+        shard = g_new0(struct leader_shard, 1);
+        shard->label = g_strdup(label);
+        g_hash_table_insert(leader->shards, shard->label, shard);
     }
-    return p;
+    return shard;
 }
 
-void lpart_put(cJSON **list, cJSON *item)
+void leader_shard_add(cJSON **list, cJSON *item)
 {
     if (!*list)
         *list = cJSON_CreateArray();
@@ -297,45 +301,45 @@
 /* A new epoch, or this node has just come to lead: everything is taken from the view. What was
  * dealt under an earlier epoch and is not on record by now never will be, as every record is
  * conditioned on the map. */
-static void rebuild(struct leader *l)
-{
-    l->epoch = l->view->epoch;
-    l->epoch_at = loop_now(l->loop);
-    l->generation++;
-    l->attempts = 0;
-    GHashTable *old = l->jobs;
-    l->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ljob_free);
-    g_hash_table_remove_all(l->parts);
-    memset(l->running, 0, sizeof l->running);
-    for (int i = 0; i < l->n_teams; i++)
-        l->teams[i].used = l->teams[i].halting = (struct room){0};
+static void rebuild(struct leader *leader)
+{
+    leader->epoch = leader->view->epoch;
+    leader->epoch_at = loop_now(leader->loop);
+    leader->generation++;
+    leader->attempts = 0;
+    GHashTable *old = leader->jobs;
+    leader->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ljob_free);
+    g_hash_table_remove_all(leader->shards);
+    memset(leader->running, 0, sizeof leader->running);
+    for (int i = 0; i < leader->n_teams; i++)
+        leader->teams[i].used = leader->teams[i].halting = (struct room){0};
     GHashTableIter it;
-    struct lhost *h;
-    g_hash_table_iter_init(&it, l->hosts);
+    struct leader_host *h;
+    g_hash_table_iter_init(&it, leader->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
         h->booked = h->dealt = h->pinned = (struct room){0};
         h->told = false;
         h->flags = 0;
     }
-    for (guint i = 0; i < l->view->map->len; i++)
-        lpart_make(l, g_array_index(l->view->map, struct map_entry, i).label);
+    for (guint i = 0; i < leader->view->map->len; i++)
+        leader_shard_get(leader, g_array_index(leader->view->map, struct map_entry, i).label);
     struct host_record *rec;
-    g_hash_table_iter_init(&it, l->view->hosts);
+    g_hash_table_iter_init(&it, leader->view->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&rec)) {
-        struct lhost *n = lhost_make(l, rec->id, rec->build, rec->yard, rec->loaners);
+        struct leader_host *n = lhost_make(leader, rec->id, rec->type_name, rec->zone, rec->spot);
         for (guint i = 0; i < rec->images->len && !n->told; i++)
             images_add(n->images, rec->images->pdata[i]);
         for (guint i = 0; i < rec->tasks->len; i++) {
-            struct placed *t = rec->tasks->pdata[i];
-            entry_add(l, t->job->id, t->index, t->attempt, rec->id);
+            struct placed *placed = rec->tasks->pdata[i];
+            entry_add(leader, placed->job->id, placed->index, placed->attempt, rec->id);
         }
     }
-    struct job *j;
-    g_hash_table_iter_init(&it, l->view->jobs);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&j)) {
-        if (!j->known || (j->state != JOB_LIVE && !j->spec))
+    struct job *job;
+    g_hash_table_iter_init(&it, leader->view->jobs);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job)) {
+        if (!job->known || (job->state != JOB_LIVE && !job->spec))
             continue;
-        struct ljob *n = ljob_make(l, j->id), *o = g_hash_table_lookup(old, j->id.s);
+        struct leader_job *n = ljob_make(leader, job->id), *o = g_hash_table_lookup(old, job->id.s);
         if (n && o) { /* what was learnt of it stays */
             n->failures = o->failures;
             n->not_before = o->not_before;
@@ -343,8 +347,8 @@
         }
     }
     g_hash_table_unref(old);
-    LOG_INFO("leading", "jobs=%u machines=%u", g_hash_table_size(l->jobs),
-             g_hash_table_size(l->hosts));
+    LOG_INFO("leading", "jobs=%u machines=%u", g_hash_table_size(leader->jobs),
+             g_hash_table_size(leader->hosts));
 }
 
 /* ---- ends of jobs ---- */
@@ -357,87 +361,90 @@
 
 static void finish_seen(void *arg, bool ok)
 {
-    struct finish *f = arg;
+    struct finish *finish = arg;
     (void)ok;
-    f->leader->cancelling -= f->cancelled;
-    struct ljob *j = ljob_get(f->leader, f->job.s);
-    if (j)
-        j->finishing = false;
-    pass_soon(f->leader);
-    g_free(f);
+    finish->leader->cancelling -= finish->cancelled;
+    struct leader_job *job = leader_job_get(finish->leader, finish->job.s);
+    if (job)
+        job->finishing = false;
+    pass_soon(finish->leader);
+    g_free(finish);
 }
 
-static void finish_answered(void *arg, const struct txn_outcome *o)
+static void finish_answered(void *arg, const struct txn_outcome *outcome)
 {
-    struct finish *f = arg;
-    if (o->result == TXN_DONE || o->result == TXN_CONFLICT)
-        view_await(f->leader->view, o->at, finish_seen, f);
+    struct finish *finish = arg;
+    if (outcome->result == TXN_DONE || outcome->result == TXN_CONFLICT)
+        view_await(finish->leader->view, outcome->at, finish_seen, finish);
     else
-        view_barrier(f->leader->view, finish_seen, f);
+        view_barrier(finish->leader->view, finish_seen, finish);
 }
 
-static void finish(struct leader *l, struct ljob *j, struct job *v, enum job_state final)
+static void finish(struct leader *leader, struct leader_job *job, struct job *job_view,
+                   enum job_state final)
 {
-    struct txn *t = txn_new();
-    char *key = key_job(j->id);
-    txn_when(t, key, v->stamp);
-    txn_when(t, KEY_LEADER, l->view->leader_stamp);
-    txn_set(t, key, job_final_value(final, v->tasks, loop_wall(l->loop)), (lease_id){0});
+    struct txn *txn = txn_new();
+    char *key = key_job(job->id);
+    txn_when(txn, key, job_view->stamp);
+    txn_when(txn, KEY_LEADER, leader->view->leader_stamp);
+    txn_set(txn, key, job_final_value(final, job_view->tasks, loop_wall(leader->loop)),
+            (lease_id){0});
     g_free(key);
-    j->finishing = true;
+    job->finishing = true;
     struct finish *f = g_new(struct finish, 1);
-    *f = (struct finish){l, j->id, v->state == JOB_CANCELLED};
-    l->cancelling += f->cancelled;
-    store_txn(l->store, f->cancelled ? LANE_NORMAL : LANE_URGENT, t, finish_answered, f);
+    *f = (struct finish){leader, job->id, job_view->state == JOB_CANCELLED};
+    leader->cancelling += f->cancelled;
+    store_txn(leader->store, f->cancelled ? LANE_NORMAL : LANE_URGENT, txn, finish_answered, f);
 }
 
-static void consider_end(struct leader *l, struct ljob *j)
+static void consider_end(struct leader *leader, struct leader_job *job)
 {
-    struct job *v = view_job(l->view, j->id.s);
-    if (!v || !v->known || j->finishing || !v->spec || !membership_leads(l->members))
+    struct job *job_view = view_job(leader->view, job->id.s);
+    if (!job_view || !job_view->known || job->finishing || !job_view->spec ||
+        !membership_leads(leader->members))
         return;
-    if (v->state == JOB_LIVE && v->n_done == v->tasks)
-        finish(l, j, v, JOB_DONE);
+    if (job_view->state == JOB_LIVE && job_view->n_done == job_view->tasks)
+        finish(leader, job, job_view, JOB_DONE);
     /* Many may be cancelled with one. All nodes know that already: it can wait behind other writes.
      */
-    else if (v->state == JOB_CANCELLED && !v->placed && !g_hash_table_size(j->entries) &&
-             l->cancelling < MOST_CANCELLING)
-        finish(l, j, v, JOB_CANCELLED);
+    else if (job_view->state == JOB_CANCELLED && !job_view->placed &&
+             !g_hash_table_size(job->entries) && leader->cancelling < MOST_CANCELLING)
+        finish(leader, job, job_view, JOB_CANCELLED);
 }
 
-static bool over(struct leader *l, struct ljob *j)
+static bool over(struct leader *leader, struct leader_job *job)
 {
-    struct job *v = view_job(l->view, j->id.s);
-    return (!v || !v->spec) && !g_hash_table_size(j->entries) && !j->finishing;
+    struct job *job_view = view_job(leader->view, job->id.s);
+    return (!job_view || !job_view->spec) && !g_hash_table_size(job->entries) && !job->finishing;
 }
 
 /* A task that is neither recorded nor given back for long would wait for ever, whatever became of
  * it: a new epoch makes all that was dealt void. */
-static void raise_for_stuck_deals(struct leader *l)
+static void raise_for_stuck_deals(struct leader *leader)
 {
-    mono_time now = loop_now(l->loop);
+    mono_time now = loop_now(leader->loop);
     GHashTableIter it, deals;
-    struct ljob *j;
-    struct deal *d;
-    g_hash_table_iter_init(&it, l->jobs);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&j)) {
-        struct job *v = view_job(l->view, j->id.s);
+    struct leader_job *job;
+    struct deal *deal;
+    g_hash_table_iter_init(&it, leader->jobs);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job)) {
+        struct job *job_view = view_job(leader->view, job->id.s);
         /* The switch rule may keep a task back for a twentieth of its time. */
-        double most = STUCK_S + (v && v->spec ? v->spec->expected_s * 0.1 : 0);
-        g_hash_table_iter_init(&deals, j->deals);
-        while (g_hash_table_iter_next(&deals, NULL, (gpointer *)&d))
-            if ((double)time_ms_since(now, d->since) > most * 1000 &&
-                (double)time_ms_since(now, l->idle_at) > most * 1000) {
-                LOG_INFO("deal_stuck", "job=%s machine=%s", j->id.s, d->host->id.s);
-                membership_raise(l->members, "a deal is stuck");
+        double most = STUCK_S + (job_view && job_view->spec ? job_view->spec->expected_s * 0.1 : 0);
+        g_hash_table_iter_init(&deals, job->deals);
+        while (g_hash_table_iter_next(&deals, NULL, (gpointer *)&deal))
+            if ((double)time_ms_since(now, deal->since) > most * 1000 &&
+                (double)time_ms_since(now, leader->idle_at) > most * 1000) {
+                LOG_INFO("deal_stuck", "job=%s machine=%s", job->id.s, deal->host->id.s);
+                membership_raise(leader->members, "a deal is stuck");
                 return;
             }
     }
 }
 
-static void swept(void *arg, const struct txn_outcome *o)
+static void swept(void *arg, const struct txn_outcome *outcome)
 {
-    (void)o;
+    (void)outcome;
     ((struct leader *)arg)->sweeping = false;
 }
 
@@ -450,177 +457,179 @@
     *(bool *)c[1] = *(bool *)c[1] || (j && j->spec);
 }
 
-static void sweep_key(struct leader *l, const char *key, revision stamp)
+static void sweep_key(struct leader *leader, const char *key, revision stamp)
 {
-    struct txn *t = txn_new();
-    txn_when(t, KEY_LEADER, l->view->leader_stamp);
-    txn_when(t, key, stamp);
-    txn_remove(t, key);
-    l->sweeping = true;
-    store_txn(l->store, LANE_NORMAL, t, swept, l);
+    struct txn *txn = txn_new();
+    txn_when(txn, KEY_LEADER, leader->view->leader_stamp);
+    txn_when(txn, key, stamp);
+    txn_remove(txn, key);
+    leader->sweeping = true;
+    store_txn(leader->store, LANE_NORMAL, txn, swept, leader);
 }
 
-static bool node_away(const struct leader *l, const char *label)
+static bool node_away(const struct leader *leader, const char *label)
 {
-    for (guint i = 0; i < l->view->map->len; i++)
-        if (strcmp(g_array_index(l->view->map, struct map_entry, i).label, label) == 0)
+    for (guint i = 0; i < leader->view->map->len; i++)
+        if (strcmp(g_array_index(leader->view->map, struct map_entry, i).label, label) == 0)
             return false;
     return true;
 }
 
 /* A page of a node that is away is removed once others have taken its machines over and the jobs
  * are over of which it says what is done. */
-static void sweep_pages(struct leader *l)
+static void sweep_pages(struct leader *leader)
 {
     GHashTableIter it;
-    struct page *g;
-    g_hash_table_iter_init(&it, l->view->pages);
-    while (!l->sweeping && g_hash_table_iter_next(&it, NULL, (gpointer *)&g)) {
+    struct page *page;
+    g_hash_table_iter_init(&it, leader->view->pages);
+    while (!leader->sweeping && g_hash_table_iter_next(&it, NULL, (gpointer *)&page)) {
         bool live = false;
-        void *ctx[] = {l->view, &live};
-        if (g->tasks->len || !node_away(l, g->label))
+        void *ctx[] = {leader->view, &live};
+        if (page->tasks->len || !node_away(leader, page->label))
             continue;
-        page_read_done(g->done ? g->done : "", still_live, ctx);
+        page_read_done(page->done ? page->done : "", still_live, ctx);
         if (!live)
-            sweep_key(l, g->key, g->stamp);
+            sweep_key(leader, page->key, page->stamp);
     }
 }
 
 /* A list of machines of a node that is away is removed once it says nothing of a machine on which
  * anything is on record: those that own them now list them, too. */
-static void sweep_rolls(struct leader *l)
+static void sweep_inventories(struct leader *leader)
 {
     GHashTableIter it;
-    struct roll *r;
-    g_hash_table_iter_init(&it, l->view->rolls);
-    while (!l->sweeping && g_hash_table_iter_next(&it, NULL, (gpointer *)&r)) {
+    struct inventory *inventory;
+    g_hash_table_iter_init(&it, leader->view->inventories);
+    while (!leader->sweeping && g_hash_table_iter_next(&it, NULL, (gpointer *)&inventory)) {
         bool needed = false;
-        for (guint i = 0; i < r->hosts->len; i++)
-            needed = needed || ((struct host_record *)r->hosts->pdata[i])->tasks->len;
-        if (!needed && node_away(l, r->label))
-            sweep_key(l, r->key, r->stamp);
+        for (guint i = 0; i < inventory->hosts->len; i++)
+            needed = needed || ((struct host_record *)inventory->hosts->pdata[i])->tasks->len;
+        if (!needed && node_away(leader, inventory->label))
+            sweep_key(leader, inventory->key, inventory->stamp);
     }
 }
 
 /* ---- the pass ---- */
 
-static void send_all(struct leader *l)
+static void send_all(struct leader *leader)
 {
     GHashTableIter it;
-    struct lpart *p;
+    struct leader_shard *shard;
     GPtrArray *due = g_ptr_array_new();
-    g_hash_table_iter_init(&it, l->parts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&p))
-        if (!p->out && (p->sending || p->deal || p->halt || p->gone))
-            g_ptr_array_add(due, p);
+    g_hash_table_iter_init(&it, leader->shards);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&shard))
+        if (!shard->out && (shard->sending || shard->deal || shard->halt || shard->gone))
+            g_ptr_array_add(due, shard);
     for (guint i = 0; i < due->len; i++)
-        part_send(l, due->pdata[i]);
+        shard_send(leader, due->pdata[i]);
     g_ptr_array_unref(due);
 }
 
 static void pass(void *arg)
 {
-    struct leader *l = arg;
-    if (!leader_ready_to_deal(l))
+    struct leader *leader = arg;
+    if (!leader_ready_to_deal(leader))
         return;
     int budget = DEALS_A_PASS;
-    l->first_team = (l->first_team + 1) % l->n_teams;
-    leader_survey(l);
-    if (leader_collect_ready(l))
+    leader->first_team = (leader->first_team + 1) % leader->n_teams;
+    leader_survey(leader);
+    if (leader_collect_ready(leader))
         for (int rank = 0; rank < RANKS && budget > 0; rank++)
-            budget -= leader_deal_rank(l, rank, budget);
-    leader_scale(l);
-    fleet_step(l->fleet);
-    send_all(l);
+            budget -= leader_deal_rank(leader, rank, budget);
+    leader_scale(leader);
+    fleet_step(leader->fleet);
+    send_all(leader);
     if (budget <= 0)
-        pass_soon(l);
+        pass_soon(leader);
 }
 
 /* ---- parts ---- */
 
-struct part_out {
+struct shard_out {
     struct leader *leader;
     uint64_t generation;
     char *label;
 };
 
-static void part_answered(void *arg, int status, const cJSON *answer)
+static void shard_answered(void *arg, int status, const cJSON *answer)
 {
     (void)answer;
-    struct part_out *o = arg;
-    struct leader *l = o->leader;
-    struct lpart *p = g_hash_table_lookup(l->parts, o->label);
-    if (o->generation == l->generation && p) {
-        mono_time now = loop_now(l->loop);
-        p->out = false;
+    struct shard_out *out = arg;
+    struct leader *leader = out->leader;
+    struct leader_shard *shard = g_hash_table_lookup(leader->shards, out->label);
+    if (out->generation == leader->generation && shard) {
+        mono_time now = loop_now(leader->loop);
+        shard->out = false;
         if (status == 200) {
-            cJSON_Delete(p->sending);
-            p->sending = NULL;
-            p->failing_since = (mono_time){0};
-            if (p->deal || p->halt || p->gone)
-                part_send(l, p);
-        } else if (!p->failing_since.us) {
-            p->failing_since = now;
-        } else if (time_ms_since(now, p->failing_since) > UNREACHABLE_MS &&
-                   membership_leads(l->members) && strcmp(p->label, l->settings->label) != 0) {
-            p->failing_since = now;
-            membership_exclude(l->members, p->label, EXCLUDE_MS);
+            cJSON_Delete(shard->sending);
+            shard->sending = NULL;
+            shard->failing_since = (mono_time){0};
+            if (shard->deal || shard->halt || shard->gone)
+                shard_send(leader, shard);
+        } else if (!shard->failing_since.us) {
+            shard->failing_since = now;
+        } else if (time_ms_since(now, shard->failing_since) > UNREACHABLE_MS &&
+                   membership_leads(leader->members) &&
+                   strcmp(shard->label, leader->settings->label) != 0) {
+            shard->failing_since = now;
+            membership_exclude(leader->members, shard->label, EXCLUDE_MS);
         }
     }
-    g_free(o->label);
-    g_free(o);
+    g_free(out->label);
+    g_free(out);
 }
 
 /* One message at a time, and the same one until it is acknowledged: see on_deal in part.c. */
-static void part_send(struct leader *l, struct lpart *p)
-{
-    if (!p->sending) {
-        cJSON *m = cJSON_CreateObject();
-        bus_put_u64(m, "e", l->epoch.v);
-        bus_put_u64(m, "s", ++p->seq);
-        if (p->deal)
-            cJSON_AddItemToObject(m, "deal", g_steal_pointer(&p->deal));
-        if (p->halt)
-            cJSON_AddItemToObject(m, "halt", g_steal_pointer(&p->halt));
-        if (p->gone)
-            cJSON_AddItemToObject(m, "gone", g_steal_pointer(&p->gone));
-        p->sending = m;
+static void shard_send(struct leader *leader, struct leader_shard *shard)
+{
+    if (!shard->sending) {
+        cJSON *message = cJSON_CreateObject();
+        bus_put_u64(message, "e", leader->epoch.v);
+        bus_put_u64(message, "s", ++shard->seq);
+        if (shard->deal)
+            cJSON_AddItemToObject(message, "deal", g_steal_pointer(&shard->deal));
+        if (shard->halt)
+            cJSON_AddItemToObject(message, "halt", g_steal_pointer(&shard->halt));
+        if (shard->gone)
+            cJSON_AddItemToObject(message, "gone", g_steal_pointer(&shard->gone));
+        shard->sending = message;
     }
-    struct part_out *o = g_new(struct part_out, 1);
-    *o = (struct part_out){l, l->generation, g_strdup(p->label)};
-    p->out = true;
-    bus_send(l->bus, p->label, "deal", cJSON_Duplicate(p->sending, true), OUT_TIMEOUT_MS,
-             part_answered, o);
-}
-
-static void host_failed(struct leader *l, struct lhost *h, const char *job)
-{
-    if (!h->failed_jobs)
-        h->failed_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    g_hash_table_add(h->failed_jobs, g_strdup(job));
-    if (g_hash_table_size(h->failed_jobs) >= 2) {
-        LOG_INFO("machine_sick", "machine=%s", h->id.s);
-        h->sick_until = time_add_ms(loop_now(l->loop), SICK_MS);
-        g_hash_table_remove_all(h->failed_jobs);
+    struct shard_out *out = g_new(struct shard_out, 1);
+    *out = (struct shard_out){leader, leader->generation, g_strdup(shard->label)};
+    shard->out = true;
+    bus_send(leader->bus, shard->label, "deal", cJSON_Duplicate(shard->sending, true),
+             OUT_TIMEOUT_MS, shard_answered, out);
+}
+
+static void host_failed(struct leader *leader, struct leader_host *host, const char *job)
+{
+    if (!host->failed_jobs)
+        host->failed_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g_hash_table_add(host->failed_jobs, g_strdup(job));
+    if (g_hash_table_size(host->failed_jobs) >= 2) {
+        LOG_INFO("machine_sick", "machine=%s", host->id.s);
+        host->sick_until = time_add_ms(loop_now(leader->loop), SICK_MS);
+        g_hash_table_remove_all(host->failed_jobs);
     }
 }
 
 /* Owners' estimates are wrong for all tasks of a job together, so a task is compared with the
  * others of its job, wherever they ran. */
-static void learn_pace(struct leader *l, const char *job, struct lhost *h, double took_s)
-{
-    struct job_pace *j = g_hash_table_lookup(l->paces, job);
-    if (!j) {
-        if (g_hash_table_size(l->paces) > MOST_PACES)
-            g_hash_table_remove_all(l->paces);
-        j = g_new0(struct job_pace, 1);
-        g_hash_table_insert(l->paces, g_strdup(job), j);
+static void learn_pace(struct leader *leader, const char *job, struct leader_host *h, double took_s)
+{
+    struct job_run_time *run_time = g_hash_table_lookup(leader->run_times, job);
+    if (!run_time) {
+        if (g_hash_table_size(leader->run_times) > MAX_RUN_TIMES)
+            g_hash_table_remove_all(leader->run_times);
+        run_time = g_new0(struct job_run_time, 1);
+        g_hash_table_insert(leader->run_times, g_strdup(job), run_time);
     }
-    if (j->n >= SLOW_BESIDE && j->mean_s > 0.5) {
-        double pace = took_s / j->mean_s;
-        h->pace = h->paced++ ? h->pace + (pace - h->pace) * 0.25 : pace;
+    if (run_time->n >= SLOW_BESIDE && run_time->mean_s > 0.5) {
+        double slowdown = took_s / run_time->mean_s;
+        h->slowdown =
+            h->slowdown_samples++ ? h->slowdown + (slowdown - h->slowdown) * 0.25 : slowdown;
     }
-    j->mean_s += (took_s - j->mean_s) / ++j->n;
+    run_time->mean_s += (took_s - run_time->mean_s) / ++run_time->n;
 }
 
 static gint by_value(gconstpointer a, gconstpointer b)
@@ -631,274 +640,279 @@
 
 /* The pace of the machine in the middle. Tasks of a job may take ever longer wherever they run, and
  * where all machines seem slow none is. */
-void leader_measure_paces(struct leader *l)
+void leader_measure_slowdowns(struct leader *leader)
 {
-    GArray *paces = g_array_new(FALSE, FALSE, sizeof(double));
+    GArray *run_times = g_array_new(FALSE, FALSE, sizeof(double));
     GHashTableIter it;
-    struct lhost *h;
-    g_hash_table_iter_init(&it, l->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
-        if (h->told && h->paced >= SLOW_AFTER)
-            g_array_append_val(paces, h->pace);
-    g_array_sort(paces, by_value);
-    l->usual_pace = paces->len ? g_array_index(paces, double, (paces->len - 1) / 2) : 1;
-    g_array_unref(paces);
+    struct leader_host *host;
+    g_hash_table_iter_init(&it, leader->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
+        if (host->told && host->slowdown_samples >= SLOW_AFTER)
+            g_array_append_val(run_times, host->slowdown);
+    g_array_sort(run_times, by_value);
+    leader->median_slowdown =
+        run_times->len ? g_array_index(run_times, double, (run_times->len - 1) / 2) : 1;
+    g_array_unref(run_times);
 }
 
-bool leader_host_slow(const struct leader *l, const struct lhost *h)
+bool leader_host_slow(const struct leader *leader, const struct leader_host *host)
 {
-    return h->paced >= SLOW_AFTER && h->pace > SLOW_PACE * MAX(l->usual_pace, 1);
+    return host->slowdown_samples >= SLOW_AFTER &&
+           host->slowdown > SLOWDOWN_LIMIT * MAX(leader->median_slowdown, 1);
 }
 
 /* Tasks of other jobs have failed on the machine, too. */
-static bool fails_others(struct leader *l, const char *host, const char *job)
+static bool fails_others(struct leader *leader, const char *host, const char *job)
 {
-    struct lhost *h = lhost_get(l, host);
+    struct leader_host *h = leader_host_get(leader, host);
     if (!h)
         return false;
     guint n = h->failed_jobs ? g_hash_table_size(h->failed_jobs) : 0;
     bool this_one = n && g_hash_table_contains(h->failed_jobs, job);
-    return time_before(loop_now(l->loop), h->sick_until) || n > this_one;
+    return time_before(loop_now(leader->loop), h->sick_until) || n > this_one;
 }
 
 /* Machines on which only this job has failed, as far as is known. When several machines are sick at
  * once, a large job comes to all of them within a moment, and is no worse than others. */
-static guint failed_alone(struct leader *l, struct ljob *j)
+static guint failed_alone(struct leader *leader, struct leader_job *job)
 {
     guint n = 0;
     GHashTableIter it;
     const char *host;
-    g_hash_table_iter_init(&it, j->failed_on);
+    g_hash_table_iter_init(&it, job->failed_on);
     while (g_hash_table_iter_next(&it, (gpointer *)&host, NULL))
-        n += !fails_others(l, host, j->id.s);
+        n += !fails_others(leader, host, job->id.s);
     return n;
 }
 
 /* A task that fails is mostly its machine's fault; a job that fails on one machine after the other
  * is at fault itself, and tries again ever more seldom until its user cancels it. */
-static void on_fault(struct leader *l, struct ljob *j, struct lhost *h, enum cause cause)
+static void on_fault(struct leader *leader, struct leader_job *job, struct leader_host *host,
+                     enum cause cause)
 {
     if (cause == CAUSE_INCOMPLETE) /* another task of its gang was missing */
         return;
     if (cause != CAUSE_ERROR) {
-        h->avoid_until = time_add_ms(loop_now(l->loop), 5000);
+        host->avoid_until = time_add_ms(loop_now(leader->loop), 5000);
         return;
     }
-    struct job *v = view_job(l->view, j->id.s);
-    if (!j->failed_on)
-        j->failed_on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    g_hash_table_add(j->failed_on, g_strdup(h->id.s));
-    bool at_fault = v && v->n_done == 0 && failed_alone(l, j) >= 3;
+    struct job *job_view = view_job(leader->view, job->id.s);
+    if (!job->failed_on)
+        job->failed_on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g_hash_table_add(job->failed_on, g_strdup(host->id.s));
+    bool at_fault = job_view && job_view->n_done == 0 && failed_alone(leader, job) >= 3;
     /* Its tasks fail within a moment of one another: that is one try, not many. */
-    if (at_fault && time_before(loop_now(l->loop), j->not_before))
+    if (at_fault && time_before(loop_now(leader->loop), job->not_before))
         return;
     if (at_fault) {
-        j->failures++;
-        int64_t pause = MIN(MOST_PAUSE_MS, 4000LL << MIN(j->failures, 5));
-        j->not_before = time_add_ms(loop_now(l->loop), pause);
-        LOG_INFO("job_failing", "job=%s machines=%u pause_ms=%" G_GINT64_FORMAT, j->id.s,
-                 g_hash_table_size(j->failed_on), pause);
+        job->failures++;
+        int64_t pause = MIN(MOST_PAUSE_MS, 4000LL << MIN(job->failures, 5));
+        job->not_before = time_add_ms(loop_now(leader->loop), pause);
+        LOG_INFO("job_failing", "job=%s machines=%u pause_ms=%" G_GINT64_FORMAT, job->id.s,
+                 g_hash_table_size(job->failed_on), pause);
         return;
     }
-    host_failed(l, h, j->id.s);
-    h->avoid_until = time_add_ms(loop_now(l->loop), 10000);
+    host_failed(leader, host, job->id.s);
+    host->avoid_until = time_add_ms(loop_now(leader->loop), 10000);
 }
 
-static void on_news(struct leader *l, const cJSON *n)
+static void on_event(struct leader *leader, const cJSON *n)
 {
     const char *host = bus_text(n, "h"), *job = bus_text(n, "j");
     const cJSON *cause = cJSON_GetObjectItemCaseSensitive(n, "c");
     const cJSON *took = cJSON_GetObjectItemCaseSensitive(n, "took");
-    struct ljob *j = job ? ljob_get(l, job) : NULL;
-    struct lhost *h = host ? lhost_get(l, host) : NULL;
+    struct leader_job *j = job ? leader_job_get(leader, job) : NULL;
+    struct leader_host *h = host ? leader_host_get(leader, host) : NULL;
     if (job && h && cJSON_IsNumber(took))
-        learn_pace(l, job, h, took->valuedouble);
+        learn_pace(leader, job, h, took->valuedouble);
     if (j && h && cJSON_IsNumber(cause))
-        on_fault(l, j, h, (enum cause)cause->valuedouble);
+        on_fault(leader, j, h, (enum cause)cause->valuedouble);
 }
 
-static void on_host(struct leader *l, const char *from, const cJSON *x)
+static void on_host(struct leader *leader, const char *from, const cJSON *x)
 {
-    const cJSON *id = cJSON_GetArrayItem(x, 0), *build = cJSON_GetArrayItem(x, 1);
-    const cJSON *yard = cJSON_GetArrayItem(x, 2), *loaners = cJSON_GetArrayItem(x, 3);
+    const cJSON *id = cJSON_GetArrayItem(x, 0), *type_name = cJSON_GetArrayItem(x, 1);
+    const cJSON *zone = cJSON_GetArrayItem(x, 2), *spot = cJSON_GetArrayItem(x, 3);
     const cJSON *flags = cJSON_GetArrayItem(x, 4);
     host_id hid;
-    if (!cJSON_IsString(id) || !host_id_from(&hid, id->valuestring) || !cJSON_IsString(build) ||
-        !cJSON_IsString(yard) || !cJSON_IsBool(loaners) || !cJSON_IsNumber(flags))
+    if (!cJSON_IsString(id) || !host_id_from(&hid, id->valuestring) || !cJSON_IsString(type_name) ||
+        !cJSON_IsString(zone) || !cJSON_IsBool(spot) || !cJSON_IsNumber(flags))
         return;
-    struct lhost *h =
-        lhost_make(l, hid, build->valuestring, yard->valuestring, cJSON_IsTrue(loaners));
-    g_free(h->owner);
-    h->owner = g_strdup(from);
-    h->flags = (int)flags->valuedouble;
-    h->told = true;
+    struct leader_host *host =
+        lhost_make(leader, hid, type_name->valuestring, zone->valuestring, cJSON_IsTrue(spot));
+    g_free(host->owner);
+    host->owner = g_strdup(from);
+    host->flags = (int)flags->valuedouble;
+    host->told = true;
     const cJSON *images = cJSON_GetArrayItem(x, 5), *image;
     if (!images)
         return;
-    g_ptr_array_set_size(h->images, 0);
+    g_ptr_array_set_size(host->images, 0);
     cJSON_ArrayForEach(image, images)
     {
         if (cJSON_IsString(image))
-            images_add(h->images, image->valuestring);
+            images_add(host->images, image->valuestring);
     }
 }
 
-static void on_back(struct leader *l, const cJSON *x)
+static void on_back(struct leader *leader, const cJSON *x)
 {
     job_id job;
     uint32_t i;
     attempt_no attempt;
-    struct ljob *j = bus_task_read(x, &job, &i, &attempt) ? ljob_get(l, job.s) : NULL;
+    struct leader_job *j =
+        bus_task_read(x, &job, &i, &attempt) ? leader_job_get(leader, job.s) : NULL;
     if (!j)
         return;
-    struct deal *d = g_hash_table_lookup(j->deals, leader_key_of(i));
+    struct deal *deal = g_hash_table_lookup(j->deals, leader_key_of(i));
     /* A gang's task may be dealt again under the same attempt: an answer that is said again must
      * not take back the later deal. */
     uint64_t number = 0;
-    if (!d || d->attempt.v != attempt.v || (bus_u64(x, "n", &number) && number != d->number))
+    if (!deal || deal->attempt.v != attempt.v ||
+        (bus_u64(x, "n", &number) && number != deal->number))
         return;
-    if (d->host)
-        d->host->avoid_until = time_add_ms(loop_now(l->loop), AVOID_MS);
-    leader_deal_drop(l, j, i);
+    if (deal->host)
+        deal->host->avoid_until = time_add_ms(loop_now(leader->loop), AVOID_MS);
+    leader_deal_drop(leader, j, i);
 }
 
 /* What a part is told of its machines: those that are to get nothing more. */
-static cJSON *shut_hosts(struct leader *l, const char *owner)
+static cJSON *shut_hosts(struct leader *leader, const char *owner)
 {
-    cJSON *o = cJSON_CreateObject(), *list = cJSON_AddArrayToObject(o, "shut");
-    mono_time now = loop_now(l->loop);
+    cJSON *object = cJSON_CreateObject(), *list = cJSON_AddArrayToObject(object, "shut");
+    mono_time now = loop_now(leader->loop);
     GHashTableIter it;
-    struct lhost *h;
-    g_hash_table_iter_init(&it, l->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
-        if (h->owner && strcmp(h->owner, owner) == 0 &&
-            (leader_host_slow(l, h) || time_before(now, h->sick_until)))
-            cJSON_AddItemToArray(list, cJSON_CreateString(h->id.s));
-    return o;
+    struct leader_host *host;
+    g_hash_table_iter_init(&it, leader->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
+        if (host->owner && strcmp(host->owner, owner) == 0 &&
+            (leader_host_slow(leader, host) || time_before(now, host->sick_until)))
+            cJSON_AddItemToArray(list, cJSON_CreateString(host->id.s));
+    return object;
 }
 
 static int on_digest(void *ctx, const char *from, const cJSON *m, cJSON **answer)
 {
-    struct leader *l = ctx;
+    struct leader *leader = ctx;
     uint64_t epoch, seq;
     if (!bus_u64(m, "e", &epoch) || !bus_u64(m, "s", &seq))
         return 400;
-    if (!membership_leads(l->members) || !l->leading || epoch != l->epoch.v ||
-        epoch != l->view->epoch.v || seq <= lpart_make(l, from)->digest_seq)
+    if (!membership_leads(leader->members) || !leader->leading || epoch != leader->epoch.v ||
+        epoch != leader->view->epoch.v || seq <= leader_shard_get(leader, from)->digest_seq)
         return 409;
     GHashTableIter it;
-    struct lhost *h;
+    struct leader_host *host;
     bool whole = cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(m, "whole"));
-    if (!whole && !lpart_make(l, from)->digested)
+    if (!whole && !leader_shard_get(leader, from)->digested)
         return 409; /* then the next one is whole */
-    lpart_make(l, from)->digest_seq = seq;
-    g_hash_table_iter_init(&it, l->hosts);
-    while (whole && g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
-        if (h->owner && strcmp(h->owner, from) == 0)
-            h->told = false;
+    leader_shard_get(leader, from)->digest_seq = seq;
+    g_hash_table_iter_init(&it, leader->hosts);
+    while (whole && g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
+        if (host->owner && strcmp(host->owner, from) == 0)
+            host->told = false;
     const cJSON *x;
-    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "hosts")) on_host(l, from, x);
-    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "back")) on_back(l, x);
-    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "news")) on_news(l, x);
+    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "hosts")) on_host(leader, from, x);
+    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "back")) on_back(leader, x);
+    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "news")) on_event(leader, x);
     /* Machines that nobody tells of any more, and that hold nothing, are forgotten. */
-    g_hash_table_iter_init(&it, l->hosts);
-    while (whole && g_hash_table_iter_next(&it, NULL, (gpointer *)&h))
-        if (!h->told && h->owner && strcmp(h->owner, from) == 0 && leader_host_idle(h) &&
-            !view_host(l->view, h->id.s))
+    g_hash_table_iter_init(&it, leader->hosts);
+    while (whole && g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
+        if (!host->told && host->owner && strcmp(host->owner, from) == 0 &&
+            leader_host_idle(host) && !view_host(leader->view, host->id.s))
             g_hash_table_iter_remove(&it);
     if (cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(m, "raise")) &&
-        time_ms_since(loop_now(l->loop), l->epoch_at) > 5000)
-        membership_raise(l->members, "a command may still be on its way");
-    *answer = shut_hosts(l, from);
+        time_ms_since(loop_now(leader->loop), leader->epoch_at) > 5000)
+        membership_raise(leader->members, "a command may still be on its way");
+    *answer = shut_hosts(leader, from);
     if (whole)
-        lpart_make(l, from)->digested = true;
-    pass_soon(l);
+        leader_shard_get(leader, from)->digested = true;
+    pass_soon(leader);
     return 200;
 }
 
 /* ---- the view ---- */
 
-static void on_view(struct leader *l, const GArray *changes)
+static void on_view(struct leader *leader, const GArray *changes)
 {
     /* An outage may keep the lead from acting for a while. As long as nobody else takes it, which
      * would raise the epoch, the ledger is kept up: what was dealt is still with the parts. */
-    if (!membership_holds_lead(l->members)) {
-        if (l->leading) {
-            LOG_INFO("not_leading", "epoch=%" G_GUINT64_FORMAT, l->epoch.v);
-            l->leading = false;
-            l->generation++;
+    if (!membership_holds_lead(leader->members)) {
+        if (leader->leading) {
+            LOG_INFO("not_leading", "epoch=%" G_GUINT64_FORMAT, leader->epoch.v);
+            leader->leading = false;
+            leader->generation++;
         }
         return;
     }
-    bool rebuilt = !l->leading || l->epoch.v != l->view->epoch.v;
-    if (!l->leading) {
-        l->leading = true;
-        g_hash_table_remove_all(l->hosts);
-        fleet_reset(l->fleet);
-        l->demand_peak = 0;
+    bool rebuilt = !leader->leading || leader->epoch.v != leader->view->epoch.v;
+    if (!leader->leading) {
+        leader->leading = true;
+        g_hash_table_remove_all(leader->hosts);
+        fleet_reset(leader->fleet);
+        leader->demand_peak = 0;
     }
     if (rebuilt)
-        rebuild(l);
+        rebuild(leader);
     for (guint i = 0; i < changes->len; i++) {
-        const struct change *c = &g_array_index(changes, struct change, i);
-        struct ljob *j;
+        const struct change *change = &g_array_index(changes, struct change, i);
+        struct leader_job *job;
         struct job *v;
-        switch (c->kind) {
+        switch (change->kind) {
         case CHANGE_PLACED:
-            entry_add(l, c->job, c->index, c->attempt, c->host);
+            entry_add(leader, change->job, change->index, change->attempt, change->host);
             break;
         case CHANGE_FREED:
-            entry_remove(l, c->job, c->index, c->attempt);
+            entry_remove(leader, change->job, change->index, change->attempt);
             break;
         case CHANGE_JOB:
-            v = view_job(l->view, c->job.s);
+            v = view_job(leader->view, change->job.s);
             if (v && v->known && v->spec)
-                ljob_lent(l, ljob_make(l, c->job), v);
+                ljob_lent(leader, ljob_make(leader, change->job), v);
             break;
         case CHANGE_RELOADED:
             /* A task may have been placed and freed again unseen, and its deal would stay open. */
             if (!rebuilt)
-                membership_raise(l->members, "changes were lost");
+                membership_raise(leader->members, "changes were lost");
             break;
         default:
             break;
         }
-        j = c->kind <= CHANGE_FREED ? ljob_get(l, c->job.s) : NULL;
-        if (!j)
+        job = change->kind <= CHANGE_FREED ? leader_job_get(leader, change->job.s) : NULL;
+        if (!job)
             continue;
-        v = view_job(l->view, c->job.s);
+        v = view_job(leader->view, change->job.s);
         /* What was dealt of a job that is over is settled by the parts, which see the same. */
         if (v && v->state != JOB_LIVE)
-            for (uint32_t k = 0; g_hash_table_size(j->deals) && k < v->tasks; k++)
-                leader_deal_drop(l, j, k);
-        consider_end(l, j);
-        if (over(l, j))
-            g_hash_table_remove(l->jobs, c->job.s);
+            for (uint32_t k = 0; g_hash_table_size(job->deals) && k < v->tasks; k++)
+                leader_deal_drop(leader, job, k);
+        consider_end(leader, job);
+        if (over(leader, job))
+            g_hash_table_remove(leader->jobs, change->job.s);
     }
-    pass_soon(l);
+    pass_soon(leader);
 }
 
 static void tick(void *arg)
 {
-    struct leader *l = arg;
-    timer_start(l->loop, &l->tick, TICK_MS);
-    if (!l->leading || !membership_leads(l->members) || store_troubled(l->store)) {
-        l->idle_at = loop_now(l->loop);
+    struct leader *leader = arg;
+    timer_start(leader->loop, &leader->tick, TICK_MS);
+    if (!leader->leading || !membership_leads(leader->members) || store_troubled(leader->store)) {
+        leader->idle_at = loop_now(leader->loop);
         return;
     }
     GHashTableIter it;
-    struct ljob *j;
-    g_hash_table_iter_init(&it, l->jobs);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&j))
-        consider_end(l, j);
-    if (time_ms_since(loop_now(l->loop), l->swept_at) > SWEEP_MS) {
-        l->swept_at = loop_now(l->loop);
-        sweep_pages(l);
-        sweep_rolls(l);
-        raise_for_stuck_deals(l);
+    struct leader_job *job;
+    g_hash_table_iter_init(&it, leader->jobs);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job))
+        consider_end(leader, job);
+    if (time_ms_since(loop_now(leader->loop), leader->swept_at) > SWEEP_MS) {
+        leader->swept_at = loop_now(leader->loop);
+        sweep_pages(leader);
+        sweep_inventories(leader);
+        raise_for_stuck_deals(leader);
     }
-    if (leader_ready_to_deal(l))
-        pass(l);
+    if (leader_ready_to_deal(leader))
+        pass(leader);
     else
-        fleet_step(l->fleet);
+        fleet_step(leader->fleet);
 }
--- a/src/leader.h
+++ b/src/leader.h
@@ -11,8 +11,8 @@
 
 struct node;
 
-struct leader *leader_new(const struct node *n, const struct policy *policy);
-void leader_free(struct leader *l);
-void leader_start(struct leader *l);
+struct leader *leader_new(const struct node *node, const struct policy *policy);
+void leader_free(struct leader *leader);
+void leader_start(struct leader *leader);
 
 #endif
--- a/src/leader_policy.c
+++ b/src/leader_policy.c
@@ -8,111 +8,114 @@
     USUAL_PATIENCE_S = 60,
 };
 
-const GArray *leader_types_now(struct leader *l)
+const GArray *leader_types_now(struct leader *leader)
 {
-    return fleet_types(l->fleet) ? fleet_types(l->fleet) : l->view->types;
+    return fleet_types(leader->fleet) ? fleet_types(leader->fleet) : leader->view->types;
 }
 
-static double quickest_boot(struct leader *l)
+static double quickest_boot(struct leader *leader)
 {
     double least = 1e9;
-    for (guint i = 0; i < leader_types_now(l)->len; i++)
-        least = MIN(least, g_array_index(leader_types_now(l), struct machine_type, i).ready_s);
+    for (guint i = 0; i < leader_types_now(leader)->len; i++)
+        least = MIN(least, g_array_index(leader_types_now(leader), struct machine_type, i).boot_s);
     return least;
 }
 
-double leader_slowest_boot(struct leader *l)
+double leader_slowest_boot(struct leader *leader)
 {
     double most = 0;
-    for (guint i = 0; i < leader_types_now(l)->len; i++)
-        most = MAX(most, g_array_index(leader_types_now(l), struct machine_type, i).ready_s);
+    for (guint i = 0; i < leader_types_now(leader)->len; i++)
+        most = MAX(most, g_array_index(leader_types_now(leader), struct machine_type, i).boot_s);
     return most;
 }
 
 /* How long the job's tasks may wait, by what its class is expected to do. Renting cannot meet a
  * wait shorter than a boot, so such an aim does not count here. */
-double leader_patience_s(struct leader *l, const struct job *v)
+double leader_patience_s(struct leader *leader, const struct job *job_view)
 {
-    const struct spec *s = v->spec;
-    double patience = USUAL_PATIENCE_S, boot = quickest_boot(l);
-    for (guint i = 0; i < l->settings->objectives->len; i++) {
-        const struct objective *o = &g_array_index(l->settings->objectives, struct objective, i);
-        if (strcmp(o->class, s->lot) != 0)
+    const struct spec *spec = job_view->spec;
+    double patience = USUAL_PATIENCE_S, boot = quickest_boot(leader);
+    for (guint i = 0; i < leader->settings->objectives->len; i++) {
+        const struct objective *objective =
+            &g_array_index(leader->settings->objectives, struct objective, i);
+        if (strcmp(objective->class, spec->job_class) != 0)
             continue;
         double left = patience;
-        if (o->kind == OBJECTIVE_WAIT)
-            left = o->within_s;
-        else if (o->kind == OBJECTIVE_FINISHED)
-            left = o->within_s - s->expected_s;
-        else if (o->kind == OBJECTIVE_DEADLINE && s->due_s >= 0)
-            left = s->due_s - s->expected_s;
+        if (objective->kind == OBJECTIVE_WAIT)
+            left = objective->within_s;
+        else if (objective->kind == OBJECTIVE_FINISHED)
+            left = objective->within_s - spec->expected_s;
+        else if (objective->kind == OBJECTIVE_DEADLINE && spec->due_s >= 0)
+            left = spec->due_s - spec->expected_s;
         if (left > boot)
             patience = MIN(patience, left);
     }
     /* The deadline of a job that needs this one leaves it less, the longer the way there. */
-    if (s->due_s < 0 && v->due.ms != NEVER.ms)
-        patience =
-            MIN(patience, MAX((double)(v->due.ms - v->since.ms) / 1000 - s->expected_s, boot));
+    if (spec->due_s < 0 && job_view->due.ms != NEVER.ms)
+        patience = MIN(
+            patience,
+            MAX((double)(job_view->due.ms - job_view->since.ms) / 1000 - spec->expected_s, boot));
     return patience;
 }
 
-double leader_used_cpus(struct leader *l)
+double leader_used_cpus(struct leader *leader)
 {
     double sum = 0;
-    for (int i = 0; i < l->n_teams; i++)
-        sum += (double)l->teams[i].used.cpus.milli / 1000;
+    for (int i = 0; i < leader->n_teams; i++)
+        sum += (double)leader->teams[i].used.cpus.milli / 1000;
     return sum;
 }
 
 /* Inputs that tell of the load. */
-void leader_load_inputs(struct leader *l, struct policy_value *in)
+void leader_load_inputs(struct leader *leader, struct policy_value *value)
 {
-    in[INPUT_USED_CPUS].number = leader_used_cpus(l);
-    in[INPUT_PEAK_CPUS].number = l->demand_peak;
+    value[INPUT_USED_CPUS].number = leader_used_cpus(leader);
+    value[INPUT_PEAK_CPUS].number = leader->demand_peak;
 }
 
-static void job_inputs(struct leader *l, const struct ljob *j, const struct spec *s,
-                       struct policy_value *in)
+static void job_inputs(struct leader *leader, const struct leader_job *job, const struct spec *spec,
+                       struct policy_value *value)
 {
-    leader_load_inputs(l, in);
-    in[INPUT_TEAM].text = s->crew;
-    in[INPUT_CLASS].text = s->lot;
-    in[INPUT_PRIORITY].text = codec_urgency_word(j->urgency);
+    leader_load_inputs(leader, value);
+    value[INPUT_TEAM].text = spec->team_name;
+    value[INPUT_CLASS].text = spec->job_class;
+    value[INPUT_PRIORITY].text = codec_urgency_word(job->urgency);
 }
 
-double leader_spare_cpus(struct leader *l)
+double leader_spare_cpus(struct leader *leader)
 {
-    struct policy_value in[POLICY_INPUTS] = {0};
-    leader_load_inputs(l, in);
-    return floor(policy_number(l->policy, POLICY_SPARE_CPUS, in));
+    struct policy_value value[POLICY_INPUTS] = {0};
+    leader_load_inputs(leader, value);
+    return floor(policy_number(leader->policy, POLICY_SPARE_CPUS, value));
 }
 
 /* Whether ordinary machines may be rented for a job that spot ones could run, once no more of these
  * are to be had. */
-bool leader_may_rent_ordinary(struct leader *l, const struct ljob *j, const struct spec *s,
-                              double backlog_s)
+bool leader_may_rent_ordinary(struct leader *leader, const struct leader_job *job,
+                              const struct spec *spec, double backlog_s)
 {
-    struct policy_value in[POLICY_INPUTS] = {0};
-    job_inputs(l, j, s, in);
-    in[INPUT_BACKLOG_S].number = backlog_s;
-    in[INPUT_PATIENCE_S].number = j->patience_s;
-    return policy_flag(l->policy, POLICY_RENT_ORDINARY, in);
+    struct policy_value value[POLICY_INPUTS] = {0};
+    job_inputs(leader, job, spec, value);
+    value[INPUT_BACKLOG_S].number = backlog_s;
+    value[INPUT_PATIENCE_S].number = job->patience_s;
+    return policy_flag(leader->policy, POLICY_RENT_ORDINARY, value);
 }
 
-bool leader_may_preempt(struct leader *l, const struct ljob *j, const struct spec *s)
+bool leader_may_preempt(struct leader *leader, const struct leader_job *job,
+                        const struct spec *spec)
 {
-    struct policy_value in[POLICY_INPUTS] = {0};
-    job_inputs(l, j, s, in);
-    return policy_flag(l->policy, POLICY_PREEMPT, in);
+    struct policy_value value[POLICY_INPUTS] = {0};
+    job_inputs(leader, job, spec, value);
+    return policy_flag(leader->policy, POLICY_PREEMPT, value);
 }
 
-double leader_idle_ms(struct leader *l, const struct lhost *h)
+double leader_idle_ms(struct leader *leader, const struct leader_host *host)
 {
-    struct policy_value in[POLICY_INPUTS] = {0};
-    leader_load_inputs(l, in);
-    in[INPUT_TYPE].text = h->build;
-    in[INPUT_ZONE].text = h->yard;
-    in[INPUT_SPOT].flag = h->loaners;
-    in[INPUT_CPUS].number = (double)h->total.cpus.milli / 1000;
-    return policy_number(l->policy, POLICY_IDLE_S, in) * 1000;
+    struct policy_value value[POLICY_INPUTS] = {0};
+    leader_load_inputs(leader, value);
+    value[INPUT_TYPE].text = host->type_name;
+    value[INPUT_ZONE].text = host->zone;
+    value[INPUT_SPOT].flag = host->spot;
+    value[INPUT_CPUS].number = (double)host->total.cpus.milli / 1000;
+    return policy_number(leader->policy, POLICY_IDLE_S, value) * 1000;
 }
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -19,13 +19,14 @@
 /* A task dealt to a part and not on record yet. */
 struct deal {
     attempt_no attempt;
-    struct lhost *host; /* where there was room; the part may choose another of its machines */
-    uint64_t number;    /* of all deals of this leader */
+    struct leader_host
+        *host;       /* where there was room; the part may choose another of its machines */
+    uint64_t number; /* of all deals of this leader */
     mono_time since;
-    char yard[48];
+    char zone[48];
 };
 
-struct ljob {
+struct leader_job {
     job_id id;
     int team;
     struct room room; /* of one task */
@@ -57,31 +58,31 @@
 };
 
 /* How long the tasks of a job took. It outlives the job, as the slowest are told of last. */
-struct job_pace {
+struct job_run_time {
     int n;
     double mean_s;
 };
 
-struct lhost {
+struct leader_host {
     host_id id;
-    char build[48], yard[48];
-    bool loaners;
+    char type_name[48], zone[48];
+    bool spot;
     char *owner;
     int flags;
     GPtrArray *images; /* interned */
-    int zone;          /* in settings->zones, or -1 */
+    int zone_index;    /* in settings->zones, or -1 */
     struct room total, booked, dealt, pinned;
     struct room held; /* in this pass: for gangs that lack more room still */
     bool wanted;      /* in this pass: by a gang that it is not held for, as others are missing */
     mono_time idle_since, avoid_until;
     bool told;            /* in its owner's last digest */
     mono_time sick_until; /* it failed the tasks of several jobs */
-    double pace;          /* of its tasks lately: time taken by what the job's others took */
-    int paced;            /* tasks that went into it */
+    double slowdown;      /* of its tasks lately: time taken by what the job's others took */
+    int slowdown_samples; /* tasks that went into it */
     GHashTable *failed_jobs;
 };
 
-struct lteam {
+struct leader_team {
     const struct team *team;
     struct room used;    /* on record or dealt */
     struct room halting; /* of that, told to stop */
@@ -92,7 +93,7 @@
 };
 
 /* What goes to one part, one message after the other. */
-struct lpart {
+struct leader_shard {
     char *label;
     uint64_t seq;
     cJSON *deal, *halt, *gone;
@@ -123,10 +124,10 @@
     epoch_no epoch;
     mono_time epoch_at;
     uint64_t generation, attempts, deals;
-    GHashTable *jobs, *hosts, *parts;
-    GHashTable *paces; /* job -> struct job_pace */
-    double usual_pace; /* of the machines */
-    struct lteam *teams;
+    GHashTable *jobs, *hosts, *shards;
+    GHashTable *run_times;  /* job -> struct job_pace */
+    double median_slowdown; /* of the machines */
+    struct leader_team *teams;
     int n_teams;
     int first_team;       /* that this pass begins with */
     GPtrArray *open;      /* struct lhost: that take work in this pass */
@@ -149,44 +150,45 @@
 };
 
 /* leader.c: the ledger and the leader's messages */
-void leader_measure_paces(struct leader *l);
-bool leader_host_slow(const struct leader *l, const struct lhost *h);
-struct ljob *ljob_get(struct leader *l, const char *id);
+void leader_measure_slowdowns(struct leader *leader);
+bool leader_host_slow(const struct leader *leader, const struct leader_host *host);
+struct leader_job *leader_job_get(struct leader *leader, const char *id);
 gpointer leader_key_of(uint32_t index);
-struct lhost *lhost_get(struct leader *l, const char *id);
-void leader_deal_drop(struct leader *l, struct ljob *j, uint32_t index);
-struct lpart *lpart_make(struct leader *l, const char *label);
+struct leader_host *leader_host_get(struct leader *leader, const char *id);
+void leader_deal_drop(struct leader *leader, struct leader_job *job, uint32_t index);
+struct leader_shard *leader_shard_get(struct leader *leader, const char *label);
 /* Adds to one of the lists that go to a part. */
-void lpart_put(cJSON **list, cJSON *item);
+void leader_shard_add(cJSON **list, cJSON *item);
 
 /* leader_policy.c: what operators and objectives say */
-const GArray *leader_types_now(struct leader *l);
-double leader_slowest_boot(struct leader *l);
-double leader_patience_s(struct leader *l, const struct job *v);
-double leader_used_cpus(struct leader *l);
-void leader_load_inputs(struct leader *l, struct policy_value *in);
-double leader_spare_cpus(struct leader *l);
-bool leader_may_rent_ordinary(struct leader *l, const struct ljob *j, const struct spec *s,
-                              double backlog_s);
-bool leader_may_preempt(struct leader *l, const struct ljob *j, const struct spec *s);
-double leader_idle_ms(struct leader *l, const struct lhost *h);
+const GArray *leader_types_now(struct leader *leader);
+double leader_slowest_boot(struct leader *leader);
+double leader_patience_s(struct leader *leader, const struct job *job_view);
+double leader_used_cpus(struct leader *leader);
+void leader_load_inputs(struct leader *leader, struct policy_value *value);
+double leader_spare_cpus(struct leader *leader);
+bool leader_may_rent_ordinary(struct leader *leader, const struct leader_job *job,
+                              const struct spec *spec, double backlog_s);
+bool leader_may_preempt(struct leader *leader, const struct leader_job *job,
+                        const struct spec *spec);
+double leader_idle_ms(struct leader *leader, const struct leader_host *host);
 
 /* leader_deal.c: who gets what there is */
-bool leader_host_takes(struct leader *l, struct lhost *h);
-struct room leader_host_free_room(const struct lhost *h);
-uint32_t leader_in_zone(struct leader *l, struct ljob *j, const char *yard);
+bool leader_host_takes(struct leader *leader, struct leader_host *host);
+struct room leader_host_free_room(const struct leader_host *host);
+uint32_t leader_in_zone(struct leader *leader, struct leader_job *job, const char *zone);
 /* The machines that take work in this pass, and what the zones hold. */
-void leader_survey(struct leader *l);
-int leader_rank_of(struct leader *l, struct ljob *j);
+void leader_survey(struct leader *leader);
+int leader_rank_of(struct leader *leader, struct leader_job *job);
 /* What the team may still use. */
-struct room leader_limit_left(const struct lteam *t);
-int64_t leader_count_allowed(struct leader *l, struct ljob *j, struct job *v);
-int leader_deal_rank(struct leader *l, int rank, int budget);
-bool leader_collect_ready(struct leader *l);
-bool leader_ready_to_deal(struct leader *l);
+struct room leader_limit_left(const struct leader_team *team);
+int64_t leader_count_allowed(struct leader *leader, struct leader_job *job, struct job *job_view);
+int leader_deal_rank(struct leader *leader, int rank, int budget);
+bool leader_collect_ready(struct leader *leader);
+bool leader_ready_to_deal(struct leader *leader);
 
 /* leader_scale.c: renting and returning */
-bool leader_host_idle(const struct lhost *h);
-void leader_scale(struct leader *l);
+bool leader_host_idle(const struct leader_host *host);
+void leader_scale(struct leader *leader);
 
 #endif
--- a/src/loop.c
+++ b/src/loop.c
@@ -24,222 +24,223 @@
 
 static mono_time clock_steady(void)
 {
-    struct timespec ts;
-    clock_gettime(CLOCK_MONOTONIC, &ts);
-    return (mono_time){(int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000};
+    struct timespec timespec;
+    clock_gettime(CLOCK_MONOTONIC, &timespec);
+    return (mono_time){(int64_t)timespec.tv_sec * 1000000 + timespec.tv_nsec / 1000};
 }
 
 struct loop *loop_new(void)
 {
-    struct loop *l = g_new0(struct loop, 1);
-    l->epoll = epoll_create1(EPOLL_CLOEXEC);
-    l->timers = g_sequence_new(NULL);
-    l->garbage = g_ptr_array_new_with_free_func(g_free);
-    g_queue_init(&l->mail);
-    l->now = clock_steady();
-    return l;
+    struct loop *loop = g_new0(struct loop, 1);
+    loop->epoll = epoll_create1(EPOLL_CLOEXEC);
+    loop->timers = g_sequence_new(NULL);
+    loop->garbage = g_ptr_array_new_with_free_func(g_free);
+    g_queue_init(&loop->mail);
+    loop->now = clock_steady();
+    return loop;
 }
 
 struct loop *loop_new_fake(void)
 {
-    struct loop *l = loop_new();
-    l->fake = true;
-    l->now.us = 1000 * 1000000LL;
-    l->fake_wall.ms = 1700000000000LL;
-    return l;
+    struct loop *loop = loop_new();
+    loop->fake = true;
+    loop->now.us = 1000 * 1000000LL;
+    loop->fake_wall.ms = 1700000000000LL;
+    return loop;
 }
 
-static void drop_mail(struct loop *l)
+static void drop_mail(struct loop *loop)
 {
-    struct letter *x;
-    while ((x = g_queue_pop_head(&l->mail))) {
-        if (x->m.free_body)
-            x->m.free_body(x->m.body);
-        g_free(x);
+    struct letter *letter;
+    while ((letter = g_queue_pop_head(&loop->mail))) {
+        if (letter->m.free_body)
+            letter->m.free_body(letter->m.body);
+        g_free(letter);
     }
 }
 
-void loop_free(struct loop *l)
+void loop_free(struct loop *loop)
 {
-    drop_mail(l);
-    close(l->epoll);
-    g_sequence_free(l->timers);
-    g_ptr_array_unref(l->garbage);
-    g_free(l);
+    drop_mail(loop);
+    close(loop->epoll);
+    g_sequence_free(loop->timers);
+    g_ptr_array_unref(loop->garbage);
+    g_free(loop);
 }
 
-mono_time loop_now(const struct loop *l)
+mono_time loop_now(const struct loop *loop)
 {
-    return l->now;
+    return loop->now;
 }
 
-wall_time loop_wall(const struct loop *l)
+wall_time loop_wall(const struct loop *loop)
 {
-    if (l->fake)
-        return l->fake_wall;
-    struct timespec ts;
-    clock_gettime(CLOCK_REALTIME, &ts);
-    return (wall_time){(int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000};
+    if (loop->fake)
+        return loop->fake_wall;
+    struct timespec timespec;
+    clock_gettime(CLOCK_REALTIME, &timespec);
+    return (wall_time){(int64_t)timespec.tv_sec * 1000 + timespec.tv_nsec / 1000000};
 }
 
-void loop_refresh(struct loop *l)
+void loop_refresh(struct loop *loop)
 {
-    if (!l->fake)
-        l->now = clock_steady();
+    if (!loop->fake)
+        loop->now = clock_steady();
 }
 
-void loop_work(struct loop *l, uint64_t looks)
+void loop_work(struct loop *loop, uint64_t looks)
 {
-    l->worked += looks;
+    loop->worked += looks;
 }
 
-uint64_t loop_worked(const struct loop *l)
+uint64_t loop_worked(const struct loop *loop)
 {
-    return l->worked;
+    return loop->worked;
 }
 
-static void control(struct loop *l, int op, struct loop_io *io, uint32_t events)
+static void control(struct loop *loop, int op, struct loop_io *io, uint32_t events)
 {
-    struct epoll_event ev = {.events = events, .data.ptr = io};
-    epoll_ctl(l->epoll, op, io->fd, &ev);
+    struct epoll_event event = {.events = events, .data.ptr = io};
+    epoll_ctl(loop->epoll, op, io->fd, &event);
 }
 
-void loop_watch(struct loop *l, struct loop_io *io, uint32_t events)
+void loop_watch(struct loop *loop, struct loop_io *io, uint32_t events)
 {
-    control(l, EPOLL_CTL_ADD, io, events);
+    control(loop, EPOLL_CTL_ADD, io, events);
 }
 
-void loop_rewatch(struct loop *l, struct loop_io *io, uint32_t events)
+void loop_rewatch(struct loop *loop, struct loop_io *io, uint32_t events)
 {
-    control(l, EPOLL_CTL_MOD, io, events);
+    control(loop, EPOLL_CTL_MOD, io, events);
 }
 
-void loop_unwatch(struct loop *l, struct loop_io *io)
+void loop_unwatch(struct loop *loop, struct loop_io *io)
 {
-    control(l, EPOLL_CTL_DEL, io, 0);
+    control(loop, EPOLL_CTL_DEL, io, 0);
     io->ready = NULL;
 }
 
-void loop_free_later(struct loop *l, void *memory)
+void loop_free_later(struct loop *loop, void *memory)
 {
-    g_ptr_array_add(l->garbage, memory);
+    g_ptr_array_add(loop->garbage, memory);
 }
 
-void timer_init(struct timer *t, void (*fire)(void *arg), void *arg)
+void timer_init(struct timer *timer, void (*fire)(void *arg), void *arg)
 {
-    *t = (struct timer){.fire = fire, .arg = arg};
+    *timer = (struct timer){.fire = fire, .arg = arg};
 }
 
 static int timer_cmp(gconstpointer a, gconstpointer b, gpointer unused)
 {
     (void)unused;
-    const struct timer *x = a, *y = b;
-    if (x->at.us != y->at.us)
-        return x->at.us < y->at.us ? -1 : 1;
-    return x->order < y->order ? -1 : x->order > y->order;
+    const struct timer *timer = a, *y = b;
+    if (timer->at.us != y->at.us)
+        return timer->at.us < y->at.us ? -1 : 1;
+    return timer->order < y->order ? -1 : timer->order > y->order;
 }
 
-void timer_start(struct loop *l, struct timer *t, int64_t ms)
+void timer_start(struct loop *loop, struct timer *timer, int64_t ms)
 {
-    timer_stop(l, t);
-    t->at = time_add_ms(l->now, ms);
-    t->order = l->next_order++;
-    t->place = g_sequence_insert_sorted(l->timers, t, timer_cmp, NULL);
+    timer_stop(loop, timer);
+    timer->at = time_add_ms(loop->now, ms);
+    timer->order = loop->next_order++;
+    timer->place = g_sequence_insert_sorted(loop->timers, timer, timer_cmp, NULL);
 }
 
-void timer_stop(struct loop *l, struct timer *t)
+void timer_stop(struct loop *loop, struct timer *timer)
 {
-    (void)l;
-    if (t->place)
-        g_sequence_remove(t->place);
-    t->place = NULL;
+    (void)loop;
+    if (timer->place)
+        g_sequence_remove(timer->place);
+    timer->place = NULL;
 }
 
-void actor_send(struct loop *l, struct actor *to, int kind, void *body, GDestroyNotify free_body)
+void actor_send(struct loop *loop, struct actor *actor, int kind, void *body,
+                GDestroyNotify free_body)
 {
-    struct letter *x = g_new(struct letter, 1);
-    *x = (struct letter){to, {kind, body, free_body}};
-    g_queue_push_tail(&l->mail, x);
+    struct letter *letter = g_new(struct letter, 1);
+    *letter = (struct letter){actor, {kind, body, free_body}};
+    g_queue_push_tail(&loop->mail, letter);
 }
 
 /* Delivers what lies in the mailboxes now; what that sends waits for the next turn, so that mail
  * cannot starve the sockets. */
-static bool deliver(struct loop *l)
+static bool deliver(struct loop *loop)
 {
-    guint n = l->mail.length;
+    guint n = loop->mail.length;
     for (guint i = 0; i < n; i++) {
-        struct letter *x = g_queue_pop_head(&l->mail);
-        x->to->receive(x->to, &x->m);
-        if (x->m.free_body)
-            x->m.free_body(x->m.body);
-        g_free(x);
+        struct letter *letter = g_queue_pop_head(&loop->mail);
+        letter->to->receive(letter->to, &letter->m);
+        if (letter->m.free_body)
+            letter->m.free_body(letter->m.body);
+        g_free(letter);
     }
     return n > 0;
 }
 
-static bool fire_one(struct loop *l, mono_time until)
+static bool fire_one(struct loop *loop, mono_time until)
 {
-    GSequenceIter *first = g_sequence_get_begin_iter(l->timers);
+    GSequenceIter *first = g_sequence_get_begin_iter(loop->timers);
     if (g_sequence_iter_is_end(first))
         return false;
-    struct timer *t = g_sequence_get(first);
-    if (time_before(until, t->at))
+    struct timer *timer = g_sequence_get(first);
+    if (time_before(until, timer->at))
         return false;
-    timer_stop(l, t);
-    if (l->fake && time_before(l->now, t->at)) {
-        l->fake_wall.ms += (t->at.us - l->now.us) / 1000;
-        l->now = t->at;
+    timer_stop(loop, timer);
+    if (loop->fake && time_before(loop->now, timer->at)) {
+        loop->fake_wall.ms += (timer->at.us - loop->now.us) / 1000;
+        loop->now = timer->at;
     }
-    t->fire(t->arg);
+    timer->fire(timer->arg);
     return true;
 }
 
-static int wait_ms(struct loop *l)
+static int wait_ms(struct loop *loop)
 {
-    if (l->mail.length)
+    if (loop->mail.length)
         return 0;
-    GSequenceIter *first = g_sequence_get_begin_iter(l->timers);
+    GSequenceIter *first = g_sequence_get_begin_iter(loop->timers);
     if (g_sequence_iter_is_end(first))
         return 1000;
-    struct timer *t = g_sequence_get(first);
-    int64_t us = t->at.us - l->now.us;
+    struct timer *timer = g_sequence_get(first);
+    int64_t us = timer->at.us - loop->now.us;
     if (us <= 0)
         return 0;
     return MIN((us + 999) / 1000, 1000);
 }
 
-void loop_run(struct loop *l)
+void loop_run(struct loop *loop)
 {
-    struct epoll_event ev[64];
-    while (!l->stopped) {
-        int n = epoll_wait(l->epoll, ev, G_N_ELEMENTS(ev), wait_ms(l));
-        l->now = clock_steady();
+    struct epoll_event event[64];
+    while (!loop->stopped) {
+        int n = epoll_wait(loop->epoll, event, G_N_ELEMENTS(event), wait_ms(loop));
+        loop->now = clock_steady();
         for (int i = 0; i < n; i++) {
-            struct loop_io *io = ev[i].data.ptr;
+            struct loop_io *io = event[i].data.ptr;
             if (io->ready)
-                io->ready(io, ev[i].events);
+                io->ready(io, event[i].events);
         }
-        mono_time until = l->now;
-        for (int i = 0; i < 64 && fire_one(l, until); i++)
+        mono_time until = loop->now;
+        for (int i = 0; i < 64 && fire_one(loop, until); i++)
             ;
-        deliver(l);
-        g_ptr_array_set_size(l->garbage, 0);
+        deliver(loop);
+        g_ptr_array_set_size(loop->garbage, 0);
     }
 }
 
-void loop_stop(struct loop *l)
+void loop_stop(struct loop *loop)
 {
-    l->stopped = true;
+    loop->stopped = true;
 }
 
-void loop_advance(struct loop *l, int64_t ms)
+void loop_advance(struct loop *loop, int64_t ms)
 {
-    mono_time until = time_add_ms(l->now, ms);
+    mono_time until = time_add_ms(loop->now, ms);
     do {
-        while (deliver(l))
+        while (deliver(loop))
             ;
-        g_ptr_array_set_size(l->garbage, 0);
-    } while (fire_one(l, until));
-    l->fake_wall.ms += (until.us - l->now.us) / 1000;
-    l->now = until;
+        g_ptr_array_set_size(loop->garbage, 0);
+    } while (fire_one(loop, until));
+    loop->fake_wall.ms += (until.us - loop->now.us) / 1000;
+    loop->now = until;
 }
--- a/src/loop.h
+++ b/src/loop.h
@@ -42,10 +42,10 @@
 wall_time loop_wall(const struct loop *loop);
 /* Reads the clock again. A process may stand still for long in the middle of a turn, and what it
  * reads then may be newer than the moment the turn began: whoever reads calls this afterwards. */
-void loop_refresh(struct loop *l);
+void loop_refresh(struct loop *loop);
 /* Counts looks at machines and tasks, so that tests can tell how work grows. */
-void loop_work(struct loop *l, uint64_t looks);
-uint64_t loop_worked(const struct loop *l);
+void loop_work(struct loop *loop, uint64_t looks);
+uint64_t loop_worked(const struct loop *loop);
 
 void loop_watch(struct loop *loop, struct loop_io *io, uint32_t events);
 void loop_rewatch(struct loop *loop, struct loop_io *io, uint32_t events);
@@ -53,11 +53,11 @@
 /* Frees once the events at hand are handled: one of them may still point to it. */
 void loop_free_later(struct loop *loop, void *memory);
 
-void timer_init(struct timer *t, void (*fire)(void *arg), void *arg);
-void timer_start(struct loop *loop, struct timer *t, int64_t ms);
-void timer_stop(struct loop *loop, struct timer *t);
+void timer_init(struct timer *timer, void (*fire)(void *arg), void *arg);
+void timer_start(struct loop *loop, struct timer *timer, int64_t ms);
+void timer_stop(struct loop *loop, struct timer *timer);
 
-void actor_send(struct loop *loop, struct actor *to, int kind, void *body,
+void actor_send(struct loop *loop, struct actor *actor, int kind, void *body,
                 GDestroyNotify free_body);
 
 void loop_run(struct loop *loop);
