--- a/src/membership.c
+++ b/src/membership.c
@@ -34,14 +34,14 @@
     GArray *excluded;
 };
 
-static void consider(struct membership *m);
+static void consider(struct membership *membership);
 static void renew(void *arg);
 
 static void tick(void *arg)
 {
-    struct membership *m = arg;
-    timer_start(m->loop, &m->tick, TICK_MS);
-    consider(m);
+    struct membership *membership = arg;
+    timer_start(membership->loop, &membership->tick, TICK_MS);
+    consider(membership);
 }
 
 static void receive(struct actor *self, const struct message *msg)
@@ -58,252 +58,263 @@
 struct membership *membership_new(struct loop *loop, struct store *store, struct view *view,
                                   const struct settings *settings)
 {
-    struct membership *m = g_new0(struct membership, 1);
-    m->actor = (struct actor){"membership", receive};
-    m->loop = loop;
-    m->store = store;
-    m->view = view;
-    m->settings = settings;
-    m->excluded = g_array_new(FALSE, FALSE, sizeof(struct excluded));
-    g_array_set_clear_func(m->excluded, clear_excluded);
-    timer_init(&m->tick, tick, m);
-    timer_init(&m->renew, renew, m);
-    view_listen(view, &m->actor);
-    return m;
+    struct membership *membership = g_new0(struct membership, 1);
+    membership->actor = (struct actor){"membership", receive};
+    membership->loop = loop;
+    membership->store = store;
+    membership->view = view;
+    membership->settings = settings;
+    membership->excluded = g_array_new(FALSE, FALSE, sizeof(struct excluded));
+    g_array_set_clear_func(membership->excluded, clear_excluded);
+    timer_init(&membership->tick, tick, membership);
+    timer_init(&membership->renew, renew, membership);
+    view_listen(view, &membership->actor);
+    return membership;
 }
 
-void membership_free(struct membership *m)
+void membership_free(struct membership *membership)
 {
-    timer_stop(m->loop, &m->tick);
-    timer_stop(m->loop, &m->renew);
-    g_array_unref(m->excluded);
-    g_free(m);
+    timer_stop(membership->loop, &membership->tick);
+    timer_stop(membership->loop, &membership->renew);
+    g_array_unref(membership->excluded);
+    g_free(membership);
 }
 
-void membership_start(struct membership *m)
+void membership_start(struct membership *membership)
 {
-    tick(m);
+    tick(membership);
 }
 
-bool membership_valid(const struct membership *m)
+bool membership_valid(const struct membership *membership)
 {
-    return m->joined && time_before(loop_now(m->loop), m->lease_end);
+    return membership->joined && time_before(loop_now(membership->loop), membership->lease_end);
 }
 
-bool membership_seen(const struct membership *m)
+bool membership_seen(const struct membership *membership)
 {
-    const struct node_record *n = g_hash_table_lookup(m->view->nodes, m->settings->label);
-    return m->joined && n && n->stamp.v == m->stamp.v;
+    const struct node_record *node_record =
+        g_hash_table_lookup(membership->view->nodes, membership->settings->label);
+    return membership->joined && node_record && node_record->stamp.v == membership->stamp.v;
 }
 
-bool membership_holds_lead(const struct membership *m)
+bool membership_holds_lead(const struct membership *membership)
 {
-    const struct view *v = m->view;
-    return m->lease.v && v->leader && strcmp(v->leader, m->settings->label) == 0 &&
-           v->leader_incarnation.v == m->lease.v;
+    const struct view *view = membership->view;
+    return membership->lease.v && view->leader &&
+           strcmp(view->leader, membership->settings->label) == 0 &&
+           view->leader_incarnation.v == membership->lease.v;
 }
 
-bool membership_leads(const struct membership *m)
+bool membership_leads(const struct membership *membership)
 {
-    return membership_valid(m) && membership_holds_lead(m);
+    return membership_valid(membership) && membership_holds_lead(membership);
 }
 
-revision membership_stamp(const struct membership *m)
+revision membership_stamp(const struct membership *membership)
 {
-    return m->stamp;
+    return membership->stamp;
 }
 
-lease_id membership_incarnation(const struct membership *m)
+lease_id membership_incarnation(const struct membership *membership)
 {
-    return m->lease;
+    return membership->lease;
 }
 
-void membership_raise(struct membership *m, const char *why)
+void membership_raise(struct membership *membership, const char *why)
 {
-    if (!m->raise)
+    if (!membership->raise)
         LOG_INFO("epoch_raise", "why=%s", why);
-    m->raise = true;
-    consider(m);
+    membership->raise = true;
+    consider(membership);
 }
 
-void membership_exclude(struct membership *m, const char *label, int64_t ms)
+void membership_exclude(struct membership *membership, const char *label, int64_t ms)
 {
-    struct excluded x = {g_strdup(label), time_add_ms(loop_now(m->loop), ms)};
-    g_array_append_val(m->excluded, x);
+    struct excluded excluded = {g_strdup(label), time_add_ms(loop_now(membership->loop), ms)};
+    g_array_append_val(membership->excluded, excluded);
     LOG_INFO("node_excluded", "other=%s ms=%" G_GINT64_FORMAT, label, ms);
-    consider(m);
+    consider(membership);
 }
 
-static bool is_excluded(struct membership *m, const char *label)
+static bool is_excluded(struct membership *membership, const char *label)
 {
-    for (guint i = 0; i < m->excluded->len; i++)
-        if (strcmp(g_array_index(m->excluded, struct excluded, i).label, label) == 0)
+    for (guint i = 0; i < membership->excluded->len; i++)
+        if (strcmp(g_array_index(membership->excluded, struct excluded, i).label, label) == 0)
             return true;
     return false;
 }
 
 /* ---- the lease ---- */
 
-static void lost(struct membership *m, const char *why)
+static void lost(struct membership *membership, const char *why)
 {
-    LOG_INFO("lease_lost", "lease=%" G_GUINT64_FORMAT " why=%s", m->lease.v, why);
-    m->lease.v = 0;
-    m->joined = false;
-    m->lease_end = (mono_time){0};
-    timer_stop(m->loop, &m->renew);
+    LOG_INFO("lease_lost", "lease=%" G_GUINT64_FORMAT " why=%s", membership->lease.v, why);
+    membership->lease.v = 0;
+    membership->joined = false;
+    membership->lease_end = (mono_time){0};
+    timer_stop(membership->loop, &membership->renew);
 }
 
 /* The lease is counted from when the request was sent, on a clock that may be slow. */
-static void lease_holds(struct membership *m)
+static void lease_holds(struct membership *membership)
 {
-    m->lease_end = time_add_ms(m->renew_sent, TTL_MS - TTL_MS / 1000 - 1);
+    membership->lease_end = time_add_ms(membership->renew_sent, TTL_MS - TTL_MS / 1000 - 1);
 }
 
-static void granted(void *arg, const struct net_answer *a)
+static void granted(void *arg, const struct net_answer *answer)
 {
-    struct membership *m = arg;
-    m->lease_out = false;
-    json_object *o = a->status == 200 ? json_read(a->body, a->len) : NULL;
-    if (json_u64(o, "Mooring", &m->lease.v)) {
-        lease_holds(m);
-        timer_start(m->loop, &m->renew, RENEW_MS);
+    struct membership *membership = arg;
+    membership->lease_out = false;
+    json_object *object = answer->status == 200 ? json_read(answer->body, answer->len) : NULL;
+    if (json_u64(object, "Mooring", &membership->lease.v)) {
+        lease_holds(membership);
+        timer_start(membership->loop, &membership->renew, RENEW_MS);
     }
-    json_object_put(o);
-    consider(m);
+    json_object_put(object);
+    consider(membership);
 }
 
-static void renewed(void *arg, const struct net_answer *a)
+static void renewed(void *arg, const struct net_answer *answer)
 {
-    struct membership *m = arg;
-    m->lease_out = false;
-    if (!m->lease.v)
+    struct membership *membership = arg;
+    membership->lease_out = false;
+    if (!membership->lease.v)
         return;
-    if (a->status == 404) {
-        lost(m, "ended");
-        consider(m);
+    if (answer->status == 404) {
+        lost(membership, "ended");
+        consider(membership);
         return;
     }
-    if (a->status == 200)
-        lease_holds(m);
-    timer_start(m->loop, &m->renew, a->status == 200 ? RENEW_MS : RETRY_MS);
+    if (answer->status == 200)
+        lease_holds(membership);
+    timer_start(membership->loop, &membership->renew, answer->status == 200 ? RENEW_MS : RETRY_MS);
 }
 
 static void renew(void *arg)
 {
-    struct membership *m = arg;
-    if (m->lease_out || !m->lease.v)
+    struct membership *membership = arg;
+    if (membership->lease_out || !membership->lease.v)
         return;
-    char *path = g_strdup_printf("/grants/%" G_GUINT64_FORMAT "/renew", m->lease.v);
-    m->lease_out = true;
-    m->renew_sent = loop_now(m->loop);
-    store_request(m->store, LANE_LEASE, "POST", path, "{}", 1000, 1000, 0, renewed, m);
+    char *path = g_strdup_printf("/grants/%" G_GUINT64_FORMAT "/renew", membership->lease.v);
+    membership->lease_out = true;
+    membership->renew_sent = loop_now(membership->loop);
+    store_request(membership->store, LANE_LEASE, "POST", path, "{}", 1000, 1000, 0, renewed,
+                  membership);
     g_free(path);
 }
 
-static void ask_lease(struct membership *m)
+static void ask_lease(struct membership *membership)
 {
     char body[32];
     g_snprintf(body, sizeof body, "{\"TtlMs\":%d}", TTL_MS);
-    m->lease_out = true;
-    m->renew_sent = loop_now(m->loop);
-    store_request(m->store, LANE_LEASE, "POST", "/grants", body, 1500, 1500, 0, granted, m);
+    membership->lease_out = true;
+    membership->renew_sent = loop_now(membership->loop);
+    store_request(membership->store, LANE_LEASE, "POST", "/grants", body, 1500, 1500, 0, granted,
+                  membership);
 }
 
 /* ---- joining ---- */
 
 static void join_seen(void *arg, bool ok)
 {
-    struct membership *m = arg;
-    m->join_out = false;
-    struct node_record *n = g_hash_table_lookup(m->view->nodes, m->settings->label);
-    if (ok && m->lease.v && n && n->incarnation.v == m->lease.v) {
-        m->joined = true;
-        m->stamp = n->stamp;
-        LOG_INFO("joined", "incarnation=%" G_GUINT64_FORMAT, m->lease.v);
+    struct membership *membership = arg;
+    membership->join_out = false;
+    struct node_record *node_record =
+        g_hash_table_lookup(membership->view->nodes, membership->settings->label);
+    if (ok && membership->lease.v && node_record &&
+        node_record->incarnation.v == membership->lease.v) {
+        membership->joined = true;
+        membership->stamp = node_record->stamp;
+        LOG_INFO("joined", "incarnation=%" G_GUINT64_FORMAT, membership->lease.v);
     }
-    consider(m);
+    consider(membership);
 }
 
-static void join_answered(void *arg, const struct txn_outcome *o)
+static void join_answered(void *arg, const struct txn_outcome *outcome)
 {
-    struct membership *m = arg;
-    if (o->result == TXN_NO_LEASE && m->lease.v)
-        lost(m, "refused");
-    if (o->result == TXN_DONE || o->result == TXN_CONFLICT)
-        view_await(m->view, o->at, join_seen, m);
+    struct membership *membership = arg;
+    if (outcome->result == TXN_NO_LEASE && membership->lease.v)
+        lost(membership, "refused");
+    if (outcome->result == TXN_DONE || outcome->result == TXN_CONFLICT)
+        view_await(membership->view, outcome->at, join_seen, membership);
     else
-        view_barrier(m->view, join_seen, m);
+        view_barrier(membership->view, join_seen, membership);
 }
 
-static json_object *self_value(struct membership *m)
+static json_object *self_value(struct membership *membership)
 {
-    json_object *o = json_object_new_object();
-    json_put_u64(o, "i", m->lease.v);
-    json_put_text(o, "b", m->settings->back_addr);
-    json_put_u64(o, "v", NODE_VERSION);
-    return o;
+    json_object *object = json_object_new_object();
+    json_put_u64(object, "i", membership->lease.v);
+    json_put_text(object, "b", membership->settings->back_addr);
+    json_put_u64(object, "v", NODE_VERSION);
+    return object;
 }
 
-static guint spoken_by(const struct view *v, const char *label)
+static guint spoken_by(const struct view *view, const char *label)
 {
-    return GPOINTER_TO_UINT(g_hash_table_lookup(v->spoken, label));
+    return GPOINTER_TO_UINT(g_hash_table_lookup(view->spoken, label));
 }
 
-static bool understands(const struct membership *m, const char *label)
+static bool understands(const struct membership *membership, const char *label)
 {
-    const struct node_record *n = g_hash_table_lookup(m->view->nodes, label);
-    return spoken_by(m->view, label) >= NODE_VERSION && (!n || n->version >= NODE_VERSION);
+    const struct node_record *node_record = g_hash_table_lookup(membership->view->nodes, label);
+    return spoken_by(membership->view, label) >= NODE_VERSION &&
+           (!node_record || node_record->version >= NODE_VERSION);
 }
 
-bool membership_all_understand(const struct membership *m)
+bool membership_all_understand(const struct membership *membership)
 {
-    bool all = understands(m, m->settings->label);
-    for (guint i = 0; i < m->settings->siblings->len; i++)
-        all = all && understands(m, g_array_index(m->settings->siblings, struct sibling, i).label);
+    bool all = understands(membership, membership->settings->label);
+    for (guint i = 0; i < membership->settings->siblings->len; i++)
+        all = all &&
+              understands(membership,
+                          g_array_index(membership->settings->siblings, struct sibling, i).label);
     return all;
 }
 
 /* An earlier process of this label is dead, so its leadership is given up with its key: nobody has
  * to wait for its lease to end. */
-static void join(struct membership *m)
-{
-    struct view *v = m->view;
-    char *key = key_node(m->settings->label);
-    struct node_record *old = g_hash_table_lookup(v->nodes, m->settings->label);
-    struct txn *t = txn_new();
-    txn_when(t, key, old ? old->stamp : (revision){0});
-    txn_set(t, key, self_value(m), m->lease);
-    if (v->leader && strcmp(v->leader, m->settings->label) == 0) {
-        txn_when(t, KEY_LEADER, v->leader_stamp);
-        txn_remove(t, KEY_LEADER);
+static void join(struct membership *membership)
+{
+    struct view *view = membership->view;
+    char *key = key_node(membership->settings->label);
+    struct node_record *old = g_hash_table_lookup(view->nodes, membership->settings->label);
+    struct txn *txn = txn_new();
+    txn_when(txn, key, old ? old->stamp : (revision){0});
+    txn_set(txn, key, self_value(membership), membership->lease);
+    if (view->leader && strcmp(view->leader, membership->settings->label) == 0) {
+        txn_when(txn, KEY_LEADER, view->leader_stamp);
+        txn_remove(txn, KEY_LEADER);
     }
     /* It stays when this process ends: its successors understand as much. */
-    if (spoken_by(v, m->settings->label) < NODE_VERSION) {
-        char *version = key_version(m->settings->label);
-        json_object *o = json_object_new_object();
-        json_put_u64(o, "v", NODE_VERSION);
-        txn_set(t, version, o, (lease_id){0});
+    if (spoken_by(view, membership->settings->label) < NODE_VERSION) {
+        char *version = key_version(membership->settings->label);
+        json_object *object = json_object_new_object();
+        json_put_u64(object, "v", NODE_VERSION);
+        txn_set(txn, version, object, (lease_id){0});
         g_free(version);
     }
-    m->join_out = true;
-    store_txn(m->store, LANE_LEASE, t, join_answered, m);
+    membership->join_out = true;
+    store_txn(membership->store, LANE_LEASE, txn, join_answered, membership);
     g_free(key);
 }
 
 /* ---- leader and map ---- */
 
-static json_object *map_value(struct membership *m)
+static json_object *map_value(struct membership *membership)
 {
     json_object *o = json_object_new_object(), *list = json_object_new_array();
-    json_put_u64(o, "e", m->view->epoch.v + 1);
-    GList *labels = g_list_sort(g_hash_table_get_keys(m->view->nodes), (GCompareFunc)strcmp);
+    json_put_u64(o, "e", membership->view->epoch.v + 1);
+    GList *labels =
+        g_list_sort(g_hash_table_get_keys(membership->view->nodes), (GCompareFunc)strcmp);
     for (GList *l = labels; l; l = l->next) {
-        struct node_record *n = g_hash_table_lookup(m->view->nodes, l->data);
-        if (is_excluded(m, n->label) && strcmp(n->label, m->settings->label) != 0)
+        struct node_record *node_record = g_hash_table_lookup(membership->view->nodes, l->data);
+        if (is_excluded(membership, node_record->label) &&
+            strcmp(node_record->label, membership->settings->label) != 0)
             continue;
         json_object *x = json_object_new_object();
-        json_put_text(x, "n", n->label);
-        json_put_u64(x, "i", n->incarnation.v);
+        json_put_text(x, "n", node_record->label);
+        json_put_u64(x, "i", node_record->incarnation.v);
         json_object_array_add(list, x);
     }
     g_list_free(labels);
@@ -311,121 +322,122 @@
     return o;
 }
 
-static bool map_stale(struct membership *m)
+static bool map_stale(struct membership *membership)
 {
     guint want = 0;
     GHashTableIter it;
-    struct node_record *n;
-    g_hash_table_iter_init(&it, m->view->nodes);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&n)) {
-        bool out = is_excluded(m, n->label) && strcmp(n->label, m->settings->label) != 0;
-        if (!out && !map_names(m->view, n->label, n->incarnation))
+    struct node_record *node_record;
+    g_hash_table_iter_init(&it, membership->view->nodes);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&node_record)) {
+        bool out = is_excluded(membership, node_record->label) &&
+                   strcmp(node_record->label, membership->settings->label) != 0;
+        if (!out && !map_names(membership->view, node_record->label, node_record->incarnation))
             return true;
         want += !out;
     }
-    return want != m->view->map->len;
+    return want != membership->view->map->len;
 }
 
 static void write_seen(void *arg, bool ok)
 {
-    struct membership *m = arg;
+    struct membership *membership = arg;
     (void)ok;
-    m->write_out = false;
-    consider(m);
+    membership->write_out = false;
+    consider(membership);
 }
 
-static void write_answered(void *arg, const struct txn_outcome *o)
+static void write_answered(void *arg, const struct txn_outcome *outcome)
 {
-    struct membership *m = arg;
-    if (o->result == TXN_NO_LEASE && m->lease.v)
-        lost(m, "refused");
-    if (o->result == TXN_DONE)
-        m->raise = false;
-    if (o->result == TXN_DONE || o->result == TXN_CONFLICT)
-        view_await(m->view, o->at, write_seen, m);
+    struct membership *membership = arg;
+    if (outcome->result == TXN_NO_LEASE && membership->lease.v)
+        lost(membership, "refused");
+    if (outcome->result == TXN_DONE)
+        membership->raise = false;
+    if (outcome->result == TXN_DONE || outcome->result == TXN_CONFLICT)
+        view_await(membership->view, outcome->at, write_seen, membership);
     else
-        view_barrier(m->view, write_seen, m);
+        view_barrier(membership->view, write_seen, membership);
 }
 
 /* Taking the lead and raising the epoch are one transaction: there is no leader whose epoch an
  * earlier one has dealt under. */
-static void write_map(struct membership *m, bool elect)
+static void write_map(struct membership *membership, bool elect)
 {
-    char *key = key_node(m->settings->label);
-    struct txn *t = txn_new();
-    txn_when(t, key, m->stamp);
-    txn_when(t, KEY_LEADER, elect ? (revision){0} : m->view->leader_stamp);
-    txn_when(t, KEY_MAP, m->view->map_stamp);
+    char *key = key_node(membership->settings->label);
+    struct txn *txn = txn_new();
+    txn_when(txn, key, membership->stamp);
+    txn_when(txn, KEY_LEADER, elect ? (revision){0} : membership->view->leader_stamp);
+    txn_when(txn, KEY_MAP, membership->view->map_stamp);
     if (elect) {
-        json_object *o = json_object_new_object();
-        json_put_text(o, "n", m->settings->label);
-        json_put_u64(o, "i", m->lease.v);
-        txn_set(t, KEY_LEADER, o, m->lease);
+        json_object *object = json_object_new_object();
+        json_put_text(object, "n", membership->settings->label);
+        json_put_u64(object, "i", membership->lease.v);
+        txn_set(txn, KEY_LEADER, object, membership->lease);
     }
-    txn_set(t, KEY_MAP, map_value(m), (lease_id){0});
-    m->write_out = true;
-    store_txn(m->store, LANE_LEASE, t, write_answered, m);
+    txn_set(txn, KEY_MAP, map_value(membership), (lease_id){0});
+    membership->write_out = true;
+    store_txn(membership->store, LANE_LEASE, txn, write_answered, membership);
     g_free(key);
 }
 
 /* Nodes stand for election one after the other, so that the first one mostly has it alone. */
-static int64_t election_delay(struct membership *m)
+static int64_t election_delay(struct membership *membership)
 {
     int before = 0;
     GHashTableIter it;
     char *label;
-    g_hash_table_iter_init(&it, m->view->nodes);
+    g_hash_table_iter_init(&it, membership->view->nodes);
     while (g_hash_table_iter_next(&it, (gpointer *)&label, NULL))
-        before += strcmp(label, m->settings->label) < 0;
+        before += strcmp(label, membership->settings->label) < 0;
     return before * ELECT_STEP_MS;
 }
 
-static void forgive(struct membership *m)
+static void forgive(struct membership *membership)
 {
-    mono_time now = loop_now(m->loop);
-    for (guint i = 0; i < m->excluded->len;)
-        if (time_before(g_array_index(m->excluded, struct excluded, i).until, now))
-            g_array_remove_index_fast(m->excluded, i);
+    mono_time now = loop_now(membership->loop);
+    for (guint i = 0; i < membership->excluded->len;)
+        if (time_before(g_array_index(membership->excluded, struct excluded, i).until, now))
+            g_array_remove_index_fast(membership->excluded, i);
         else
             i++;
 }
 
-static void consider(struct membership *m)
+static void consider(struct membership *membership)
 {
-    struct view *v = m->view;
-    mono_time now = loop_now(m->loop);
-    if (!m->lease.v) {
-        if (!m->lease_out)
-            ask_lease(m);
+    struct view *view = membership->view;
+    mono_time now = loop_now(membership->loop);
+    if (!membership->lease.v) {
+        if (!membership->lease_out)
+            ask_lease(membership);
         return;
     }
-    if (!v->ready || m->join_out || !time_before(now, m->lease_end))
+    if (!view->ready || membership->join_out || !time_before(now, membership->lease_end))
         return;
-    struct node_record *self = g_hash_table_lookup(v->nodes, m->settings->label);
-    if (m->joined && (!self || self->stamp.v != m->stamp.v)) {
+    struct node_record *self = g_hash_table_lookup(view->nodes, membership->settings->label);
+    if (membership->joined && (!self || self->stamp.v != membership->stamp.v)) {
         /* Another process has taken this label, or the lease ended unnoticed. */
-        lost(m, "key gone");
+        lost(membership, "key gone");
         return;
     }
-    if (!m->joined) {
-        join(m);
+    if (!membership->joined) {
+        join(membership);
         return;
     }
-    forgive(m);
-    if (m->write_out)
+    forgive(membership);
+    if (membership->write_out)
         return;
-    if (v->leader) {
-        m->vacant = false;
-        if (membership_leads(m) && (m->raise || map_stale(m)))
-            write_map(m, false);
+    if (view->leader) {
+        membership->vacant = false;
+        if (membership_leads(membership) && (membership->raise || map_stale(membership)))
+            write_map(membership, false);
         return;
     }
-    if (!m->vacant) {
-        m->vacant = true;
-        m->vacant_since = now;
+    if (!membership->vacant) {
+        membership->vacant = true;
+        membership->vacant_since = now;
     }
-    if (time_ms_since(now, m->vacant_since) >= election_delay(m))
-        write_map(m, true);
+    if (time_ms_since(now, membership->vacant_since) >= election_delay(membership))
+        write_map(membership, true);
 }
 
 /* ---- the map ---- */
@@ -447,12 +459,12 @@
     return h ^ h >> 33;
 }
 
-const char *map_owner(const struct view *v, const char *host)
+const char *map_owner(const struct view *view, const char *host)
 {
     const char *best = NULL;
     uint64_t most = 0;
-    for (guint i = 0; i < v->map->len; i++) {
-        const char *label = g_array_index(v->map, struct map_entry, i).label;
+    for (guint i = 0; i < view->map->len; i++) {
+        const char *label = g_array_index(view->map, struct map_entry, i).label;
         uint64_t w = weight(label, host);
         if (!best || w > most) {
             best = label;
@@ -462,11 +474,11 @@
     return best;
 }
 
-bool map_names(const struct view *v, const char *label, lease_id incarnation)
+bool map_names(const struct view *view, const char *label, lease_id incarnation)
 {
-    for (guint i = 0; i < v->map->len; i++) {
-        const struct map_entry *e = &g_array_index(v->map, struct map_entry, i);
-        if (strcmp(e->label, label) == 0 && e->incarnation.v == incarnation.v)
+    for (guint i = 0; i < view->map->len; i++) {
+        const struct map_entry *entry = &g_array_index(view->map, struct map_entry, i);
+        if (strcmp(entry->label, label) == 0 && entry->incarnation.v == incarnation.v)
             return true;
     }
     return false;
--- a/src/membership.h
+++ b/src/membership.h
@@ -9,34 +9,34 @@
 
 struct membership *membership_new(struct loop *loop, struct store *store, struct view *view,
                                   const struct settings *settings);
-void membership_free(struct membership *m);
-void membership_start(struct membership *m);
+void membership_free(struct membership *membership);
+void membership_start(struct membership *membership);
 
 /* Whether this node may start and write: its own lease surely holds. */
-bool membership_valid(const struct membership *m);
+bool membership_valid(const struct membership *membership);
 /* The view shows this process's own key, whether its lease surely holds or not. */
-bool membership_seen(const struct membership *m);
+bool membership_seen(const struct membership *membership);
 /* Whether it leads, surely at this moment. */
 /* The leader's key is this process's, whether its lease surely holds or not. */
-bool membership_holds_lead(const struct membership *m);
+bool membership_holds_lead(const struct membership *membership);
 /* And the lease surely holds: it may act. */
-bool membership_leads(const struct membership *m);
+bool membership_leads(const struct membership *membership);
 /* The version of this node's own key, on which its writes are conditioned. */
-revision membership_stamp(const struct membership *m);
-lease_id membership_incarnation(const struct membership *m);
+revision membership_stamp(const struct membership *membership);
+lease_id membership_incarnation(const struct membership *membership);
 
 /* Whether every node, alive or not, has once been of a version that understands NODE_VERSION, and
  * none that lives is older: as a node is not taken back to an older one after that, nobody will
  * ever read what it would not understand. */
-bool membership_all_understand(const struct membership *m);
+bool membership_all_understand(const struct membership *membership);
 
 /* Asks the leader's node to raise the epoch; what was dealt under the old one is void. */
-void membership_raise(struct membership *m, const char *why);
+void membership_raise(struct membership *membership, const char *why);
 /* The leader leaves a node out of the map for a while. */
-void membership_exclude(struct membership *m, const char *label, int64_t ms);
+void membership_exclude(struct membership *membership, const char *label, int64_t ms);
 
 /* The owner of a machine by rendezvous hashing over the map's nodes; NULL when there is no map. */
-const char *map_owner(const struct view *v, const char *host);
-bool map_names(const struct view *v, const char *label, lease_id incarnation);
+const char *map_owner(const struct view *view, const char *host);
+bool map_names(const struct view *view, const char *label, lease_id incarnation);
 
 #endif
--- a/src/node.h
+++ b/src/node.h
@@ -14,14 +14,14 @@
     struct membership *members;
     struct bus *bus;
     struct peers *peers;
-    struct part *part;
+    struct shard *shard;
     struct leader *leader;
     struct frontend *frontend;
 };
 
 struct node *node_new(struct loop *loop, struct net *net, const struct settings *settings,
                       const struct policy *policy);
-void node_start(struct node *n);
-void node_free(struct node *n);
+void node_start(struct node *node);
+void node_free(struct node *node);
 
 #endif
--- a/src/page.c
+++ b/src/page.c
@@ -11,12 +11,12 @@
     OWN_CHARS = 3,     /* of a name, at its end, that are not taken for its beginning */
 };
 
-char *machine_about(const char *addr, const char *build, const char *yard, bool loaners)
+char *machine_about(const char *addr, const char *type_name, const char *zone, bool spot)
 {
     static const char foreign[] = " ,\"\\/"; /* these end a word, or take more room as JSON */
-    if (!*addr || strpbrk(addr, foreign) || strpbrk(build, foreign) || strpbrk(yard, foreign))
+    if (!*addr || strpbrk(addr, foreign) || strpbrk(type_name, foreign) || strpbrk(zone, foreign))
         return NULL;
-    return g_strdup_printf("%s,%s,%s,%d", addr, build, yard, loaners);
+    return g_strdup_printf("%s,%s,%s,%d", addr, type_name, zone, spot);
 }
 
 /* ---- run records ---- */
@@ -36,20 +36,20 @@
 
 static gint by_job_first(gconstpointer a, gconstpointer b)
 {
-    const struct page_rec *x = a, *y = b;
-    int c = by_attempt(x, y);
+    const struct page_rec *record = a, *y = b;
+    int c = by_attempt(record, y);
     if (c == 0)
-        c = strcmp(x->host.s, y->host.s);
-    return c ? c : by_index(x, y);
+        c = strcmp(record->host.s, y->host.s);
+    return c ? c : by_index(record, y);
 }
 
 static gint by_host_first(gconstpointer a, gconstpointer b)
 {
-    const struct page_rec *x = a, *y = b;
-    int c = strcmp(x->host.s, y->host.s);
+    const struct page_rec *record = a, *y = b;
+    int c = strcmp(record->host.s, y->host.s);
     if (c == 0)
-        c = by_attempt(x, y);
-    return c ? c : by_index(x, y);
+        c = by_attempt(record, y);
+    return c ? c : by_index(record, y);
 }
 
 /* What names begin with: all but the end of the first one in their order. While any that begins so
@@ -77,31 +77,31 @@
     GHashTable *said = g_hash_table_new(g_str_hash, g_str_equal);
     const struct page_rec *last = NULL;
     for (guint i = 0; i < records->len; i++) {
-        const struct page_rec *r = &g_array_index(records, struct page_rec, i);
-        bool same_attempt = last && by_attempt(last, r) == 0;
-        bool same_job = last && job_eq(last->job, r->job);
-        bool same_host = last && host_eq(last->host, r->host) && (same_attempt || !job_first);
+        const struct page_rec *record = &g_array_index(records, struct page_rec, i);
+        bool same_attempt = last && by_attempt(last, record) == 0;
+        bool same_job = last && job_eq(last->job, record->job);
+        bool same_host = last && host_eq(last->host, record->host) && (same_attempt || !job_first);
         same_attempt = same_attempt && (same_host || job_first);
         same_job = same_job && (same_host || job_first);
         GString *host = g_string_new(NULL);
         if (!same_host) {
-            bool whole = !g_str_has_prefix(r->host.s, beginning);
+            bool whole = !g_str_has_prefix(record->host.s, beginning);
             g_string_append_printf(host, "%c%s ", whole ? '&' : '@',
-                                   r->host.s + (whole ? 0 : strlen(beginning)));
-            if (r->about && g_hash_table_add(said, (gpointer)r->host.s))
-                g_string_append_printf(host, "=%s ", r->about);
+                                   record->host.s + (whole ? 0 : strlen(beginning)));
+            if (record->about && g_hash_table_add(said, (gpointer)record->host.s))
+                g_string_append_printf(host, "=%s ", record->about);
         }
         if (!job_first)
             g_string_append(s, host->str);
         if (!same_job)
-            g_string_append_printf(s, "#%s ", r->job.s);
+            g_string_append_printf(s, "#%s ", record->job.s);
         if (!same_attempt)
-            g_string_append_printf(s, "*%" G_GUINT64_FORMAT " ", r->attempt.v);
+            g_string_append_printf(s, "*%" G_GUINT64_FORMAT " ", record->attempt.v);
         if (job_first)
             g_string_append(s, host->str);
-        g_string_append_printf(s, "%u ", r->index);
+        g_string_append_printf(s, "%u ", record->index);
         g_string_free(host, TRUE);
-        last = r;
+        last = record;
     }
     g_hash_table_unref(said);
     g_free(beginning);
@@ -144,11 +144,11 @@
     return n;
 }
 
-gsize page_cost(const struct page_rec *r, bool with_job, bool with_attempt)
+gsize page_cost(const struct page_rec *record, bool with_job, bool with_attempt)
 {
-    return strlen(r->host.s) + 2 + (r->about ? strlen(r->about) + 2 : 0) + digits(r->index) + 1 +
-           (with_job ? 0 : strlen(r->job.s) + 2) +
-           (with_job && with_attempt ? 0 : digits(r->attempt.v) + 2);
+    return strlen(record->host.s) + 2 + (record->about ? strlen(record->about) + 2 : 0) +
+           digits(record->index) + 1 + (with_job ? 0 : strlen(record->job.s) + 2) +
+           (with_job && with_attempt ? 0 : digits(record->attempt.v) + 2);
 }
 
 /* The next word of a page's text, which ends at a blank; NULL when there is none. */
@@ -170,7 +170,7 @@
 
 void page_read(const char *text, page_take take, void *ctx)
 {
-    struct page_rec r = {0};
+    struct page_rec record = {0};
     bool host = false, job = false;
     size_t n;
     char name[NAME_SIZE], beginning[NAME_SIZE] = "", *about = NULL;
@@ -178,19 +178,20 @@
         if (*word == '^') {
             word_name("", word, n, beginning);
         } else if (*word == '@' || *word == '&') {
-            host = host_id_from(&r.host, word_name(*word == '@' ? beginning : "", word, n, name));
+            host =
+                host_id_from(&record.host, word_name(*word == '@' ? beginning : "", word, n, name));
             g_clear_pointer(&about, g_free);
         } else if (*word == '=') {
             g_free(about);
             about = g_strndup(word + 1, n - 1);
         } else if (*word == '#') {
-            job = job_id_from(&r.job, word_name("", word, n, name));
+            job = job_id_from(&record.job, word_name("", word, n, name));
         } else if (*word == '*') {
-            r.attempt.v = g_ascii_strtoull(word + 1, NULL, 10);
+            record.attempt.v = g_ascii_strtoull(word + 1, NULL, 10);
         } else if (host && job) {
-            r.index = (uint32_t)strtoul(word, NULL, 10);
-            r.about = about;
-            take(ctx, &r);
+            record.index = (uint32_t)strtoul(word, NULL, 10);
+            record.about = about;
+            take(ctx, &record);
         }
     }
     g_free(about);
--- a/src/page.h
+++ b/src/page.h
@@ -37,10 +37,10 @@
 gsize page_length(GArray *records, bool plain, gsize *least);
 /* What one more record adds to the text at most. with_job, with_attempt: the page has records of
  * that job, and of that attempt, already. */
-gsize page_cost(const struct page_rec *r, bool with_job, bool with_attempt);
+gsize page_cost(const struct page_rec *record, bool with_job, bool with_attempt);
 /* Calls back for every record, in the order of the text; about, where it is said: valid for the
  * call. */
-typedef void (*page_take)(void *ctx, const struct page_rec *r);
+typedef void (*page_take)(void *ctx, const struct page_rec *record);
 void page_read(const char *text, page_take take, void *ctx);
 
 /* Makes an array of bits at least so long, with zeros. */
@@ -61,6 +61,6 @@
 void page_read_about(const char *text, page_about take, void *ctx);
 
 /* What a page may say of a machine; NULL when it cannot be said in one word. */
-char *machine_about(const char *addr, const char *build, const char *yard, bool loaners);
+char *machine_about(const char *addr, const char *type_name, const char *zone, bool spot);
 
 #endif
--- a/src/pipeline.c
+++ b/src/pipeline.c
@@ -12,68 +12,68 @@
 
 struct pipeline {
     GHashTable *nodes; /* id -> struct node */
-    pipeline_news news;
+    pipeline_observer observer;
     void *ctx;
 };
 
 static void node_free(gpointer q)
 {
-    struct node *n = q;
-    g_ptr_array_unref(n->needs);
-    g_ptr_array_unref(n->after);
-    g_free(n);
+    struct node *node = q;
+    g_ptr_array_unref(node->needs);
+    g_ptr_array_unref(node->after);
+    g_free(node);
 }
 
-struct pipeline *pipeline_new(pipeline_news news, void *ctx)
+struct pipeline *pipeline_new(pipeline_observer observer, void *ctx)
 {
-    struct pipeline *p = g_new0(struct pipeline, 1);
-    p->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, node_free);
-    p->news = news;
-    p->ctx = ctx;
-    return p;
+    struct pipeline *pipeline = g_new0(struct pipeline, 1);
+    pipeline->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, node_free);
+    pipeline->observer = observer;
+    pipeline->ctx = ctx;
+    return pipeline;
 }
 
-void pipeline_free(struct pipeline *p)
+void pipeline_free(struct pipeline *pipeline)
 {
-    g_hash_table_unref(p->nodes);
-    g_free(p);
+    g_hash_table_unref(pipeline->nodes);
+    g_free(pipeline);
 }
 
-guint pipeline_size(const struct pipeline *p)
+guint pipeline_size(const struct pipeline *pipeline)
 {
-    return g_hash_table_size(p->nodes);
+    return g_hash_table_size(pipeline->nodes);
 }
 
-static struct node *node_get(struct pipeline *p, job_id id)
+static struct node *node_get(struct pipeline *pipeline, job_id id)
 {
-    return g_hash_table_lookup(p->nodes, id.s);
+    return g_hash_table_lookup(pipeline->nodes, id.s);
 }
 
-static struct node *node_make(struct pipeline *p, job_id id)
+static struct node *node_make(struct pipeline *pipeline, job_id id)
 {
-    struct node *n = node_get(p, id);
-    if (n)
-        return n;
-    n = g_new0(struct node, 1);
-    n->id = id;
-    n->own = (struct pipe_own){LEAST_URGENT, NEVER, 0};
-    n->facts.urgency = LEAST_URGENT;
-    n->facts.due = NEVER;
-    n->needs = g_ptr_array_new();
-    n->after = g_ptr_array_new();
-    g_hash_table_insert(p->nodes, n->id.s, n);
-    return n;
+    struct node *node = node_get(pipeline, id);
+    if (node)
+        return node;
+    node = g_new0(struct node, 1);
+    node->id = id;
+    node->own = (struct pipe_own){LEAST_URGENT, NEVER, 0};
+    node->facts.urgency = LEAST_URGENT;
+    node->facts.due = NEVER;
+    node->needs = g_ptr_array_new();
+    node->after = g_ptr_array_new();
+    g_hash_table_insert(pipeline->nodes, node->id.s, node);
+    return node;
 }
 
-static void tell(struct pipeline *p, struct node *n)
+static void tell(struct pipeline *pipeline, struct node *node)
 {
-    if (n->known)
-        p->news(p->ctx, n->id.s, &n->facts);
+    if (node->known)
+        pipeline->observer(pipeline->ctx, node->id.s, &node->facts);
 }
 
 /* Works out what is lent to a job and, where that has changed, to those that it needs. A chain may
  * be long, so this is no recursion. */
-static void lend(struct pipeline *p, struct node *first)
+static void lend(struct pipeline *pipeline, struct node *first)
 {
     GQueue todo = G_QUEUE_INIT;
     g_queue_push_tail(&todo, first);
@@ -91,60 +91,60 @@
             continue;
         n->facts.urgency = urgency;
         n->facts.due = due;
-        tell(p, n);
+        tell(pipeline, n);
         for (guint i = 0; i < n->needs->len; i++)
             g_queue_push_tail(&todo, n->needs->pdata[i]);
     }
 }
 
 /* A job without links is nothing to be kept here. */
-static void let_go(struct pipeline *p, struct node *n)
+static void let_go(struct pipeline *pipeline, struct node *node)
 {
-    if (!n->needs->len && !n->after->len)
-        g_hash_table_remove(p->nodes, n->id.s);
+    if (!node->needs->len && !node->after->len)
+        g_hash_table_remove(pipeline->nodes, node->id.s);
 }
 
 /* Cuts what a job needs off it: that lends nothing to them any more. */
-static void cut_needs(struct pipeline *p, struct node *n)
+static void cut_needs(struct pipeline *pipeline, struct node *n)
 {
     GPtrArray *needs = n->needs;
     n->needs = g_ptr_array_new();
     for (guint i = 0; i < needs->len; i++) {
         struct node *q = needs->pdata[i];
         g_ptr_array_remove_fast(q->after, n);
-        lend(p, q);
-        let_go(p, q);
+        lend(pipeline, q);
+        let_go(pipeline, q);
     }
     g_ptr_array_unref(needs);
 }
 
-void pipeline_add(struct pipeline *p, job_id id, const struct pipe_own *own, const job_id *needs,
-                  guint n)
+void pipeline_add(struct pipeline *pipeline, job_id id, const struct pipe_own *own,
+                  const job_id *needs, guint n)
 {
-    struct node *x = node_get(p, id);
+    struct node *x = node_get(pipeline, id);
     if ((!x && !n) || (x && x->known))
         return;
-    x = node_make(p, id);
+    x = node_make(pipeline, id);
     x->known = true;
     x->own = *own;
     for (guint i = 0; i < n; i++) {
-        struct node *q = node_make(p, needs[i]);
+        struct node *q = node_make(pipeline, needs[i]);
         g_ptr_array_add(x->needs, q);
         g_ptr_array_add(q->after, x);
     }
     x->facts.open = n;
     x->facts.urgency = LEAST_URGENT; /* so that it is worked out and told */
     x->facts.due = NEVER;
-    lend(p, x);
-    tell(p, x);
+    lend(pipeline, x);
+    tell(pipeline, x);
 }
 
-void pipeline_done(struct pipeline *p, job_id id, wall_time end)
+void pipeline_done(struct pipeline *pipeline, job_id id, wall_time end)
 {
-    struct node *n = node_get(p, id);
+    struct node *n = node_get(pipeline, id);
     if (!n)
         return;
-    cut_needs(p, n);
+    cut_needs(pipeline, n);
     GPtrArray *after = n->after;
     n->after = g_ptr_array_new();
     for (guint i = 0; i < after->len; i++) {
@@ -152,16 +152,16 @@
         g_ptr_array_remove_fast(s->needs, n);
         s->facts.open = s->needs->len;
         s->facts.ready.ms = MAX(s->facts.ready.ms, end.ms);
-        tell(p, s);
-        let_go(p, s);
+        tell(pipeline, s);
+        let_go(pipeline, s);
     }
     g_ptr_array_unref(after);
-    let_go(p, n);
+    let_go(pipeline, n);
 }
 
-void pipeline_cancelled(struct pipeline *p, job_id id, revision at)
+void pipeline_cancelled(struct pipeline *pipeline, job_id id, revision at)
 {
-    struct node *n = node_get(p, id);
+    struct node *n = node_get(pipeline, id);
     if (!n)
         return;
     /* Their ids, as one that is still to come may be let go meanwhile, with its last link. */
@@ -169,17 +169,17 @@
     g_queue_push_tail(&todo, g_memdup2(&id, sizeof id));
     job_id *next;
     while ((next = g_queue_pop_head(&todo))) {
-        n = node_get(p, *next);
+        n = node_get(pipeline, *next);
         g_free(next);
         if (!n)
             continue;
         for (guint i = 0; i < n->after->len; i++) {
             struct node *s = n->after->pdata[i];
-            if (s->facts.doomed)
+            if (s->facts.upstream_cancelled)
                 continue;
-            s->facts.doomed = true;
-            s->facts.doomed_at = at;
-            tell(p, s);
+            s->facts.upstream_cancelled = true;
+            s->facts.upstream_cancelled_at = at;
+            tell(pipeline, s);
             g_queue_push_tail(&todo, g_memdup2(&s->id, sizeof s->id));
         }
         while (n->after->len) {
@@ -187,17 +187,17 @@
             g_ptr_array_remove_fast(s->needs, n);
             g_ptr_array_set_size(n->after, (gint)n->after->len - 1);
         }
-        cut_needs(p, n);
-        let_go(p, n);
+        cut_needs(pipeline, n);
+        let_go(pipeline, n);
     }
 }
 
-void pipeline_each_unknown(struct pipeline *p, pipeline_unknown take, void *ctx)
+void pipeline_each_unknown(struct pipeline *pipeline, pipeline_unknown take, void *ctx)
 {
     GHashTableIter it;
-    struct node *n;
-    g_hash_table_iter_init(&it, p->nodes);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&n))
-        if (!n->known)
-            take(ctx, n->id);
+    struct node *node;
+    g_hash_table_iter_init(&it, pipeline->nodes);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&node))
+        if (!node->known)
+            take(ctx, node->id);
 }
--- a/src/pipeline.h
+++ b/src/pipeline.h
@@ -18,10 +18,10 @@
 #define NEVER ((wall_time){INT64_MAX})
 
 struct pipe_facts {
-    guint open;      /* jobs that it needs and that are not known to be done */
-    wall_time ready; /* when the last of the others was done; 0: there was none */
-    bool doomed;     /* one that it needs, directly or not, is cancelled */
-    revision doomed_at;
+    guint open;              /* jobs that it needs and that are not known to be done */
+    wall_time ready;         /* when the last of the others was done; 0: there was none */
+    bool upstream_cancelled; /* one that it needs, directly or not, is cancelled */
+    revision upstream_cancelled_at;
     int urgency;   /* the highest of its own and of those of all that need it */
     wall_time due; /* when it has to be done so that all that need it can be in time */
 };
@@ -29,23 +29,23 @@
 struct pipeline;
 
 /* id's facts are others now. */
-typedef void (*pipeline_news)(void *ctx, const char *id, const struct pipe_facts *facts);
+typedef void (*pipeline_observer)(void *ctx, const char *id, const struct pipe_facts *facts);
 
-struct pipeline *pipeline_new(pipeline_news news, void *ctx);
-void pipeline_free(struct pipeline *p);
+struct pipeline *pipeline_new(pipeline_observer observer, void *ctx);
+void pipeline_free(struct pipeline *pipeline);
 
 /* A job that is not over, and what it needs; jobs that are not known yet count as not done. The
  * caller then says what is known of these. Of a job that nobody needs and that needs nothing
  * nothing is kept. */
-void pipeline_add(struct pipeline *p, job_id id, const struct pipe_own *own, const job_id *needs,
-                  guint n);
-void pipeline_done(struct pipeline *p, job_id id, wall_time end);
+void pipeline_add(struct pipeline *pipeline, job_id id, const struct pipe_own *own,
+                  const job_id *needs, guint n);
+void pipeline_done(struct pipeline *pipeline, job_id id, wall_time end);
 /* Said of each job that a user has cancelled, or that is doomed itself. */
-void pipeline_cancelled(struct pipeline *p, job_id id, revision at);
+void pipeline_cancelled(struct pipeline *pipeline, job_id id, revision at);
 
 /* Calls back for each job that is needed and of which nothing was said yet. */
 typedef void (*pipeline_unknown)(void *ctx, job_id id);
-void pipeline_each_unknown(struct pipeline *p, pipeline_unknown take, void *ctx);
-guint pipeline_size(const struct pipeline *p);
+void pipeline_each_unknown(struct pipeline *pipeline, pipeline_unknown take, void *ctx);
+guint pipeline_size(const struct pipeline *pipeline);
 
 #endif
--- a/src/policy.c
+++ b/src/policy.c
@@ -83,52 +83,52 @@
     char *error;
 };
 
-static void node_free(struct node_expr *n)
+static void node_free(struct node_expr *expr)
 {
-    if (!n)
+    if (!expr)
         return;
-    node_free(n->a);
-    node_free(n->b);
-    node_free(n->c);
-    g_free(n->text);
-    g_free(n);
+    node_free(expr->a);
+    node_free(expr->b);
+    node_free(expr->c);
+    g_free(expr->text);
+    g_free(expr);
 }
 
 /* ---- reading ---- */
 
-static void *fail_at(struct reader *r, const char *where, const char *format, ...)
+static void *fail_at(struct reader *reader, const char *where, const char *format, ...)
     G_GNUC_PRINTF(3, 4);
 
-static void *fail_at(struct reader *r, const char *where, const char *format, ...)
+static void *fail_at(struct reader *reader, const char *where, const char *format, ...)
 {
-    if (r->error)
+    if (reader->error)
         return NULL;
     va_list ap;
     va_start(ap, format);
     char *what = g_strdup_vprintf(format, ap);
     va_end(ap);
-    r->error =
-        g_strdup_printf("line %d, column %d: %s", r->line, (int)(where - r->line_start) + 1, what);
+    reader->error = g_strdup_printf("line %d, column %d: %s", reader->line,
+                                    (int)(where - reader->line_start) + 1, what);
     g_free(what);
     return NULL;
 }
 
-static void skip_blank(struct reader *r)
+static void skip_blank(struct reader *reader)
 {
-    while (*r->at == ' ' || *r->at == '\t' || *r->at == '\r')
-        r->at++;
-    if (*r->at == '#')
-        while (*r->at && *r->at != '\n')
-            r->at++;
+    while (*reader->at == ' ' || *reader->at == '\t' || *reader->at == '\r')
+        reader->at++;
+    if (*reader->at == '#')
+        while (*reader->at && *reader->at != '\n')
+            reader->at++;
 }
 
-static bool take(struct reader *r, const char *sign)
+static bool take(struct reader *reader, const char *sign)
 {
-    skip_blank(r);
+    skip_blank(reader);
     size_t n = strlen(sign);
-    if (strncmp(r->at, sign, n) != 0)
+    if (strncmp(reader->at, sign, n) != 0)
         return false;
-    r->at += n;
+    reader->at += n;
     return true;
 }
 
@@ -137,25 +137,25 @@
     return g_ascii_isalnum(c) || c == '_';
 }
 
-static size_t name_length(struct reader *r)
+static size_t name_length(struct reader *reader)
 {
-    skip_blank(r);
+    skip_blank(reader);
     size_t n = 0;
-    if (g_ascii_isalpha(*r->at))
-        while (name_char(r->at[n]))
+    if (g_ascii_isalpha(*reader->at))
+        while (name_char(reader->at[n]))
             n++;
     return n;
 }
 
-static bool take_word(struct reader *r, const char *word)
+static bool take_word(struct reader *reader, const char *word)
 {
-    if (name_length(r) != strlen(word) || strncmp(r->at, word, strlen(word)) != 0)
+    if (name_length(reader) != strlen(word) || strncmp(reader->at, word, strlen(word)) != 0)
         return false;
-    r->at += strlen(word);
+    reader->at += strlen(word);
     return true;
 }
 
-static struct node_expr *read_or(struct reader *r);
+static struct node_expr *read_or(struct reader *reader);
 
 static struct node_expr *make(enum op op, enum type type, struct node_expr *a, struct node_expr *b,
                               struct node_expr *c)
@@ -166,44 +166,44 @@
 }
 
 /* Passes n on if it has the type; frees it otherwise. */
-static struct node_expr *expect(struct reader *r, const char *where, struct node_expr *n,
+static struct node_expr *expect(struct reader *reader, const char *where, struct node_expr *n,
                                 enum type type)
 {
     if (n && n->type != type) {
-        fail_at(r, where, "expected %s, found %s", type_names[type], type_names[n->type]);
+        fail_at(reader, where, "expected %s, found %s", type_names[type], type_names[n->type]);
         node_free(n);
         return NULL;
     }
     return n;
 }
 
-static struct node_expr *read_string(struct reader *r)
+static struct node_expr *read_string(struct reader *reader)
 {
-    const char *start = ++r->at;
-    while (*r->at && *r->at != '"' && *r->at != '\n')
-        r->at++;
-    if (*r->at != '"')
-        return fail_at(r, start - 1, "expected a closing quotation mark");
-    struct node_expr *n = make(OP_TEXT, TEXT, NULL, NULL, NULL);
-    n->text = g_strndup(start, r->at - start);
-    r->at++;
-    return n;
+    const char *start = ++reader->at;
+    while (*reader->at && *reader->at != '"' && *reader->at != '\n')
+        reader->at++;
+    if (*reader->at != '"')
+        return fail_at(reader, start - 1, "expected a closing quotation mark");
+    struct node_expr *expr = make(OP_TEXT, TEXT, NULL, NULL, NULL);
+    expr->text = g_strndup(start, reader->at - start);
+    reader->at++;
+    return expr;
 }
 
-static struct node_expr *read_pair(struct reader *r, enum op op)
+static struct node_expr *read_pair(struct reader *reader, enum op op)
 {
-    if (!take(r, "("))
-        return fail_at(r, r->at, "expected (");
-    const char *where = r->at;
-    struct node_expr *a = expect(r, where, read_or(r), NUMBER);
-    if (a && !take(r, ",")) {
+    if (!take(reader, "("))
+        return fail_at(reader, reader->at, "expected (");
+    const char *where = reader->at;
+    struct node_expr *a = expect(reader, where, read_or(reader), NUMBER);
+    if (a && !take(reader, ",")) {
         node_free(a);
-        return fail_at(r, r->at, "expected a comma");
+        return fail_at(reader, reader->at, "expected a comma");
     }
-    where = r->at;
-    struct node_expr *b = a ? expect(r, where, read_or(r), NUMBER) : NULL;
-    if (b && !take(r, ")")) {
-        fail_at(r, r->at, "expected )");
+    where = reader->at;
+    struct node_expr *b = a ? expect(reader, where, read_or(reader), NUMBER) : NULL;
+    if (b && !take(reader, ")")) {
+        fail_at(reader, reader->at, "expected )");
         node_free(b);
         b = NULL;
     }
@@ -214,103 +214,104 @@
     return make(op, NUMBER, a, b, NULL);
 }
 
-static struct node_expr *read_input(struct reader *r, size_t n)
+static struct node_expr *read_input(struct reader *reader, size_t n)
 {
     for (int i = 0; i < POLICY_INPUTS; i++) {
-        if (strlen(inputs_known[i].name) != n || strncmp(inputs_known[i].name, r->at, n) != 0)
+        if (strlen(inputs_known[i].name) != n || strncmp(inputs_known[i].name, reader->at, n) != 0)
             continue;
-        if (!(r->allowed & BIT(i)))
-            return fail_at(r, r->at, "%s is not known in this setting", inputs_known[i].name);
-        struct node_expr *x = make(OP_INPUT, inputs_known[i].type, NULL, NULL, NULL);
-        x->input = (enum policy_input)i;
-        r->at += n;
-        return x;
+        if (!(reader->allowed & BIT(i)))
+            return fail_at(reader, reader->at, "%s is not known in this setting",
+                           inputs_known[i].name);
+        struct node_expr *expr = make(OP_INPUT, inputs_known[i].type, NULL, NULL, NULL);
+        expr->input = (enum policy_input)i;
+        reader->at += n;
+        return expr;
     }
-    return fail_at(r, r->at, "expected a value; %.*s is no input", (int)n, r->at);
-}
-
-static struct node_expr *read_if(struct reader *r)
-{
-    const char *where = r->at;
-    struct node_expr *c = expect(r, where, read_or(r), FLAG), *a = NULL, *b = NULL;
-    if (c && !take_word(r, "then"))
-        fail_at(r, r->at, "expected then");
-    if (!r->error)
-        a = read_or(r);
-    if (a && !take_word(r, "else"))
-        fail_at(r, r->at, "expected else");
-    skip_blank(r);
-    where = r->at;
-    if (!r->error)
-        b = expect(r, where, read_or(r), a->type);
+    return fail_at(reader, reader->at, "expected a value; %.*s is no input", (int)n, reader->at);
+}
+
+static struct node_expr *read_if(struct reader *reader)
+{
+    const char *where = reader->at;
+    struct node_expr *expr = expect(reader, where, read_or(reader), FLAG), *a = NULL, *b = NULL;
+    if (expr && !take_word(reader, "then"))
+        fail_at(reader, reader->at, "expected then");
+    if (!reader->error)
+        a = read_or(reader);
+    if (a && !take_word(reader, "else"))
+        fail_at(reader, reader->at, "expected else");
+    skip_blank(reader);
+    where = reader->at;
+    if (!reader->error)
+        b = expect(reader, where, read_or(reader), a->type);
     if (!b) {
         node_free(a);
-        node_free(c);
+        node_free(expr);
         return NULL;
     }
-    return make(OP_IF, a->type, a, b, c);
+    return make(OP_IF, a->type, a, b, expr);
 }
 
-static struct node_expr *read_value(struct reader *r)
+static struct node_expr *read_value(struct reader *reader)
 {
-    skip_blank(r);
-    const char *where = r->at;
-    if (g_ascii_isdigit(*r->at) || *r->at == '.') {
+    skip_blank(reader);
+    const char *where = reader->at;
+    if (g_ascii_isdigit(*reader->at) || *reader->at == '.') {
         char *end;
-        struct node_expr *n = make(OP_NUMBER, NUMBER, NULL, NULL, NULL);
-        n->number = g_ascii_strtod(r->at, &end);
-        if (end == r->at || name_char(*end) || !isfinite(n->number)) {
-            node_free(n);
-            return fail_at(r, where, "expected a number");
+        struct node_expr *expr = make(OP_NUMBER, NUMBER, NULL, NULL, NULL);
+        expr->number = g_ascii_strtod(reader->at, &end);
+        if (end == reader->at || name_char(*end) || !isfinite(expr->number)) {
+            node_free(expr);
+            return fail_at(reader, where, "expected a number");
         }
-        r->at = end;
-        return n;
+        reader->at = end;
+        return expr;
     }
-    if (*r->at == '"')
-        return read_string(r);
-    if (take(r, "(")) {
-        struct node_expr *n = read_or(r);
-        if (n && !take(r, ")")) {
-            node_free(n);
-            return fail_at(r, r->at, "expected )");
+    if (*reader->at == '"')
+        return read_string(reader);
+    if (take(reader, "(")) {
+        struct node_expr *expr = read_or(reader);
+        if (expr && !take(reader, ")")) {
+            node_free(expr);
+            return fail_at(reader, reader->at, "expected )");
         }
-        return n;
+        return expr;
     }
-    if (take_word(r, "true") || take_word(r, "false")) {
-        struct node_expr *n = make(OP_FLAG, FLAG, NULL, NULL, NULL);
-        n->flag = r->at[-1] == 'e' && r->at[-2] == 'u';
-        return n;
+    if (take_word(reader, "true") || take_word(reader, "false")) {
+        struct node_expr *expr = make(OP_FLAG, FLAG, NULL, NULL, NULL);
+        expr->flag = reader->at[-1] == 'e' && reader->at[-2] == 'u';
+        return expr;
     }
-    if (take_word(r, "if"))
-        return read_if(r);
-    if (take_word(r, "min"))
-        return read_pair(r, OP_MIN);
-    if (take_word(r, "max"))
-        return read_pair(r, OP_MAX);
-    size_t n = name_length(r);
-    if (n)
-        return read_input(r, n);
-    return fail_at(r, where, "expected a value");
-}
-
-static struct node_expr *read_unary(struct reader *r)
-{
-    skip_blank(r);
-    const char *where = r->at;
-    if (++r->depth > MOST_DEPTH)
-        return fail_at(r, where, "nested too deep");
-    struct node_expr *n;
-    if (take(r, "-")) {
-        n = expect(r, where, read_unary(r), NUMBER);
-        n = n ? make(OP_NEGATE, NUMBER, n, NULL, NULL) : NULL;
-    } else if (take_word(r, "not")) {
-        n = expect(r, where, read_unary(r), FLAG);
-        n = n ? make(OP_NOT, FLAG, n, NULL, NULL) : NULL;
+    if (take_word(reader, "if"))
+        return read_if(reader);
+    if (take_word(reader, "min"))
+        return read_pair(reader, OP_MIN);
+    if (take_word(reader, "max"))
+        return read_pair(reader, OP_MAX);
+    size_t expr = name_length(reader);
+    if (expr)
+        return read_input(reader, expr);
+    return fail_at(reader, where, "expected a value");
+}
+
+static struct node_expr *read_unary(struct reader *reader)
+{
+    skip_blank(reader);
+    const char *where = reader->at;
+    if (++reader->depth > MOST_DEPTH)
+        return fail_at(reader, where, "nested too deep");
+    struct node_expr *expr;
+    if (take(reader, "-")) {
+        expr = expect(reader, where, read_unary(reader), NUMBER);
+        expr = expr ? make(OP_NEGATE, NUMBER, expr, NULL, NULL) : NULL;
+    } else if (take_word(reader, "not")) {
+        expr = expect(reader, where, read_unary(reader), FLAG);
+        expr = expr ? make(OP_NOT, FLAG, expr, NULL, NULL) : NULL;
     } else {
-        n = read_value(r);
+        expr = read_value(reader);
     }
-    r->depth--;
-    return n;
+    reader->depth--;
+    return expr;
 }
 
 struct binary {
@@ -318,26 +319,27 @@
     enum op op;
 };
 
-typedef struct node_expr *(*read_fn)(struct reader *r);
+typedef struct node_expr *(*read_fn)(struct reader *reader);
 
 /* a sign b sign c ..., with operands of one type. */
-static struct node_expr *read_chain(struct reader *r, read_fn operand, const struct binary *signs,
-                                    int n_signs, enum type type)
+static struct node_expr *read_chain(struct reader *reader, read_fn operand,
+                                    const struct binary *signs, int n_signs, enum type type)
 {
-    skip_blank(r);
-    const char *where = r->at;
-    struct node_expr *a = operand(r);
+    skip_blank(reader);
+    const char *where = reader->at;
+    struct node_expr *a = operand(reader);
     while (a) {
         int i = 0;
         bool word = type == FLAG;
-        while (i < n_signs && !(word ? take_word(r, signs[i].sign) : take(r, signs[i].sign)))
+        while (i < n_signs &&
+               !(word ? take_word(reader, signs[i].sign) : take(reader, signs[i].sign)))
             i++;
         if (i == n_signs)
             return a;
-        a = expect(r, where, a, type);
-        skip_blank(r);
-        where = r->at;
-        struct node_expr *b = a ? expect(r, where, operand(r), type) : NULL;
+        a = expect(reader, where, a, type);
+        skip_blank(reader);
+        where = reader->at;
+        struct node_expr *b = a ? expect(reader, where, operand(reader), type) : NULL;
         if (!b) {
             node_free(a);
             return NULL;
@@ -347,34 +349,34 @@
     return NULL;
 }
 
-static struct node_expr *read_product(struct reader *r)
+static struct node_expr *read_product(struct reader *reader)
 {
     static const struct binary signs[] = {{"*", OP_MULTIPLY}, {"/", OP_DIVIDE}};
-    return read_chain(r, read_unary, signs, 2, NUMBER);
+    return read_chain(reader, read_unary, signs, 2, NUMBER);
 }
 
-static struct node_expr *read_sum(struct reader *r)
+static struct node_expr *read_sum(struct reader *reader)
 {
     static const struct binary signs[] = {{"+", OP_ADD}, {"-", OP_SUBTRACT}};
-    return read_chain(r, read_product, signs, 2, NUMBER);
+    return read_chain(reader, read_product, signs, 2, NUMBER);
 }
 
-static struct node_expr *read_comparison(struct reader *r)
+static struct node_expr *read_comparison(struct reader *reader)
 {
     static const struct binary signs[] = {{"==", OP_EQUAL},   {"!=", OP_UNEQUAL},
                                           {"<=", OP_AT_MOST}, {">=", OP_AT_LEAST},
                                           {"<", OP_LESS},     {">", OP_MORE}};
-    skip_blank(r);
-    const char *where = r->at;
-    struct node_expr *a = read_sum(r);
+    skip_blank(reader);
+    const char *where = reader->at;
+    struct node_expr *a = read_sum(reader);
     for (size_t i = 0; a && i < G_N_ELEMENTS(signs); i++) {
-        if (!take(r, signs[i].sign))
+        if (!take(reader, signs[i].sign))
             continue;
         if (signs[i].op != OP_EQUAL && signs[i].op != OP_UNEQUAL)
-            a = expect(r, where, a, NUMBER);
-        skip_blank(r);
-        where = r->at;
-        struct node_expr *b = a ? expect(r, where, read_sum(r), a->type) : NULL;
+            a = expect(reader, where, a, NUMBER);
+        skip_blank(reader);
+        where = reader->at;
+        struct node_expr *b = a ? expect(reader, where, read_sum(reader), a->type) : NULL;
         if (!b) {
             node_free(a);
             return NULL;
@@ -384,16 +386,16 @@
     return a;
 }
 
-static struct node_expr *read_and(struct reader *r)
+static struct node_expr *read_and(struct reader *reader)
 {
     static const struct binary signs[] = {{"and", OP_AND}};
-    return read_chain(r, read_comparison, signs, 1, FLAG);
+    return read_chain(reader, read_comparison, signs, 1, FLAG);
 }
 
-static struct node_expr *read_or(struct reader *r)
+static struct node_expr *read_or(struct reader *reader)
 {
     static const struct binary signs[] = {{"or", OP_OR}};
-    return read_chain(r, read_and, signs, 1, FLAG);
+    return read_chain(reader, read_and, signs, 1, FLAG);
 }
 
 static int setting_named(const char *name, size_t n)
@@ -404,54 +406,54 @@
     return -1;
 }
 
-static void read_line(struct reader *r, struct policy *p)
+static void read_line(struct reader *reader, struct policy *policy)
 {
-    size_t n = name_length(r);
-    const char *name = r->at;
+    size_t n = name_length(reader);
+    const char *name = reader->at;
     if (n == 0) {
-        fail_at(r, r->at, "expected the name of a setting");
+        fail_at(reader, reader->at, "expected the name of a setting");
         return;
     }
     int s = setting_named(name, n);
     if (s < 0) {
-        fail_at(r, name, "%.*s is no setting", (int)n, name);
+        fail_at(reader, name, "%.*s is no setting", (int)n, name);
         return;
     }
-    if (p->settings[s]) {
-        fail_at(r, name, "%s is set twice", settings_known[s].name);
+    if (policy->settings[s]) {
+        fail_at(reader, name, "%s is set twice", settings_known[s].name);
         return;
     }
-    r->at += n;
-    if (!take(r, "=") || *r->at == '=') {
-        fail_at(r, r->at, "expected =");
+    reader->at += n;
+    if (!take(reader, "=") || *reader->at == '=') {
+        fail_at(reader, reader->at, "expected =");
         return;
     }
-    skip_blank(r);
-    const char *where = r->at;
-    r->allowed = settings_known[s].inputs;
-    p->settings[s] = expect(r, where, read_or(r), settings_known[s].type);
-    skip_blank(r);
-    if (!r->error && *r->at && *r->at != '\n')
-        fail_at(r, r->at, "expected the end of the line");
+    skip_blank(reader);
+    const char *where = reader->at;
+    reader->allowed = settings_known[s].inputs;
+    policy->settings[s] = expect(reader, where, read_or(reader), settings_known[s].type);
+    skip_blank(reader);
+    if (!reader->error && *reader->at && *reader->at != '\n')
+        fail_at(reader, reader->at, "expected the end of the line");
 }
 
 static struct policy *read_text(const char *text, char **error)
 {
-    struct reader r = {.at = text, .line_start = text, .line = 1};
-    struct policy *p = g_new0(struct policy, 1);
-    while (!r.error) {
-        skip_blank(&r);
-        if (*r.at == '\n') {
-            r.line_start = ++r.at;
-            r.line++;
-        } else if (!*r.at) {
-            return p;
+    struct reader reader = {.at = text, .line_start = text, .line = 1};
+    struct policy *policy = g_new0(struct policy, 1);
+    while (!reader.error) {
+        skip_blank(&reader);
+        if (*reader.at == '\n') {
+            reader.line_start = ++reader.at;
+            reader.line++;
+        } else if (!*reader.at) {
+            return policy;
         } else {
-            read_line(&r, p);
+            read_line(&reader, policy);
         }
     }
-    *error = r.error;
-    policy_free(p);
+    *error = reader.error;
+    policy_free(policy);
     return NULL;
 }
 
@@ -461,23 +463,23 @@
     for (int i = 0; i < POLICY_SETTINGS; i++)
         g_string_append_printf(text, "%s = %s\n", settings_known[i].name, settings_known[i].usual);
     char *error = NULL;
-    struct policy *p = read_text(text->str, &error);
-    g_assert(p); /* the texts above are ours */
+    struct policy *policy = read_text(text->str, &error);
+    g_assert(policy); /* the texts above are ours */
     g_string_free(text, TRUE);
-    return p;
+    return policy;
 }
 
 struct policy *policy_parse(const char *text, char **error)
 {
-    struct policy *p = read_text(text, error);
-    if (!p)
+    struct policy *policy = read_text(text, error);
+    if (!policy)
         return NULL;
     struct policy *usual = policy_default();
     for (int i = 0; i < POLICY_SETTINGS; i++)
-        if (!p->settings[i])
-            p->settings[i] = g_steal_pointer(&usual->settings[i]);
+        if (!policy->settings[i])
+            policy->settings[i] = g_steal_pointer(&usual->settings[i]);
     policy_free(usual);
-    return p;
+    return policy;
 }
 
 struct policy *policy_load(const char *path, char **error)
@@ -490,37 +492,37 @@
         g_error_free(e);
         return NULL;
     }
-    struct policy *p = NULL;
+    struct policy *policy = NULL;
     if (len > MOST_TEXT)
         why = g_strdup("is larger than 64 KiB");
     else
-        p = policy_parse(text, &why);
+        policy = policy_parse(text, &why);
     g_free(text);
-    if (!p)
+    if (!policy)
         *error = g_strdup_printf("%s: %s", path, why);
     g_free(why);
-    return p;
+    return policy;
 }
 
-void policy_free(struct policy *p)
+void policy_free(struct policy *policy)
 {
     for (int i = 0; i < POLICY_SETTINGS; i++)
-        node_free(p->settings[i]);
-    g_free(p);
+        node_free(policy->settings[i]);
+    g_free(policy);
 }
 
 /* ---- evaluation ---- */
 
-static struct policy_value evaluate(const struct node_expr *n, const struct policy_value *in);
+static struct policy_value evaluate(const struct node_expr *expr, const struct policy_value *value);
 
-static int order(const struct node_expr *n, const struct policy_value *in)
+static int order(const struct node_expr *expr, const struct policy_value *in)
 {
-    struct policy_value a = evaluate(n->a, in), b = evaluate(n->b, in);
-    if (n->a->type == TEXT)
-        return strcmp(a.text ? a.text : "", b.text ? b.text : "");
-    if (n->a->type == FLAG)
-        return (int)a.flag - (int)b.flag;
-    return a.number < b.number ? -1 : a.number > b.number;
+    struct policy_value value = evaluate(expr->a, in), b = evaluate(expr->b, in);
+    if (expr->a->type == TEXT)
+        return strcmp(value.text ? value.text : "", b.text ? b.text : "");
+    if (expr->a->type == FLAG)
+        return (int)value.flag - (int)b.flag;
+    return value.number < b.number ? -1 : value.number > b.number;
 }
 
 static struct policy_value number(double x)
@@ -533,65 +535,66 @@
     return (struct policy_value){.flag = x};
 }
 
-static struct policy_value evaluate(const struct node_expr *n, const struct policy_value *in)
+static struct policy_value evaluate(const struct node_expr *expr, const struct policy_value *value)
 {
-    switch (n->op) {
+    switch (expr->op) {
     case OP_NUMBER:
-        return number(n->number);
+        return number(expr->number);
     case OP_TEXT:
-        return (struct policy_value){.text = n->text};
+        return (struct policy_value){.text = expr->text};
     case OP_FLAG:
-        return flag(n->flag);
+        return flag(expr->flag);
     case OP_INPUT:
-        return in[n->input];
+        return value[expr->input];
     case OP_NEGATE:
-        return number(-evaluate(n->a, in).number);
+        return number(-evaluate(expr->a, value).number);
     case OP_NOT:
-        return flag(!evaluate(n->a, in).flag);
+        return flag(!evaluate(expr->a, value).flag);
     case OP_ADD:
-        return number(evaluate(n->a, in).number + evaluate(n->b, in).number);
+        return number(evaluate(expr->a, value).number + evaluate(expr->b, value).number);
     case OP_SUBTRACT:
-        return number(evaluate(n->a, in).number - evaluate(n->b, in).number);
+        return number(evaluate(expr->a, value).number - evaluate(expr->b, value).number);
     case OP_MULTIPLY:
-        return number(evaluate(n->a, in).number * evaluate(n->b, in).number);
+        return number(evaluate(expr->a, value).number * evaluate(expr->b, value).number);
     case OP_DIVIDE:
-        return number(evaluate(n->a, in).number / evaluate(n->b, in).number);
+        return number(evaluate(expr->a, value).number / evaluate(expr->b, value).number);
     case OP_MIN:
-        return number(fmin(evaluate(n->a, in).number, evaluate(n->b, in).number));
+        return number(fmin(evaluate(expr->a, value).number, evaluate(expr->b, value).number));
     case OP_MAX:
-        return number(fmax(evaluate(n->a, in).number, evaluate(n->b, in).number));
+        return number(fmax(evaluate(expr->a, value).number, evaluate(expr->b, value).number));
     case OP_EQUAL:
-        return flag(order(n, in) == 0);
+        return flag(order(expr, value) == 0);
     case OP_UNEQUAL:
-        return flag(order(n, in) != 0);
+        return flag(order(expr, value) != 0);
     case OP_LESS:
-        return flag(order(n, in) < 0);
+        return flag(order(expr, value) < 0);
     case OP_AT_MOST:
-        return flag(order(n, in) <= 0);
+        return flag(order(expr, value) <= 0);
     case OP_MORE:
-        return flag(order(n, in) > 0);
+        return flag(order(expr, value) > 0);
     case OP_AT_LEAST:
-        return flag(order(n, in) >= 0);
+        return flag(order(expr, value) >= 0);
     case OP_AND:
-        return flag(evaluate(n->a, in).flag && evaluate(n->b, in).flag);
+        return flag(evaluate(expr->a, value).flag && evaluate(expr->b, value).flag);
     case OP_OR:
-        return flag(evaluate(n->a, in).flag || evaluate(n->b, in).flag);
+        return flag(evaluate(expr->a, value).flag || evaluate(expr->b, value).flag);
     case OP_IF:
-        return evaluate(evaluate(n->c, in).flag ? n->a : n->b, in);
+        return evaluate(evaluate(expr->c, value).flag ? expr->a : expr->b, value);
     }
     return number(0);
 }
 
-double policy_number(const struct policy *p, enum policy_setting s,
+double policy_number(const struct policy *policy, enum policy_setting s,
                      const struct policy_value *inputs)
 {
-    double x = evaluate(p->settings[s], inputs).number;
+    double x = evaluate(policy->settings[s], inputs).number;
     if (isnan(x)) /* nothing divided by nothing */
         return settings_known[s].low;
     return CLAMP(x, settings_known[s].low, settings_known[s].high);
 }
 
-bool policy_flag(const struct policy *p, enum policy_setting s, const struct policy_value *inputs)
+bool policy_flag(const struct policy *policy, enum policy_setting s,
+                 const struct policy_value *inputs)
 {
-    return evaluate(p->settings[s], inputs).flag;
+    return evaluate(policy->settings[s], inputs).flag;
 }
--- a/src/policy.h
+++ b/src/policy.h
@@ -44,11 +44,12 @@
 struct policy *policy_parse(const char *text, char **error);
 struct policy *policy_load(const char *path, char **error);
 struct policy *policy_default(void);
-void policy_free(struct policy *p);
+void policy_free(struct policy *policy);
 
 /* Numbers are kept within the setting's range, whatever the expression comes to. */
-double policy_number(const struct policy *p, enum policy_setting s,
+double policy_number(const struct policy *policy, enum policy_setting s,
                      const struct policy_value *inputs);
-bool policy_flag(const struct policy *p, enum policy_setting s, const struct policy_value *inputs);
+bool policy_flag(const struct policy *policy, enum policy_setting s,
+                 const struct policy_value *inputs);
 
 #endif
--- a/src/room.c
+++ b/src/room.c
@@ -32,8 +32,8 @@
 {
     for (guint i = 0; i < lacks->len; i++) {
         const struct lack *x = &g_array_index(lacks, struct lack, i);
-        if (room_holds(a->room, x->room) && (x->loaners || !a->loaners) &&
-            (!x->yard[0] || strcmp(x->yard, a->yard) == 0))
+        if (room_holds(a->room, x->room) && (x->spot || !a->spot) &&
+            (!x->zone[0] || strcmp(x->zone, a->zone) == 0))
             return true;
     }
     return false;
@@ -42,35 +42,35 @@
 const struct machine_type *type_named(const GArray *types, const char *name)
 {
     for (guint i = 0; types && i < types->len; i++) {
-        const struct machine_type *t = &g_array_index(types, struct machine_type, i);
-        if (strcmp(t->name, name) == 0)
-            return t;
+        const struct machine_type *type = &g_array_index(types, struct machine_type, i);
+        if (strcmp(type->name, name) == 0)
+            return type;
     }
     return NULL;
 }
 
-bool spec_allows(const struct spec *s, const char *build, const char *yard, bool loaners)
+bool spec_allows(const struct spec *spec, const char *type_name, const char *zone, bool spot)
 {
-    if (loaners && !s->loaners)
+    if (spot && !spec->spot)
         return false;
-    if (s->yard && strcmp(s->yard, yard) != 0)
+    if (spec->zone && strcmp(spec->zone, zone) != 0)
         return false;
-    return !s->builds || g_strv_contains((const char *const *)s->builds, build);
+    return !spec->type_names || g_strv_contains((const char *const *)spec->type_names, type_name);
 }
 
-const struct machine_type *type_smallest(const GArray *types, const struct spec *s)
+const struct machine_type *type_smallest(const GArray *types, const struct spec *spec)
 {
     const struct machine_type *best = NULL;
     double best_share = 0;
     for (guint i = 0; types && i < types->len; i++) {
-        const struct machine_type *t = &g_array_index(types, struct machine_type, i);
-        if (s->builds && !g_strv_contains((const char *const *)s->builds, t->name))
+        const struct machine_type *type = &g_array_index(types, struct machine_type, i);
+        if (spec->type_names && !g_strv_contains((const char *const *)spec->type_names, type->name))
             continue;
-        if (s->yard && !g_strv_contains((const char *const *)t->yards, s->yard))
+        if (spec->zone && !g_strv_contains((const char *const *)type->zones, spec->zone))
             continue;
-        double share = room_share(room_of_spec(s), room_of_type(t));
-        if (t->yards[0] && share <= 1 && (!best || share > best_share)) {
-            best = t;
+        double share = room_share(room_of_spec(spec), room_of_type(type));
+        if (type->zones[0] && share <= 1 && (!best || share > best_share)) {
+            best = type;
             best_share = share;
         }
     }
--- a/src/room.h
+++ b/src/room.h
@@ -8,14 +8,14 @@
     amount cpus, gpus, memory;
 };
 
-static inline struct room room_of_spec(const struct spec *s)
+static inline struct room room_of_spec(const struct spec *spec)
 {
-    return (struct room){s->cpus, s->gpus, s->memory};
+    return (struct room){spec->cpus, spec->gpus, spec->memory};
 }
 
-static inline struct room room_of_type(const struct machine_type *t)
+static inline struct room room_of_type(const struct machine_type *type)
 {
-    return (struct room){t->cpus, t->gpus, t->memory};
+    return (struct room){type->cpus, type->gpus, type->memory};
 }
 
 static inline void room_add(struct room *a, struct room b)
@@ -53,26 +53,26 @@
  * shrinks, what needs at least as much as something that found none finds none either. */
 struct lack {
     struct room room;
-    bool loaners;
-    char yard[48];
+    bool spot;
+    char zone[48];
 };
 
-static inline struct lack lack_of_spec(const struct spec *s, const char *yard)
+static inline struct lack lack_of_spec(const struct spec *spec, const char *zone)
 {
-    struct lack a = {room_of_spec(s), s->loaners, ""};
-    g_strlcpy(a.yard, yard, sizeof a.yard);
-    return a;
+    struct lack lack = {room_of_spec(spec), spec->spot, ""};
+    g_strlcpy(lack.zone, zone, sizeof lack.zone);
+    return lack;
 }
 
 /* In a list of struct lack that found nothing. */
-bool lacks_cover(const GArray *lacks, const struct lack *a);
+bool lacks_cover(const GArray *lacks, const struct lack *lack);
 
 /* The machine type of that name, or NULL. */
 const struct machine_type *type_named(const GArray *types, const char *name);
 /* Whether a job's tasks may ever run on machines of a type, in a zone, of a kind. */
-bool spec_allows(const struct spec *s, const char *build, const char *yard, bool loaners);
+bool spec_allows(const struct spec *spec, const char *type_name, const char *zone, bool spot);
 /* The smallest machine type that the job may use, by the share a task asks of it; NULL when no
  * type can hold a task. */
-const struct machine_type *type_smallest(const GArray *types, const struct spec *s);
+const struct machine_type *type_smallest(const GArray *types, const struct spec *spec);
 
 #endif
--- a/src/score.h
+++ b/src/score.h
@@ -14,6 +14,6 @@
 };
 
 /* The higher the better. */
-double score_host(const struct spec *s, const struct score_facts *f);
+double score_host(const struct spec *spec, const struct score_facts *facts);
 
 #endif
--- a/src/settings.h
+++ b/src/settings.h
@@ -53,12 +53,12 @@
 /* NULL, with a message that names the field, when the text cannot be used. */
 struct settings *settings_parse(const char *toml, char **error);
 struct settings *settings_load(const char *path, char **error);
-void settings_free(struct settings *s);
+void settings_free(struct settings *settings);
 
 /* Of the memory that a process may have, as much as one answer may take: read, it takes several
  * times as much. */
-size_t settings_answer_bytes(const struct settings *s);
-int settings_team(const struct settings *s, const char *name);
+size_t settings_answer_bytes(const struct settings *settings);
+int settings_team(const struct settings *settings, const char *name);
 /* Splits "10.0.0.1:8080"; false when it is not an IPv4 address with a port. */
 bool address_split(const char *text, uint32_t *ip_be, uint16_t *port);
 
--- /dev/null
+++ b/src/shard.h
@@ -0,0 +1,32 @@
+/* A node's machines: their workers' reports, the queues of what was dealt here, placement by ARQ,
+ * commands and run records. */
+#ifndef LL_SHARD_H
+#define LL_SHARD_H
+
+#include "bus.h"
+#include "membership.h"
+#include "peers.h"
+#include "view.h"
+
+struct shard;
+
+struct node;
+
+struct shard *shard_new(const struct node *node);
+void shard_free(struct shard *shard);
+void shard_start(struct shard *shard);
+
+/* POST /agent/beat */
+void shard_report(struct shard *shard, struct http_replier *replier, conn_ref from,
+                  const struct http_request *request);
+
+/* What a machine's flags say in the digest that a part sends to the leader. */
+enum host_flag {
+    HOST_KNOWN = 1,     /* its worker has reported to this owner */
+    HOST_LOST = 2,      /* silent, and it does not answer either */
+    HOST_RECLAIMED = 4, /* the cloud takes it back */
+    HOST_QUIET = 8,     /* not heard of for longer than usual */
+    HOST_LAPSED = 16,   /* lost for so long that its lease has run out well before */
+};
+
+#endif
--- a/src/part_state.h
+++ b/src/shard_state.h
@@ -1,10 +1,10 @@
 /* What the part's files share: its state, and what they ask of one another. */
-#ifndef LL_PART_STATE_H
-#define LL_PART_STATE_H
+#ifndef LL_SHARD_STATE_H
+#define LL_SHARD_STATE_H
 
 #include "arq.h"
-#include "part.h"
 #include "room.h"
+#include "shard.h"
 
 enum run_phase {
     RUN_NEW,      /* placed here, not on record yet */
@@ -21,9 +21,9 @@
     struct room room;
     bool service;
     enum run_phase phase;
-    int page;     /* of ours, that its record is on; -1: none */
-    bool foreign; /* it is on a page of another node still; which one the view knows */
-    int put;      /* with in_txn, the page that it comes to; -1: it leaves the records */
+    int page;      /* of ours, that its record is on; -1: none */
+    bool foreign;  /* it is on a page of another node still; which one the view knows */
+    int next_page; /* with in_txn, the page that it comes to; -1: it leaves the records */
     bool in_txn;
     bool tried;    /* it was in a transaction, of which nobody may know what became */
     uint64_t deal; /* its number; 0: not dealt to this process */
@@ -31,56 +31,56 @@
     bool seen;
     bool vanished; /* it was seen, and is not any more, with no proof that it is over */
     enum task_state state;
-    bool done;           /* with RUN_FREEING: it completed */
-    epoch_no sent_helm;  /* the highest token that a run command for it may have carried */
-    uint64_t sent_shift; /* 0: not known */
-    int unsettled;       /* direct run commands of which nobody knows what became */
-    mono_time sent_at;   /* 0: never, by us */
+    bool done;             /* with RUN_FREEING: it completed */
+    epoch_no sent_token;   /* the highest token that a run command for it may have carried */
+    uint64_t sent_session; /* 0: not known */
+    int unsettled;         /* direct run commands of which nobody knows what became */
+    mono_time sent_at;     /* 0: never, by us */
     mono_time placed_at, running_at, over_at;
     int pool; /* that its machine was in when it was placed */
     bool stop;
-    double wind_down_s;
+    double grace_s;
     mono_time halt_at;
     mono_time over_since; /* its job may have been called cancelled since then; 0: it was not */
 };
 
 struct host {
     host_id id;
-    char addr[24], build[48], yard[48];
-    bool loaners;
+    char addr[24], type_name[48], zone[48];
+    bool spot;
     struct room total, booked, pinned; /* pinned: by services */
     epoch_no owned_since;
     mono_time owned_at;
     bool known;
-    uint64_t shift, tally, helm;
-    uint32_t print; /* of the tasks that its newest report named */
-    char via[64];   /* the node that its newest report came through; "": none */
+    uint64_t session, sequence, token;
+    uint32_t report_hash; /* of the tasks that its newest report named */
+    char via[64];         /* the node that its newest report came through; "": none */
     mono_time heard, answered;
     /* Its newest report shows that our answers and commands reach it. That it reports is no sign of
      * that: the way back may be cut. */
     bool hears;
-    mono_time reached;   /* when it last did */
-    mono_time helm_seen; /* when its worker first showed a token that only we can give */
-    bool recalled;
-    revision stamp;   /* of the record that says what it is */
-    mono_time stored; /* when that was last written here */
-    char *about;      /* what pages say of it, or NULL */
-    int roll;         /* of ours, that says it; -1: none */
-    bool on_roll;     /* the transaction under way puts it on one */
+    mono_time reached;    /* when it last did */
+    mono_time token_seen; /* when its worker first showed a token that only we can give */
+    bool reclaimed;
+    revision stamp;    /* of the record that says what it is */
+    mono_time stored;  /* when that was last written here */
+    char *about;       /* what pages say of it, or NULL */
+    int inventory;     /* of ours, that says it; -1: none */
+    bool on_inventory; /* the transaction under way puts it on one */
     bool in_txn;
     bool described; /* the transaction under way writes what it is */
     bool removing;  /* or removes that */
     bool gone;      /* the cloud has taken it: a proof for all that ran on it */
     GPtrArray *runs;
-    GArray *strays;    /* struct report_task: reported, not ours */
-    GPtrArray *images; /* interned names, the newest last */
-    bool new_images;   /* its record does not name them all */
-    int told_flags;    /* in the last digest; -1: not in it */
-    bool told_images;  /* and what it has fetched */
-    bool shut;         /* the leader wants nothing more placed there: it is slow, or sick */
+    GArray *unknown_tasks; /* struct report_task: reported, not ours */
+    GPtrArray *images;     /* interned names, the newest last */
+    bool new_images;       /* its record does not name them all */
+    int told_flags;        /* in the last digest; -1: not in it */
+    bool told_images;      /* and what it has fetched */
+    bool closed;           /* the leader wants nothing more placed there: it is slow, or sick */
     bool push_out, push_wanted, probe_out;
     mono_time probed;
-    uint64_t probed_shift, probed_tally; /* known when the probe went out */
+    uint64_t probed_session, probed_sequence; /* known when the probe went out */
     int probe_fails;
 };
 
@@ -90,7 +90,7 @@
     uint32_t index;
     attempt_no attempt;
     uint64_t number; /* of the deal, as the leader counts them */
-    char yard[48];   /* "": any */
+    char zone[48];   /* "": any */
     char at[48];     /* "": any machine */
     int class;       /* 0: the job is not in view yet */
     int queue;       /* the class whose queue it is in */
@@ -105,7 +105,7 @@
 };
 
 /* A list of our machines and what they are. */
-struct own_roll {
+struct own_inventory {
     revision stamp;
     bool dirty; /* it names machines that are not ours */
 };
@@ -121,7 +121,7 @@
     bool leaving; /* its page is to say it no more, once others do */
 };
 
-struct part {
+struct shard {
     struct actor actor;
     struct loop *loop;
     struct net *net;
@@ -132,7 +132,7 @@
     struct peers *peers;
     GHashTable *redirects; /* machine -> struct redirect */
     /* Machines that the cloud took back: what still comes from them is old. */
-    GHashTable *buried, *buried_before;
+    GHashTable *returned_machines, *returned_machines_before;
     const struct settings *settings;
     epoch_no epoch;
     uint64_t generation, last_deal, digest_seq;
@@ -140,7 +140,7 @@
     GQueue queues[ARQ_CLASSES + 1]; /* [0]: jobs not in view yet */
     struct arq_busy busy[ARQ_CLASSES + 1];
     GArray *back;       /* struct dealt: given back to the leader */
-    GPtrArray *news;    /* cJSON: what went wrong, and how long tasks took, for the leader */
+    GPtrArray *events;  /* cJSON: what went wrong, and how long tasks took, for the leader */
     GPtrArray *pages;   /* struct own_page, by number */
     guint first_source; /* of the pages of others that are taken over from: another one each time */
     GHashTable *done;   /* "JOB UNIT" -> GPtrArray of struct done_unit, one a page */
@@ -149,17 +149,17 @@
     struct {
         guint starts, ends, writes;
         double starts_ms, ends_ms;
-    } waits;          /* for records, since they were last logged */
-    GPtrArray *rolls; /* struct own_roll, by number */
-    mono_time rolled_at;
+    } waits;                /* for records, since they were last logged */
+    GPtrArray *inventories; /* struct own_roll, by number */
+    mono_time inventory_written_at;
     mono_time split_at; /* a page that could not be split is looked at again */
     double write_level; /* of this node's share of the writes */
     mono_time write_at;
     bool digest_out, digest_soon, want_raise;
     bool digest_whole; /* the next one names all machines, not only those that changed */
     guint digests;
-    bool room_news;   /* a task that waits may find room now */
-    GPtrArray *roomy; /* struct host: that may have room, while the queues are gone through */
+    bool room_changed; /* a task that waits may find room now */
+    GPtrArray *roomy;  /* struct host: that may have room, while the queues are gone through */
     struct timer tick, flush, digest;
     mono_time last_switch;
     int kept_looks; /* for attempts that keep a task from its machine, in this look */
@@ -168,66 +168,66 @@
 };
 
 /* part.c: the part's messages with the leader and the view */
-void part_digest_soon(struct part *p);
-bool part_is_buried(const struct part *p, const char *id);
+void shard_digest_soon(struct shard *shard);
+bool shard_machine_was_returned(const struct shard *shard, const char *id);
 
 /* part_host.c: machines, and what proves that a task is over */
-struct job *part_live_job(struct part *p, job_id id);
-void part_run_unbook(struct part *p, struct host *h, struct run *r);
-void part_run_remove(struct part *p, struct host *h, guint at);
-struct run *part_run_add(struct host *h, job_id job, uint32_t index, attempt_no attempt,
-                         const struct spec *s);
-struct run *part_run_find(struct host *h, job_id job, uint32_t index, attempt_no attempt);
-struct host *part_host_get(struct part *p, const char *id);
-struct host *part_host_make(struct part *p, host_id id);
-void part_host_typed(struct part *p, struct host *h);
-bool part_host_has_run(const struct host *h);
-void part_run_stop(struct run *r, double wind_down_s);
-void part_run_heed_job(struct part *p, struct run *r);
+struct job *shard_live_job(struct shard *shard, job_id id);
+void shard_run_unbook(struct shard *shard, struct host *host, struct run *run);
+void shard_run_remove(struct shard *shard, struct host *host, guint at);
+struct run *shard_run_add(struct host *host, job_id job, uint32_t index, attempt_no attempt,
+                          const struct spec *spec);
+struct run *shard_run_find(struct host *host, job_id job, uint32_t index, attempt_no attempt);
+struct host *shard_host_get(struct shard *shard, const char *id);
+struct host *shard_host_make(struct shard *shard, host_id id);
+void shard_host_typed(struct shard *shard, struct host *host);
+bool shard_host_has_run(const struct host *host);
+void shard_run_stop(struct run *run, double grace_s);
+void shard_run_apply_job(struct shard *shard, struct run *run);
 /* Whether a job is over for all that this node knows, from its view or from other nodes: what runs
  * of it is to be stopped. */
-bool part_job_over(struct part *p, job_id id);
-void part_host_sync(struct part *p, struct host *h, int page); /* -1: all */
-bool part_lease_surely_over(struct part *p, struct host *h);
-void part_free_all_runs(struct part *p, struct host *h, const char *why);
+bool shard_job_over(struct shard *shard, job_id id);
+void shard_host_sync(struct shard *shard, struct host *host, int page); /* -1: all */
+bool shard_lease_surely_over(struct shard *shard, struct host *host);
+void shard_free_all_runs(struct shard *shard, struct host *host, const char *why);
 /* Its worker has shown that it hears us. */
-void part_host_reached(struct part *p, struct host *h);
-void part_host_reported(struct part *p, struct host *h, const struct report *rep);
-uint32_t part_report_print(const struct report *rep);
+void shard_host_reached(struct shard *shard, struct host *host);
+void shard_host_reported(struct shard *shard, struct host *host, const struct report *rep);
+uint32_t shard_report_hash(const struct report *rep);
 
 /* part_worker.c: orders and reports */
-void part_push(struct part *p, struct host *h);
+void shard_push(struct shard *shard, struct host *host);
 /* Whether no command may start the attempt once more after it was cleared. */
-bool part_may_clear(const struct host *h, const struct run *r);
+bool shard_may_clear(const struct host *host, const struct run *run);
 /* How long a node that hears nothing from the state service may go on renewing workers' leases. */
-int64_t part_keeping_ms(const struct part *p);
-void part_probe(struct part *p, struct host *h);
+int64_t shard_keeping_ms(const struct shard *shard);
+void shard_probe(struct shard *shard, struct host *host);
 
 /* part_record.c: run records */
-void part_flush_soon(struct part *p);
+void shard_flush_soon(struct shard *shard);
 /* What is on record, or is to be, has changed. */
-void part_dirty(struct part *p);
+void shard_dirty(struct shard *shard);
 /* How long the texts of a page may be together, and whether one is longer. */
-gsize part_text_bytes(const struct part *p);
-bool part_page_long(const struct part *p, const struct page *g);
+gsize shard_text_bytes(const struct shard *shard);
+bool shard_page_long(const struct shard *shard, const struct page *page);
 /* Whether nodes of version 0 may come to read what is written. */
-bool part_plain(const struct part *p);
-bool part_record_has_room(struct part *p, struct host *h, job_id job);
+bool shard_plain(const struct shard *shard);
+bool shard_record_has_room(struct shard *shard, struct host *host, job_id job);
 /* One more task, which is to be recorded. */
-void part_record_new(struct part *p, struct host *h, job_id job);
-void part_page_changed(struct part *p, const char *key);
+void shard_record_new(struct shard *shard, struct host *host, job_id job);
+void shard_page_changed(struct shard *shard, const char *key);
 /* Makes all pages and machines agree with the view. */
-void part_records_sync(struct part *p);
-void part_flush(void *arg);
-void part_log_waits(struct part *p);
+void shard_records_sync(struct shard *shard);
+void shard_flush(void *arg);
+void shard_log_waits(struct shard *shard);
 /* A transaction with the conditions of all that this node writes of records. */
-struct txn *part_txn(struct part *p);
-void part_page_set(struct txn *t, const char *key, revision stamp, const char *tasks,
-                   const char *done);
+struct txn *shard_txn(struct shard *shard);
+void shard_page_set(struct txn *txn, const char *key, revision stamp, const char *tasks,
+                    const char *done);
 
 /* Room on a page, for marks that are to come as well; and some of it is taken. */
-gsize part_page_room(struct part *p, int number);
-void part_page_keep(struct part *p, int number, gsize bytes);
+gsize shard_page_room(struct shard *shard, int number);
+void shard_page_keep(struct shard *shard, int number, gsize bytes);
 
 /* part_mark.c: what is done */
 typedef bool (*page_test)(const void *ctx, int page);
@@ -238,49 +238,50 @@
     bool dirty; /* it did not say all of that before */
 };
 /* Whether a mark for it may be written now. */
-bool part_may_mark(struct part *p, const struct run *r);
+bool shard_may_mark(struct shard *shard, const struct run *run);
 /* A task is done: to be recorded, in the same transaction as its end or before. */
-void part_mark_done(struct part *p, struct run *r);
+void shard_mark_done(struct shard *shard, struct run *run);
 /* Whether that is said for good, or will be with the pages that are written now. */
-bool part_mark_written(struct part *p, const struct run *r, page_test written, const void *ctx);
-guint part_unit_size(const struct job *j, uint32_t unit);
-void part_marks_read(struct part *p, const char *text, int page);
-void part_marks_write(struct part *p, int page, bool plain, struct marks_on *on);
-gsize part_marks_growth(struct part *p, int page);
+bool shard_mark_written(struct shard *shard, const struct run *run, page_test written,
+                        const void *ctx);
+guint shard_unit_size(const struct job *job, uint32_t unit);
+void shard_marks_read(struct shard *shard, const char *text, int page);
+void shard_marks_write(struct shard *shard, int page, bool plain, struct marks_on *on);
+gsize shard_marks_growth(struct shard *shard, int page);
 /* Some marks are to leave the page. */
-void part_marks_move(struct part *p, int page);
+void shard_marks_move(struct shard *shard, int page);
 /* Marks that are on no page yet go to one of these; false when some find no room. */
-bool part_marks_place(struct part *p, const int *pages, guint n);
+bool shard_marks_place(struct shard *shard, const int *pages, guint n);
 /* Those pages were written. */
-void part_marks_durable(struct part *p, page_test written, const void *ctx);
+void shard_marks_durable(struct shard *shard, page_test written, const void *ctx);
 /* Adds to what is waited for by page; true when some marks are on none. A batch begins with that.
  */
-bool part_marks_want(struct part *p, double *pages, double weight);
+bool shard_marks_want(struct shard *shard, double *pages, double weight);
 
 /* A write of ours other than of a batch is over; ok: the view shows what became of it. */
-void part_write_over(struct part *p, uint64_t generation, bool ok);
+void shard_write_over(struct shard *shard, uint64_t generation, bool ok);
 
 /* part_roll.c: lists of machines */
-void part_rolls_sync(struct part *p);
-bool part_roll_due(struct part *p);
+void shard_inventories_sync(struct shard *shard);
+bool shard_inventory_due(struct shard *shard);
 /* A machine is not to be listed any more. */
-void part_roll_lost(struct part *p, const struct host *h);
-void part_roll(struct part *p);
+void shard_inventory_lost(struct shard *shard, const struct host *host);
+void shard_inventory(struct shard *shard);
 
 /* part_split.c: pages that are too long by now */
-bool part_label_long(const struct part *p, const char *label);
-bool part_split_due(struct part *p);
+bool shard_label_long(const struct shard *shard, const char *label);
+bool shard_split_due(struct shard *shard);
 /* False when nothing can be done about it yet, and other work may go on. */
-bool part_split(struct part *p);
-void part_done_free(gpointer q); /* part_mark.c */
-void part_page_free(gpointer q);
+bool shard_split(struct shard *shard);
+void shard_done_free(gpointer q); /* part_mark.c */
+void shard_page_free(gpointer q);
 
 /* part_place.c: queues and placement */
-bool part_host_open(struct part *p, struct host *h);
-void part_place_all(void *arg);
+bool shard_host_open(struct shard *shard, struct host *host);
+void shard_place_all(void *arg);
 /* The same a moment later, once for many reports. */
-void part_place_soon(struct part *p);
+void shard_place_soon(struct shard *shard);
 /* Back to the leader. */
-void part_give_back(struct part *p, const struct dealt *d);
+void shard_give_back(struct shard *shard, const struct dealt *dealt);
 
 #endif
--- a/src/store.c
+++ b/src/store.c
@@ -57,197 +57,193 @@
 
 static void pump(void *arg);
 
-static void bucket_fill(struct bucket *b, mono_time now)
+static void bucket_fill(struct bucket *bucket, mono_time now)
 {
-    b->level = MIN(b->size, b->level + b->rate * (double)(now.us - b->at.us) / 1e6);
-    b->at = now;
+    bucket->level =
+        MIN(bucket->size, bucket->level + bucket->rate * (double)(now.us - bucket->at.us) / 1e6);
+    bucket->at = now;
 }
 
 static void barrier_go(void *arg);
 
 /* The budgets are shared by all nodes. One node may need more than its share for a while, so each
  * may use over half; 429 tells when that was too much. */
-static double share_of(const struct store_limits *l)
+static double share_of(const struct store_limits *limits)
 {
-    return l->nodes > 1 ? 0.6 : 0.95;
+    return limits->nodes > 1 ? 0.6 : 0.95;
 }
 
 struct store *store_new(struct loop *loop, struct net *net, const char *addr,
                         struct store_limits limits)
 {
-    struct store *s = g_new0(struct store, 1);
-    s->loop = loop;
-    s->net = net;
-    s->addr = g_strdup(addr);
-    s->limits = limits;
-    s->last_ok = loop_now(loop);
+    struct store *store = g_new0(struct store, 1);
+    store->loop = loop;
+    store->net = net;
+    store->addr = g_strdup(addr);
+    store->limits = limits;
+    store->last_ok = loop_now(loop);
     double part = share_of(&limits);
     mono_time now = loop_now(loop);
-    s->requests = (struct bucket){limits.rps * part, limits.rps * part, limits.rps * part, now};
-    s->changes = (struct bucket){limits.write_rps * part, limits.write_rps * part,
-                                 limits.write_rps * part, now};
+    store->requests = (struct bucket){limits.rps * part, limits.rps * part, limits.rps * part, now};
+    store->changes = (struct bucket){limits.write_rps * part, limits.write_rps * part,
+                                     limits.write_rps * part, now};
     for (int i = 0; i < LANES; i++)
-        g_queue_init(&s->lanes[i]);
-    timer_init(&s->pump_timer, pump, s);
-    timer_init(&s->barrier_timer, barrier_go, s);
-    s->waiting = g_array_new(FALSE, FALSE, sizeof(struct waiter));
-    return s;
+        g_queue_init(&store->lanes[i]);
+    timer_init(&store->pump_timer, pump, store);
+    timer_init(&store->barrier_timer, barrier_go, store);
+    store->waiting = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+    return store;
 }
 
-static void call_free(struct call *c)
+static void call_free(struct call *call)
 {
-    g_free(c->method);
-    g_free(c->path);
-    g_free(c->body);
-    g_free(c);
+    g_free(call->method);
+    g_free(call->path);
+    g_free(call->body);
+    g_free(call);
 }
 
-void store_free(struct store *s)
+void store_free(struct store *store)
 {
-    timer_stop(s->loop, &s->pump_timer);
-    timer_stop(s->loop, &s->barrier_timer);
+    timer_stop(store->loop, &store->pump_timer);
+    timer_stop(store->loop, &store->barrier_timer);
     for (int i = 0; i < LANES; i++) {
-        struct call *c;
-        while ((c = g_queue_pop_head(&s->lanes[i])))
-            call_free(c);
+        struct call *call;
+        while ((call = g_queue_pop_head(&store->lanes[i])))
+            call_free(call);
     }
-    g_array_unref(s->waiting);
-    g_free(s->addr);
-    g_free(s);
+    g_array_unref(store->waiting);
+    g_free(store->addr);
+    g_free(store);
 }
 
-const struct store_limits *store_limits(const struct store *s)
+const struct store_limits *store_limits(const struct store *store)
 {
-    return &s->limits;
+    return &store->limits;
 }
 
-static void call_end(struct call *c, const struct net_answer *a)
+static void call_end(struct call *call, const struct net_answer *answer)
 {
-    net_done done = c->done;
-    void *arg = c->arg;
-    call_free(c);
-    done(arg, a);
+    net_done done = call->done;
+    void *arg = call->arg;
+    call_free(call);
+    done(arg, answer);
 }
 
 /* The rate of writes may be lowered without notice. One 429 only says that all nodes together were
  * too quick for a moment; several within a short time say that less is granted now. */
-static void writes_refused(struct store *s)
+static void writes_refused(struct store *store)
 {
-    struct store_limits *l = &s->limits;
-    mono_time now = loop_now(s->loop);
-    if (time_ms_since(now, s->refused_at) > REFUSALS_MS)
-        s->refusals = 0;
-    s->refused_at = now;
-    if (++s->refusals < REFUSALS || l->next_write_rps >= l->write_rps)
+    struct store_limits *limits = &store->limits;
+    mono_time now = loop_now(store->loop);
+    if (time_ms_since(now, store->refused_at) > REFUSALS_MS)
+        store->refusals = 0;
+    store->refused_at = now;
+    if (++store->refusals < REFUSALS || limits->next_write_rps >= limits->write_rps)
         return;
-    LOG_INFO("writes_slowed", "from=%.1f to=%.1f", l->write_rps, l->next_write_rps);
-    l->write_rps = l->next_write_rps;
-    l->lowered = true;
-    s->changes.rate = s->changes.size = l->write_rps * share_of(l);
-    s->changes.level = MIN(s->changes.level, s->changes.size);
+    LOG_INFO("writes_slowed", "from=%.1f to=%.1f", limits->write_rps, limits->next_write_rps);
+    limits->write_rps = limits->next_write_rps;
+    limits->lowered = true;
+    store->changes.rate = store->changes.size = limits->write_rps * share_of(limits);
+    store->changes.level = MIN(store->changes.level, store->changes.size);
 }
 
-static void call_answered(void *arg, const struct net_answer *a)
+static void call_answered(void *arg, const struct net_answer *answer)
 {
-    struct call *c = arg;
-    struct store *s = c->store;
-    if (a->status == 429) {
+    struct call *call = arg;
+    struct store *store = call->store;
+    if (answer->status == 429) {
         /* Surely not carried out: it goes again, first in its lane. */
-        s->not_before = time_add_ms(loop_now(s->loop), RETRY_429_MS);
-        s->requests.level = MIN(s->requests.level, 0);
-        s->changes.level = MIN(s->changes.level, 0);
-        g_queue_push_head(&s->lanes[c->lane], c);
-        timer_start(s->loop, &s->pump_timer, RETRY_429_MS);
-        LOG_DEBUG("state_429", "path=%s", c->path);
-        if (c->writes)
-            writes_refused(s);
+        store->not_before = time_add_ms(loop_now(store->loop), RETRY_429_MS);
+        store->requests.level = MIN(store->requests.level, 0);
+        store->changes.level = MIN(store->changes.level, 0);
+        g_queue_push_head(&store->lanes[call->lane], call);
+        timer_start(store->loop, &store->pump_timer, RETRY_429_MS);
+        LOG_DEBUG("state_429", "path=%s", call->path);
+        if (call->writes)
+            writes_refused(store);
         return;
     }
-    if (a->status > 0) {
-        s->refused = a->status == 503;
-        if (!s->refused)
-            s->last_ok = loop_now(s->loop);
+    if (answer->status > 0) {
+        store->refused = answer->status == 503;
+        if (!store->refused)
+            store->last_ok = loop_now(store->loop);
     }
-    call_end(c, a);
+    call_end(call, answer);
 }
 
-bool store_troubled(const struct store *s)
+bool store_troubled(const struct store *store)
 {
-    int64_t since = time_ms_since(loop_now(s->loop), s->last_ok);
-    return since > (s->refused ? REFUSED_MS : SILENT_MS);
+    int64_t since = time_ms_since(loop_now(store->loop), store->last_ok);
+    return since > (store->refused ? REFUSED_MS : SILENT_MS);
 }
 
-static void call_send(struct store *s, struct call *c)
+static void call_send(struct store *store, struct call *call)
 {
-    s->requests.level -= 1;
-    s->changes.level -= c->writes;
-    struct net_request q = {
-        s->addr, c->method, c->path, c->body, c->body ? strlen(c->body) : 0, c->timeout_ms};
-    s->net->request(s->net, &q, call_answered, c);
+    store->requests.level -= 1;
+    store->changes.level -= call->writes;
+    struct net_request request = {
+        store->addr,     call->method, call->path, call->body, call->body ? strlen(call->body) : 0,
+        call->timeout_ms};
+    store->net->request(store->net, &request, call_answered, call);
 }
 
 static void pump(void *arg)
 {
-    struct store *s = arg;
-    mono_time now = loop_now(s->loop);
-    bucket_fill(&s->requests, now);
-    bucket_fill(&s->changes, now);
+    struct store *store = arg;
+    mono_time now = loop_now(store->loop);
+    bucket_fill(&store->requests, now);
+    bucket_fill(&store->changes, now);
     int64_t wait = 0;
     for (int lane = 0; lane < LANES; lane++) {
-        struct call *c;
-        while ((c = g_queue_peek_head(&s->lanes[lane]))) {
-            if (time_before(c->give_up, now)) {
-                g_queue_pop_head(&s->lanes[lane]);
-                call_end(c, &(struct net_answer){.status = NET_NOT_SENT});
+        struct call *call;
+        while ((call = g_queue_peek_head(&store->lanes[lane]))) {
+            if (time_before(call->give_up, now)) {
+                g_queue_pop_head(&store->lanes[lane]);
+                call_end(call, &(struct net_answer){.status = NET_NOT_SENT});
                 continue;
             }
             /* The lease is what everything hangs on: it does not wait for a budget, only for the
              * pause that a 429 asks for. */
-            if (time_before(now, s->not_before)) {
-                wait = time_ms_since(s->not_before, now) + 1;
+            if (time_before(now, store->not_before)) {
+                wait = time_ms_since(store->not_before, now) + 1;
                 goto later;
             }
-            if (lane != LANE_LEASE && s->requests.level < 1) {
-                wait = (int64_t)((1 - s->requests.level) / s->requests.rate * 1000) + 1;
+            if (lane != LANE_LEASE && store->requests.level < 1) {
+                wait = (int64_t)((1 - store->requests.level) / store->requests.rate * 1000) + 1;
                 goto later;
             }
-            if (lane != LANE_LEASE && c->writes && s->changes.level < 1) {
-                wait = (int64_t)((1 - s->changes.level) / s->changes.rate * 1000) + 1;
+            if (lane != LANE_LEASE && call->writes && store->changes.level < 1) {
+                wait = (int64_t)((1 - store->changes.level) / store->changes.rate * 1000) + 1;
                 break; /* what writes nothing may pass */
             }
-            g_queue_pop_head(&s->lanes[lane]);
-            call_send(s, c);
+            g_queue_pop_head(&store->lanes[lane]);
+            call_send(store, call);
         }
     }
 later:
     if (wait)
-        timer_start(s->loop, &s->pump_timer, wait);
+        timer_start(store->loop, &store->pump_timer, wait);
 }
 
-void store_request(struct store *s, enum store_lane lane, const char *method, const char *path,
+void store_request(struct store *store, enum store_lane lane, const char *method, const char *path,
                    const char *body, int timeout_ms, int wait_ms, int writes, net_done done,
                    void *arg)
 {
-    struct call *c = g_new0(struct call, 1);
-    *c = (struct call){s,
-                       lane,
-                       g_strdup(method),
-                       g_strdup(path),
-                       g_strdup(body),
-                       timeout_ms,
-                       writes,
-                       time_add_ms(loop_now(s->loop), wait_ms),
-                       done,
-                       arg};
-    g_queue_push_tail(&s->lanes[lane], c);
-    pump(s);
+    struct call *call = g_new0(struct call, 1);
+    *call = (struct call){
+        store,          lane,       g_strdup(method), g_strdup(path),
+        g_strdup(body), timeout_ms, writes,           time_add_ms(loop_now(store->loop), wait_ms),
+        done,           arg};
+    g_queue_push_tail(&store->lanes[lane], call);
+    pump(store);
 }
 
-void store_read(struct store *s, enum store_lane lane, const char *key, int timeout_ms, int wait_ms,
-                net_done done, void *arg)
+void store_read(struct store *store, enum store_lane lane, const char *key, int timeout_ms,
+                int wait_ms, net_done done, void *arg)
 {
     char *path = g_strconcat("/keys/", key, NULL);
-    store_request(s, lane, "GET", path, NULL, timeout_ms, wait_ms, 0, done, arg);
+    store_request(store, lane, "GET", path, NULL, timeout_ms, wait_ms, 0, done, arg);
     g_free(path);
 }
 
@@ -266,26 +262,26 @@
 
 struct txn *txn_new(void)
 {
-    struct txn *t = g_new0(struct txn, 1);
-    t->when = json_object_new_array();
-    t->writes = json_object_new_array();
-    return t;
+    struct txn *txn = g_new0(struct txn, 1);
+    txn->when = json_object_new_array();
+    txn->writes = json_object_new_array();
+    return txn;
 }
 
-void txn_free(struct txn *t)
+void txn_free(struct txn *txn)
 {
-    json_object_put(t->when);
-    json_object_put(t->writes);
-    g_free(t);
+    json_object_put(txn->when);
+    json_object_put(txn->writes);
+    g_free(txn);
 }
 
-void txn_when(struct txn *t, const char *key, revision stamp)
+void txn_when(struct txn *txn, const char *key, revision stamp)
 {
-    json_object *o = json_object_new_object();
-    json_put_text(o, "K", key);
-    json_put_u64(o, "Stamp", stamp.v);
-    json_object_array_add(t->when, o);
-    t->bytes += strlen(key) + 40;
+    json_object *object = json_object_new_object();
+    json_put_text(object, "K", key);
+    json_put_u64(object, "Stamp", stamp.v);
+    json_object_array_add(txn->when, object);
+    txn->bytes += strlen(key) + 40;
 }
 
 size_t value_size(json_object *value)
@@ -293,86 +289,86 @@
     return strlen(json_object_to_json_string_ext(value, JSON_C_TO_STRING_PLAIN));
 }
 
-void txn_set(struct txn *t, const char *key, json_object *value, lease_id lease)
+void txn_set(struct txn *txn, const char *key, json_object *value, lease_id lease)
 {
-    json_object *o = json_object_new_object();
-    json_put_text(o, "Set", key);
-    t->bytes += value_size(value);
-    json_object_object_add(o, "V", value);
+    json_object *object = json_object_new_object();
+    json_put_text(object, "Set", key);
+    txn->bytes += value_size(value);
+    json_object_object_add(object, "V", value);
     if (lease.v)
-        json_put_u64(o, "Mooring", lease.v);
-    json_object_array_add(t->writes, o);
-    t->bytes += strlen(key) + 50;
+        json_put_u64(object, "Mooring", lease.v);
+    json_object_array_add(txn->writes, object);
+    txn->bytes += strlen(key) + 50;
 }
 
-void txn_remove(struct txn *t, const char *key)
+void txn_remove(struct txn *txn, const char *key)
 {
-    json_object *o = json_object_new_object();
-    json_put_text(o, "Remove", key);
-    json_object_array_add(t->writes, o);
-    t->bytes += strlen(key) + 20;
+    json_object *object = json_object_new_object();
+    json_put_text(object, "Remove", key);
+    json_object_array_add(txn->writes, object);
+    txn->bytes += strlen(key) + 20;
 }
 
-guint txn_writes(const struct txn *t)
+guint txn_writes(const struct txn *txn)
 {
-    return json_object_array_length(t->writes);
+    return json_object_array_length(txn->writes);
 }
 
-guint txn_conditions(const struct txn *t)
+guint txn_conditions(const struct txn *txn)
 {
-    return json_object_array_length(t->when);
+    return json_object_array_length(txn->when);
 }
 
-size_t txn_bytes(const struct txn *t)
+size_t txn_bytes(const struct txn *txn)
 {
-    return t->bytes;
+    return txn->bytes;
 }
 
-static void txn_answered(void *arg, const struct net_answer *a)
+static void txn_answered(void *arg, const struct net_answer *answer)
 {
-    struct txn_call *c = arg;
-    struct txn_outcome o = {.result = TXN_UNKNOWN};
-    json_object *body = a->status > 0 ? json_read(a->body, a->len) : NULL;
-    if (a->status == 200 && json_u64(body, "Ledger", &o.at.v)) {
-        o.result = TXN_DONE;
-    } else if (a->status == 409 && json_u64(body, "Ledger", &o.at.v)) {
-        o.result = TXN_CONFLICT;
-        o.failed = g_ptr_array_new();
+    struct txn_call *call = arg;
+    struct txn_outcome outcome = {.result = TXN_UNKNOWN};
+    json_object *body = answer->status > 0 ? json_read(answer->body, answer->len) : NULL;
+    if (answer->status == 200 && json_u64(body, "Ledger", &outcome.at.v)) {
+        outcome.result = TXN_DONE;
+    } else if (answer->status == 409 && json_u64(body, "Ledger", &outcome.at.v)) {
+        outcome.result = TXN_CONFLICT;
+        outcome.failed = g_ptr_array_new();
         json_object *list = json_list(body, "failed");
         for (size_t i = 0; list && i < json_object_array_length(list); i++)
-            g_ptr_array_add(o.failed,
+            g_ptr_array_add(outcome.failed,
                             (char *)json_object_get_string(json_object_array_get_idx(list, i)));
-    } else if (a->status == 400) {
+    } else if (answer->status == 400) {
         const char *error = "";
         json_text(body, "error", &error);
-        o.result = strcmp(error, "no such lease") == 0 ? TXN_NO_LEASE : TXN_REFUSED;
-        if (o.result == TXN_REFUSED) {
-            LOG_ERROR("txn_malformed", "answer=%.*s", (int)MIN(a->len, 200), a->body);
-            c->store->limits.lowered = true; /* if it was for its size, it is made smaller now */
+        outcome.result = strcmp(error, "no such lease") == 0 ? TXN_NO_LEASE : TXN_REFUSED;
+        if (outcome.result == TXN_REFUSED) {
+            LOG_ERROR("txn_malformed", "answer=%.*s", (int)MIN(answer->len, 200), answer->body);
+            call->store->limits.lowered = true; /* if it was for its size, it is made smaller now */
         }
-    } else if (a->status == 503 || a->status == NET_NOT_SENT) {
-        o.result = TXN_REFUSED;
+    } else if (answer->status == 503 || answer->status == NET_NOT_SENT) {
+        outcome.result = TXN_REFUSED;
     }
-    c->done(c->arg, &o);
-    if (o.failed)
-        g_ptr_array_unref(o.failed);
+    call->done(call->arg, &outcome);
+    if (outcome.failed)
+        g_ptr_array_unref(outcome.failed);
     json_object_put(body);
-    g_free(c);
+    g_free(call);
 }
 
-void store_txn(struct store *s, enum store_lane lane, struct txn *t, txn_done done, void *arg)
+void store_txn(struct store *store, enum store_lane lane, struct txn *txn, txn_done done, void *arg)
 {
-    struct txn_call *c = g_new(struct txn_call, 1);
-    *c = (struct txn_call){s, done, arg};
-    int writes = (int)txn_writes(t);
-    json_object *o = json_object_new_object();
-    json_object_object_add(o, "When", json_object_get(t->when));
-    json_object_object_add(o, "Writes", json_object_get(t->writes));
-    store_request(s, lane, "POST", "/txn",
-                  json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN), TXN_TIMEOUT_MS,
-                  TXN_WAIT_MS, writes, txn_answered, c);
-    json_object_put(o);
-    txn_free(t);
+    struct txn_call *call = g_new(struct txn_call, 1);
+    *call = (struct txn_call){store, done, arg};
+    int writes = (int)txn_writes(txn);
+    json_object *object = json_object_new_object();
+    json_object_object_add(object, "When", json_object_get(txn->when));
+    json_object_object_add(object, "Writes", json_object_get(txn->writes));
+    store_request(store, lane, "POST", "/txn",
+                  json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN), TXN_TIMEOUT_MS,
+                  TXN_WAIT_MS, writes, txn_answered, call);
+    json_object_put(object);
+    txn_free(txn);
 }
 
 /* ---- barrier ---- */
@@ -382,43 +378,43 @@
     GArray *waiters;
 };
 
-static void barrier_answered(void *arg, const struct txn_outcome *o)
+static void barrier_answered(void *arg, const struct txn_outcome *outcome)
 {
-    struct barrier *b = arg;
-    struct store *s = b->store;
-    s->barrier_out = false;
-    if (s->waiting->len)
-        barrier_go(s);
-    for (guint i = 0; i < b->waiters->len; i++) {
-        struct waiter *w = &g_array_index(b->waiters, struct waiter, i);
-        w->done(w->arg, o->result == TXN_DONE, o->at);
+    struct barrier *barrier = arg;
+    struct store *store = barrier->store;
+    store->barrier_out = false;
+    if (store->waiting->len)
+        barrier_go(store);
+    for (guint i = 0; i < barrier->waiters->len; i++) {
+        struct waiter *waiter = &g_array_index(barrier->waiters, struct waiter, i);
+        waiter->done(waiter->arg, outcome->result == TXN_DONE, outcome->at);
     }
-    g_array_unref(b->waiters);
-    g_free(b);
+    g_array_unref(barrier->waiters);
+    g_free(barrier);
 }
 
 static void barrier_go(void *arg)
 {
-    struct store *s = arg;
-    if (s->barrier_out || !s->waiting->len || s->barrier_timer.place)
+    struct store *store = arg;
+    if (store->barrier_out || !store->waiting->len || store->barrier_timer.place)
         return;
-    mono_time now = loop_now(s->loop);
-    int64_t since = time_ms_since(now, s->last_barrier);
+    mono_time now = loop_now(store->loop);
+    int64_t since = time_ms_since(now, store->last_barrier);
     if (since < BARRIER_GAP_MS) {
-        timer_start(s->loop, &s->barrier_timer, BARRIER_GAP_MS - since);
+        timer_start(store->loop, &store->barrier_timer, BARRIER_GAP_MS - since);
         return;
     }
-    s->last_barrier = now;
-    s->barrier_out = true;
-    struct barrier *b = g_new(struct barrier, 1);
-    *b = (struct barrier){s, s->waiting};
-    s->waiting = g_array_new(FALSE, FALSE, sizeof(struct waiter));
-    store_txn(s, LANE_URGENT, txn_new(), barrier_answered, b);
+    store->last_barrier = now;
+    store->barrier_out = true;
+    struct barrier *barrier = g_new(struct barrier, 1);
+    *barrier = (struct barrier){store, store->waiting};
+    store->waiting = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+    store_txn(store, LANE_URGENT, txn_new(), barrier_answered, barrier);
 }
 
-void store_barrier(struct store *s, barrier_done done, void *arg)
+void store_barrier(struct store *store, barrier_done done, void *arg)
 {
-    struct waiter w = {done, arg};
-    g_array_append_val(s->waiting, w);
-    barrier_go(s);
+    struct waiter waiter = {done, arg};
+    g_array_append_val(store->waiting, waiter);
+    barrier_go(store);
 }
--- a/src/store.h
+++ b/src/store.h
@@ -21,11 +21,11 @@
 
 struct store *store_new(struct loop *loop, struct net *net, const char *addr,
                         struct store_limits limits);
-void store_free(struct store *s);
-const struct store_limits *store_limits(const struct store *s);
+void store_free(struct store *store);
+const struct store_limits *store_limits(const struct store *store);
 
 /* Whether the state service has not answered this node for a moment, or refuses it. */
-bool store_troubled(const struct store *s);
+bool store_troubled(const struct store *store);
 
 /* ---- plain requests ---- */
 
@@ -33,13 +33,13 @@
 
 /* Waits for its turn within the budget. After 429 it is sent again; status NET_NOT_SENT when that
  * took longer than wait_ms. */
-void store_request(struct store *s, enum store_lane lane, const char *method, const char *path,
+void store_request(struct store *store, enum store_lane lane, const char *method, const char *path,
                    const char *body, int timeout_ms, int wait_ms, int writes, net_done done,
                    void *arg);
 
 /* Reads one key. */
-void store_read(struct store *s, enum store_lane lane, const char *key, int timeout_ms, int wait_ms,
-                net_done done, void *arg);
+void store_read(struct store *store, enum store_lane lane, const char *key, int timeout_ms,
+                int wait_ms, net_done done, void *arg);
 
 /* ---- transactions ---- */
 
@@ -62,24 +62,25 @@
 typedef void (*txn_done)(void *arg, const struct txn_outcome *outcome);
 
 struct txn *txn_new(void);
-void txn_free(struct txn *t);
-void txn_when(struct txn *t, const char *key, revision stamp);
+void txn_free(struct txn *txn);
+void txn_when(struct txn *txn, const char *key, revision stamp);
 /* Takes the value. lease 0: not attached. */
-void txn_set(struct txn *t, const char *key, json_object *value, lease_id lease);
-void txn_remove(struct txn *t, const char *key);
-guint txn_writes(const struct txn *t);
-guint txn_conditions(const struct txn *t);
-size_t txn_bytes(const struct txn *t);
+void txn_set(struct txn *txn, const char *key, json_object *value, lease_id lease);
+void txn_remove(struct txn *txn, const char *key);
+guint txn_writes(const struct txn *txn);
+guint txn_conditions(const struct txn *txn);
+size_t txn_bytes(const struct txn *txn);
 /* What a value takes as it is sent. */
 size_t value_size(json_object *value);
 /* Takes the transaction. */
-void store_txn(struct store *s, enum store_lane lane, struct txn *t, txn_done done, void *arg);
+void store_txn(struct store *store, enum store_lane lane, struct txn *txn, txn_done done,
+               void *arg);
 
 /* ---- read barrier ---- */
 
 typedef void (*barrier_done)(void *arg, bool ok, revision at);
 /* Tells a revision that was the newest at some moment after this call. Calls that come together
  * share one transaction without writes. */
-void store_barrier(struct store *s, barrier_done done, void *arg);
+void store_barrier(struct store *store, barrier_done done, void *arg);
 
 #endif
--- a/src/view.c
+++ b/src/view.c
@@ -47,58 +47,58 @@
     return g_strdup_printf("ll/p/%s/%d", label, number);
 }
 
-char *key_roll(const char *label, int number)
+char *key_inventory(const char *label, int number)
 {
     return g_strdup_printf("ll/a/%s/%d", label, number);
 }
 
 static void job_free(gpointer p)
 {
-    struct job *j = p;
-    if (j->spec) {
-        spec_clear(j->spec);
-        g_free(j->spec);
+    struct job *job = p;
+    if (job->spec) {
+        spec_clear(job->spec);
+        g_free(job->spec);
     }
-    if (j->done)
-        g_byte_array_unref(j->done);
-    if (j->placed)
-        g_hash_table_unref(j->placed);
-    g_free(j);
+    if (job->done)
+        g_byte_array_unref(job->done);
+    if (job->placed)
+        g_hash_table_unref(job->placed);
+    g_free(job);
 }
 
 static void host_free(gpointer p)
 {
-    struct host_record *h = p;
-    g_ptr_array_unref(h->tasks);
-    g_ptr_array_unref(h->images);
-    g_free(h->about);
-    g_free(h);
+    struct host_record *record = p;
+    g_ptr_array_unref(record->tasks);
+    g_ptr_array_unref(record->images);
+    g_free(record->about);
+    g_free(record);
 }
 
 static void page_free(gpointer p)
 {
-    struct page *g = p;
-    g_ptr_array_unref(g->tasks);
-    g_free(g->key);
-    g_free(g->label);
-    g_free(g->done);
-    g_free(g);
+    struct page *page = p;
+    g_ptr_array_unref(page->tasks);
+    g_free(page->key);
+    g_free(page->label);
+    g_free(page->done);
+    g_free(page);
 }
 
-static void roll_free(gpointer p)
+static void inventory_free(gpointer p)
 {
-    struct roll *r = p;
-    g_ptr_array_unref(r->hosts);
-    g_free(r->key);
-    g_free(r->label);
-    g_free(r);
+    struct inventory *inventory = p;
+    g_ptr_array_unref(inventory->hosts);
+    g_free(inventory->key);
+    g_free(inventory->label);
+    g_free(inventory);
 }
 
 static void node_free(gpointer p)
 {
-    struct node_record *n = p;
-    g_free(n->label);
-    g_free(n);
+    struct node_record *node_record = p;
+    g_free(node_record->label);
+    g_free(node_record);
 }
 
 static void clear_entry(gpointer p)
@@ -107,7 +107,7 @@
 }
 
 static void watch_go(void *arg);
-static void reload(struct view *v);
+static void reload(struct view *view);
 static void expire(void *arg);
 
 static void pipeline_told(void *ctx, const char *id, const struct pipe_facts *facts);
@@ -115,92 +115,93 @@
 
 struct view *view_new(struct loop *loop, struct store *store)
 {
-    struct view *v = g_new0(struct view, 1);
-    v->loop = loop;
-    v->store = store;
-    v->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
-    v->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, host_free);
-    v->pages = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, page_free);
-    v->rolls = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, roll_free);
-    v->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, node_free);
-    v->type_parts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, type_part_free);
-    v->spoken = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    v->pipeline = pipeline_new(pipeline_told, v);
-    v->map = g_array_new(FALSE, FALSE, sizeof(struct map_entry));
-    g_array_set_clear_func(v->map, clear_entry);
-    v->stamps = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    v->listeners = g_ptr_array_new();
-    v->changes = g_array_new(FALSE, TRUE, sizeof(struct change));
-    v->waiters = g_array_new(FALSE, FALSE, sizeof(struct view_waiter));
-    v->watch_at = loop_now(loop);
-    v->most_over = MOST_OVER;
-    g_queue_init(&v->over);
-    timer_init(&v->watch_timer, watch_go, v);
-    timer_init(&v->expire_timer, expire, v);
-    return v;
+    struct view *view = g_new0(struct view, 1);
+    view->loop = loop;
+    view->store = store;
+    view->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+    view->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, host_free);
+    view->pages = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, page_free);
+    view->inventories = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, inventory_free);
+    view->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, node_free);
+    view->type_parts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, type_part_free);
+    view->spoken = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    view->pipeline = pipeline_new(pipeline_told, view);
+    view->map = g_array_new(FALSE, FALSE, sizeof(struct map_entry));
+    g_array_set_clear_func(view->map, clear_entry);
+    view->stamps = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    view->listeners = g_ptr_array_new();
+    view->changes = g_array_new(FALSE, TRUE, sizeof(struct change));
+    view->waiters = g_array_new(FALSE, FALSE, sizeof(struct view_waiter));
+    view->watch_at = loop_now(loop);
+    view->most_over = MOST_OVER;
+    g_queue_init(&view->over);
+    timer_init(&view->watch_timer, watch_go, view);
+    timer_init(&view->expire_timer, expire, view);
+    return view;
 }
 
-void view_free(struct view *v)
+void view_free(struct view *view)
 {
-    timer_stop(v->loop, &v->watch_timer);
-    timer_stop(v->loop, &v->expire_timer);
-    g_hash_table_unref(v->pages);
-    g_hash_table_unref(v->rolls);
-    g_hash_table_unref(v->hosts);
-    g_hash_table_unref(v->jobs);
-    g_hash_table_unref(v->nodes);
-    g_hash_table_unref(v->spoken);
-    pipeline_free(v->pipeline);
-    g_array_unref(v->map);
-    if (v->types)
-        g_array_unref(v->types);
-    g_hash_table_unref(v->type_parts);
-    g_hash_table_unref(v->stamps);
-    if (v->reload_seen)
-        g_hash_table_unref(v->reload_seen);
-    g_free(v->reload_from);
-    g_ptr_array_unref(v->listeners);
-    g_array_unref(v->changes);
-    g_array_unref(v->waiters);
-    g_queue_clear_full(&v->over, g_free);
-    g_free(v->leader);
-    g_free(v);
+    timer_stop(view->loop, &view->watch_timer);
+    timer_stop(view->loop, &view->expire_timer);
+    g_hash_table_unref(view->pages);
+    g_hash_table_unref(view->inventories);
+    g_hash_table_unref(view->hosts);
+    g_hash_table_unref(view->jobs);
+    g_hash_table_unref(view->nodes);
+    g_hash_table_unref(view->spoken);
+    pipeline_free(view->pipeline);
+    g_array_unref(view->map);
+    if (view->types)
+        g_array_unref(view->types);
+    g_hash_table_unref(view->type_parts);
+    g_hash_table_unref(view->stamps);
+    if (view->reload_seen)
+        g_hash_table_unref(view->reload_seen);
+    g_free(view->reload_from);
+    g_ptr_array_unref(view->listeners);
+    g_array_unref(view->changes);
+    g_array_unref(view->waiters);
+    g_queue_clear_full(&view->over, g_free);
+    g_free(view->leader);
+    g_free(view);
 }
 
-void view_listen(struct view *v, struct actor *listener)
+void view_listen(struct view *view, struct actor *listener)
 {
-    g_ptr_array_add(v->listeners, listener);
+    g_ptr_array_add(view->listeners, listener);
 }
 
-void view_start(struct view *v)
+void view_start(struct view *view)
 {
-    timer_start(v->loop, &v->expire_timer, 200);
-    reload(v);
+    timer_start(view->loop, &view->expire_timer, 200);
+    reload(view);
 }
 
-struct job *view_job(struct view *v, const char *id)
+struct job *view_job(struct view *view, const char *id)
 {
-    return g_hash_table_lookup(v->jobs, id);
+    return g_hash_table_lookup(view->jobs, id);
 }
 
-struct host_record *view_host(struct view *v, const char *id)
+struct host_record *view_host(struct view *view, const char *id)
 {
-    return g_hash_table_lookup(v->hosts, id);
+    return g_hash_table_lookup(view->hosts, id);
 }
 
-struct placed *job_placed(const struct job *j, uint32_t index)
+struct placed *job_placed(const struct job *job, uint32_t index)
 {
-    return j->placed ? g_hash_table_lookup(j->placed, GUINT_TO_POINTER(index + 1)) : NULL;
+    return job->placed ? g_hash_table_lookup(job->placed, GUINT_TO_POINTER(index + 1)) : NULL;
 }
 
-bool job_task_done(const struct job *j, uint32_t index)
+bool job_task_done(const struct job *job, uint32_t index)
 {
-    return j->done && index / 8 < j->done->len && (j->done->data[index / 8] >> (index % 8) & 1);
+    return job->done && index / 8 < job->done->len &&
+           (job->done->data[index / 8] >> (index % 8) & 1);
 }
 
-static void note(struct view *v, struct change c)
+static void note(struct view *view, struct change change)
 {
-    g_array_append_val(v->changes, c);
+    g_array_append_val(view->changes, change);
 }
 
 static void unref_changes(gpointer p)
@@ -208,75 +209,75 @@
     g_array_unref(p);
 }
 
-static void forget_over(struct view *v)
+static void forget_over(struct view *view)
 {
-    for (guint n = v->over.length; n > v->most_over; n--) {
-        char *id = g_queue_pop_head(&v->over);
-        struct job *j = view_job(v, id);
-        if (j && j->placed) { /* a page still names it */
-            g_queue_push_tail(&v->over, id);
+    for (guint n = view->over.length; n > view->most_over; n--) {
+        char *id = g_queue_pop_head(&view->over);
+        struct job *job = view_job(view, id);
+        if (job && job->placed) { /* a page still names it */
+            g_queue_push_tail(&view->over, id);
             continue;
         }
-        if (j) {
-            char *key = key_job(j->id);
-            g_hash_table_remove(v->stamps, key);
+        if (job) {
+            char *key = key_job(job->id);
+            g_hash_table_remove(view->stamps, key);
             g_free(key);
-            g_hash_table_remove(v->jobs, id);
-            v->forgot = true;
+            g_hash_table_remove(view->jobs, id);
+            view->forgot = true;
         }
         g_free(id);
     }
 }
 
 /* Tells the listeners what changed, and those who wait for a revision that it is here. */
-static void publish(struct view *v)
+static void publish(struct view *view)
 {
-    forget_over(v);
-    if (v->changes->len && v->ready) {
-        for (guint i = 0; i < v->listeners->len; i++)
-            actor_send(v->loop, v->listeners->pdata[i], MSG_VIEW, g_array_ref(v->changes),
+    forget_over(view);
+    if (view->changes->len && view->ready) {
+        for (guint i = 0; i < view->listeners->len; i++)
+            actor_send(view->loop, view->listeners->pdata[i], MSG_VIEW, g_array_ref(view->changes),
                        unref_changes);
-        g_array_unref(v->changes);
-        v->changes = g_array_new(FALSE, TRUE, sizeof(struct change));
+        g_array_unref(view->changes);
+        view->changes = g_array_new(FALSE, TRUE, sizeof(struct change));
     }
-    for (guint i = 0; i < v->waiters->len;) {
-        struct view_waiter w = g_array_index(v->waiters, struct view_waiter, i);
-        if (v->ready && w.at.v <= v->at.v) {
-            g_array_remove_index(v->waiters, i);
-            w.done(w.arg, true);
+    for (guint i = 0; i < view->waiters->len;) {
+        struct view_waiter waiter = g_array_index(view->waiters, struct view_waiter, i);
+        if (view->ready && waiter.at.v <= view->at.v) {
+            g_array_remove_index(view->waiters, i);
+            waiter.done(waiter.arg, true);
         } else {
             i++;
         }
     }
 }
 
-static void seek_unknown(struct view *v);
+static void seek_unknown(struct view *view);
 
 static void expire(void *arg)
 {
-    struct view *v = arg;
-    mono_time now = loop_now(v->loop);
-    for (guint i = 0; i < v->waiters->len;) {
-        struct view_waiter w = g_array_index(v->waiters, struct view_waiter, i);
-        if (time_before(w.give_up, now)) {
-            g_array_remove_index(v->waiters, i);
-            w.done(w.arg, false);
+    struct view *view = arg;
+    mono_time now = loop_now(view->loop);
+    for (guint i = 0; i < view->waiters->len;) {
+        struct view_waiter waiter = g_array_index(view->waiters, struct view_waiter, i);
+        if (time_before(waiter.give_up, now)) {
+            g_array_remove_index(view->waiters, i);
+            waiter.done(waiter.arg, false);
         } else {
             i++;
         }
     }
-    seek_unknown(v);
-    timer_start(v->loop, &v->expire_timer, 200);
+    seek_unknown(view);
+    timer_start(view->loop, &view->expire_timer, 200);
 }
 
-void view_await(struct view *v, revision at, view_done done, void *arg)
+void view_await(struct view *view, revision at, view_done done, void *arg)
 {
-    if (v->ready && at.v <= v->at.v) {
+    if (view->ready && at.v <= view->at.v) {
         done(arg, true);
         return;
     }
-    struct view_waiter w = {at, time_add_ms(loop_now(v->loop), AWAIT_MS), done, arg};
-    g_array_append_val(v->waiters, w);
+    struct view_waiter waiter = {at, time_add_ms(loop_now(view->loop), AWAIT_MS), done, arg};
+    g_array_append_val(view->waiters, waiter);
 }
 
 struct barrier_wait {
@@ -287,209 +288,210 @@
 
 static void barrier_told(void *arg, bool ok, revision at)
 {
-    struct barrier_wait *b = arg;
+    struct barrier_wait *wait = arg;
     if (ok)
-        view_await(b->view, at, b->done, b->arg);
+        view_await(wait->view, at, wait->done, wait->arg);
     else
-        b->done(b->arg, false);
-    g_free(b);
+        wait->done(wait->arg, false);
+    g_free(wait);
 }
 
-void view_barrier(struct view *v, view_done done, void *arg)
+void view_barrier(struct view *view, view_done done, void *arg)
 {
-    struct barrier_wait *b = g_new(struct barrier_wait, 1);
-    *b = (struct barrier_wait){v, done, arg};
-    store_barrier(v->store, barrier_told, b);
+    struct barrier_wait *wait = g_new(struct barrier_wait, 1);
+    *wait = (struct barrier_wait){view, done, arg};
+    store_barrier(view->store, barrier_told, wait);
 }
 
 /* ---- keys ---- */
 
-static struct job *job_make(struct view *v, const char *id)
+static struct job *job_make(struct view *view, const char *id)
 {
-    struct job *j = view_job(v, id);
-    if (j)
-        return j;
+    struct job *job = view_job(view, id);
+    if (job)
+        return job;
     job_id jid;
     if (!job_id_from(&jid, id))
         return NULL;
-    j = g_new0(struct job, 1);
-    j->id = jid;
-    g_hash_table_insert(v->jobs, j->id.s, j);
-    return j;
+    job = g_new0(struct job, 1);
+    job->id = jid;
+    g_hash_table_insert(view->jobs, job->id.s, job);
+    return job;
 }
 
-static void job_drop_spec(struct job *j)
+static void job_drop_spec(struct job *job)
 {
-    if (j->spec) {
-        spec_clear(j->spec);
-        g_free(j->spec);
+    if (job->spec) {
+        spec_clear(job->spec);
+        g_free(job->spec);
     }
-    j->spec = NULL;
-    if (j->done)
-        g_byte_array_unref(j->done);
-    j->done = NULL;
+    job->spec = NULL;
+    if (job->done)
+        g_byte_array_unref(job->done);
+    job->done = NULL;
 }
 
-bool job_read_final(struct job *j, json_object *value)
+bool job_read_final(struct job *job, json_object *value)
 {
     const char *final;
     uint64_t n = 0;
     if (!json_text(value, "f", &final))
         return false;
     json_u64(value, "n", &n);
-    j->state = strcmp(final, "done") == 0 ? JOB_DONE : JOB_CANCELLED;
-    j->tasks = (uint32_t)n;
-    j->n_done = j->state == JOB_DONE ? j->tasks : 0;
+    job->state = strcmp(final, "done") == 0 ? JOB_DONE : JOB_CANCELLED;
+    job->tasks = (uint32_t)n;
+    job->n_done = job->state == JOB_DONE ? job->tasks : 0;
     uint64_t ended = 0;
     json_u64(value, "e", &ended);
-    j->ended.ms = (int64_t)ended;
+    job->ended.ms = (int64_t)ended;
     return true;
 }
 
 json_object *job_final_value(enum job_state final, uint32_t tasks, wall_time ended)
 {
-    json_object *o = json_object_new_object();
-    json_put_text(o, "f", final == JOB_DONE ? "done" : "cancelled");
-    json_put_u64(o, "n", tasks);
-    json_put_u64(o, "e", (uint64_t)ended.ms);
-    return o;
+    json_object *object = json_object_new_object();
+    json_put_text(object, "f", final == JOB_DONE ? "done" : "cancelled");
+    json_put_u64(object, "n", tasks);
+    json_put_u64(object, "e", (uint64_t)ended.ms);
+    return object;
 }
 
 /* ---- jobs that need others ---- */
 
 static void pipeline_told(void *ctx, const char *id, const struct pipe_facts *facts)
 {
-    struct view *v = ctx;
-    struct job *j = view_job(v, id);
-    if (!j || !j->spec)
+    struct view *view = ctx;
+    struct job *job = view_job(view, id);
+    if (!job || !job->spec)
         return;
-    j->waits = facts->open > 0;
-    j->since.ms = MAX(j->submitted.ms, facts->ready.ms);
-    j->urgency = facts->urgency;
-    j->due = facts->due;
-    if (facts->doomed && j->state == JOB_LIVE) {
+    job->waits = facts->open > 0;
+    job->since.ms = MAX(job->submitted.ms, facts->ready.ms);
+    job->urgency = facts->urgency;
+    job->due = facts->due;
+    if (facts->upstream_cancelled && job->state == JOB_LIVE) {
         /* That is a fact from the moment when the other one was cancelled, without any write. */
-        j->doomed = true;
-        j->state = JOB_CANCELLED;
-        j->cancelled_at = facts->doomed_at;
+        job->upstream_cancelled = true;
+        job->state = JOB_CANCELLED;
+        job->cancelled_at = facts->upstream_cancelled_at;
     }
-    note(v, (struct change){.kind = CHANGE_JOB, .job = j->id});
+    note(view, (struct change){.kind = CHANGE_JOB, .job = job->id});
 }
 
-static struct pipe_own own_of(const struct job *j)
+static struct pipe_own own_of(const struct job *job)
 {
-    const struct spec *s = j->spec;
+    const struct spec *spec = job->spec;
     return (struct pipe_own){
-        .urgency = (int)s->urgency,
-        .due = s->due_s >= 0 ? (wall_time){j->submitted.ms + (int64_t)(s->due_s * 1000)} : NEVER,
-        .run_ms = (int64_t)(s->expected_s * 1000)};
+        .urgency = (int)spec->urgency,
+        .due = spec->due_s >= 0 ? (wall_time){job->submitted.ms + (int64_t)(spec->due_s * 1000)}
+                                : NEVER,
+        .run_ms = (int64_t)(spec->expected_s * 1000)};
 }
 
-static void pipeline_tell(struct view *v, const struct job *j)
+static void pipeline_tell(struct view *view, const struct job *job)
 {
-    if (j->state == JOB_DONE) {
-        pipeline_done(v->pipeline, j->id, j->ended);
-    } else if (j->state == JOB_CANCELLED) {
-        pipeline_cancelled(v->pipeline, j->id, j->cancelled_at);
-    } else if (j->spec) {
-        struct pipe_own own = own_of(j);
-        pipeline_add(v->pipeline, j->id, &own, NULL, 0);
+    if (job->state == JOB_DONE) {
+        pipeline_done(view->pipeline, job->id, job->ended);
+    } else if (job->state == JOB_CANCELLED) {
+        pipeline_cancelled(view->pipeline, job->id, job->cancelled_at);
+    } else if (job->spec) {
+        struct pipe_own own = own_of(job);
+        pipeline_add(view->pipeline, job->id, &own, NULL, 0);
     }
 }
 
 /* A job is read for the first time. */
-static void pipeline_take(struct view *v, struct job *j)
-{
-    const struct spec *s = j->spec;
-    struct pipe_own own = own_of(j);
-    j->since = j->submitted;
-    j->due = own.due;
-    j->urgency = own.urgency;
-    pipeline_add(v->pipeline, j->id, &own, s->awaits, s->n_awaits);
-    for (guint i = 0; i < s->n_awaits; i++) {
-        struct job *other = view_job(v, s->awaits[i].s);
+static void pipeline_take(struct view *view, struct job *job)
+{
+    const struct spec *spec = job->spec;
+    struct pipe_own own = own_of(job);
+    job->since = job->submitted;
+    job->due = own.due;
+    job->urgency = own.urgency;
+    pipeline_add(view->pipeline, job->id, &own, spec->awaits, spec->n_awaits);
+    for (guint i = 0; i < spec->n_awaits; i++) {
+        struct job *other = view_job(view, spec->awaits[i].s);
         if (other && other->known)
-            pipeline_tell(v, other);
+            pipeline_tell(view, other);
     }
 }
 
-static void apply_job(struct view *v, const char *id, json_object *value, revision stamp)
+static void apply_job(struct view *view, const char *id, json_object *value, revision stamp)
 {
-    struct job *j = job_make(v, id);
-    if (!j)
+    struct job *job = job_make(view, id);
+    if (!job)
         return;
     uint64_t submitted = 0;
     bool cancelled = false;
-    if (job_read_final(j, value)) {
-        job_drop_spec(j);
-        if (!j->over)
-            g_queue_push_tail(&v->over, g_strdup(id));
-        j->over = true;
-        j->cancelled_at = j->cancelled_at.v ? j->cancelled_at : stamp;
-        pipeline_tell(v, j);
+    if (job_read_final(job, value)) {
+        job_drop_spec(job);
+        if (!job->over)
+            g_queue_push_tail(&view->over, g_strdup(id));
+        job->over = true;
+        job->cancelled_at = job->cancelled_at.v ? job->cancelled_at : stamp;
+        pipeline_tell(view, job);
     } else if (value) {
         json_flag(value, "c", &cancelled);
         json_u64(value, "t", &submitted);
-        bool first = !j->spec;
-        if (cancelled && j->state != JOB_CANCELLED)
-            j->cancelled_at = stamp;
-        j->state = cancelled || j->doomed ? JOB_CANCELLED : JOB_LIVE;
-        j->submitted.ms = (int64_t)submitted;
-        if (!j->spec) {
-            struct spec s;
+        bool first = !job->spec;
+        if (cancelled && job->state != JOB_CANCELLED)
+            job->cancelled_at = stamp;
+        job->state = cancelled || job->upstream_cancelled ? JOB_CANCELLED : JOB_LIVE;
+        job->submitted.ms = (int64_t)submitted;
+        if (!job->spec) {
+            struct spec spec;
             json_object *w = NULL;
             json_object_object_get_ex(value, "w", &w);
-            if (!codec_spec_read(w, &s) || !codec_awaits_read(w, &s)) {
+            if (!codec_spec_read(w, &spec) || !codec_awaits_read(w, &spec)) {
                 LOG_ERROR("job_unreadable", "job=%s", id);
                 return;
             }
-            j->spec = g_memdup2(&s, sizeof s);
-            j->tasks = s.tasks;
+            job->spec = g_memdup2(&spec, sizeof spec);
+            job->tasks = spec.tasks;
         }
-        j->known = true;
+        job->known = true;
         if (first)
-            pipeline_take(v, j);
-        if (j->state == JOB_CANCELLED)
-            pipeline_tell(v, j);
+            pipeline_take(view, job);
+        if (job->state == JOB_CANCELLED)
+            pipeline_tell(view, job);
     }
-    j->known = value != NULL;
-    j->stamp = stamp;
-    note(v, (struct change){.kind = CHANGE_JOB, .job = j->id});
-}
-
-static void placed_add(struct view *v, struct page *g, struct host_record *h, struct job *j,
-                       uint32_t index, attempt_no attempt)
-{
-    struct placed *p = g_new(struct placed, 1);
-    *p = (struct placed){j, index, attempt, h, g, g->read};
-    g_ptr_array_add(h->tasks, p);
-    g_ptr_array_add(g->tasks, p);
-    if (!j->placed)
-        j->placed = g_hash_table_new(NULL, NULL);
-    g_hash_table_insert(j->placed, GUINT_TO_POINTER(index + 1), p);
-    note(v, (struct change){.kind = CHANGE_PLACED,
-                            .job = j->id,
-                            .index = index,
-                            .attempt = attempt,
-                            .host = h->id});
-}
-
-static void placed_remove(struct view *v, struct placed *p)
-{
-    struct job *j = p->job;
-    struct host_record *h = p->host;
-    if (job_placed(j, p->index) == p)
-        g_hash_table_remove(j->placed, GUINT_TO_POINTER(p->index + 1));
-    if (j->placed && g_hash_table_size(j->placed) == 0) {
-        g_hash_table_unref(j->placed);
-        j->placed = NULL;
+    job->known = value != NULL;
+    job->stamp = stamp;
+    note(view, (struct change){.kind = CHANGE_JOB, .job = job->id});
+}
+
+static void placed_add(struct view *view, struct page *page, struct host_record *record,
+                       struct job *job, uint32_t index, attempt_no attempt)
+{
+    struct placed *placed = g_new(struct placed, 1);
+    *placed = (struct placed){job, index, attempt, record, page, page->read};
+    g_ptr_array_add(record->tasks, placed);
+    g_ptr_array_add(page->tasks, placed);
+    if (!job->placed)
+        job->placed = g_hash_table_new(NULL, NULL);
+    g_hash_table_insert(job->placed, GUINT_TO_POINTER(index + 1), placed);
+    note(view, (struct change){.kind = CHANGE_PLACED,
+                               .job = job->id,
+                               .index = index,
+                               .attempt = attempt,
+                               .host = record->id});
+}
+
+static void placed_remove(struct view *view, struct placed *placed)
+{
+    struct job *job = placed->job;
+    struct host_record *record = placed->host;
+    if (job_placed(job, placed->index) == placed)
+        g_hash_table_remove(job->placed, GUINT_TO_POINTER(placed->index + 1));
+    if (job->placed && g_hash_table_size(job->placed) == 0) {
+        g_hash_table_unref(job->placed);
+        job->placed = NULL;
     }
-    note(v, (struct change){.kind = CHANGE_FREED,
-                            .job = j->id,
-                            .index = p->index,
-                            .attempt = p->attempt,
-                            .host = h->id});
-    g_ptr_array_remove_fast(h->tasks, p); /* frees p */
+    note(view, (struct change){.kind = CHANGE_FREED,
+                               .job = job->id,
+                               .index = placed->index,
+                               .attempt = placed->attempt,
+                               .host = record->id});
+    g_ptr_array_remove_fast(record->tasks, placed); /* frees p */
 }
 
 static void host_copy(json_object *value, const char *field, char *out, size_t size)
@@ -499,50 +501,50 @@
         g_strlcpy(out, s, size);
 }
 
-static struct host_record *host_make(struct view *v, const char *id)
+static struct host_record *host_make(struct view *view, const char *id)
 {
-    struct host_record *h = view_host(v, id);
-    if (h)
-        return h;
+    struct host_record *record = view_host(view, id);
+    if (record)
+        return record;
     host_id hid;
     if (!host_id_from(&hid, id))
         return NULL;
-    h = g_new0(struct host_record, 1);
-    h->id = hid;
-    h->tasks = g_ptr_array_new_with_free_func(g_free);
-    h->images = images_new();
-    g_hash_table_insert(v->hosts, h->id.s, h);
-    return h;
+    record = g_new0(struct host_record, 1);
+    record->id = hid;
+    record->tasks = g_ptr_array_new_with_free_func(g_free);
+    record->images = images_new();
+    g_hash_table_insert(view->hosts, record->id.s, record);
+    return record;
 }
 
 /* Nothing is known any more of a machine that nothing names. */
-static void host_leave(struct view *v, struct host_record *h)
+static void host_leave(struct view *view, struct host_record *record)
 {
-    if (!h->tasks->len && !h->stamp.v && !h->roll)
-        g_hash_table_remove(v->hosts, h->id.s);
+    if (!record->tasks->len && !record->stamp.v && !record->inventory)
+        g_hash_table_remove(view->hosts, record->id.s);
 }
 
 /* {"a":ADDRESS,"b":TYPE,"y":ZONE,"l":SPOT,"i":[IMAGE...]} */
-static void apply_host(struct view *v, const char *id, json_object *value, revision stamp)
+static void apply_host(struct view *view, const char *id, json_object *value, revision stamp)
 {
-    struct host_record *h = value ? host_make(v, id) : view_host(v, id);
-    if (!h)
+    struct host_record *record = value ? host_make(view, id) : view_host(view, id);
+    if (!record)
         return;
-    note(v, (struct change){.kind = CHANGE_HOST, .host = h->id});
-    h->stamp = value ? stamp : (revision){0};
+    note(view, (struct change){.kind = CHANGE_HOST, .host = record->id});
+    record->stamp = value ? stamp : (revision){0};
     if (!value) {
-        host_leave(v, h);
+        host_leave(view, record);
         return;
     }
-    host_copy(value, "a", h->addr, sizeof h->addr);
-    host_copy(value, "b", h->build, sizeof h->build);
-    host_copy(value, "y", h->yard, sizeof h->yard);
-    json_flag(value, "l", &h->loaners);
-    g_clear_pointer(&h->about, g_free);
+    host_copy(value, "a", record->addr, sizeof record->addr);
+    host_copy(value, "b", record->type_name, sizeof record->type_name);
+    host_copy(value, "y", record->zone, sizeof record->zone);
+    json_flag(value, "l", &record->spot);
+    g_clear_pointer(&record->about, g_free);
     json_object *list = json_list(value, "i");
-    g_ptr_array_set_size(h->images, 0);
+    g_ptr_array_set_size(record->images, 0);
     for (size_t i = 0; list && i < json_object_array_length(list); i++)
-        images_add(h->images, json_object_get_string(json_object_array_get_idx(list, i)));
+        images_add(record->images, json_object_get_string(json_object_array_get_idx(list, i)));
 }
 
 /* ---- pages ---- */
@@ -558,35 +560,35 @@
     return true;
 }
 
-const char *view_about(struct view *v, const char *host)
+const char *view_about(struct view *view, const char *host)
 {
-    struct host_record *h = view_host(v, host);
-    if (!h || h->stamp.v || h->roll)
+    struct host_record *record = view_host(view, host);
+    if (!record || record->stamp.v || record->inventory)
         return NULL;
-    if (!h->about)
-        h->about = machine_about(h->addr, h->build, h->yard, h->loaners);
-    return h->about;
+    if (!record->about)
+        record->about = machine_about(record->addr, record->type_name, record->zone, record->spot);
+    return record->about;
 }
 
 static void merge_done(void *ctx, job_id id, uint32_t unit, const GByteArray *bits)
 {
-    struct view *v = ctx;
-    struct job *j = job_make(v, id.s);
-    if (!j || (j->known && !j->spec))
+    struct view *view = ctx;
+    struct job *job = job_make(view, id.s);
+    if (!job || (job->known && !job->spec))
         return;
-    if (!j->done)
-        j->done = g_byte_array_new();
+    if (!job->done)
+        job->done = g_byte_array_new();
     guint base = unit * MARK_BYTES;
-    bits_grow(j->done, base + bits->len);
-    bool news = false;
+    bits_grow(job->done, base + bits->len);
+    bool changed = false;
     for (guint i = 0; i < bits->len; i++) {
-        uint8_t more = bits->data[i] & ~j->done->data[base + i];
-        j->done->data[base + i] |= more;
-        j->n_done += (uint32_t)__builtin_popcount(more);
-        news = news || more;
+        uint8_t more = bits->data[i] & ~job->done->data[base + i];
+        job->done->data[base + i] |= more;
+        job->n_done += (uint32_t)__builtin_popcount(more);
+        changed = changed || more;
     }
-    if (news)
-        note(v, (struct change){.kind = CHANGE_JOB, .job = j->id});
+    if (changed)
+        note(view, (struct change){.kind = CHANGE_JOB, .job = job->id});
 }
 
 /* A task that was read and is not on record yet. */
@@ -597,15 +599,15 @@
     uint32_t index;
 };
 
-static void read_about(struct host_record *h, const char *about)
+static void read_about(struct host_record *record, const char *about)
 {
     char **part = g_strsplit(about, ",", -1);
-    if (!h->stamp.v && g_strv_length(part) == 4) {
-        g_strlcpy(h->addr, part[0], sizeof h->addr);
-        g_strlcpy(h->build, part[1], sizeof h->build);
-        g_strlcpy(h->yard, part[2], sizeof h->yard);
-        h->loaners = strcmp(part[3], "1") == 0;
-        g_clear_pointer(&h->about, g_free);
+    if (!record->stamp.v && g_strv_length(part) == 4) {
+        g_strlcpy(record->addr, part[0], sizeof record->addr);
+        g_strlcpy(record->type_name, part[1], sizeof record->type_name);
+        g_strlcpy(record->zone, part[2], sizeof record->zone);
+        record->spot = strcmp(part[3], "1") == 0;
+        g_clear_pointer(&record->about, g_free);
     }
     g_strfreev(part);
 }
@@ -617,182 +619,182 @@
 };
 
 /* What is known is marked as read, the rest is put by. */
-static void read_task(void *ctx, const struct page_rec *r)
+static void read_task(void *ctx, const struct page_rec *record)
 {
-    struct page_reading *x = ctx;
-    struct page *g = x->page;
-    struct host_record *h = host_make(x->view, r->host.s);
-    struct job *j = job_make(x->view, r->job.s);
-    if (!h || !j)
+    struct page_reading *reading = ctx;
+    struct page *page = reading->page;
+    struct host_record *h = host_make(reading->view, record->host.s);
+    struct job *job = job_make(reading->view, record->job.s);
+    if (!h || !job)
         return;
-    if (r->about)
-        read_about(h, r->about);
-    struct placed *p = job_placed(j, r->index);
-    if (!p || p->host != h || p->attempt.v != r->attempt.v) {
-        struct fresh f = {h, j, r->attempt, r->index};
-        g_array_append_val(x->fresh, f);
+    if (record->about)
+        read_about(h, record->about);
+    struct placed *placed = job_placed(job, record->index);
+    if (!placed || placed->host != h || placed->attempt.v != record->attempt.v) {
+        struct fresh fresh = {h, job, record->attempt, record->index};
+        g_array_append_val(reading->fresh, fresh);
         return;
     }
-    if (p->page != g) { /* it came from another page */
-        g_ptr_array_remove_fast(p->page->tasks, p);
-        g_ptr_array_add(g->tasks, p);
+    if (placed->page != page) { /* it came from another page */
+        g_ptr_array_remove_fast(placed->page->tasks, placed);
+        g_ptr_array_add(page->tasks, placed);
     }
-    p->page = g;
-    p->read = g->read;
+    placed->page = page;
+    placed->read = page->read;
 }
 
-static void apply_page(struct view *v, const char *key, json_object *value, revision stamp)
+static void apply_page(struct view *view, const char *key, json_object *value, revision stamp)
 {
-    struct page *g = g_hash_table_lookup(v->pages, key);
+    struct page *page = g_hash_table_lookup(view->pages, key);
     const char *text = "", *done = "";
-    if (!g) {
+    if (!page) {
         char *label;
         int number;
         if (!value || !key_parts(key, &label, &number))
             return;
-        g = g_new0(struct page, 1);
-        g->key = g_strdup(key);
-        g->label = label;
-        g->number = number;
-        g->tasks = g_ptr_array_new();
-        g_hash_table_insert(v->pages, g->key, g);
+        page = g_new0(struct page, 1);
+        page->key = g_strdup(key);
+        page->label = label;
+        page->number = number;
+        page->tasks = g_ptr_array_new();
+        g_hash_table_insert(view->pages, page->key, page);
     }
-    g->stamp = stamp;
-    g->read++;
+    page->stamp = stamp;
+    page->read++;
     json_text(value, "t", &text);
     json_text(value, "d", &done);
-    g->bytes = strlen(text) + strlen(done);
+    page->bytes = strlen(text) + strlen(done);
     GArray *fresh = g_array_new(FALSE, FALSE, sizeof(struct fresh));
     GHashTable *left = g_hash_table_new(NULL, NULL); /* struct host_record that lost a task */
-    struct page_reading reading = {v, g, fresh};
+    struct page_reading reading = {view, page, fresh};
     page_read(text, read_task, &reading);
-    for (guint i = 0; i < g->tasks->len;) {
-        struct placed *p = g->tasks->pdata[i];
-        if (p->read == g->read) {
+    for (guint i = 0; i < page->tasks->len;) {
+        struct placed *placed = page->tasks->pdata[i];
+        if (placed->read == page->read) {
             i++;
             continue;
         }
-        g_ptr_array_remove_index_fast(g->tasks, i);
-        g_hash_table_add(left, p->host);
-        placed_remove(v, p);
+        g_ptr_array_remove_index_fast(page->tasks, i);
+        g_hash_table_add(left, placed->host);
+        placed_remove(view, placed);
     }
     for (guint i = 0; i < fresh->len; i++) {
         struct fresh *f = &g_array_index(fresh, struct fresh, i);
-        placed_add(v, g, f->host, f->job, f->index, f->attempt);
+        placed_add(view, page, f->host, f->job, f->index, f->attempt);
     }
     g_array_unref(fresh);
     /* Machines whose own record is gone are forgotten with their last task. */
     GHashTableIter it;
-    struct host_record *h;
+    struct host_record *record;
     g_hash_table_iter_init(&it, left);
-    while (g_hash_table_iter_next(&it, (gpointer *)&h, NULL))
-        host_leave(v, h);
+    while (g_hash_table_iter_next(&it, (gpointer *)&record, NULL))
+        host_leave(view, record);
     g_hash_table_unref(left);
-    if (g_strcmp0(done, g->done) != 0) {
-        page_read_done(done, merge_done, v);
-        g_free(g->done);
-        g->done = g_strdup(done);
+    if (g_strcmp0(done, page->done) != 0) {
+        page_read_done(done, merge_done, view);
+        g_free(page->done);
+        page->done = g_strdup(done);
     }
-    struct change c = {.kind = CHANGE_PAGE};
-    g_strlcpy(c.page, key, sizeof c.page);
-    note(v, c);
+    struct change change = {.kind = CHANGE_PAGE};
+    g_strlcpy(change.page, key, sizeof change.page);
+    note(view, change);
     if (!value)
-        g_hash_table_remove(v->pages, key);
+        g_hash_table_remove(view->pages, key);
 }
 
-struct roll_reading {
+struct inventory_reading {
     struct view *view;
-    struct roll *roll;
+    struct inventory *inventory;
 };
 
-static void read_roll(void *ctx, host_id host, const char *about)
+static void read_inventory(void *ctx, host_id host, const char *about)
 {
-    struct roll_reading *x = ctx;
-    struct host_record *h = host_make(x->view, host.s);
-    if (!h || h->roll == x->roll)
+    struct inventory_reading *reading = ctx;
+    struct host_record *record = host_make(reading->view, host.s);
+    if (!record || record->inventory == reading->inventory)
         return;
-    read_about(h, about);
-    if (h->roll)
-        g_ptr_array_remove_fast(h->roll->hosts, h);
-    h->roll = x->roll;
-    g_ptr_array_add(x->roll->hosts, h);
+    read_about(record, about);
+    if (record->inventory)
+        g_ptr_array_remove_fast(record->inventory->hosts, record);
+    record->inventory = reading->inventory;
+    g_ptr_array_add(reading->inventory->hosts, record);
 }
 
-static void apply_roll(struct view *v, const char *key, json_object *value, revision stamp)
+static void apply_inventory(struct view *view, const char *key, json_object *value, revision stamp)
 {
-    struct roll *r = g_hash_table_lookup(v->rolls, key);
+    struct inventory *inventory = g_hash_table_lookup(view->inventories, key);
     const char *text = "";
-    if (!r) {
+    if (!inventory) {
         char *label;
         int number;
         if (!value || !key_parts(key, &label, &number))
             return;
-        r = g_new0(struct roll, 1);
-        r->key = g_strdup(key);
-        r->label = label;
-        r->number = number;
-        r->hosts = g_ptr_array_new();
-        g_hash_table_insert(v->rolls, r->key, r);
+        inventory = g_new0(struct inventory, 1);
+        inventory->key = g_strdup(key);
+        inventory->label = label;
+        inventory->number = number;
+        inventory->hosts = g_ptr_array_new();
+        g_hash_table_insert(view->inventories, inventory->key, inventory);
     }
-    r->stamp = stamp;
-    GPtrArray *before = r->hosts;
-    r->hosts = g_ptr_array_new();
+    inventory->stamp = stamp;
+    GPtrArray *before = inventory->hosts;
+    inventory->hosts = g_ptr_array_new();
     for (guint i = 0; i < before->len; i++)
-        ((struct host_record *)before->pdata[i])->roll = NULL;
-    struct roll_reading reading = {v, r};
+        ((struct host_record *)before->pdata[i])->inventory = NULL;
+    struct inventory_reading reading = {view, inventory};
     json_text(value, "a", &text);
-    page_read_about(text, read_roll, &reading);
+    page_read_about(text, read_inventory, &reading);
     for (guint i = 0; i < before->len; i++)
-        host_leave(v, before->pdata[i]);
+        host_leave(view, before->pdata[i]);
     g_ptr_array_unref(before);
-    struct change c = {.kind = CHANGE_ROLL};
-    g_strlcpy(c.page, key, sizeof c.page);
-    note(v, c);
+    struct change change = {.kind = CHANGE_ROLL};
+    g_strlcpy(change.page, key, sizeof change.page);
+    note(view, change);
     if (!value)
-        g_hash_table_remove(v->rolls, key);
+        g_hash_table_remove(view->inventories, key);
 }
 
-static void apply_node(struct view *v, const char *label, json_object *value, revision stamp)
+static void apply_node(struct view *view, const char *label, json_object *value, revision stamp)
 {
     if (!value) {
-        g_hash_table_remove(v->nodes, label);
+        g_hash_table_remove(view->nodes, label);
     } else {
-        struct node_record *n = g_new0(struct node_record, 1);
-        n->label = g_strdup(label);
-        n->stamp = stamp;
-        json_u64(value, "i", &n->incarnation.v);
-        host_copy(value, "b", n->back, sizeof n->back);
-        json_u64(value, "v", &n->version);
-        g_hash_table_replace(v->nodes, n->label, n);
+        struct node_record *node_record = g_new0(struct node_record, 1);
+        node_record->label = g_strdup(label);
+        node_record->stamp = stamp;
+        json_u64(value, "i", &node_record->incarnation.v);
+        host_copy(value, "b", node_record->back, sizeof node_record->back);
+        json_u64(value, "v", &node_record->version);
+        g_hash_table_replace(view->nodes, node_record->label, node_record);
     }
-    note(v, (struct change){.kind = CHANGE_NODES});
+    note(view, (struct change){.kind = CHANGE_NODES});
 }
 
-static void apply_version(struct view *v, const char *label, json_object *value)
+static void apply_version(struct view *view, const char *label, json_object *value)
 {
     uint64_t version = 0;
     if (json_u64(value, "v", &version))
-        g_hash_table_replace(v->spoken, g_strdup(label), GUINT_TO_POINTER((guint)version));
+        g_hash_table_replace(view->spoken, g_strdup(label), GUINT_TO_POINTER((guint)version));
     else
-        g_hash_table_remove(v->spoken, label);
-    note(v, (struct change){.kind = CHANGE_NODES});
+        g_hash_table_remove(view->spoken, label);
+    note(view, (struct change){.kind = CHANGE_NODES});
 }
 
-static void apply_leader(struct view *v, json_object *value, revision stamp)
+static void apply_leader(struct view *view, json_object *value, revision stamp)
 {
     const char *label = NULL;
-    g_free(v->leader);
-    v->leader = NULL;
-    v->leader_incarnation.v = 0;
-    v->leader_stamp = value ? stamp : (revision){0};
+    g_free(view->leader);
+    view->leader = NULL;
+    view->leader_incarnation.v = 0;
+    view->leader_stamp = value ? stamp : (revision){0};
     if (value && json_text(value, "n", &label)) {
-        v->leader = g_strdup(label);
-        json_u64(value, "i", &v->leader_incarnation.v);
+        view->leader = g_strdup(label);
+        json_u64(value, "i", &view->leader_incarnation.v);
     }
-    note(v, (struct change){.kind = CHANGE_LEADER});
+    note(view, (struct change){.kind = CHANGE_LEADER});
 }
 
-static void apply_map(struct view *v, json_object *value, revision stamp)
+static void apply_map(struct view *view, json_object *value, revision stamp)
 {
     json_object *list = json_list(value, "n");
     uint64_t epoch = 0;
@@ -800,20 +802,20 @@
         LOG_ERROR("map_unreadable", "stamp=%" G_GUINT64_FORMAT, stamp.v);
         return;
     }
-    v->epoch.v = epoch;
-    v->map_stamp = stamp;
-    g_array_set_size(v->map, 0);
+    view->epoch.v = epoch;
+    view->map_stamp = stamp;
+    g_array_set_size(view->map, 0);
     for (size_t i = 0; i < json_object_array_length(list); i++) {
-        json_object *o = json_object_array_get_idx(list, i);
+        json_object *object = json_object_array_get_idx(list, i);
         const char *label;
-        struct map_entry e = {0};
-        if (!json_text(o, "n", &label) || !json_u64(o, "i", &e.incarnation.v))
+        struct map_entry entry = {0};
+        if (!json_text(object, "n", &label) || !json_u64(object, "i", &entry.incarnation.v))
             continue;
-        e.label = g_strdup(label);
-        g_array_append_val(v->map, e);
+        entry.label = g_strdup(label);
+        g_array_append_val(view->map, entry);
     }
     log_set_epoch(epoch);
-    note(v, (struct change){.kind = CHANGE_MAP});
+    note(view, (struct change){.kind = CHANGE_MAP});
 }
 
 struct type_part {
@@ -823,30 +825,30 @@
 
 static void type_part_free(gpointer q)
 {
-    struct type_part *t = q;
-    json_object_put(t->value);
-    g_free(t);
+    struct type_part *part = q;
+    json_object_put(part->value);
+    g_free(part);
 }
 
 /* The parts of a list that is too long for one value are written together: those that were not
  * belong to an earlier one. */
-static void apply_types(struct view *v, const char *key, json_object *value, revision stamp)
+static void apply_types(struct view *view, const char *key, json_object *value, revision stamp)
 {
     if (!value) {
-        g_hash_table_remove(v->type_parts, key);
+        g_hash_table_remove(view->type_parts, key);
         return;
     }
     struct type_part *part = g_new(struct type_part, 1);
     *part = (struct type_part){json_object_get(value), stamp};
-    g_hash_table_replace(v->type_parts, g_strdup(key), part);
-    struct type_part *first = g_hash_table_lookup(v->type_parts, KEY_TYPES);
+    g_hash_table_replace(view->type_parts, g_strdup(key), part);
+    struct type_part *first = g_hash_table_lookup(view->type_parts, KEY_TYPES);
     uint64_t more = 0;
     json_u64(first ? first->value : NULL, "more", &more);
     json_object *whole = json_object_new_object(), *list = json_object_new_array();
     bool all = first != NULL;
     for (uint64_t i = 0; all && i <= more; i++) {
         char *name = i ? g_strdup_printf(KEY_TYPES "/%" G_GUINT64_FORMAT, i) : g_strdup(KEY_TYPES);
-        struct type_part *x = g_hash_table_lookup(v->type_parts, name);
+        struct type_part *x = g_hash_table_lookup(view->type_parts, name);
         json_object *some = x ? json_list(x->value, "Builds") : NULL;
         all = some && x->stamp.v == first->stamp.v;
         for (size_t k = 0; all && k < json_object_array_length(some); k++)
@@ -858,44 +860,44 @@
     json_object_put(whole);
     if (!types)
         return;
-    if (v->types)
-        g_array_unref(v->types);
-    v->types = types;
-    note(v, (struct change){.kind = CHANGE_TYPES});
+    if (view->types)
+        g_array_unref(view->types);
+    view->types = types;
+    note(view, (struct change){.kind = CHANGE_TYPES});
 }
 
 /* value NULL: the key was removed. */
-static void apply(struct view *v, const char *key, json_object *value, revision stamp)
+static void apply(struct view *view, const char *key, json_object *value, revision stamp)
 {
-    revision *have = g_hash_table_lookup(v->stamps, key);
+    revision *have = g_hash_table_lookup(view->stamps, key);
     if (have && have->v >= stamp.v && value)
         return; /* read already, in a page that was newer than the watch */
     if (have && have->v > stamp.v)
         return;
     if (value)
-        g_hash_table_replace(v->stamps, g_strdup(key), g_memdup2(&stamp, sizeof stamp));
+        g_hash_table_replace(view->stamps, g_strdup(key), g_memdup2(&stamp, sizeof stamp));
     else
-        g_hash_table_remove(v->stamps, key);
+        g_hash_table_remove(view->stamps, key);
     if (g_str_has_prefix(key, "ll/j/"))
-        apply_job(v, key + 5, value, stamp);
+        apply_job(view, key + 5, value, stamp);
     else if (g_str_has_prefix(key, "ll/h/"))
-        apply_host(v, key + 5, value, stamp);
+        apply_host(view, key + 5, value, stamp);
     else if (g_str_has_prefix(key, "ll/p/"))
-        apply_page(v, key, value, stamp);
+        apply_page(view, key, value, stamp);
     else if (g_str_has_prefix(key, "ll/m/") && value)
-        v->older = true;
+        view->older = true;
     else if (g_str_has_prefix(key, "ll/n/"))
-        apply_node(v, key + 5, value, stamp);
+        apply_node(view, key + 5, value, stamp);
     else if (g_str_has_prefix(key, "ll/a/"))
-        apply_roll(v, key, value, stamp);
+        apply_inventory(view, key, value, stamp);
     else if (g_str_has_prefix(key, "ll/v/"))
-        apply_version(v, key + 5, value);
+        apply_version(view, key + 5, value);
     else if (strcmp(key, KEY_LEADER) == 0)
-        apply_leader(v, value, stamp);
+        apply_leader(view, value, stamp);
     else if (strcmp(key, KEY_MAP) == 0)
-        apply_map(v, value, stamp);
+        apply_map(view, value, stamp);
     else if (g_str_has_prefix(key, KEY_TYPES))
-        apply_types(v, key, value, stamp);
+        apply_types(view, key, value, stamp);
 }
 
 /* ---- jobs that others need and that are not in memory ---- */
@@ -907,49 +909,52 @@
     job_id job;
 };
 
-static void sought(void *arg, const struct net_answer *a)
+static void sought(void *arg, const struct net_answer *answer)
 {
-    struct seek *s = arg;
-    struct view *v = s->view;
-    json_object *o = a->status == 200 ? json_read(a->body, a->len) : NULL, *value = NULL;
+    struct seek *seek = arg;
+    struct view *view = seek->view;
+    json_object *object = answer->status == 200 ? json_read(answer->body, answer->len) : NULL,
+                *value = NULL;
     revision stamp;
-    v->sought--;
-    if (json_object_object_get_ex(o, "V", &value) && json_u64(o, "Stamp", &stamp.v) && value) {
-        char *key = key_job(s->job);
-        apply(v, key, value, stamp);
-        publish(v);
+    view->sought--;
+    if (json_object_object_get_ex(object, "V", &value) && json_u64(object, "Stamp", &stamp.v) &&
+        value) {
+        char *key = key_job(seek->job);
+        apply(view, key, value, stamp);
+        publish(view);
         g_free(key);
     }
-    json_object_put(o);
-    g_free(s);
+    json_object_put(object);
+    g_free(seek);
 }
 
 static void seek_one(void *ctx, job_id id)
 {
-    struct view *v = ctx;
-    if (v->sought >= MOST_SOUGHT)
+    struct view *view = ctx;
+    if (view->sought >= MOST_SOUGHT)
         return;
-    struct seek *s = g_new(struct seek, 1);
-    *s = (struct seek){v, id};
-    v->sought++;
+    struct seek *seek = g_new(struct seek, 1);
+    *seek = (struct seek){view, id};
+    view->sought++;
     char *key = key_job(id);
-    store_read(v->store, LANE_NORMAL, key, ANSWER_MS, 10000, sought, s);
+    store_read(view->store, LANE_NORMAL, key, ANSWER_MS, 10000, sought, seek);
     g_free(key);
 }
 
 /* A job that another one needs may have been over for so long that it was not kept. */
-static void seek_unknown(struct view *v)
+static void seek_unknown(struct view *view)
 {
-    mono_time now = loop_now(v->loop);
-    if (!v->ready || v->reload_seen || v->sought || time_ms_since(now, v->sought_at) < SEEK_MS)
+    mono_time now = loop_now(view->loop);
+    if (!view->ready || view->reload_seen || view->sought ||
+        time_ms_since(now, view->sought_at) < SEEK_MS)
         return;
-    v->sought_at = now;
-    pipeline_each_unknown(v->pipeline, seek_one, v);
+    view->sought_at = now;
+    pipeline_each_unknown(view->pipeline, seek_one, view);
 }
 
 /* ---- reading everything ---- */
 
-static void reload_page(struct view *v);
+static void reload_page(struct view *view);
 
 /* Keys of jobs are never removed, and there may be very many. */
 static bool is_job_key(const char *key)
@@ -957,20 +962,20 @@
     return g_str_has_prefix(key, "ll/j/");
 }
 
-static void reload_answered(void *arg, const struct net_answer *a)
+static void reload_answered(void *arg, const struct net_answer *answer)
 {
-    struct view *v = arg;
-    json_object *o = a->status == 200 ? json_read(a->body, a->len) : NULL;
+    struct view *view = arg;
+    json_object *o = answer->status == 200 ? json_read(answer->body, answer->len) : NULL;
     json_object *items = json_list(o, "Items");
     uint64_t ledger;
     bool more;
     if (!items || !json_u64(o, "Ledger", &ledger) || !json_flag(o, "More", &more)) {
         json_object_put(o);
-        timer_start(v->loop, &v->watch_timer, RETRY_MS);
+        timer_start(view->loop, &view->watch_timer, RETRY_MS);
         return;
     }
-    if (!v->reload_from)
-        v->reload_base.v = ledger; /* the watch starts where the first page stood */
+    if (!view->reload_from)
+        view->reload_base.v = ledger; /* the watch starts where the first page stood */
     const char *key = NULL;
     for (size_t i = 0; i < json_object_array_length(items); i++) {
         json_object *x = json_object_array_get_idx(items, i), *value = NULL;
@@ -979,15 +984,15 @@
         if (!json_text(x, "K", &key) || !json_u64(x, "Stamp", &stamp.v) || !value)
             continue;
         if (!is_job_key(key))
-            g_hash_table_add(v->reload_seen, g_strdup(key));
-        apply(v, key, value, stamp);
+            g_hash_table_add(view->reload_seen, g_strdup(key));
+        apply(view, key, value, stamp);
     }
-    forget_over(v);
+    forget_over(view);
     if (more && key) {
-        g_free(v->reload_from);
-        v->reload_from = g_strdup(key);
+        g_free(view->reload_from);
+        view->reload_from = g_strdup(key);
         json_object_put(o);
-        reload_page(v);
+        reload_page(view);
         return;
     }
     json_object_put(o);
@@ -995,99 +1000,100 @@
     GHashTableIter it;
     char *old;
     GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
-    g_hash_table_iter_init(&it, v->stamps);
+    g_hash_table_iter_init(&it, view->stamps);
     while (g_hash_table_iter_next(&it, (gpointer *)&old, NULL))
-        if (!is_job_key(old) && !g_hash_table_contains(v->reload_seen, old))
+        if (!is_job_key(old) && !g_hash_table_contains(view->reload_seen, old))
             g_ptr_array_add(gone, g_strdup(old));
     for (guint i = 0; i < gone->len; i++) {
-        revision *have = g_hash_table_lookup(v->stamps, gone->pdata[i]);
-        apply(v, gone->pdata[i], NULL, *have);
+        revision *have = g_hash_table_lookup(view->stamps, gone->pdata[i]);
+        apply(view, gone->pdata[i], NULL, *have);
     }
     g_ptr_array_unref(gone);
-    g_hash_table_unref(v->reload_seen);
-    v->reload_seen = NULL;
-    g_clear_pointer(&v->reload_from, g_free);
-    v->at = v->reload_base;
-    v->before = v->fresh;
-    v->fresh = v->asked;
+    g_hash_table_unref(view->reload_seen);
+    view->reload_seen = NULL;
+    g_clear_pointer(&view->reload_from, g_free);
+    view->at = view->reload_base;
+    view->before = view->fresh;
+    view->fresh = view->asked;
     /* Run records of a version that wrote them otherwise: acting without them would start tasks
      * twice. */
-    if (v->older)
+    if (view->older)
         LOG_ERROR("older_records", "keys below ll/m/ are of an earlier version; see operations.md");
-    v->ready = !v->older;
-    note(v, (struct change){.kind = CHANGE_RELOADED});
-    LOG_INFO("view_read", "revision=%" G_GUINT64_FORMAT " keys=%u", v->at.v,
-             g_hash_table_size(v->stamps));
-    publish(v);
-    watch_go(v);
+    view->ready = !view->older;
+    note(view, (struct change){.kind = CHANGE_RELOADED});
+    LOG_INFO("view_read", "revision=%" G_GUINT64_FORMAT " keys=%u", view->at.v,
+             g_hash_table_size(view->stamps));
+    publish(view);
+    watch_go(view);
 }
 
-static void reload_page(struct view *v)
+static void reload_page(struct view *view)
 {
-    char *path = v->reload_from ? g_strdup_printf("/keys?Starts=" KEY_ROOT "&From=%s&Page=%d",
-                                                  v->reload_from, PAGE)
-                                : g_strdup_printf("/keys?Starts=" KEY_ROOT "&Page=%d", PAGE);
-    store_request(v->store, LANE_WATCH, "GET", path, NULL, ANSWER_MS, 10000, 0, reload_answered, v);
+    char *path = view->reload_from ? g_strdup_printf("/keys?Starts=" KEY_ROOT "&From=%s&Page=%d",
+                                                     view->reload_from, PAGE)
+                                   : g_strdup_printf("/keys?Starts=" KEY_ROOT "&Page=%d", PAGE);
+    store_request(view->store, LANE_WATCH, "GET", path, NULL, ANSWER_MS, 10000, 0, reload_answered,
+                  view);
     g_free(path);
 }
 
-static void reload(struct view *v)
+static void reload(struct view *view)
 {
-    if (!v->reload_seen) {
-        v->reload_seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-        v->asked = loop_now(v->loop);
+    if (!view->reload_seen) {
+        view->reload_seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        view->asked = loop_now(view->loop);
     }
-    reload_page(v);
+    reload_page(view);
 }
 
 /* ---- the watch ---- */
 
-static void watch_send(struct view *v);
+static void watch_send(struct view *view);
 
 /* An answer to a watch holds all that has changed, however much that is. After a pause it may be
  * more than the process has memory for, while the keys themselves come in pages. */
-static uint64_t most_missed(const struct view *v)
+static uint64_t most_missed(const struct view *view)
 {
-    const struct store_limits *l = store_limits(v->store);
-    return MAX(l->answer_bytes / (VALUES * MAX(l->value_bytes, 1)), FEW_MISSED);
+    const struct store_limits *limits = store_limits(view->store);
+    return MAX(limits->answer_bytes / (VALUES * MAX(limits->value_bytes, 1)), FEW_MISSED);
 }
 
-static void gap_answered(void *arg, const struct net_answer *a)
+static void gap_answered(void *arg, const struct net_answer *answer)
 {
-    struct view *v = arg;
-    json_object *o = a->status == 200 ? json_read(a->body, a->len) : NULL;
+    struct view *view = arg;
+    json_object *object = answer->status == 200 ? json_read(answer->body, answer->len) : NULL;
     uint64_t ledger;
-    bool ok = json_u64(o, "Ledger", &ledger);
-    json_object_put(o);
+    bool ok = json_u64(object, "Ledger", &ledger);
+    json_object_put(object);
     if (!ok) {
-        timer_start(v->loop, &v->watch_timer, RETRY_MS);
-    } else if (ledger > v->at.v + most_missed(v)) {
+        timer_start(view->loop, &view->watch_timer, RETRY_MS);
+    } else if (ledger > view->at.v + most_missed(view)) {
         LOG_INFO("watch_behind", "revision=%" G_GUINT64_FORMAT " newest=%" G_GUINT64_FORMAT,
-                 v->at.v, ledger);
-        reload(v);
+                 view->at.v, ledger);
+        reload(view);
     } else {
-        watch_send(v);
+        watch_send(view);
     }
 }
 
-static void watch_answered(void *arg, const struct net_answer *a)
+static void watch_answered(void *arg, const struct net_answer *answer)
 {
-    struct view *v = arg;
-    if (a->status == 410) {
-        LOG_INFO("watch_too_old", "revision=%" G_GUINT64_FORMAT, v->at.v);
-        reload(v);
+    struct view *view = arg;
+    if (answer->status == 410) {
+        LOG_INFO("watch_too_old", "revision=%" G_GUINT64_FORMAT, view->at.v);
+        reload(view);
         return;
     }
-    json_object *o = a->status == 200 ? json_read(a->body, a->len) : NULL;
-    json_object *news = json_list(o, "News");
+    json_object *o = answer->status == 200 ? json_read(answer->body, answer->len) : NULL;
+    json_object *changed = json_list(o, "News");
     uint64_t ledger;
-    if (!news || !json_u64(o, "Ledger", &ledger)) {
+    if (!changed || !json_u64(o, "Ledger", &ledger)) {
         json_object_put(o);
-        timer_start(v->loop, &v->watch_timer, RETRY_MS);
+        timer_start(view->loop, &view->watch_timer, RETRY_MS);
         return;
     }
-    for (size_t i = 0; i < json_object_array_length(news); i++) {
-        json_object *x = json_object_array_get_idx(news, i), *value = NULL;
+    for (size_t i = 0; i < json_object_array_length(changed); i++) {
+        json_object *x = json_object_array_get_idx(changed, i), *value = NULL;
         const char *key;
         revision stamp;
         if (!json_u64(x, "Stamp", &stamp.v))
@@ -1095,51 +1101,53 @@
         if (json_text(x, "Set", &key)) {
             json_object_object_get_ex(x, "V", &value);
             if (value)
-                apply(v, key, value, stamp);
+                apply(view, key, value, stamp);
         } else if (json_text(x, "Remove", &key)) {
-            apply(v, key, NULL, stamp);
+            apply(view, key, NULL, stamp);
         }
     }
-    v->at.v = MAX(v->at.v, ledger);
-    v->before = v->fresh;
-    v->fresh = v->asked;
+    view->at.v = MAX(view->at.v, ledger);
+    view->before = view->fresh;
+    view->fresh = view->asked;
     json_object_put(o);
-    publish(v);
-    watch_go(v);
+    publish(view);
+    watch_go(view);
 }
 
 /* Each answer to a watch costs a request to open the next. Under many changes they are let gather
  * a little, so that three nodes' watches leave most of the budget to the writes. */
 static void watch_go(void *arg)
 {
-    struct view *v = arg;
-    if (!v->ready || v->reload_seen) {
-        reload(v);
+    struct view *view = arg;
+    if (!view->ready || view->reload_seen) {
+        reload(view);
         return;
     }
-    const struct store_limits *l = store_limits(v->store);
-    mono_time now = loop_now(v->loop);
-    double rate = l->rps * 0.5 / MAX(l->nodes, 1);
-    v->watch_level = MIN(rate / 4, v->watch_level + rate * (double)(now.us - v->watch_at.us) / 1e6);
-    v->watch_at = now;
-    if (v->watch_level < 1) {
-        timer_start(v->loop, &v->watch_timer, (int64_t)((1 - v->watch_level) / rate * 1000) + 1);
+    const struct store_limits *limits = store_limits(view->store);
+    mono_time now = loop_now(view->loop);
+    double rate = limits->rps * 0.5 / MAX(limits->nodes, 1);
+    view->watch_level =
+        MIN(rate / 4, view->watch_level + rate * (double)(now.us - view->watch_at.us) / 1e6);
+    view->watch_at = now;
+    if (view->watch_level < 1) {
+        timer_start(view->loop, &view->watch_timer,
+                    (int64_t)((1 - view->watch_level) / rate * 1000) + 1);
         return;
     }
-    v->watch_level -= 1;
-    if (time_ms_since(now, v->fresh) > PAUSE_MS)
-        store_request(v->store, LANE_WATCH, "GET", "/keys?Starts=" KEY_MAP "&Page=1", NULL,
-                      ANSWER_MS, 10000, 0, gap_answered, v);
+    view->watch_level -= 1;
+    if (time_ms_since(now, view->fresh) > PAUSE_MS)
+        store_request(view->store, LANE_WATCH, "GET", "/keys?Starts=" KEY_MAP "&Page=1", NULL,
+                      ANSWER_MS, 10000, 0, gap_answered, view);
     else
-        watch_send(v);
+        watch_send(view);
 }
 
-static void watch_send(struct view *v)
+static void watch_send(struct view *view)
 {
-    v->asked = loop_now(v->loop);
+    view->asked = loop_now(view->loop);
     char *path = g_strdup_printf("/watch?Starts=" KEY_ROOT "&From=%" G_GUINT64_FORMAT "&BlockMs=%d",
-                                 v->at.v, BLOCK_MS);
-    store_request(v->store, LANE_WATCH, "GET", path, NULL, BLOCK_MS + 1500, 10000, 0,
-                  watch_answered, v);
+                                 view->at.v, BLOCK_MS);
+    store_request(view->store, LANE_WATCH, "GET", path, NULL, BLOCK_MS + 1500, 10000, 0,
+                  watch_answered, view);
     g_free(path);
 }
--- a/src/view.h
+++ b/src/view.h
@@ -36,7 +36,7 @@
     wall_time due;   /* by which it has to be done, also for those that need it */
     int urgency;     /* the highest of its own and of those that need it */
     bool waits;      /* for jobs that it needs: no task of it may start */
-    bool doomed;     /* a job that it needs is cancelled, and so it is */
+    bool upstream_cancelled; /* a job that it needs is cancelled, and so it is */
     revision cancelled_at;
     GByteArray *done; /* a bit a task; NULL when none is */
     uint32_t tasks, n_done;
@@ -55,18 +55,18 @@
 
 struct host_record {
     host_id id;
-    char addr[24], build[48], yard[48];
-    bool loaners;
-    revision stamp;    /* 0: only pages name it */
-    GPtrArray *tasks;  /* struct placed */
-    GPtrArray *images; /* interned names of what was fetched before, the newest last */
-    char *about;       /* see view_about */
-    struct roll *roll; /* that says what it is; NULL: none does */
+    char addr[24], type_name[48], zone[48];
+    bool spot;
+    revision stamp;              /* 0: only pages name it */
+    GPtrArray *tasks;            /* struct placed */
+    GPtrArray *images;           /* interned names of what was fetched before, the newest last */
+    char *about;                 /* see view_about */
+    struct inventory *inventory; /* that says what it is; NULL: none does */
 };
 
 /* A list of machines and what they are, of one node: as long as it stands, pages need not say it.
  */
-struct roll {
+struct inventory {
     char *key, *label;
     int number;
     revision stamp;
@@ -127,14 +127,14 @@
     bool ready;
     bool older; /* there are records of an earlier version */
     revision at;
-    mono_time fresh;    /* the view was the newest then */
-    mono_time before;   /* and the one before then: what is new here came after that */
-    GHashTable *jobs;   /* id -> struct job */
-    GHashTable *hosts;  /* id -> struct host_record */
-    GHashTable *pages;  /* key -> struct page */
-    GHashTable *rolls;  /* key -> struct roll */
-    GHashTable *nodes;  /* label -> struct node_record */
-    GHashTable *spoken; /* label -> version that a process of it has said it understands */
+    mono_time fresh;         /* the view was the newest then */
+    mono_time before;        /* and the one before then: what is new here came after that */
+    GHashTable *jobs;        /* id -> struct job */
+    GHashTable *hosts;       /* id -> struct host_record */
+    GHashTable *pages;       /* key -> struct page */
+    GHashTable *inventories; /* key -> struct roll */
+    GHashTable *nodes;       /* label -> struct node_record */
+    GHashTable *spoken;      /* label -> version that a process of it has said it understands */
     struct pipeline *pipeline;
     char *leader; /* label, or NULL */
     lease_id leader_incarnation;
@@ -168,34 +168,34 @@
 enum { MSG_VIEW = 100 };
 
 struct view *view_new(struct loop *loop, struct store *store);
-void view_free(struct view *v);
-void view_listen(struct view *v, struct actor *listener);
-void view_start(struct view *v);
-
-struct job *view_job(struct view *v, const char *id);
-struct host_record *view_host(struct view *v, const char *id);
-struct placed *job_placed(const struct job *j, uint32_t index);
-bool job_task_done(const struct job *j, uint32_t index);
+void view_free(struct view *view);
+void view_listen(struct view *view, struct actor *listener);
+void view_start(struct view *view);
+
+struct job *view_job(struct view *view, const char *id);
+struct host_record *view_host(struct view *view, const char *id);
+struct placed *job_placed(const struct job *job, uint32_t index);
+bool job_task_done(const struct job *job, uint32_t index);
 /* What is kept of a job that is over; false when the value is of one that is not. */
-bool job_read_final(struct job *j, json_object *value);
+bool job_read_final(struct job *job, json_object *value);
 /* The value of a job that is over. */
 json_object *job_final_value(enum job_state final, uint32_t tasks, wall_time ended);
 
 /* Calls back once the view is at or past a revision that was the newest after this call; ok is
  * false when that takes too long. */
 typedef void (*view_done)(void *arg, bool ok);
-void view_barrier(struct view *v, view_done done, void *arg);
+void view_barrier(struct view *view, view_done done, void *arg);
 /* The same for a revision that is known. */
-void view_await(struct view *v, revision at, view_done done, void *arg);
+void view_await(struct view *view, revision at, view_done done, void *arg);
 
 char *key_job(job_id id);
 char *key_host(host_id id);
 char *key_node(const char *label);
 char *key_version(const char *label);
 char *key_page(const char *label, int number);
-char *key_roll(const char *label, int number);
+char *key_inventory(const char *label, int number);
 
 /* What a page has to say of a machine, as far as the view knows it; NULL: nothing. */
-const char *view_about(struct view *v, const char *host);
+const char *view_about(struct view *view, const char *host);
 
 #endif
--- a/tests/test_arq.c
+++ b/tests/test_arq.c
@@ -38,32 +38,32 @@
 static void the_switch_rule_compares_what_is_left_of_the_slack(void **state)
 {
     (void)state;
-    struct arq_terms t = {.run_s = 100,
-                          .wait_own = 2,
-                          .quality_own = 3,
-                          .quality_next = 4,
-                          .chance_own = 0.5,
-                          .chance_next = 0.3};
-    assert_int_equal(arq_switch(&t), ARQ_STAY);
-    t.chance_next = 0.4;
-    assert_int_equal(arq_switch(&t), ARQ_SWITCH);
+    struct arq_terms terms = {.run_s = 100,
+                              .wait_own = 2,
+                              .quality_own = 3,
+                              .quality_next = 4,
+                              .chance_own = 0.5,
+                              .chance_next = 0.3};
+    assert_int_equal(arq_switch(&terms), ARQ_STAY);
+    terms.chance_next = 0.4;
+    assert_int_equal(arq_switch(&terms), ARQ_SWITCH);
     /* Equal terms favour the own class. */
-    t.chance_own = t.chance_next = 0;
-    assert_int_equal(arq_switch(&t), ARQ_STAY);
+    terms.chance_own = terms.chance_next = 0;
+    assert_int_equal(arq_switch(&terms), ARQ_STAY);
 }
 
 /* 0.05 * 100 = 5: 2 + 2.9 is within it, 2 + 3 is not; with P = 1 neither is 2 + 2. */
 static void the_wait_is_bounded_by_the_tolerated_slowdown(void **state)
 {
     (void)state;
-    struct arq_terms t = {
+    struct arq_terms terms = {
         .run_s = 100, .wait_own = 2, .wait_next = 2.9, .quality_own = 1, .quality_next = 1};
-    assert_int_equal(arq_switch(&t), ARQ_STAY);
-    t.wait_next = 3;
-    assert_int_equal(arq_switch(&t), ARQ_TAKE);
-    t.wait_next = 2;
-    t.classify_s = 1;
-    assert_int_equal(arq_switch(&t), ARQ_TAKE);
+    assert_int_equal(arq_switch(&terms), ARQ_STAY);
+    terms.wait_next = 3;
+    assert_int_equal(arq_switch(&terms), ARQ_TAKE);
+    terms.wait_next = 2;
+    terms.classify_s = 1;
+    assert_int_equal(arq_switch(&terms), ARQ_TAKE);
     near(arq_patience(100, 1), 4);
     near(arq_patience(10, 1), 0);
 }
@@ -73,11 +73,11 @@
 static void the_free_chance_is_one_minus_all_stay_busy(void **state)
 {
     (void)state;
-    struct arq_busy b = {0};
+    struct arq_busy busy = {0};
     double ages[] = {3, 8};
-    near(arq_busy_stays(&b, 3, 5, 10), 0.60653066);
-    near(arq_free_chance(&b, ages, 2, 5, 10), 0.63212056);
-    near(arq_free_chance(&b, ages, 0, 5, 10), 0);
+    near(arq_busy_stays(&busy, 3, 5, 10), 0.60653066);
+    near(arq_free_chance(&busy, ages, 2, 5, 10), 0.63212056);
+    near(arq_free_chance(&busy, ages, 0, 5, 10), 0);
 }
 
 /* Half of the samples e^2 s, half e^4 s: the logs' mean is 3, their deviation (n = 8) sqrt(8/7).
@@ -85,14 +85,14 @@
 static void busy_periods_are_fitted(void **state)
 {
     (void)state;
-    struct arq_busy b = {0};
+    struct arq_busy busy = {0};
     for (int i = 0; i < 8; i++)
-        arq_busy_add(&b, exp(i % 2 ? 2 : 4));
-    near(b.mu, 3);
-    near(b.sigma, sqrt(8.0 / 7));
-    near(arq_busy_stays(&b, 0, exp(3), 1), 0.5);
+        arq_busy_add(&busy, exp(i % 2 ? 2 : 4));
+    near(busy.mu, 3);
+    near(busy.sigma, sqrt(8.0 / 7));
+    near(arq_busy_stays(&busy, 0, exp(3), 1), 0.5);
     /* The longer it has been busy, the rarer it is still busy at all. */
-    double first = arq_busy_stays(&b, 0, 20, 1), later = arq_busy_stays(&b, 20, 20, 1);
+    double first = arq_busy_stays(&busy, 0, 20, 1), later = arq_busy_stays(&busy, 20, 20, 1);
     assert_true(first < 0.6 && later > first);
 }
 
