Split leader_deal.c into queue, placement, gang, preempt, ledger and shard modules

leader_deal.c had 1068 lines and five jobs, so that a change to gangs meant reading all of dealing. Each job is now a module with a header of its own:

- leader_placement: which machines may take a task and which is best
- leader_preempt: stopping and moving work to make room
- leader_gang: jobs whose tasks start together or not at all
- leader_queue: team queues, ranks, deficit round robin, dealing single tasks
- leader_ledger: attempts, deals, what waits and what the limits leave
- leader_shards: deals and halts towards the owners of machines

What only gangs use of struct leader_job is in struct gang_state.

No change of behaviour.

--- a/src/leader.c
+++ b/src/leader.c
@@ -1,10 +1,12 @@
-#include "leader_state.h"
+#include "leader_queue.h"
 
 #include "images.h"
+#include "leader_placement.h"
 #include "log.h"
 #include "node.h"
 
 enum {
+    SETTLE_MS = 1500, /* after a new epoch: for the digests to come in */
     SLOW_AFTER = 5,
     SLOW_BESIDE = 3,
     MAX_RUN_TIMES = 10000,
@@ -97,9 +99,9 @@
     leader->service_lack = g_new0(int64_t, settings->zones->len);
     leader->zone_cpus = g_new0(double, settings->zones->len);
     leader->zone_tasks = g_new0(uint32_t, settings->zones->len);
-    leader->no_way = g_new0(struct no_way, settings->zones->len);
-    leader->open = g_ptr_array_new();
-    leader->full = g_array_new(FALSE, FALSE, sizeof(struct lack));
+    leader->move_backoffs = g_new0(struct move_backoff, settings->zones->len);
+    leader->open_hosts = g_ptr_array_new();
+    leader->unplaceable = g_array_new(FALSE, FALSE, sizeof(struct lack));
     leader->n_teams = (int)settings->teams->len;
     leader->teams = g_new0(struct leader_team, leader->n_teams);
     for (int i = 0; i < leader->n_teams; i++) {
@@ -128,9 +130,9 @@
     g_free(leader->service_lack);
     g_free(leader->zone_cpus);
     g_free(leader->zone_tasks);
-    g_free(leader->no_way);
-    g_ptr_array_unref(leader->open);
-    g_array_unref(leader->full);
+    g_free(leader->move_backoffs);
+    g_ptr_array_unref(leader->open_hosts);
+    g_array_unref(leader->unplaceable);
     g_free(leader);
 }
 
@@ -261,7 +263,7 @@
     if (!entry || entry->attempt.v != attempt.v)
         return;
     struct leader_host *host = leader_host_get(leader, entry->host.s);
-    j->gang_broken = true;
+    j->gang.lost_task = true;
     if (host) {
         room_sub(&host->booked, j->room);
         if (j->service)
@@ -273,9 +275,9 @@
     if (entry->halted)
         room_sub(&leader->teams[j->team].halting, j->room);
     struct leader_job *other =
-        entry->cleared_for.s[0] ? leader_job_get(leader, entry->cleared_for.s) : NULL;
+        entry->preempted_for.s[0] ? leader_job_get(leader, entry->preempted_for.s) : NULL;
     if (other)
-        other->clearing--;
+        other->pending_preemptions--;
     g_hash_table_remove(j->entries, leader_key_of(index));
     j->cursor = MIN(j->cursor, index);
 }
@@ -525,10 +527,27 @@
     g_ptr_array_unref(due);
 }
 
+/* Whether the ledger is that of the present epoch, and the digests are in or had their time. */
+static bool ready_to_deal(struct leader *leader)
+{
+    if (!membership_leads(leader->members) || leader->epoch.v != leader->view->epoch.v ||
+        !leader->view->types)
+        return false;
+    if (time_ms_since(loop_now(leader->loop), leader->epoch_at) > SETTLE_MS)
+        return true;
+    GHashTableIter it;
+    struct leader_shard *shard;
+    g_hash_table_iter_init(&it, leader->shards);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&shard))
+        if (!shard->digested)
+            return false;
+    return true;
+}
+
 static void pass(void *arg)
 {
     struct leader *leader = arg;
-    if (!leader_ready_to_deal(leader))
+    if (!ready_to_deal(leader))
         return;
     int budget = DEALS_A_PASS;
     leader->first_team = (leader->first_team + 1) % leader->n_teams;
@@ -911,7 +930,7 @@
         sweep_inventories(leader);
         raise_for_stuck_deals(leader);
     }
-    if (leader_ready_to_deal(leader))
+    if (ready_to_deal(leader))
         pass(leader);
     else
         fleet_step(leader->fleet);
--- a/src/leader_scale.c
+++ b/src/leader_scale.c
@@ -1,4 +1,6 @@
-#include "leader_state.h"
+#include "leader_ledger.h"
+#include "leader_placement.h"
+#include "leader_queue.h"
 
 #include "log.h"
 #include "shard.h"
@@ -162,7 +164,7 @@
     struct leader_team *team = &leader->teams[job->team];
     struct room left = room_left(leader_limit_left(team), team->wanted);
     int64_t n = MIN(leader_count_allowed(leader, job, job_view), room_times(left, job->room));
-    n = MAX(n - job->held, 0); /* for the rest of a gang room is there */
+    n = MAX(n - job->gang.held_tasks, 0); /* for the rest of a gang room is there */
     room_add(&team->wanted,
              (struct room){{job->room.cpus.milli * n}, {job->room.gpus.milli * n}, {0}});
     return n;
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -13,7 +13,7 @@
     host_id host;
     mono_time since;
     bool halted;
-    job_id cleared_for; /* the job that it was stopped for; "": none */
+    job_id preempted_for; /* the job that it was stopped for; "": none */
 };
 
 /* A task dealt to a part and not on record yet. */
@@ -26,6 +26,18 @@
     char zone[48];
 };
 
+/* What only gangs use of struct leader_job. */
+struct gang_state {
+    /* Under which its tasks were dealt together, by this leader; 0: none. */
+    attempt_no attempt;
+    bool lost_task; /* one of them was on record and is not any more: it may have begun to run */
+    mono_time incomplete_since; /* it has been on record in part, and nothing of it dealt */
+    mono_time short_since;      /* it has found no room for all its tasks since then; 0: it has */
+    uint32_t held_tasks;        /* in this pass: tasks for which room is held */
+    int held_zone;              /* where that is, for one that has to be in one zone */
+    int preempt_zone;           /* where room was made for it last; the same */
+};
+
 struct leader_job {
     job_id id;
     int team;
@@ -38,23 +50,15 @@
     uint32_t cursor;             /* no task below it waits */
     bool finishing;
     bool blocked;     /* in this pass: no machine has room */
-    uint32_t held;    /* in this pass: tasks of a gang for which room is held */
-    int held_zone;    /* where that is, for one that has to be in one zone */
-    int clear_zone;   /* where room was made for it last; the same */
     bool in_time;     /* in this pass: what its class is expected to do can still be done */
     bool aged;        /* in this pass: it has waited for so long that it has its place again */
     bool overdue;     /* and for longer still */
-    int64_t place_ms; /* in its team's queue */
+    int64_t queue_ms; /* its place in its team's queue: by arrival and size */
     mono_time not_before, preempted_at;
-    int clearing; /* tasks that were stopped for it and are on record still */
+    int pending_preemptions; /* tasks that were stopped for it and are on record still */
     int failures;
     GHashTable *failed_on;
-    /* The attempt under which its tasks were dealt together, by this leader; 0: none. Broken: one
-     * of them was on record and is not any more, so that it may have begun to run. */
-    attempt_no gang;
-    bool gang_broken;
-    mono_time gang_since;
-    mono_time lacks_since; /* it has found no room for all its tasks since then; 0: it has */
+    struct gang_state gang;
 };
 
 /* How long the tasks of a job took. It outlives the job, as the slowest are told of last. */
@@ -88,8 +92,8 @@
     struct room halting; /* of that, told to stop */
     struct room wanted;  /* beyond that, by what waits, while it is worked out what to rent */
     double deficit;
-    GPtrArray *ready; /* struct ljob, in this pass */
-    guint at;         /* in ready: those before it are through with this rank */
+    GPtrArray *ready; /* struct leader_job, in this pass */
+    guint next_ready; /* in ready: those before it are through with this rank */
 };
 
 /* What goes to one part, one message after the other. */
@@ -105,7 +109,7 @@
 };
 
 /* In a zone nothing could be moved for a service that asked for so much. */
-struct no_way {
+struct move_backoff {
     mono_time until;
     struct room room;
 };
@@ -125,16 +129,16 @@
     mono_time epoch_at;
     uint64_t generation, attempts, deals;
     GHashTable *jobs, *hosts, *shards;
-    GHashTable *run_times;  /* job -> struct job_pace */
+    GHashTable *run_times;  /* job -> struct job_run_time */
     double median_slowdown; /* of the machines */
     struct leader_team *teams;
     int n_teams;
-    int first_team;       /* that this pass begins with */
-    GPtrArray *open;      /* struct lhost: that take work in this pass */
-    GArray *full;         /* struct lack: what found no room in this pass */
-    int holding;          /* gangs that hold whole machines in this pass */
-    uint32_t *zone_tasks; /* of the job that is being dealt, by zone */
-    int running[4];       /* tasks on record, by urgency */
+    int first_team;        /* that this pass begins with */
+    GPtrArray *open_hosts; /* struct leader_host: that take work in this pass */
+    GArray *unplaceable;   /* struct lack: what found no room in this pass */
+    int holding_gangs;     /* gangs that hold whole machines in this pass */
+    uint32_t *zone_tasks;  /* of the job that is being dealt, by zone */
+    int running[4];        /* tasks on record, by urgency */
     struct timer tick, pass;
     mono_time scaled_at, swept_at;
     mono_time idle_at; /* it last could not act: an outage */
@@ -144,9 +148,9 @@
     bool services; /* some run; the next two tell of them */
     struct room service_usual;
     double service_rate;
-    int64_t *service_lack; /* of tasks, by zone; negative: room to spare */
-    double *zone_cpus;     /* of ordinary machines, as in settings->zones */
-    struct no_way *no_way; /* by zone */
+    int64_t *service_lack;              /* of tasks, by zone; negative: room to spare */
+    double *zone_cpus;                  /* of ordinary machines, as in settings->zones */
+    struct move_backoff *move_backoffs; /* by zone */
 };
 
 /* leader.c: the ledger and the leader's messages */
@@ -173,20 +177,6 @@
                         const struct spec *spec);
 double leader_idle_ms(struct leader *leader, const struct leader_host *host);
 
-/* leader_deal.c: who gets what there is */
-bool leader_host_takes(struct leader *leader, struct leader_host *host);
-struct room leader_host_free_room(const struct leader_host *host);
-uint32_t leader_in_zone(struct leader *leader, struct leader_job *job, const char *zone);
-/* The machines that take work in this pass, and what the zones hold. */
-void leader_survey(struct leader *leader);
-int leader_rank_of(struct leader *leader, struct leader_job *job);
-/* What the team may still use. */
-struct room leader_limit_left(const struct leader_team *team);
-int64_t leader_count_allowed(struct leader *leader, struct leader_job *job, struct job *job_view);
-int leader_deal_rank(struct leader *leader, int rank, int budget);
-bool leader_collect_ready(struct leader *leader);
-bool leader_ready_to_deal(struct leader *leader);
-
 /* leader_scale.c: renting and returning */
 bool leader_host_idle(const struct leader_host *host);
 void leader_scale(struct leader *leader);
--- a/src/types.h
+++ b/src/types.h
@@ -28,7 +28,7 @@
     uint64_t v;
 } epoch_no;
 
-/* One start of a task. Never used twice: see next_attempt in leader_deal.c. */
+/* One start of a task. Never used twice: see leader_next_attempt. */
 typedef struct {
     uint64_t v;
 } attempt_no;
