Move the quota ledger out of leader.c into leader_ledger.c

The tables of jobs and machines, their making, what is dealt and on record, and the rebuild after a change of epoch join the rest of the ledger; leader_job_make, leader_host_make, leader_entry_add, leader_entry_remove and leader_ledger_rebuild have doc comments.

No change of behaviour.

--- a/src/leader.c
+++ b/src/leader.c
@@ -1,6 +1,7 @@
 #include "leader_queue.h"
 
 #include "images.h"
+#include "leader_ledger.h"
 #include "leader_placement.h"
 #include "log.h"
 #include "node.h"
@@ -48,26 +49,6 @@
         pass_soon(leader);
 }
 
-static void ljob_free(gpointer q)
-{
-    struct leader_job *job = q;
-    g_hash_table_unref(job->entries);
-    g_hash_table_unref(job->deals);
-    if (job->failed_on)
-        g_hash_table_unref(job->failed_on);
-    g_free(job);
-}
-
-static void lhost_free(gpointer q)
-{
-    struct leader_host *host = q;
-    g_free(host->owner);
-    g_ptr_array_unref(host->images);
-    if (host->failed_jobs)
-        g_hash_table_unref(host->failed_jobs);
-    g_free(host);
-}
-
 static void lpart_free(gpointer q)
 {
     struct leader_shard *shard = q;
@@ -92,8 +73,7 @@
     leader->settings = settings;
     leader->policy = policy;
     leader->fleet = fleet_new(node, &leader->actor);
-    leader->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ljob_free);
-    leader->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lhost_free);
+    leader_ledger_init(leader);
     leader->run_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     leader->shards = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lpart_free);
     leader->service_lack = g_new0(int64_t, settings->zones->len);
@@ -141,147 +121,6 @@
     timer_start(leader->loop, &leader->tick, TICK_MS);
 }
 
-/* ---- the ledger ---- */
-
-struct leader_job *leader_job_get(struct leader *leader, const char *id)
-{
-    return g_hash_table_lookup(leader->jobs, id);
-}
-
-/* NULL when the job's description is not known any more, which is only so once nothing of it is on
- * record. */
-static struct leader_job *ljob_make(struct leader *leader, job_id id)
-{
-    struct leader_job *job = leader_job_get(leader, id.s);
-    if (job)
-        return job;
-    struct job *job_view = view_job(leader->view, id.s);
-    int team = job_view && job_view->spec
-                   ? settings_team(leader->settings, job_view->spec->team_name)
-                   : -1;
-    if (team < 0)
-        return NULL;
-    job = g_new0(struct leader_job, 1);
-    job->id = id;
-    job->team = team;
-    job->room = room_of_spec(job_view->spec);
-    job->service = job_view->spec->form == FORM_SERVICE;
-    job->urgency = (enum urgency)job_view->urgency;
-    job->patience_s = leader_patience_s(leader, job_view);
-    job->entries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    job->deals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    g_hash_table_insert(leader->jobs, job->id.s, job);
-    return job;
-}
-
-/* Those that need a job lend it their urgency and their time, and may come and go. */
-static void ljob_lent(struct leader *leader, struct leader_job *job, const struct job *job_view)
-{
-    if (!job)
-        return;
-    int n = (int)g_hash_table_size(job->entries);
-    leader->running[job->urgency] -= n;
-    job->urgency = (enum urgency)job_view->urgency;
-    leader->running[job->urgency] += n;
-    job->patience_s = leader_patience_s(leader, job_view);
-}
-
-gpointer leader_key_of(uint32_t index)
-{
-    return GUINT_TO_POINTER(index + 1);
-}
-
-struct leader_host *leader_host_get(struct leader *leader, const char *id)
-{
-    return g_hash_table_lookup(leader->hosts, id);
-}
-
-static struct leader_host *lhost_make(struct leader *leader, host_id id, const char *type_name,
-                                      const char *zone, bool spot)
-{
-    struct leader_host *host = leader_host_get(leader, id.s);
-    if (!host) {
-        host = g_new0(struct leader_host, 1);
-        host->id = id;
-        host->idle_since = loop_now(leader->loop);
-        host->images = images_new();
-        g_hash_table_insert(leader->hosts, host->id.s, host);
-    }
-    guint zone_index;
-    bool known =
-        g_ptr_array_find_with_equal_func(leader->settings->zones, zone, g_str_equal, &zone_index);
-    host->zone_index = known ? (int)zone_index : -1;
-    g_strlcpy(host->type_name, type_name, sizeof host->type_name);
-    g_strlcpy(host->zone, zone, sizeof host->zone);
-    host->spot = spot;
-    const struct machine_type *type = type_named(leader->view->types, type_name);
-    if (type)
-        host->total = room_of_type(type);
-    return host;
-}
-
-void leader_deal_drop(struct leader *leader, struct leader_job *job, uint32_t index)
-{
-    struct deal *deal = g_hash_table_lookup(job->deals, leader_key_of(index));
-    if (!deal)
-        return;
-    if (deal->host)
-        room_sub(&deal->host->dealt, job->room);
-    room_sub(&leader->teams[job->team].used, job->room);
-    g_hash_table_remove(job->deals, leader_key_of(index));
-    job->cursor = MIN(job->cursor, index);
-}
-
-static void entry_add(struct leader *leader, job_id job, uint32_t index, attempt_no attempt,
-                      host_id host)
-{
-    struct leader_job *j = ljob_make(leader, job);
-    if (!j || g_hash_table_contains(j->entries, leader_key_of(index)))
-        return;
-    struct deal *deal = g_hash_table_lookup(j->deals, leader_key_of(index));
-    if (deal && deal->attempt.v == attempt.v)
-        leader_deal_drop(leader, j, index);
-    struct entry *entry = g_new(struct entry, 1);
-    *entry = (struct entry){.attempt = attempt, .host = host, .since = loop_now(leader->loop)};
-    g_hash_table_insert(j->entries, leader_key_of(index), entry);
-    room_add(&leader->teams[j->team].used, j->room);
-    leader->running[j->urgency]++;
-    struct host_record *rec = view_host(leader->view, host.s);
-    struct leader_host *h = leader_host_get(leader, host.s);
-    if (!h && rec)
-        h = lhost_make(leader, host, rec->type_name, rec->zone, rec->spot);
-    if (h)
-        room_add(&h->booked, j->room);
-    if (h && j->service)
-        room_add(&h->pinned, j->room);
-}
-
-static void entry_remove(struct leader *leader, job_id job, uint32_t index, attempt_no attempt)
-{
-    struct leader_job *j = leader_job_get(leader, job.s);
-    struct entry *entry = j ? g_hash_table_lookup(j->entries, leader_key_of(index)) : NULL;
-    if (!entry || entry->attempt.v != attempt.v)
-        return;
-    struct leader_host *host = leader_host_get(leader, entry->host.s);
-    j->gang.lost_task = true;
-    if (host) {
-        room_sub(&host->booked, j->room);
-        if (j->service)
-            room_sub(&host->pinned, j->room);
-        host->idle_since = loop_now(leader->loop);
-    }
-    room_sub(&leader->teams[j->team].used, j->room);
-    leader->running[j->urgency]--;
-    if (entry->halted)
-        room_sub(&leader->teams[j->team].halting, j->room);
-    struct leader_job *other =
-        entry->preempted_for.s[0] ? leader_job_get(leader, entry->preempted_for.s) : NULL;
-    if (other)
-        other->pending_preemptions--;
-    g_hash_table_remove(j->entries, leader_key_of(index));
-    j->cursor = MIN(j->cursor, index);
-}
-
 struct leader_shard *leader_shard_get(struct leader *leader, const char *label)
 {
     struct leader_shard *shard = g_hash_table_lookup(leader->shards, label);
@@ -300,59 +139,6 @@
     cJSON_AddItemToArray(*list, item);
 }
 
-/* A new epoch, or this node has just come to lead: everything is taken from the view. What was
- * dealt under an earlier epoch and is not on record by now never will be, as every record is
- * conditioned on the map. */
-static void rebuild(struct leader *leader)
-{
-    leader->epoch = leader->view->epoch;
-    leader->epoch_at = loop_now(leader->loop);
-    leader->generation++;
-    leader->attempts = 0;
-    GHashTable *old = leader->jobs;
-    leader->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ljob_free);
-    g_hash_table_remove_all(leader->shards);
-    memset(leader->running, 0, sizeof leader->running);
-    for (int i = 0; i < leader->n_teams; i++)
-        leader->teams[i].used = leader->teams[i].halting = (struct room){0};
-    GHashTableIter it;
-    struct leader_host *h;
-    g_hash_table_iter_init(&it, leader->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
-        h->booked = h->dealt = h->pinned = (struct room){0};
-        h->told = false;
-        h->flags = 0;
-    }
-    for (guint i = 0; i < leader->view->map->len; i++)
-        leader_shard_get(leader, g_array_index(leader->view->map, struct map_entry, i).label);
-    struct host_record *rec;
-    g_hash_table_iter_init(&it, leader->view->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&rec)) {
-        struct leader_host *n = lhost_make(leader, rec->id, rec->type_name, rec->zone, rec->spot);
-        for (guint i = 0; i < rec->images->len && !n->told; i++)
-            images_add(n->images, rec->images->pdata[i]);
-        for (guint i = 0; i < rec->tasks->len; i++) {
-            struct placed *placed = rec->tasks->pdata[i];
-            entry_add(leader, placed->job->id, placed->index, placed->attempt, rec->id);
-        }
-    }
-    struct job *job;
-    g_hash_table_iter_init(&it, leader->view->jobs);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job)) {
-        if (!job->known || (job->state != JOB_LIVE && !job->spec))
-            continue;
-        struct leader_job *n = ljob_make(leader, job->id), *o = g_hash_table_lookup(old, job->id.s);
-        if (n && o) { /* what was learnt of it stays */
-            n->failures = o->failures;
-            n->not_before = o->not_before;
-            n->failed_on = g_steal_pointer(&o->failed_on);
-        }
-    }
-    g_hash_table_unref(old);
-    LOG_INFO("leading", "jobs=%u machines=%u", g_hash_table_size(leader->jobs),
-             g_hash_table_size(leader->hosts));
-}
-
 /* ---- ends of jobs ---- */
 
 struct finish {
@@ -757,8 +543,8 @@
     if (!cJSON_IsString(id) || !host_id_from(&hid, id->valuestring) || !cJSON_IsString(type_name) ||
         !cJSON_IsString(zone) || !cJSON_IsBool(spot) || !cJSON_IsNumber(flags))
         return;
-    struct leader_host *host =
-        lhost_make(leader, hid, type_name->valuestring, zone->valuestring, cJSON_IsTrue(spot));
+    struct leader_host *host = leader_host_make(leader, hid, type_name->valuestring,
+                                                zone->valuestring, cJSON_IsTrue(spot));
     g_free(host->owner);
     host->owner = g_strdup(from);
     host->flags = (int)flags->valuedouble;
@@ -871,22 +657,22 @@
         leader->demand_peak = 0;
     }
     if (rebuilt)
-        rebuild(leader);
+        leader_ledger_rebuild(leader);
     for (guint i = 0; i < changes->len; i++) {
         const struct change *change = &g_array_index(changes, struct change, i);
         struct leader_job *job;
         struct job *v;
         switch (change->kind) {
         case CHANGE_PLACED:
-            entry_add(leader, change->job, change->index, change->attempt, change->host);
+            leader_entry_add(leader, change->job, change->index, change->attempt, change->host);
             break;
         case CHANGE_FREED:
-            entry_remove(leader, change->job, change->index, change->attempt);
+            leader_entry_remove(leader, change->job, change->index, change->attempt);
             break;
         case CHANGE_JOB:
             v = view_job(leader->view, change->job.s);
             if (v && v->known && v->spec)
-                ljob_lent(leader, ljob_make(leader, change->job), v);
+                leader_job_take_lent(leader, leader_job_make(leader, change->job), v);
             break;
         case CHANGE_RELOADED:
             /* A task may have been placed and freed again unseen, and its deal would stay open. */
--- a/src/leader_placement.c
+++ b/src/leader_placement.c
@@ -1,6 +1,7 @@
 #include "leader_placement.h"
 
 #include "images.h"
+#include "leader_ledger.h"
 #include "score.h"
 #include "shard.h"
 
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -153,13 +153,9 @@
     struct move_backoff *move_backoffs; /* by zone */
 };
 
-/* leader.c: the ledger and the leader's messages */
+/* leader.c: the health of machines, and the leader's messages */
 void leader_measure_slowdowns(struct leader *leader);
 bool leader_host_slow(const struct leader *leader, const struct leader_host *host);
-struct leader_job *leader_job_get(struct leader *leader, const char *id);
-gpointer leader_key_of(uint32_t index);
-struct leader_host *leader_host_get(struct leader *leader, const char *id);
-void leader_deal_drop(struct leader *leader, struct leader_job *job, uint32_t index);
 struct leader_shard *leader_shard_get(struct leader *leader, const char *label);
 /* Adds to one of the lists that go to a part. */
 void leader_shard_add(cJSON **list, cJSON *item);
