Move the health of machines and jobs out of leader.c into leader_health.c

Run times, slowdowns, sick machines and jobs that fail everywhere are one job, of what is learnt from the ends of tasks.

No change of behaviour.

--- a/src/leader.c
+++ b/src/leader.c
@@ -1,6 +1,7 @@
 #include "leader_queue.h"
 
 #include "images.h"
+#include "leader_health.h"
 #include "leader_ledger.h"
 #include "leader_placement.h"
 #include "log.h"
@@ -8,10 +9,6 @@
 
 enum {
     SETTLE_MS = 1500, /* after a new epoch: for the digests to come in */
-    SLOW_AFTER = 5,
-    SLOW_BESIDE = 3,
-    MAX_RUN_TIMES = 10000,
-    SICK_MS = 120000, /* then it may try again, if something kept it */
     TICK_MS = 200,
     PASS_MS = 8,
     DEALS_A_PASS = 64,
@@ -22,12 +19,8 @@
     SWEEP_MS = 5000,
     STUCK_S = 20,
     MOST_CANCELLING = 4,
-    MOST_PAUSE_MS = 40000, /* of a job that fails everywhere */
 };
 
-/* A machine is slow when its tasks take so many times as long as the others of their jobs. */
-static const double SLOWDOWN_LIMIT = 1.7;
-
 static void on_view(struct leader *leader, const GArray *changes);
 static void tick(void *arg);
 static void pass(void *arg);
@@ -406,121 +399,6 @@
              OUT_TIMEOUT_MS, shard_answered, out);
 }
 
-static void host_failed(struct leader *leader, struct leader_host *host, const char *job)
-{
-    if (!host->failed_jobs)
-        host->failed_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    g_hash_table_add(host->failed_jobs, g_strdup(job));
-    if (g_hash_table_size(host->failed_jobs) >= 2) {
-        LOG_INFO("machine_sick", "machine=%s", host->id.s);
-        host->sick_until = time_add_ms(loop_now(leader->loop), SICK_MS);
-        g_hash_table_remove_all(host->failed_jobs);
-    }
-}
-
-/* Owners' estimates are wrong for all tasks of a job together, so a task is compared with the
- * others of its job, wherever they ran. */
-static void learn_pace(struct leader *leader, const char *job, struct leader_host *h, double took_s)
-{
-    struct job_run_time *run_time = g_hash_table_lookup(leader->run_times, job);
-    if (!run_time) {
-        if (g_hash_table_size(leader->run_times) > MAX_RUN_TIMES)
-            g_hash_table_remove_all(leader->run_times);
-        run_time = g_new0(struct job_run_time, 1);
-        g_hash_table_insert(leader->run_times, g_strdup(job), run_time);
-    }
-    if (run_time->n >= SLOW_BESIDE && run_time->mean_s > 0.5) {
-        double slowdown = took_s / run_time->mean_s;
-        h->slowdown =
-            h->slowdown_samples++ ? h->slowdown + (slowdown - h->slowdown) * 0.25 : slowdown;
-    }
-    run_time->mean_s += (took_s - run_time->mean_s) / ++run_time->n;
-}
-
-static gint by_value(gconstpointer a, gconstpointer b)
-{
-    double x = *(const double *)a, y = *(const double *)b;
-    return (x > y) - (x < y);
-}
-
-/* The pace of the machine in the middle. Tasks of a job may take ever longer wherever they run, and
- * where all machines seem slow none is. */
-void leader_measure_slowdowns(struct leader *leader)
-{
-    GArray *run_times = g_array_new(FALSE, FALSE, sizeof(double));
-    GHashTableIter it;
-    struct leader_host *host;
-    g_hash_table_iter_init(&it, leader->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
-        if (host->told && host->slowdown_samples >= SLOW_AFTER)
-            g_array_append_val(run_times, host->slowdown);
-    g_array_sort(run_times, by_value);
-    leader->median_slowdown =
-        run_times->len ? g_array_index(run_times, double, (run_times->len - 1) / 2) : 1;
-    g_array_unref(run_times);
-}
-
-bool leader_host_slow(const struct leader *leader, const struct leader_host *host)
-{
-    return host->slowdown_samples >= SLOW_AFTER &&
-           host->slowdown > SLOWDOWN_LIMIT * MAX(leader->median_slowdown, 1);
-}
-
-/* Tasks of other jobs have failed on the machine, too. */
-static bool fails_others(struct leader *leader, const char *host, const char *job)
-{
-    struct leader_host *h = leader_host_get(leader, host);
-    if (!h)
-        return false;
-    guint n = h->failed_jobs ? g_hash_table_size(h->failed_jobs) : 0;
-    bool this_one = n && g_hash_table_contains(h->failed_jobs, job);
-    return time_before(loop_now(leader->loop), h->sick_until) || n > this_one;
-}
-
-/* Machines on which only this job has failed, as far as is known. When several machines are sick at
- * once, a large job comes to all of them within a moment, and is no worse than others. */
-static guint failed_alone(struct leader *leader, struct leader_job *job)
-{
-    guint n = 0;
-    GHashTableIter it;
-    const char *host;
-    g_hash_table_iter_init(&it, job->failed_on);
-    while (g_hash_table_iter_next(&it, (gpointer *)&host, NULL))
-        n += !fails_others(leader, host, job->id.s);
-    return n;
-}
-
-/* A task that fails is mostly its machine's fault; a job that fails on one machine after the other
- * is at fault itself, and tries again ever more seldom until its user cancels it. */
-static void on_fault(struct leader *leader, struct leader_job *job, struct leader_host *host,
-                     enum cause cause)
-{
-    if (cause == CAUSE_INCOMPLETE) /* another task of its gang was missing */
-        return;
-    if (cause != CAUSE_ERROR) {
-        host->avoid_until = time_add_ms(loop_now(leader->loop), 5000);
-        return;
-    }
-    struct job *job_view = view_job(leader->view, job->id.s);
-    if (!job->failed_on)
-        job->failed_on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    g_hash_table_add(job->failed_on, g_strdup(host->id.s));
-    bool at_fault = job_view && job_view->n_done == 0 && failed_alone(leader, job) >= 3;
-    /* Its tasks fail within a moment of one another: that is one try, not many. */
-    if (at_fault && time_before(loop_now(leader->loop), job->not_before))
-        return;
-    if (at_fault) {
-        job->failures++;
-        int64_t pause = MIN(MOST_PAUSE_MS, 4000LL << MIN(job->failures, 5));
-        job->not_before = time_add_ms(loop_now(leader->loop), pause);
-        LOG_INFO("job_failing", "job=%s machines=%u pause_ms=%" G_GINT64_FORMAT, job->id.s,
-                 g_hash_table_size(job->failed_on), pause);
-        return;
-    }
-    host_failed(leader, host, job->id.s);
-    host->avoid_until = time_add_ms(loop_now(leader->loop), 10000);
-}
-
 static void on_event(struct leader *leader, const cJSON *n)
 {
     const char *host = bus_text(n, "h"), *job = bus_text(n, "j");
@@ -529,9 +407,9 @@
     struct leader_job *j = job ? leader_job_get(leader, job) : NULL;
     struct leader_host *h = host ? leader_host_get(leader, host) : NULL;
     if (job && h && cJSON_IsNumber(took))
-        learn_pace(leader, job, h, took->valuedouble);
+        leader_learn_run_time(leader, job, h, took->valuedouble);
     if (j && h && cJSON_IsNumber(cause))
-        on_fault(leader, j, h, (enum cause)cause->valuedouble);
+        leader_task_failed(leader, j, h, (enum cause)cause->valuedouble);
 }
 
 static void on_host(struct leader *leader, const char *from, const cJSON *x)
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -153,9 +153,14 @@
     struct move_backoff *move_backoffs; /* by zone */
 };
 
-/* leader.c: the health of machines, and the leader's messages */
+/* leader_health.c */
+/* Finds the slowdown of the machine in the middle. Tasks of a job may take ever longer wherever
+ * they run, and where all machines seem slow none is. */
 void leader_measure_slowdowns(struct leader *leader);
+/* Whether tasks take much longer on the machine than on most. */
 bool leader_host_slow(const struct leader *leader, const struct leader_host *host);
+
+/* leader.c: the leader's messages */
 struct leader_shard *leader_shard_get(struct leader *leader, const char *label);
 /* Adds to one of the lists that go to a part. */
 void leader_shard_add(cJSON **list, cJSON *item);
