Move the leader's messages out of leader.c into leader_shards.c and leader_digest.c

What the leader sends to the shards, with retry and exclusion of a node that cannot be reached, joins leader_shards; what they send to it, in digests, is leader_digest.

No change of behaviour, and none of what is on the wire.

--- a/src/leader.c
+++ b/src/leader.c
@@ -1,9 +1,9 @@
 #include "leader_queue.h"
 
-#include "images.h"
-#include "leader_health.h"
+#include "leader_digest.h"
 #include "leader_ledger.h"
 #include "leader_placement.h"
+#include "leader_shards.h"
 #include "log.h"
 #include "node.h"
 
@@ -12,10 +12,6 @@
     TICK_MS = 200,
     PASS_MS = 8,
     DEALS_A_PASS = 64,
-    OUT_TIMEOUT_MS = 1500,
-    UNREACHABLE_MS = 4000,
-    EXCLUDE_MS = 20000,
-    AVOID_MS = 1500,
     SWEEP_MS = 5000,
     STUCK_S = 20,
     MOST_CANCELLING = 4,
@@ -24,10 +20,8 @@
 static void on_view(struct leader *leader, const GArray *changes);
 static void tick(void *arg);
 static void pass(void *arg);
-static void shard_send(struct leader *leader, struct leader_shard *shard);
-static int on_digest(void *ctx, const char *from, const cJSON *m, cJSON **answer);
 
-static void pass_soon(struct leader *leader)
+void leader_pass_soon(struct leader *leader)
 {
     if (!leader->pass.place)
         timer_start(leader->loop, &leader->pass, PASS_MS);
@@ -39,18 +33,7 @@
     if (message->kind == MSG_VIEW)
         on_view(leader, message->body);
     else if (message->kind == MSG_FLEET)
-        pass_soon(leader);
-}
-
-static void lpart_free(gpointer q)
-{
-    struct leader_shard *shard = q;
-    cJSON_Delete(shard->deal);
-    cJSON_Delete(shard->halt);
-    cJSON_Delete(shard->gone);
-    cJSON_Delete(shard->sending);
-    g_free(shard->label);
-    g_free(shard);
+        leader_pass_soon(leader);
 }
 
 struct leader *leader_new(const struct node *node, const struct policy *policy)
@@ -68,7 +51,7 @@
     leader->fleet = fleet_new(node, &leader->actor);
     leader_ledger_init(leader);
     leader->run_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    leader->shards = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lpart_free);
+    leader_shards_init(leader);
     leader->service_lack = g_new0(int64_t, settings->zones->len);
     leader->zone_cpus = g_new0(double, settings->zones->len);
     leader->zone_tasks = g_new0(uint32_t, settings->zones->len);
@@ -84,7 +67,7 @@
     timer_init(&leader->tick, tick, leader);
     timer_init(&leader->pass, pass, leader);
     view_listen(leader->view, &leader->actor);
-    bus_handle(leader->bus, "digest", on_digest, leader);
+    bus_handle(leader->bus, "digest", leader_on_digest, leader);
     return leader;
 }
 
@@ -114,24 +97,6 @@
     timer_start(leader->loop, &leader->tick, TICK_MS);
 }
 
-struct leader_shard *leader_shard_get(struct leader *leader, const char *label)
-{
-    struct leader_shard *shard = g_hash_table_lookup(leader->shards, label);
-    if (!shard) {
-        shard = g_new0(struct leader_shard, 1);
-        shard->label = g_strdup(label);
-        g_hash_table_insert(leader->shards, shard->label, shard);
-    }
-    return shard;
-}
-
-void leader_shard_add(cJSON **list, cJSON *item)
-{
-    if (!*list)
-        *list = cJSON_CreateArray();
-    cJSON_AddItemToArray(*list, item);
-}
-
 /* ---- ends of jobs ---- */
 
 struct finish {
@@ -148,7 +113,7 @@
     struct leader_job *job = leader_job_get(finish->leader, finish->job.s);
     if (job)
         job->finishing = false;
-    pass_soon(finish->leader);
+    leader_pass_soon(finish->leader);
     g_free(finish);
 }
 
@@ -292,20 +257,6 @@
 
 /* ---- the pass ---- */
 
-static void send_all(struct leader *leader)
-{
-    GHashTableIter it;
-    struct leader_shard *shard;
-    GPtrArray *due = g_ptr_array_new();
-    g_hash_table_iter_init(&it, leader->shards);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&shard))
-        if (!shard->out && (shard->sending || shard->deal || shard->halt || shard->gone))
-            g_ptr_array_add(due, shard);
-    for (guint i = 0; i < due->len; i++)
-        shard_send(leader, due->pdata[i]);
-    g_ptr_array_unref(due);
-}
-
 /* Whether the ledger is that of the present epoch, and the digests are in or had their time. */
 static bool ready_to_deal(struct leader *leader)
 {
@@ -336,181 +287,9 @@
             budget -= leader_deal_rank(leader, rank, budget);
     leader_scale(leader);
     fleet_step(leader->fleet);
-    send_all(leader);
+    leader_send_all(leader);
     if (budget <= 0)
-        pass_soon(leader);
-}
-
-/* ---- parts ---- */
-
-struct shard_out {
-    struct leader *leader;
-    uint64_t generation;
-    char *label;
-};
-
-static void shard_answered(void *arg, int status, const cJSON *answer)
-{
-    (void)answer;
-    struct shard_out *out = arg;
-    struct leader *leader = out->leader;
-    struct leader_shard *shard = g_hash_table_lookup(leader->shards, out->label);
-    if (out->generation == leader->generation && shard) {
-        mono_time now = loop_now(leader->loop);
-        shard->out = false;
-        if (status == 200) {
-            cJSON_Delete(shard->sending);
-            shard->sending = NULL;
-            shard->failing_since = (mono_time){0};
-            if (shard->deal || shard->halt || shard->gone)
-                shard_send(leader, shard);
-        } else if (!shard->failing_since.us) {
-            shard->failing_since = now;
-        } else if (time_ms_since(now, shard->failing_since) > UNREACHABLE_MS &&
-                   membership_leads(leader->members) &&
-                   strcmp(shard->label, leader->settings->label) != 0) {
-            shard->failing_since = now;
-            membership_exclude(leader->members, shard->label, EXCLUDE_MS);
-        }
-    }
-    g_free(out->label);
-    g_free(out);
-}
-
-/* One message at a time, and the same one until it is acknowledged: see on_deal in part.c. */
-static void shard_send(struct leader *leader, struct leader_shard *shard)
-{
-    if (!shard->sending) {
-        cJSON *message = cJSON_CreateObject();
-        bus_put_u64(message, "e", leader->epoch.v);
-        bus_put_u64(message, "s", ++shard->seq);
-        if (shard->deal)
-            cJSON_AddItemToObject(message, "deal", g_steal_pointer(&shard->deal));
-        if (shard->halt)
-            cJSON_AddItemToObject(message, "halt", g_steal_pointer(&shard->halt));
-        if (shard->gone)
-            cJSON_AddItemToObject(message, "gone", g_steal_pointer(&shard->gone));
-        shard->sending = message;
-    }
-    struct shard_out *out = g_new(struct shard_out, 1);
-    *out = (struct shard_out){leader, leader->generation, g_strdup(shard->label)};
-    shard->out = true;
-    bus_send(leader->bus, shard->label, "deal", cJSON_Duplicate(shard->sending, true),
-             OUT_TIMEOUT_MS, shard_answered, out);
-}
-
-static void on_event(struct leader *leader, const cJSON *n)
-{
-    const char *host = bus_text(n, "h"), *job = bus_text(n, "j");
-    const cJSON *cause = cJSON_GetObjectItemCaseSensitive(n, "c");
-    const cJSON *took = cJSON_GetObjectItemCaseSensitive(n, "took");
-    struct leader_job *j = job ? leader_job_get(leader, job) : NULL;
-    struct leader_host *h = host ? leader_host_get(leader, host) : NULL;
-    if (job && h && cJSON_IsNumber(took))
-        leader_learn_run_time(leader, job, h, took->valuedouble);
-    if (j && h && cJSON_IsNumber(cause))
-        leader_task_failed(leader, j, h, (enum cause)cause->valuedouble);
-}
-
-static void on_host(struct leader *leader, const char *from, const cJSON *x)
-{
-    const cJSON *id = cJSON_GetArrayItem(x, 0), *type_name = cJSON_GetArrayItem(x, 1);
-    const cJSON *zone = cJSON_GetArrayItem(x, 2), *spot = cJSON_GetArrayItem(x, 3);
-    const cJSON *flags = cJSON_GetArrayItem(x, 4);
-    host_id hid;
-    if (!cJSON_IsString(id) || !host_id_from(&hid, id->valuestring) || !cJSON_IsString(type_name) ||
-        !cJSON_IsString(zone) || !cJSON_IsBool(spot) || !cJSON_IsNumber(flags))
-        return;
-    struct leader_host *host = leader_host_make(leader, hid, type_name->valuestring,
-                                                zone->valuestring, cJSON_IsTrue(spot));
-    g_free(host->owner);
-    host->owner = g_strdup(from);
-    host->flags = (int)flags->valuedouble;
-    host->told = true;
-    const cJSON *images = cJSON_GetArrayItem(x, 5), *image;
-    if (!images)
-        return;
-    g_ptr_array_set_size(host->images, 0);
-    cJSON_ArrayForEach(image, images)
-    {
-        if (cJSON_IsString(image))
-            images_add(host->images, image->valuestring);
-    }
-}
-
-static void on_back(struct leader *leader, const cJSON *x)
-{
-    job_id job;
-    uint32_t i;
-    attempt_no attempt;
-    struct leader_job *j =
-        bus_task_read(x, &job, &i, &attempt) ? leader_job_get(leader, job.s) : NULL;
-    if (!j)
-        return;
-    struct deal *deal = g_hash_table_lookup(j->deals, leader_key_of(i));
-    /* A gang's task may be dealt again under the same attempt: an answer that is said again must
-     * not take back the later deal. */
-    uint64_t number = 0;
-    if (!deal || deal->attempt.v != attempt.v ||
-        (bus_u64(x, "n", &number) && number != deal->number))
-        return;
-    if (deal->host)
-        deal->host->avoid_until = time_add_ms(loop_now(leader->loop), AVOID_MS);
-    leader_deal_drop(leader, j, i);
-}
-
-/* What a part is told of its machines: those that are to get nothing more. */
-static cJSON *shut_hosts(struct leader *leader, const char *owner)
-{
-    cJSON *object = cJSON_CreateObject(), *list = cJSON_AddArrayToObject(object, "shut");
-    mono_time now = loop_now(leader->loop);
-    GHashTableIter it;
-    struct leader_host *host;
-    g_hash_table_iter_init(&it, leader->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
-        if (host->owner && strcmp(host->owner, owner) == 0 &&
-            (leader_host_slow(leader, host) || time_before(now, host->sick_until)))
-            cJSON_AddItemToArray(list, cJSON_CreateString(host->id.s));
-    return object;
-}
-
-static int on_digest(void *ctx, const char *from, const cJSON *m, cJSON **answer)
-{
-    struct leader *leader = ctx;
-    uint64_t epoch, seq;
-    if (!bus_u64(m, "e", &epoch) || !bus_u64(m, "s", &seq))
-        return 400;
-    if (!membership_leads(leader->members) || !leader->leading || epoch != leader->epoch.v ||
-        epoch != leader->view->epoch.v || seq <= leader_shard_get(leader, from)->digest_seq)
-        return 409;
-    GHashTableIter it;
-    struct leader_host *host;
-    bool whole = cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(m, "whole"));
-    if (!whole && !leader_shard_get(leader, from)->digested)
-        return 409; /* then the next one is whole */
-    leader_shard_get(leader, from)->digest_seq = seq;
-    g_hash_table_iter_init(&it, leader->hosts);
-    while (whole && g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
-        if (host->owner && strcmp(host->owner, from) == 0)
-            host->told = false;
-    const cJSON *x;
-    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "hosts")) on_host(leader, from, x);
-    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "back")) on_back(leader, x);
-    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "news")) on_event(leader, x);
-    /* Machines that nobody tells of any more, and that hold nothing, are forgotten. */
-    g_hash_table_iter_init(&it, leader->hosts);
-    while (whole && g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
-        if (!host->told && host->owner && strcmp(host->owner, from) == 0 &&
-            leader_host_idle(host) && !view_host(leader->view, host->id.s))
-            g_hash_table_iter_remove(&it);
-    if (cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(m, "raise")) &&
-        time_ms_since(loop_now(leader->loop), leader->epoch_at) > 5000)
-        membership_raise(leader->members, "a command may still be on its way");
-    *answer = shut_hosts(leader, from);
-    if (whole)
-        leader_shard_get(leader, from)->digested = true;
-    pass_soon(leader);
-    return 200;
+        leader_pass_soon(leader);
 }
 
 /* ---- the view ---- */
@@ -572,7 +351,7 @@
         if (over(leader, job))
             g_hash_table_remove(leader->jobs, change->job.s);
     }
-    pass_soon(leader);
+    leader_pass_soon(leader);
 }
 
 static void tick(void *arg)
--- /dev/null
+++ b/src/leader_digest.h
@@ -0,0 +1,11 @@
+/* What shards tell the leader, in digests: their machines, deals that they give back, and how tasks
+ * ended. The answer names the machines that are to get nothing more. */
+#ifndef LL_LEADER_DIGEST_H
+#define LL_LEADER_DIGEST_H
+
+#include "leader_state.h"
+
+/* Handles the bus message "digest". ctx: the leader. */
+int leader_on_digest(void *ctx, const char *from, const cJSON *m, cJSON **answer);
+
+#endif
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -160,11 +160,16 @@
 /* Whether tasks take much longer on the machine than on most. */
 bool leader_host_slow(const struct leader *leader, const struct leader_host *host);
 
-/* leader.c: the leader's messages */
+/* leader_shards.c */
+/* The shard of that node; there is one from the first time on. */
 struct leader_shard *leader_shard_get(struct leader *leader, const char *label);
-/* Adds to one of the lists that go to a part. */
+/* Adds to one of the lists that go to a shard. */
 void leader_shard_add(cJSON **list, cJSON *item);
 
+/* leader.c */
+/* Has a pass made in a moment, if none is due already. */
+void leader_pass_soon(struct leader *leader);
+
 /* leader_policy.c: what operators and objectives say */
 const GArray *leader_types_now(struct leader *leader);
 double leader_slowest_boot(struct leader *leader);
