--- a/src/leader.c
+++ b/src/leader.c
@@ -1,9 +1,11 @@
 #include "leader_queue.h"
 
 #include "leader_digest.h"
+#include "leader_job_end.h"
 #include "leader_ledger.h"
 #include "leader_placement.h"
 #include "leader_shards.h"
+#include "leader_sweep.h"
 #include "log.h"
 #include "node.h"
 
@@ -12,9 +14,6 @@
     TICK_MS = 200,
     PASS_MS = 8,
     DEALS_A_PASS = 64,
-    SWEEP_MS = 5000,
-    STUCK_S = 20,
-    MOST_CANCELLING = 4,
 };
 
 static void on_view(struct leader *leader, const GArray *changes);
@@ -97,166 +96,6 @@
     timer_start(leader->loop, &leader->tick, TICK_MS);
 }
 
-/* ---- ends of jobs ---- */
-
-struct finish {
-    struct leader *leader;
-    job_id job;
-    bool cancelled;
-};
-
-static void finish_seen(void *arg, bool ok)
-{
-    struct finish *finish = arg;
-    (void)ok;
-    finish->leader->cancelling -= finish->cancelled;
-    struct leader_job *job = leader_job_get(finish->leader, finish->job.s);
-    if (job)
-        job->finishing = false;
-    leader_pass_soon(finish->leader);
-    g_free(finish);
-}
-
-static void finish_answered(void *arg, const struct txn_outcome *outcome)
-{
-    struct finish *finish = arg;
-    if (outcome->result == TXN_DONE || outcome->result == TXN_CONFLICT)
-        view_await(finish->leader->view, outcome->at, finish_seen, finish);
-    else
-        view_barrier(finish->leader->view, finish_seen, finish);
-}
-
-static void finish(struct leader *leader, struct leader_job *job, struct job *job_view,
-                   enum job_state final)
-{
-    struct txn *txn = txn_new();
-    char *key = key_job(job->id);
-    txn_when(txn, key, job_view->stamp);
-    txn_when(txn, KEY_LEADER, leader->view->leader_stamp);
-    txn_set(txn, key, job_final_value(final, job_view->tasks, loop_wall(leader->loop)),
-            (lease_id){0});
-    g_free(key);
-    job->finishing = true;
-    struct finish *f = g_new(struct finish, 1);
-    *f = (struct finish){leader, job->id, job_view->state == JOB_CANCELLED};
-    leader->cancelling += f->cancelled;
-    store_txn(leader->store, f->cancelled ? LANE_NORMAL : LANE_URGENT, txn, finish_answered, f);
-}
-
-static void consider_end(struct leader *leader, struct leader_job *job)
-{
-    struct job *job_view = view_job(leader->view, job->id.s);
-    if (!job_view || !job_view->known || job->finishing || !job_view->spec ||
-        !membership_leads(leader->members))
-        return;
-    if (job_view->state == JOB_LIVE && job_view->n_done == job_view->tasks)
-        finish(leader, job, job_view, JOB_DONE);
-    /* Many may be cancelled with one. All nodes know that already: it can wait behind other writes.
-     */
-    else if (job_view->state == JOB_CANCELLED && !job_view->placed &&
-             !g_hash_table_size(job->entries) && leader->cancelling < MOST_CANCELLING)
-        finish(leader, job, job_view, JOB_CANCELLED);
-}
-
-static bool over(struct leader *leader, struct leader_job *job)
-{
-    struct job *job_view = view_job(leader->view, job->id.s);
-    return (!job_view || !job_view->spec) && !g_hash_table_size(job->entries) && !job->finishing;
-}
-
-/* A task that is neither recorded nor given back for long would wait for ever, whatever became of
- * it: a new epoch makes all that was dealt void. */
-static void raise_for_stuck_deals(struct leader *leader)
-{
-    mono_time now = loop_now(leader->loop);
-    GHashTableIter it, deals;
-    struct leader_job *job;
-    struct deal *deal;
-    g_hash_table_iter_init(&it, leader->jobs);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job)) {
-        struct job *job_view = view_job(leader->view, job->id.s);
-        /* The switch rule may keep a task back for a twentieth of its time. */
-        double most = STUCK_S + (job_view && job_view->spec ? job_view->spec->expected_s * 0.1 : 0);
-        g_hash_table_iter_init(&deals, job->deals);
-        while (g_hash_table_iter_next(&deals, NULL, (gpointer *)&deal))
-            if ((double)time_ms_since(now, deal->since) > most * 1000 &&
-                (double)time_ms_since(now, leader->idle_at) > most * 1000) {
-                LOG_INFO("deal_stuck", "job=%s machine=%s", job->id.s, deal->host->id.s);
-                membership_raise(leader->members, "a deal is stuck");
-                return;
-            }
-    }
-}
-
-static void swept(void *arg, const struct txn_outcome *outcome)
-{
-    (void)outcome;
-    ((struct leader *)arg)->sweeping = false;
-}
-
-static void still_live(void *ctx, job_id job, uint32_t unit, const GByteArray *bits)
-{
-    void **c = ctx;
-    (void)unit;
-    (void)bits;
-    struct job *j = view_job(c[0], job.s);
-    *(bool *)c[1] = *(bool *)c[1] || (j && j->spec);
-}
-
-static void sweep_key(struct leader *leader, const char *key, revision stamp)
-{
-    struct txn *txn = txn_new();
-    txn_when(txn, KEY_LEADER, leader->view->leader_stamp);
-    txn_when(txn, key, stamp);
-    txn_remove(txn, key);
-    leader->sweeping = true;
-    store_txn(leader->store, LANE_NORMAL, txn, swept, leader);
-}
-
-static bool node_away(const struct leader *leader, const char *label)
-{
-    for (guint i = 0; i < leader->view->map->len; i++)
-        if (strcmp(g_array_index(leader->view->map, struct map_entry, i).label, label) == 0)
-            return false;
-    return true;
-}
-
-/* A page of a node that is away is removed once others have taken its machines over and the jobs
- * are over of which it says what is done. */
-static void sweep_pages(struct leader *leader)
-{
-    GHashTableIter it;
-    struct page *page;
-    g_hash_table_iter_init(&it, leader->view->pages);
-    while (!leader->sweeping && g_hash_table_iter_next(&it, NULL, (gpointer *)&page)) {
-        bool live = false;
-        void *ctx[] = {leader->view, &live};
-        if (page->tasks->len || !node_away(leader, page->label))
-            continue;
-        page_read_done(page->done ? page->done : "", still_live, ctx);
-        if (!live)
-            sweep_key(leader, page->key, page->stamp);
-    }
-}
-
-/* A list of machines of a node that is away is removed once it says nothing of a machine on which
- * anything is on record: those that own them now list them, too. */
-static void sweep_inventories(struct leader *leader)
-{
-    GHashTableIter it;
-    struct inventory *inventory;
-    g_hash_table_iter_init(&it, leader->view->inventories);
-    while (!leader->sweeping && g_hash_table_iter_next(&it, NULL, (gpointer *)&inventory)) {
-        bool needed = false;
-        for (guint i = 0; i < inventory->hosts->len; i++)
-            needed = needed || ((struct host_record *)inventory->hosts->pdata[i])->tasks->len;
-        if (!needed && node_away(leader, inventory->label))
-            sweep_key(leader, inventory->key, inventory->stamp);
-    }
-}
-
-/* ---- the pass ---- */
-
 /* Whether the ledger is that of the present epoch, and the digests are in or had their time. */
 static bool ready_to_deal(struct leader *leader)
 {
@@ -292,8 +131,6 @@
         leader_pass_soon(leader);
 }
 
-/* ---- the view ---- */
-
 static void on_view(struct leader *leader, const GArray *changes)
 {
     /* An outage may keep the lead from acting for a while. As long as nobody else takes it, which
@@ -347,8 +184,8 @@
         if (v && v->state != JOB_LIVE)
             for (uint32_t k = 0; g_hash_table_size(job->deals) && k < v->tasks; k++)
                 leader_deal_drop(leader, job, k);
-        consider_end(leader, job);
-        if (over(leader, job))
+        leader_consider_end(leader, job);
+        if (leader_job_over(leader, job))
             g_hash_table_remove(leader->jobs, change->job.s);
     }
     leader_pass_soon(leader);
@@ -366,13 +203,8 @@
     struct leader_job *job;
     g_hash_table_iter_init(&it, leader->jobs);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job))
-        consider_end(leader, job);
-    if (time_ms_since(loop_now(leader->loop), leader->swept_at) > SWEEP_MS) {
-        leader->swept_at = loop_now(leader->loop);
-        sweep_pages(leader);
-        sweep_inventories(leader);
-        raise_for_stuck_deals(leader);
-    }
+        leader_consider_end(leader, job);
+    leader_sweep(leader);
     if (ready_to_deal(leader))
         pass(leader);
     else
--- /dev/null
+++ b/src/leader_job_end.h
@@ -0,0 +1,13 @@
+/* The ends of jobs: the leader stores that they are done, or cancelled. */
+#ifndef LL_LEADER_JOB_END_H
+#define LL_LEADER_JOB_END_H
+
+#include "leader_state.h"
+
+/* Stores the end of a job whose tasks are all done, or that was cancelled and of which nothing is
+ * on record. */
+void leader_consider_end(struct leader *leader, struct leader_job *job);
+/* Whether nothing of the job is left to be kept: it ended, and all know. */
+bool leader_job_over(struct leader *leader, struct leader_job *job);
+
+#endif
