Split the long functions of the ledger, the digests and the view's changes

Each step is a function now: counts, shards, records and jobs of a rebuild; told and forgotten machines of a digest; beginning and end of leading, one change, and what follows for its job.

No change of behaviour.

--- a/src/leader.c
+++ b/src/leader.c
@@ -13,7 +13,7 @@
     SETTLE_MS = 1500, /* after a new epoch: for the digests to come in */
     TICK_MS = 200,
     PASS_MS = 8,
-    DEALS_A_PASS = 64,
+    DEALS_A_PASS = 64, /* then other events have their turn */
 };
 
 static void on_view(struct leader *leader, const GArray *changes);
@@ -113,6 +113,8 @@
     return true;
 }
 
+/* Deals, scales the fleet and sends what that came to. What the budget leaves is for the next pass.
+ */
 static void pass(void *arg)
 {
     struct leader *leader = arg;
@@ -131,62 +133,90 @@
         leader_pass_soon(leader);
 }
 
+/* Somebody else may lead now: nothing that is on its way to shards counts any more. */
+static void stop_leading(struct leader *leader)
+{
+    if (!leader->leading)
+        return;
+    LOG_INFO("not_leading", "epoch=%" G_GUINT64_FORMAT, leader->epoch.v);
+    leader->leading = false;
+    leader->generation++;
+}
+
+static void start_leading(struct leader *leader)
+{
+    leader->leading = true;
+    g_hash_table_remove_all(leader->hosts);
+    fleet_reset(leader->fleet);
+    leader->demand_peak = 0;
+}
+
+/* Takes a change of the view over into the ledger. */
+static void apply_change(struct leader *leader, const struct change *change, bool rebuilt)
+{
+    struct job *job_view;
+    switch (change->kind) {
+    case CHANGE_PLACED:
+        leader_entry_add(leader, change->job, change->index, change->attempt, change->host);
+        break;
+    case CHANGE_FREED:
+        leader_entry_remove(leader, change->job, change->index, change->attempt);
+        break;
+    case CHANGE_JOB:
+        job_view = view_job(leader->view, change->job.s);
+        if (job_view && job_view->known && job_view->spec)
+            leader_job_take_lent(leader, leader_job_make(leader, change->job), job_view);
+        break;
+    case CHANGE_RELOADED:
+        /* A task may have been placed and freed again unseen, and its deal would stay open. */
+        if (!rebuilt)
+            membership_raise(leader->members, "changes were lost");
+        break;
+    default:
+        break;
+    }
+}
+
+/* What follows for a job of which something has changed: it may have ended. */
+static void settle_job(struct leader *leader, struct leader_job *job)
+{
+    struct job *job_view = view_job(leader->view, job->id.s);
+    /* What was dealt of a job that is over is settled by the shards, which see the same. */
+    if (job_view && job_view->state != JOB_LIVE)
+        for (uint32_t k = 0; g_hash_table_size(job->deals) && k < job_view->tasks; k++)
+            leader_deal_drop(leader, job, k);
+    leader_consider_end(leader, job);
+    job_id id = job->id;
+    if (leader_job_over(leader, job))
+        g_hash_table_remove(leader->jobs, id.s);
+}
+
+/* Whether the change is one of a job or of its tasks. */
+static bool is_of_job(const struct change *change)
+{
+    return change->kind == CHANGE_JOB || change->kind == CHANGE_PLACED ||
+           change->kind == CHANGE_FREED;
+}
+
 static void on_view(struct leader *leader, const GArray *changes)
 {
     /* An outage may keep the lead from acting for a while. As long as nobody else takes it, which
-     * would raise the epoch, the ledger is kept up: what was dealt is still with the parts. */
+     * would raise the epoch, the ledger is kept up: what was dealt is still with the shards. */
     if (!membership_holds_lead(leader->members)) {
-        if (leader->leading) {
-            LOG_INFO("not_leading", "epoch=%" G_GUINT64_FORMAT, leader->epoch.v);
-            leader->leading = false;
-            leader->generation++;
-        }
+        stop_leading(leader);
         return;
     }
     bool rebuilt = !leader->leading || leader->epoch.v != leader->view->epoch.v;
-    if (!leader->leading) {
-        leader->leading = true;
-        g_hash_table_remove_all(leader->hosts);
-        fleet_reset(leader->fleet);
-        leader->demand_peak = 0;
-    }
+    if (!leader->leading)
+        start_leading(leader);
     if (rebuilt)
         leader_ledger_rebuild(leader);
     for (guint i = 0; i < changes->len; i++) {
         const struct change *change = &g_array_index(changes, struct change, i);
-        struct leader_job *job;
-        struct job *v;
-        switch (change->kind) {
-        case CHANGE_PLACED:
-            leader_entry_add(leader, change->job, change->index, change->attempt, change->host);
-            break;
-        case CHANGE_FREED:
-            leader_entry_remove(leader, change->job, change->index, change->attempt);
-            break;
-        case CHANGE_JOB:
-            v = view_job(leader->view, change->job.s);
-            if (v && v->known && v->spec)
-                leader_job_take_lent(leader, leader_job_make(leader, change->job), v);
-            break;
-        case CHANGE_RELOADED:
-            /* A task may have been placed and freed again unseen, and its deal would stay open. */
-            if (!rebuilt)
-                membership_raise(leader->members, "changes were lost");
-            break;
-        default:
-            break;
-        }
-        job = change->kind <= CHANGE_FREED ? leader_job_get(leader, change->job.s) : NULL;
-        if (!job)
-            continue;
-        v = view_job(leader->view, change->job.s);
-        /* What was dealt of a job that is over is settled by the parts, which see the same. */
-        if (v && v->state != JOB_LIVE)
-            for (uint32_t k = 0; g_hash_table_size(job->deals) && k < v->tasks; k++)
-                leader_deal_drop(leader, job, k);
-        leader_consider_end(leader, job);
-        if (leader_job_over(leader, job))
-            g_hash_table_remove(leader->jobs, change->job.s);
+        apply_change(leader, change, rebuilt);
+        struct leader_job *job = is_of_job(change) ? leader_job_get(leader, change->job.s) : NULL;
+        if (job)
+            settle_job(leader, job);
     }
     leader_pass_soon(leader);
 }
--- a/src/leader_digest.c
+++ b/src/leader_digest.c
@@ -72,6 +72,11 @@
     leader_deal_drop(leader, j, i);
 }
 
+static bool owned_by(const struct leader_host *host, const char *owner)
+{
+    return host->owner && strcmp(host->owner, owner) == 0;
+}
+
 /* What a shard is told of its machines: those that are to get nothing more. */
 static cJSON *shut_hosts(struct leader *leader, const char *owner)
 {
@@ -81,47 +86,74 @@
     struct leader_host *host;
     g_hash_table_iter_init(&it, leader->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
-        if (host->owner && strcmp(host->owner, owner) == 0 &&
+        if (owned_by(host, owner) &&
             (leader_host_slow(leader, host) || time_before(now, host->sick_until)))
             cJSON_AddItemToArray(list, cJSON_CreateString(host->id.s));
     return object;
 }
 
-int leader_on_digest(void *ctx, const char *from, const cJSON *m, cJSON **answer)
+/* A whole digest begins: none of the shard's machines has been told of yet. */
+static void clear_told(struct leader *leader, const char *owner)
 {
-    struct leader *leader = ctx;
-    uint64_t epoch, seq;
-    if (!bus_u64(m, "e", &epoch) || !bus_u64(m, "s", &seq))
-        return 400;
-    if (!membership_leads(leader->members) || !leader->leading || epoch != leader->epoch.v ||
-        epoch != leader->view->epoch.v || seq <= leader_shard_get(leader, from)->digest_seq)
-        return 409;
     GHashTableIter it;
     struct leader_host *host;
-    bool whole = cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(m, "whole"));
-    if (!whole && !leader_shard_get(leader, from)->digested)
-        return 409; /* then the next one is whole */
-    leader_shard_get(leader, from)->digest_seq = seq;
     g_hash_table_iter_init(&it, leader->hosts);
-    while (whole && g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
-        if (host->owner && strcmp(host->owner, from) == 0)
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
+        if (owned_by(host, owner))
             host->told = false;
+}
+
+/* Machines that nobody tells of any more, and that hold nothing, are forgotten. */
+static void forget_untold(struct leader *leader, const char *owner)
+{
+    GHashTableIter it;
+    struct leader_host *host;
+    g_hash_table_iter_init(&it, leader->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
+        if (!host->told && owned_by(host, owner) && leader_host_idle(host) &&
+            !view_host(leader->view, host->id.s))
+            g_hash_table_iter_remove(&it);
+}
+
+/* Takes over what a digest lists. whole: it lists all machines of the shard, not only changes. */
+static void take_lists(struct leader *leader, const char *from, const cJSON *m, bool whole)
+{
     const cJSON *x;
+    if (whole)
+        clear_told(leader, from);
     cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "hosts")) on_host(leader, from, x);
     cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "back")) on_back(leader, x);
     cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "news")) on_event(leader, x);
-    /* Machines that nobody tells of any more, and that hold nothing, are forgotten. */
-    g_hash_table_iter_init(&it, leader->hosts);
-    while (whole && g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
-        if (!host->told && host->owner && strcmp(host->owner, from) == 0 &&
-            leader_host_idle(host) && !view_host(leader->view, host->id.s))
-            g_hash_table_iter_remove(&it);
+    if (whole)
+        forget_untold(leader, from);
+}
+
+/* Whether the digest is for this leader in its present epoch. */
+static bool epoch_matches(const struct leader *leader, uint64_t epoch)
+{
+    return membership_leads(leader->members) && leader->leading && epoch == leader->epoch.v &&
+           epoch == leader->view->epoch.v;
+}
+
+int leader_on_digest(void *ctx, const char *from, const cJSON *m, cJSON **answer)
+{
+    struct leader *leader = ctx;
+    uint64_t epoch, seq;
+    if (!bus_u64(m, "e", &epoch) || !bus_u64(m, "s", &seq))
+        return 400;
+    if (!epoch_matches(leader, epoch))
+        return 409;
+    struct leader_shard *shard = leader_shard_get(leader, from);
+    bool whole = cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(m, "whole"));
+    if (seq <= shard->digest_seq || (!whole && !shard->digested))
+        return 409; /* after which the next one is whole */
+    shard->digest_seq = seq;
+    take_lists(leader, from, m, whole);
     if (cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(m, "raise")) &&
         time_ms_since(loop_now(leader->loop), leader->epoch_at) > RAISE_AFTER_MS)
         membership_raise(leader->members, "a command may still be on its way");
     *answer = shut_hosts(leader, from);
-    if (whole)
-        leader_shard_get(leader, from)->digested = true;
+    shard->digested = shard->digested || whole;
     leader_pass_soon(leader);
     return 200;
 }
--- a/src/leader_ledger.c
+++ b/src/leader_ledger.c
@@ -169,53 +169,76 @@
     j->cursor = MIN(j->cursor, index);
 }
 
-void leader_ledger_rebuild(struct leader *leader)
+/* Nothing is booked on machines, and nothing used by teams; whose machines they are is not known.
+ */
+static void clear_counts(struct leader *leader)
 {
-    leader->epoch = leader->view->epoch;
-    leader->epoch_at = loop_now(leader->loop);
-    leader->generation++;
-    leader->attempts = 0;
-    GHashTable *old = leader->jobs;
-    leader->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
-    g_hash_table_remove_all(leader->shards);
     memset(leader->running, 0, sizeof leader->running);
     for (int i = 0; i < leader->n_teams; i++)
         leader->teams[i].used = leader->teams[i].halting = (struct room){0};
     GHashTableIter it;
-    struct leader_host *h;
+    struct leader_host *host;
     g_hash_table_iter_init(&it, leader->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
-        h->booked = h->dealt = h->pinned = (struct room){0};
-        h->told = false;
-        h->flags = 0;
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host)) {
+        host->booked = host->dealt = host->pinned = (struct room){0};
+        host->told = false;
+        host->flags = 0;
     }
+}
+
+static void reset_shards(struct leader *leader)
+{
+    g_hash_table_remove_all(leader->shards);
     for (guint i = 0; i < leader->view->map->len; i++)
         leader_shard_get(leader, g_array_index(leader->view->map, struct map_entry, i).label);
+}
+
+/* Takes a machine from the view, and what is on record there. */
+static void enter_record(struct leader *leader, const struct host_record *rec)
+{
+    struct leader_host *host =
+        leader_host_make(leader, rec->id, rec->type_name, rec->zone, rec->spot);
+    for (guint i = 0; i < rec->images->len && !host->told; i++)
+        images_add(host->images, rec->images->pdata[i]);
+    for (guint i = 0; i < rec->tasks->len; i++) {
+        struct placed *placed = rec->tasks->pdata[i];
+        leader_entry_add(leader, placed->job->id, placed->index, placed->attempt, rec->id);
+    }
+}
+
+/* Takes a job from the view. What was learnt of it stays; old: the jobs of the last epoch. */
+static void enter_job(struct leader *leader, const struct job *job_view, GHashTable *old)
+{
+    if (!job_view->known || (job_view->state != JOB_LIVE && !job_view->spec))
+        return;
+    struct leader_job *job = leader_job_make(leader, job_view->id);
+    struct leader_job *before = g_hash_table_lookup(old, job_view->id.s);
+    if (!job || !before)
+        return;
+    job->failures = before->failures;
+    job->not_before = before->not_before;
+    job->failed_on = g_steal_pointer(&before->failed_on);
+}
+
+void leader_ledger_rebuild(struct leader *leader)
+{
+    leader->epoch = leader->view->epoch;
+    leader->epoch_at = loop_now(leader->loop);
+    leader->generation++;
+    leader->attempts = 0;
+    GHashTable *old = leader->jobs;
+    leader->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+    clear_counts(leader);
+    reset_shards(leader);
+    GHashTableIter it;
     struct host_record *rec;
     g_hash_table_iter_init(&it, leader->view->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&rec)) {
-        struct leader_host *n =
-            leader_host_make(leader, rec->id, rec->type_name, rec->zone, rec->spot);
-        for (guint i = 0; i < rec->images->len && !n->told; i++)
-            images_add(n->images, rec->images->pdata[i]);
-        for (guint i = 0; i < rec->tasks->len; i++) {
-            struct placed *placed = rec->tasks->pdata[i];
-            leader_entry_add(leader, placed->job->id, placed->index, placed->attempt, rec->id);
-        }
-    }
-    struct job *job;
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&rec))
+        enter_record(leader, rec);
+    struct job *job_view;
     g_hash_table_iter_init(&it, leader->view->jobs);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job)) {
-        if (!job->known || (job->state != JOB_LIVE && !job->spec))
-            continue;
-        struct leader_job *n = leader_job_make(leader, job->id),
-                          *o = g_hash_table_lookup(old, job->id.s);
-        if (n && o) { /* what was learnt of it stays */
-            n->failures = o->failures;
-            n->not_before = o->not_before;
-            n->failed_on = g_steal_pointer(&o->failed_on);
-        }
-    }
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job_view))
+        enter_job(leader, job_view, old);
     g_hash_table_unref(old);
     LOG_INFO("leading", "jobs=%u machines=%u", g_hash_table_size(leader->jobs),
              g_hash_table_size(leader->hosts));
