Name the ranks, fields and steps of dealing and digests; document the leader's state

deal_some nested four levels deep; filling one machine and dealing to the best are functions now. Ranks, the quantum of the round robin and the places of the fields that a digest has for a machine are named, and a machine's report is a struct before it changes anything. Single-letter variables are words, and every struct of leader_state.h and its fields say what they are.

No change of behaviour, and none of what is on the wire.

--- a/src/leader_digest.c
+++ b/src/leader_digest.c
@@ -10,38 +10,59 @@
 };
 
 /* How a task ended on a machine: the time it took, or the cause of its failure. */
-static void on_event(struct leader *leader, const cJSON *n)
+static void on_event(struct leader *leader, const cJSON *event)
 {
-    const char *host = bus_text(n, "h"), *job = bus_text(n, "j");
-    const cJSON *cause = cJSON_GetObjectItemCaseSensitive(n, "c");
-    const cJSON *took = cJSON_GetObjectItemCaseSensitive(n, "took");
-    struct leader_job *j = job ? leader_job_get(leader, job) : NULL;
-    struct leader_host *h = host ? leader_host_get(leader, host) : NULL;
-    if (job && h && cJSON_IsNumber(took))
-        leader_learn_run_time(leader, job, h, took->valuedouble);
-    if (j && h && cJSON_IsNumber(cause))
-        leader_task_failed(leader, j, h, (enum cause)cause->valuedouble);
+    const char *host_name = bus_text(event, "h"), *job_name = bus_text(event, "j");
+    const cJSON *cause = cJSON_GetObjectItemCaseSensitive(event, "c");
+    const cJSON *took = cJSON_GetObjectItemCaseSensitive(event, "took");
+    struct leader_job *job = job_name ? leader_job_get(leader, job_name) : NULL;
+    struct leader_host *host = host_name ? leader_host_get(leader, host_name) : NULL;
+    if (job_name && host && cJSON_IsNumber(took))
+        leader_learn_run_time(leader, job_name, host, took->valuedouble);
+    if (job && host && cJSON_IsNumber(cause))
+        leader_task_failed(leader, job, host, (enum cause)cause->valuedouble);
 }
 
-/* What a machine is, and what it has fetched if that has changed. */
-static void on_host(struct leader *leader, const char *from, const cJSON *x)
+/* What a digest says of a machine: an array with these fields. */
+enum host_field {
+    FIELD_ID,
+    FIELD_TYPE,
+    FIELD_ZONE,
+    FIELD_SPOT,
+    FIELD_FLAGS,
+    FIELD_IMAGES, /* only if they have changed */
+};
+
+struct host_report {
+    host_id id;
+    const char *type_name, *zone;
+    bool spot;
+    int flags;
+    const cJSON *images; /* NULL: as before */
+};
+
+static bool read_host(const cJSON *item, struct host_report *report)
 {
-    const cJSON *id = cJSON_GetArrayItem(x, 0), *type_name = cJSON_GetArrayItem(x, 1);
-    const cJSON *zone = cJSON_GetArrayItem(x, 2), *spot = cJSON_GetArrayItem(x, 3);
-    const cJSON *flags = cJSON_GetArrayItem(x, 4);
-    host_id hid;
-    if (!cJSON_IsString(id) || !host_id_from(&hid, id->valuestring) || !cJSON_IsString(type_name) ||
-        !cJSON_IsString(zone) || !cJSON_IsBool(spot) || !cJSON_IsNumber(flags))
-        return;
-    struct leader_host *host = leader_host_make(leader, hid, type_name->valuestring,
-                                                zone->valuestring, cJSON_IsTrue(spot));
-    g_free(host->owner);
-    host->owner = g_strdup(from);
-    host->flags = (int)flags->valuedouble;
-    host->told = true;
-    const cJSON *images = cJSON_GetArrayItem(x, 5), *image;
-    if (!images)
-        return;
+    const cJSON *id = cJSON_GetArrayItem(item, FIELD_ID);
+    const cJSON *type_name = cJSON_GetArrayItem(item, FIELD_TYPE);
+    const cJSON *zone = cJSON_GetArrayItem(item, FIELD_ZONE);
+    const cJSON *spot = cJSON_GetArrayItem(item, FIELD_SPOT);
+    const cJSON *flags = cJSON_GetArrayItem(item, FIELD_FLAGS);
+    if (!cJSON_IsString(id) || !host_id_from(&report->id, id->valuestring) ||
+        !cJSON_IsString(type_name) || !cJSON_IsString(zone) || !cJSON_IsBool(spot) ||
+        !cJSON_IsNumber(flags))
+        return false;
+    report->type_name = type_name->valuestring;
+    report->zone = zone->valuestring;
+    report->spot = cJSON_IsTrue(spot);
+    report->flags = (int)flags->valuedouble;
+    report->images = cJSON_GetArrayItem(item, FIELD_IMAGES);
+    return true;
+}
+
+static void take_images(struct leader_host *host, const cJSON *images)
+{
+    const cJSON *image;
     g_ptr_array_set_size(host->images, 0);
     cJSON_ArrayForEach(image, images)
     {
@@ -50,26 +71,42 @@
     }
 }
 
+/* What a machine is, and what it has fetched if that has changed. */
+static void on_host(struct leader *leader, const char *from, const cJSON *item)
+{
+    struct host_report report;
+    if (!read_host(item, &report))
+        return;
+    struct leader_host *host =
+        leader_host_make(leader, report.id, report.type_name, report.zone, report.spot);
+    g_free(host->owner);
+    host->owner = g_strdup(from);
+    host->flags = report.flags;
+    host->told = true;
+    if (report.images)
+        take_images(host, report.images);
+}
+
 /* A deal that its shard could not place. */
-static void on_back(struct leader *leader, const cJSON *x)
+static void on_back(struct leader *leader, const cJSON *item)
 {
-    job_id job;
-    uint32_t i;
+    job_id id;
+    uint32_t index;
     attempt_no attempt;
-    struct leader_job *j =
-        bus_task_read(x, &job, &i, &attempt) ? leader_job_get(leader, job.s) : NULL;
-    if (!j)
+    struct leader_job *job =
+        bus_task_read(item, &id, &index, &attempt) ? leader_job_get(leader, id.s) : NULL;
+    if (!job)
         return;
-    struct deal *deal = g_hash_table_lookup(j->deals, leader_key_of(i));
+    struct deal *deal = g_hash_table_lookup(job->deals, leader_key_of(index));
     /* A gang's task may be dealt again under the same attempt: an answer that is said again must
      * not take back the later deal. */
     uint64_t number = 0;
     if (!deal || deal->attempt.v != attempt.v ||
-        (bus_u64(x, "n", &number) && number != deal->number))
+        (bus_u64(item, "n", &number) && number != deal->number))
         return;
     if (deal->host)
         deal->host->avoid_until = time_add_ms(loop_now(leader->loop), AVOID_MS);
-    leader_deal_drop(leader, j, i);
+    leader_deal_drop(leader, job, index);
 }
 
 static bool owned_by(const struct leader_host *host, const char *owner)
@@ -116,14 +153,17 @@
 }
 
 /* Takes over what a digest lists. whole: it lists all machines of the shard, not only changes. */
-static void take_lists(struct leader *leader, const char *from, const cJSON *m, bool whole)
+static void take_lists(struct leader *leader, const char *from, const cJSON *digest, bool whole)
 {
-    const cJSON *x;
+    const cJSON *hosts = cJSON_GetObjectItemCaseSensitive(digest, "hosts");
+    const cJSON *back = cJSON_GetObjectItemCaseSensitive(digest, "back");
+    const cJSON *news = cJSON_GetObjectItemCaseSensitive(digest, "news");
+    const cJSON *item;
     if (whole)
         clear_told(leader, from);
-    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "hosts")) on_host(leader, from, x);
-    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "back")) on_back(leader, x);
-    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "news")) on_event(leader, x);
+    cJSON_ArrayForEach(item, hosts) on_host(leader, from, item);
+    cJSON_ArrayForEach(item, back) on_back(leader, item);
+    cJSON_ArrayForEach(item, news) on_event(leader, item);
     if (whole)
         forget_untold(leader, from);
 }
@@ -135,21 +175,21 @@
            epoch == leader->view->epoch.v;
 }
 
-int leader_on_digest(void *ctx, const char *from, const cJSON *m, cJSON **answer)
+int leader_on_digest(void *ctx, const char *from, const cJSON *digest, cJSON **answer)
 {
     struct leader *leader = ctx;
     uint64_t epoch, seq;
-    if (!bus_u64(m, "e", &epoch) || !bus_u64(m, "s", &seq))
+    if (!bus_u64(digest, "e", &epoch) || !bus_u64(digest, "s", &seq))
         return 400;
     if (!epoch_matches(leader, epoch))
         return 409;
     struct leader_shard *shard = leader_shard_get(leader, from);
-    bool whole = cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(m, "whole"));
+    bool whole = cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(digest, "whole"));
     if (seq <= shard->digest_seq || (!whole && !shard->digested))
         return 409; /* after which the next one is whole */
     shard->digest_seq = seq;
-    take_lists(leader, from, m, whole);
-    if (cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(m, "raise")) &&
+    take_lists(leader, from, digest, whole);
+    if (cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(digest, "raise")) &&
         time_ms_since(loop_now(leader->loop), leader->epoch_at) > RAISE_AFTER_MS)
         membership_raise(leader->members, "a command may still be on its way");
     *answer = shut_hosts(leader, from);
--- a/src/leader_digest.h
+++ b/src/leader_digest.h
@@ -6,6 +6,6 @@
 #include "leader_state.h"
 
 /* Handles the bus message "digest". ctx: the leader. */
-int leader_on_digest(void *ctx, const char *from, const cJSON *m, cJSON **answer);
+int leader_on_digest(void *ctx, const char *from, const cJSON *digest, cJSON **answer);
 
 #endif
--- a/src/leader_ledger.c
+++ b/src/leader_ledger.c
@@ -66,10 +66,10 @@
 {
     if (!job)
         return;
-    int n = (int)g_hash_table_size(job->entries);
-    leader->running[job->urgency] -= n;
+    int recorded = (int)g_hash_table_size(job->entries);
+    leader->running[job->urgency] -= recorded;
     job->urgency = (enum urgency)job_view->urgency;
-    leader->running[job->urgency] += n;
+    leader->running[job->urgency] += recorded;
     job->patience_s = leader_patience_s(leader, job_view);
 }
 
@@ -119,54 +119,54 @@
     job->cursor = MIN(job->cursor, index);
 }
 
-void leader_entry_add(struct leader *leader, job_id job, uint32_t index, attempt_no attempt,
-                      host_id host)
+void leader_entry_add(struct leader *leader, job_id id, uint32_t index, attempt_no attempt,
+                      host_id where)
 {
-    struct leader_job *j = leader_job_make(leader, job);
-    if (!j || g_hash_table_contains(j->entries, leader_key_of(index)))
+    struct leader_job *job = leader_job_make(leader, id);
+    if (!job || g_hash_table_contains(job->entries, leader_key_of(index)))
         return;
-    struct deal *deal = g_hash_table_lookup(j->deals, leader_key_of(index));
+    struct deal *deal = g_hash_table_lookup(job->deals, leader_key_of(index));
     if (deal && deal->attempt.v == attempt.v)
-        leader_deal_drop(leader, j, index);
+        leader_deal_drop(leader, job, index);
     struct entry *entry = g_new(struct entry, 1);
-    *entry = (struct entry){.attempt = attempt, .host = host, .since = loop_now(leader->loop)};
-    g_hash_table_insert(j->entries, leader_key_of(index), entry);
-    room_add(&leader->teams[j->team].used, j->room);
-    leader->running[j->urgency]++;
-    struct host_record *rec = view_host(leader->view, host.s);
-    struct leader_host *h = leader_host_get(leader, host.s);
-    if (!h && rec)
-        h = leader_host_make(leader, host, rec->type_name, rec->zone, rec->spot);
-    if (h)
-        room_add(&h->booked, j->room);
-    if (h && j->service)
-        room_add(&h->pinned, j->room);
+    *entry = (struct entry){.attempt = attempt, .host = where, .since = loop_now(leader->loop)};
+    g_hash_table_insert(job->entries, leader_key_of(index), entry);
+    room_add(&leader->teams[job->team].used, job->room);
+    leader->running[job->urgency]++;
+    struct host_record *rec = view_host(leader->view, where.s);
+    struct leader_host *host = leader_host_get(leader, where.s);
+    if (!host && rec)
+        host = leader_host_make(leader, where, rec->type_name, rec->zone, rec->spot);
+    if (host)
+        room_add(&host->booked, job->room);
+    if (host && job->service)
+        room_add(&host->pinned, job->room);
 }
 
-void leader_entry_remove(struct leader *leader, job_id job, uint32_t index, attempt_no attempt)
+void leader_entry_remove(struct leader *leader, job_id id, uint32_t index, attempt_no attempt)
 {
-    struct leader_job *j = leader_job_get(leader, job.s);
-    struct entry *entry = j ? g_hash_table_lookup(j->entries, leader_key_of(index)) : NULL;
+    struct leader_job *job = leader_job_get(leader, id.s);
+    struct entry *entry = job ? g_hash_table_lookup(job->entries, leader_key_of(index)) : NULL;
     if (!entry || entry->attempt.v != attempt.v)
         return;
     struct leader_host *host = leader_host_get(leader, entry->host.s);
-    j->gang.lost_task = true;
+    job->gang.lost_task = true;
     if (host) {
-        room_sub(&host->booked, j->room);
-        if (j->service)
-            room_sub(&host->pinned, j->room);
+        room_sub(&host->booked, job->room);
+        if (job->service)
+            room_sub(&host->pinned, job->room);
         host->idle_since = loop_now(leader->loop);
     }
-    room_sub(&leader->teams[j->team].used, j->room);
-    leader->running[j->urgency]--;
+    room_sub(&leader->teams[job->team].used, job->room);
+    leader->running[job->urgency]--;
     if (entry->halted)
-        room_sub(&leader->teams[j->team].halting, j->room);
-    struct leader_job *other =
+        room_sub(&leader->teams[job->team].halting, job->room);
+    struct leader_job *preemptor =
         entry->preempted_for.s[0] ? leader_job_get(leader, entry->preempted_for.s) : NULL;
-    if (other)
-        other->pending_preemptions--;
-    g_hash_table_remove(j->entries, leader_key_of(index));
-    j->cursor = MIN(j->cursor, index);
+    if (preemptor)
+        preemptor->pending_preemptions--;
+    g_hash_table_remove(job->entries, leader_key_of(index));
+    job->cursor = MIN(job->cursor, index);
 }
 
 /* Nothing is booked on machines, and nothing used by teams; whose machines they are is not known.
--- a/src/leader_ledger.h
+++ b/src/leader_ledger.h
@@ -25,10 +25,10 @@
 /* Takes a deal back, if the task is dealt: it waits again, or is on record. */
 void leader_deal_drop(struct leader *leader, struct leader_job *job, uint32_t index);
 /* Counts a task as on record; a deal under the same attempt has come to that. */
-void leader_entry_add(struct leader *leader, job_id job, uint32_t index, attempt_no attempt,
-                      host_id host);
+void leader_entry_add(struct leader *leader, job_id id, uint32_t index, attempt_no attempt,
+                      host_id where);
 /* The record of that attempt is gone: the task no longer counts. */
-void leader_entry_remove(struct leader *leader, job_id job, uint32_t index, attempt_no attempt);
+void leader_entry_remove(struct leader *leader, job_id id, uint32_t index, attempt_no attempt);
 /* A new epoch, or this node has just come to lead: everything is taken from the view. What was
  * dealt under an earlier epoch and is not on record by now never will be, as every record is
  * conditioned on the map. */
--- a/src/leader_placement.c
+++ b/src/leader_placement.c
@@ -21,6 +21,16 @@
     return room_left(room_left(room_left(host->total, host->booked), host->dealt), host->held);
 }
 
+/* The zone of the machine, or NULL if it cannot be told. */
+static const char *zone_of(struct leader *leader, host_id id)
+{
+    const struct leader_host *host = leader_host_get(leader, id.s);
+    if (host && host->zone[0])
+        return host->zone;
+    const struct host_record *rec = view_host(leader->view, id.s);
+    return rec && rec->zone[0] ? rec->zone : NULL;
+}
+
 uint32_t leader_in_zone(struct leader *leader, struct leader_job *job, const char *zone)
 {
     uint32_t n = 0;
@@ -29,11 +39,9 @@
     struct deal *deal;
     g_hash_table_iter_init(&it, job->entries);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&entry)) {
-        struct leader_host *host = leader_host_get(leader, entry->host.s);
-        struct host_record *rec = view_host(leader->view, entry->host.s);
-        const char *y = host && host->zone[0] ? host->zone : rec && rec->zone[0] ? rec->zone : NULL;
+        const char *where = zone_of(leader, entry->host);
         /* Where it is cannot be told: it counts everywhere. */
-        n += !y || strcmp(y, zone) == 0;
+        n += !where || strcmp(where, zone) == 0;
     }
     g_hash_table_iter_init(&it, job->deals);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&deal))
@@ -115,10 +123,10 @@
 
 gint leader_compare_choices(gconstpointer a, gconstpointer b)
 {
-    const struct host_choice *choice = a, *y = b;
-    if (choice->score != y->score)
-        return choice->score > y->score ? -1 : 1;
-    return strcmp(choice->host->id.s, y->host->id.s);
+    const struct host_choice *first = a, *second = b;
+    if (first->score != second->score)
+        return first->score > second->score ? -1 : 1;
+    return strcmp(first->host->id.s, second->host->id.s);
 }
 
 GArray *leader_choose_hosts(struct leader *leader, struct leader_job *job, const struct spec *spec,
--- a/src/leader_queue.c
+++ b/src/leader_queue.c
@@ -6,7 +6,19 @@
 #include "leader_preempt.h"
 #include "leader_shards.h"
 
-enum { MOST_DEFICIT = 10000000 };
+/* Of cpus, in thousandths. */
+enum {
+    MOST_DEFICIT = 10000000,
+    LEAST_QUANTUM = 1000,
+    QUANTUM_DIVISOR = 16, /* a team's quantum is its guarantee divided by that */
+};
+
+/* Ranks below RANK_BORROWED are for what a team was promised; each has one place by urgency. */
+enum {
+    RANK_SERVICES = 0,
+    RANK_BORROWED = 4,
+    RANK_BORROWED_LATE = 8,
+};
 
 /* A job that has waited for so long has its place in the queue again, late or not: the largest,
  * too, have to begin within a few minutes. */
@@ -33,45 +45,64 @@
 {
     struct leader_team *team = &leader->teams[job->team];
     if (job->urgency == URGENCY_PROD)
-        return 0;
+        return RANK_SERVICES;
     if (leader_within_limits(team->used, job->room, team->team->cpus, team->team->gpus))
         return job->urgency;
     /* What is overdue goes before all that is borrowed, or urgent work would hold it back for ever.
      */
-    return job->overdue ? 4 : (job->in_time ? 4 : 8) + job->urgency;
+    if (job->overdue)
+        return RANK_BORROWED;
+    return (job->in_time ? RANK_BORROWED : RANK_BORROWED_LATE) + job->urgency;
+}
+
+/* Deals so many tasks at most to one machine; tells how many. */
+static int fill_host(struct leader *leader, struct leader_job *job, struct job *job_view,
+                     struct leader_host *host, attempt_no attempt, int most)
+{
+    int dealt = 0;
+    while (dealt < most && room_holds(leader_host_free_room(host), job->room) &&
+           leader_zone_allowed(leader, job, job_view->spec, host->zone_index)) {
+        uint32_t index = leader_next_waiting(job, job_view);
+        if (index >= job_view->tasks)
+            break; /* more is on record than the count says */
+        leader_book_deal(leader, job, index, attempt, host);
+        leader_send_deal(leader, job, index, false);
+        if (host->zone_index >= 0)
+            leader->zone_tasks[host->zone_index]++;
+        dealt++;
+    }
+    return dealt;
 }
 
-/* Deals so many tasks at most, to the best machines; tells how many. */
+/* Deals so many tasks at most, to the best machines; tells how many. image: only to machines that
+ * have the job's image. */
+static int deal_to_best(struct leader *leader, struct leader_job *job, struct job *job_view,
+                        int most, bool image)
+{
+    if (leader_known_unplaceable(leader, job_view->spec))
+        return 0;
+    GArray *hosts = leader_choose_hosts(leader, job, job_view->spec, image);
+    attempt_no attempt = leader_next_attempt(leader);
+    int dealt = 0;
+    for (guint i = 0; i < hosts->len && dealt < most; i++) {
+        struct leader_host *host = g_array_index(hosts, struct host_choice, i).host;
+        dealt += fill_host(leader, job, job_view, host, attempt, most - dealt);
+    }
+    if (!hosts->len && !image)
+        leader_note_unplaceable(leader, job_view->spec);
+    g_array_unref(hosts);
+    return dealt;
+}
+
+/* Deals so many tasks at most, or has room made for some if none finds any; tells how many. */
 static int deal_some(struct leader *leader, struct leader_job *job, struct job *job_view, int most)
 {
-    int n = (int)MIN(most, leader_count_allowed(leader, job, job_view)), dealt = 0;
-    if (n <= 0)
+    int allowed = (int)MIN(most, leader_count_allowed(leader, job, job_view));
+    if (allowed <= 0)
         return 0;
     leader_count_zones(leader, job, job_view->spec);
     bool image = leader_holds_out_for_image(leader, job, job_view);
-    if (!leader_known_unplaceable(leader, job_view->spec)) {
-        GArray *hosts = leader_choose_hosts(leader, job, job_view->spec, image);
-        attempt_no attempt = leader_next_attempt(leader);
-        for (guint i = 0; i < hosts->len && dealt < n; i++) {
-            struct leader_host *host = g_array_index(hosts, struct host_choice, i).host;
-            while (dealt < n && room_holds(leader_host_free_room(host), job->room) &&
-                   leader_zone_allowed(leader, job, job_view->spec, host->zone_index)) {
-                uint32_t index = leader_next_waiting(job, job_view);
-                if (index >= job_view->tasks)
-                    n = dealt; /* more is on record than the count says */
-                else {
-                    leader_book_deal(leader, job, index, attempt, host);
-                    leader_send_deal(leader, job, index, false);
-                    if (host->zone_index >= 0)
-                        leader->zone_tasks[host->zone_index]++;
-                    dealt++;
-                }
-            }
-        }
-        if (!hosts->len && !image)
-            leader_note_unplaceable(leader, job_view->spec);
-        g_array_unref(hosts);
-    }
+    int dealt = deal_to_best(leader, job, job_view, allowed, image);
     if (!dealt) {
         job->blocked = true;
         leader_preempt(leader, job, job_view, image);
@@ -79,16 +110,20 @@
     return dealt;
 }
 
+static double share_of(double part, double whole)
+{
+    return whole > 0 ? part / whole : 0;
+}
+
 /* How long the job would keep its team's whole limit busy. */
 static double keeps_busy_s(struct leader *leader, const struct leader_job *job,
                            const struct job *job_view)
 {
     const struct team *team = leader->teams[job->team].team;
-    double all = (double)job->room.cpus.milli * job_view->tasks,
-           most = (double)team->cpus_max.milli;
-    double cards = (double)job->room.gpus.milli * job_view->tasks,
-           most_cards = (double)team->gpus_max.milli;
-    double share = MAX(most > 0 ? all / most : 0, most_cards > 0 ? cards / most_cards : 0);
+    double cpus = (double)job->room.cpus.milli * job_view->tasks;
+    double gpus = (double)job->room.gpus.milli * job_view->tasks;
+    double share = MAX(share_of(cpus, (double)team->cpus_max.milli),
+                       share_of(gpus, (double)team->gpus_max.milli));
     return share * job_view->spec->expected_s;
 }
 
@@ -96,15 +131,15 @@
  * still be in time. */
 static gint by_place(gconstpointer a, gconstpointer b)
 {
-    const struct leader_job *job = *(struct leader_job *const *)a,
-                            *y = *(struct leader_job *const *)b;
-    if (job->in_time != y->in_time)
-        return job->in_time ? -1 : 1;
-    if (job->aged != y->aged)
-        return job->aged ? -1 : 1;
-    if (job->queue_ms != y->queue_ms)
-        return job->queue_ms < y->queue_ms ? -1 : 1;
-    return strcmp(job->id.s, y->id.s);
+    const struct leader_job *first = *(struct leader_job *const *)a;
+    const struct leader_job *second = *(struct leader_job *const *)b;
+    if (first->in_time != second->in_time)
+        return first->in_time ? -1 : 1;
+    if (first->aged != second->aged)
+        return first->aged ? -1 : 1;
+    if (first->queue_ms != second->queue_ms)
+        return first->queue_ms < second->queue_ms ? -1 : 1;
+    return strcmp(first->id.s, second->id.s);
 }
 
 /* Aged jobs and those that may be in time take turns: either alone at the front would make all the
@@ -172,16 +207,37 @@
             if (team->next_ready >= team->ready->len)
                 continue;
             team->deficit =
-                MIN(team->deficit + MAX(team->team->cpus.milli / 16, 1000), MOST_DEFICIT);
+                MIN(team->deficit + MAX(team->team->cpus.milli / QUANTUM_DIVISOR, LEAST_QUANTUM),
+                    MOST_DEFICIT);
             any = deal_turn(leader, team, rank, budget, &dealt) || any;
         }
     }
     return dealt;
 }
 
+/* Whether the job may have something to deal in this pass. */
+static bool is_ready(struct leader *leader, struct leader_job *job, const struct job *job_view)
+{
+    /* What it needs is done once that is durable and seen here, whoever led when it was. */
+    if (!job_view || !job_view->known || job_view->state != JOB_LIVE || !job_view->spec ||
+        job_view->waits || time_before(loop_now(leader->loop), job->not_before))
+        return false;
+    return job_view->spec->form == FORM_GANG ||
+           leader_next_waiting(job, job_view) < job_view->tasks;
+}
+
+/* Adds the job to its team's queue. */
+static void enqueue(struct leader *leader, struct leader_job *job, struct job *job_view)
+{
+    job->in_time = still_in_time(leader, job, job_view);
+    job->view = job_view;
+    job->queue_ms =
+        job_view->since.ms + (int64_t)(SIZE_COUNTS * 1000 * keeps_busy_s(leader, job, job_view));
+    g_ptr_array_add(leader->teams[job->team].ready, job);
+}
+
 bool leader_collect_ready(struct leader *leader)
 {
-    mono_time now = loop_now(leader->loop);
     bool any = false;
     for (int i = 0; i < leader->n_teams; i++)
         g_ptr_array_set_size(leader->teams[i].ready, 0);
@@ -192,18 +248,9 @@
         struct job *job_view = view_job(leader->view, job->id.s);
         job->blocked = false;
         job->gang.held_tasks = 0;
-        /* What it needs is done once that is durable and seen here, whoever led when it was. */
-        if (!job_view || !job_view->known || job_view->state != JOB_LIVE || !job_view->spec ||
-            job_view->waits || time_before(now, job->not_before))
-            continue;
-        if (job_view->spec->form != FORM_GANG &&
-            leader_next_waiting(job, job_view) >= job_view->tasks)
+        if (!is_ready(leader, job, job_view))
             continue;
-        job->in_time = still_in_time(leader, job, job_view);
-        job->view = job_view;
-        job->queue_ms = job_view->since.ms +
-                        (int64_t)(SIZE_COUNTS * 1000 * keeps_busy_s(leader, job, job_view));
-        g_ptr_array_add(leader->teams[job->team].ready, job);
+        enqueue(leader, job, job_view);
         any = true;
     }
     for (int i = 0; i < leader->n_teams; i++) {
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -16,12 +16,11 @@
     job_id preempted_for; /* the job that it was stopped for; "": none */
 };
 
-/* A task dealt to a part and not on record yet. */
+/* A task dealt to a shard and not on record yet. */
 struct deal {
     attempt_no attempt;
-    struct leader_host
-        *host;       /* where there was room; the part may choose another of its machines */
-    uint64_t number; /* of all deals of this leader */
+    struct leader_host *host; /* with room; the shard may choose another of its machines */
+    uint64_t number;          /* of all deals of this leader */
     mono_time since;
     char zone[48];
 };
@@ -38,6 +37,7 @@
     int preempt_zone;           /* where room was made for it last; the same */
 };
 
+/* A job as the ledger counts it. "In this pass" marks what each pass works out anew. */
 struct leader_job {
     job_id id;
     int team;
@@ -48,16 +48,17 @@
     struct job *view;            /* in this pass */
     GHashTable *entries, *deals; /* index + 1 -> */
     uint32_t cursor;             /* no task below it waits */
-    bool finishing;
-    bool blocked;     /* in this pass: no machine has room */
-    bool in_time;     /* in this pass: what its class is expected to do can still be done */
-    bool aged;        /* in this pass: it has waited for so long that it has its place again */
-    bool overdue;     /* and for longer still */
-    int64_t queue_ms; /* its place in its team's queue: by arrival and size */
-    mono_time not_before, preempted_at;
+    bool finishing;              /* its end is being stored */
+    bool blocked;                /* in this pass: no machine has room */
+    bool in_time;         /* in this pass: what its class is expected to do can still be done */
+    bool aged;            /* in this pass: it has waited for so long that it has its place again */
+    bool overdue;         /* and for longer still */
+    int64_t queue_ms;     /* its place in its team's queue: by arrival and size */
+    mono_time not_before; /* it fails everywhere, and pauses until then */
+    mono_time preempted_at;  /* work was last stopped for it */
     int pending_preemptions; /* tasks that were stopped for it and are on record still */
-    int failures;
-    GHashTable *failed_on;
+    int failures;            /* of the job itself, on one machine after the other */
+    GHashTable *failed_on;   /* set of machines */
     struct gang_state gang;
 };
 
@@ -67,45 +68,51 @@
     double mean_s;
 };
 
+/* A machine as the ledger counts it. */
 struct leader_host {
     host_id id;
     char type_name[48], zone[48];
     bool spot;
-    char *owner;
-    int flags;
+    char *owner;       /* the shard that tells of it; NULL: none yet */
+    int flags;         /* HOST_..., by its owner */
     GPtrArray *images; /* interned */
     int zone_index;    /* in settings->zones, or -1 */
-    struct room total, booked, dealt, pinned;
-    struct room held; /* in this pass: for gangs that lack more room still */
-    bool wanted;      /* in this pass: by a gang that it is not held for, as others are missing */
-    mono_time idle_since, avoid_until;
-    bool told;            /* in its owner's last digest */
-    mono_time sick_until; /* it failed the tasks of several jobs */
-    double slowdown;      /* of its tasks lately: time taken by what the job's others took */
-    int slowdown_samples; /* tasks that went into it */
-    GHashTable *failed_jobs;
+    struct room total;
+    struct room booked; /* on record */
+    struct room dealt;  /* and not on record yet */
+    struct room pinned; /* on record, by services */
+    struct room held;   /* in this pass: for gangs that lack more room still */
+    bool wanted;        /* in this pass: by a gang that it is not held for, as others are missing */
+    mono_time idle_since;    /* nothing has left it since then */
+    mono_time avoid_until;   /* nothing is dealt to it */
+    bool told;               /* in its owner's last digest */
+    mono_time sick_until;    /* it failed the tasks of several jobs */
+    double slowdown;         /* of its tasks lately: time taken by what the job's others took */
+    int slowdown_samples;    /* tasks that went into it */
+    GHashTable *failed_jobs; /* set of jobs, until it is sick */
 };
 
+/* A team's use of its quota, and its queue. */
 struct leader_team {
     const struct team *team;
     struct room used;    /* on record or dealt */
     struct room halting; /* of that, told to stop */
     struct room wanted;  /* beyond that, by what waits, while it is worked out what to rent */
-    double deficit;
-    GPtrArray *ready; /* struct leader_job, in this pass */
-    guint next_ready; /* in ready: those before it are through with this rank */
+    double deficit;      /* of deficit round robin, in thousandths of a cpu */
+    GPtrArray *ready;    /* struct leader_job, in this pass */
+    guint next_ready;    /* in ready: those before it are through with this rank */
 };
 
-/* What goes to one part, one message after the other. */
+/* The shard of one node: what goes to it, one message after the other, and what it said last. */
 struct leader_shard {
     char *label;
-    uint64_t seq;
-    cJSON *deal, *halt, *gone;
-    cJSON *sending; /* until it is acknowledged */
-    bool out;
-    mono_time failing_since;
-    bool digested;
-    uint64_t digest_seq;
+    uint64_t seq;              /* of the last message */
+    cJSON *deal, *halt, *gone; /* lists for the next message; NULL: empty */
+    cJSON *sending;            /* until it is acknowledged */
+    bool out;                  /* a request is on its way */
+    mono_time failing_since;   /* 0: the last request was answered */
+    bool digested;             /* a whole digest came in this epoch */
+    uint64_t digest_seq;       /* of the last one */
 };
 
 /* In a zone nothing could be moved for a service that asked for so much. */
@@ -125,10 +132,14 @@
     const struct policy *policy;
     struct fleet *fleet;
     bool leading;
-    epoch_no epoch;
-    mono_time epoch_at;
-    uint64_t generation, attempts, deals;
-    GHashTable *jobs, *hosts, *shards;
+    epoch_no epoch;      /* that the ledger was built for */
+    mono_time epoch_at;  /* when that was */
+    uint64_t generation; /* of the ledger; answers to an earlier one are void */
+    uint64_t attempts;   /* in this epoch */
+    uint64_t deals;
+    GHashTable *jobs;       /* struct leader_job, by its id */
+    GHashTable *hosts;      /* struct leader_host, by its id */
+    GHashTable *shards;     /* struct leader_shard, by its label */
     GHashTable *run_times;  /* job -> struct job_run_time */
     double median_slowdown; /* of the machines */
     struct leader_team *teams;
@@ -141,11 +152,11 @@
     int running[4];        /* tasks on record, by urgency */
     struct timer tick, pass;
     mono_time scaled_at, swept_at;
-    mono_time idle_at; /* it last could not act: an outage */
-    bool sweeping;
-    int cancelling; /* ends of cancelled jobs that are being stored */
-    double demand_peak;
-    bool services; /* some run; the next two tell of them */
+    mono_time idle_at;  /* it last could not act: an outage */
+    bool sweeping;      /* a key is being removed */
+    int cancelling;     /* ends of cancelled jobs that are being stored */
+    double demand_peak; /* of used cpus, falling off slowly */
+    bool services;      /* some run; the next two tell of them */
     struct room service_usual;
     double service_rate;
     int64_t *service_lack;              /* of tasks, by zone; negative: room to spare */
