A broken gang is told to stop once an epoch, not every two seconds

Now the moment is that at which it was first seen incomplete, a gang that lost a task is stopped at once, one that may still be completed is given 2 s, and tasks that were told in this epoch are not told again: their owners repeat halts until the end is on record.

--- a/src/leader_gang.c
+++ b/src/leader_gang.c
@@ -9,7 +9,7 @@
 enum {
     MOST_HOLDING = 4, /* gangs that hold whole machines, in a pass */
     MOST_HOPE_MS = 60000,
-    MEND_AFTER_MS = 2000, /* for what is on its way to be on record */
+    COMPLETE_WITHIN_MS = 2000, /* for a task that was given back to find another machine */
 };
 
 /* The best machines for so many tasks of a job, in one zone or (-1) in any; a machine stands there
@@ -59,26 +59,43 @@
     return best;
 }
 
+/* Stops what is left of a gang. Tasks that were told to in this epoch are not told again: their
+ * owners repeat a halt until its end is on record, but forget it when the epoch changes. */
+static void stop_gang(struct leader *leader, struct leader_job *job, const struct job *job_view)
+{
+    bool told_before = job->gang.stopped_in.v == leader->epoch.v;
+    guint told = 0;
+    GHashTableIter it;
+    gpointer key;
+    struct entry *entry;
+    g_hash_table_iter_init(&it, job->entries);
+    while (g_hash_table_iter_next(&it, &key, (gpointer *)&entry)) {
+        if (told_before && entry->halted)
+            continue;
+        leader_send_halt(leader, job, GPOINTER_TO_UINT(key) - 1, entry, job_view->spec->save_s);
+        told += entry->halted;
+    }
+    job->gang.stopped_in = leader->epoch;
+    if (told)
+        LOG_INFO("gang_broken", "job=%s stopped=%u placed=%u of=%u", job->id.s, told,
+                 g_hash_table_size(job->entries), job_view->tasks);
+}
+
 /* A gang that lost a task cannot go on: what is left of it is stopped, and it starts whole again
- * once nothing of it is on record. */
+ * once nothing of it is on record. One that has not begun may still be completed for a moment. */
 static void gang_mend(struct leader *leader, struct leader_job *job, struct job *job_view)
 {
     mono_time now = loop_now(leader->loop);
     guint placed = g_hash_table_size(job->entries);
     if (!placed || g_hash_table_size(job->deals) || placed + job_view->n_done >= job_view->tasks) {
-        job->gang.incomplete_since = now;
+        job->gang.incomplete_since = (mono_time){0};
         return;
     }
-    if (time_ms_since(now, job->gang.incomplete_since) < MEND_AFTER_MS)
-        return;
-    job->gang.incomplete_since = now;
-    LOG_INFO("gang_broken", "job=%s placed=%u of=%u", job->id.s, placed, job_view->tasks);
-    GHashTableIter it;
-    gpointer key;
-    struct entry *entry;
-    g_hash_table_iter_init(&it, job->entries);
-    while (g_hash_table_iter_next(&it, &key, (gpointer *)&entry))
-        leader_send_halt(leader, job, GPOINTER_TO_UINT(key) - 1, entry, job_view->spec->save_s);
+    if (!job->gang.incomplete_since.us)
+        job->gang.incomplete_since = now;
+    bool may_be_completed = job->gang.attempt.v && !job->gang.lost_task;
+    if (!may_be_completed || time_ms_since(now, job->gang.incomplete_since) >= COMPLETE_WITHIN_MS)
+        stop_gang(leader, job, job_view);
 }
 
 /* Tasks that a part could not place are dealt once more, under the attempt of the others: as they
@@ -185,7 +202,7 @@
     if (whole) {
         job->gang.attempt = leader_next_attempt(leader);
         job->gang.lost_task = false;
-        job->gang.short_since = (mono_time){0};
+        job->gang.short_since = job->gang.incomplete_since = (mono_time){0};
         for (uint32_t i = 0, k = 0; i < job_view->tasks; i++) {
             if (job_task_done(job_view, i))
                 continue;
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -415,11 +415,10 @@
     assert_int_equal(world_starts(world), 14);
 }
 
-/* The other zone has the better machine, with the image, but not room for all. */
-static void a_gang_in_one_zone_goes_where_all_of_it_has_room(void **state)
+/* A machine with the image in zone a, and two without it in zone b. Returns the first. */
+static struct worker *one_machine_with_image_and_two_elsewhere(struct world *world)
 {
-    struct world *world = gang_world(state);
-    struct worker *better = world_worker(world, 7, "a", true);
+    struct worker *with_image = world_worker(world, 7, "a", true);
     world_run(world, 3000);
     submit(world, "wk-1", "sweep", "high", 1, 2.0);
     world_run(world, 3000);
@@ -427,6 +426,14 @@
     world_worker(world, 5, "b", true);
     world_worker(world, 6, "b", true);
     world_run(world, 4000);
+    return with_image;
+}
+
+/* The other zone has the better machine, with the image, but not room for all. */
+static void a_gang_in_one_zone_goes_where_all_of_it_has_room(void **state)
+{
+    struct world *world = gang_world(state);
+    struct worker *better = one_machine_with_image_and_two_elsewhere(world);
     submit_in_one_zone(world, "wk-2", 2, 8.0);
     world_run(world, 6000);
     runs_whole(world, "wk-2", 2);
@@ -434,6 +441,16 @@
     assert_null(worker_task(better, "wk-2", 1));
 }
 
+/* It does not wait for a zone that would hold all of it. */
+static void a_gang_that_fits_in_no_single_zone_is_spread(void **state)
+{
+    struct world *world = gang_world(state);
+    one_machine_with_image_and_two_elsewhere(world);
+    submit(world, "wk-2", "gang", "high", 3, 8.0);
+    world_run(world, 6000);
+    runs_whole(world, "wk-2", 3);
+}
+
 /* ---- how it begins anew ---- */
 
 /* Runs until the gang runs whole under another attempt; meanwhile nothing of a new attempt is on
@@ -480,6 +497,42 @@
     ends_whole(world, "wk-1");
 }
 
+static int halt_messages;
+
+/* Counts the messages by which the leader has tasks of others' machines stopped. */
+static enum fate count_halts(struct world *world, int node, const struct net_request *request)
+{
+    (void)world;
+    (void)node;
+    if (strcmp(request->path, "/bus/deal") == 0 && request->body &&
+        strstr(request->body, "\"halt\":["))
+        halt_messages++;
+    return FATE_NORMAL;
+}
+
+/* Until the lease is the proof that the rest of it is gone, nothing new is to be decided. */
+static void a_broken_gang_is_told_to_stop_once(void **state)
+{
+    struct world *world = gang_world(state);
+    far_machine(world, 6, "a");
+    far_machine(world, 7, "b");
+    world_run(world, 3000);
+    submit(world, "wk-1", "gang", "high", 2, 8.0);
+    world_run(world, 5000);
+    runs_whole(world, "wk-1", 2);
+    world->workers[6].silent = world->workers[7].silent = true;
+    world->cloud_down = true;
+    worker_new_session(&world->workers[6], false);
+    world->workers[6].silent = false;
+    halt_messages = 0;
+    world->fate = count_halts;
+    world_run(world, 8000); /* the lease is 10 s */
+    assert_int_equal(on_record(world, 0, "wk-1", 0), 1);
+    assert_int_equal(halt_messages, 1);
+    world_run(world, 8000);
+    assert_int_equal(on_record(world, 0, "wk-1", 0), 0);
+}
+
 static void a_gang_of_which_a_machine_is_new_begins_anew(void **state)
 {
     struct world *world = gang_world(state);
@@ -1034,7 +1087,9 @@
         WORLD_TEST(a_gang_in_one_zone_stops_less_urgent_work_there),
         WORLD_TEST(a_gang_in_one_zone_stops_nothing_in_another),
         WORLD_TEST(a_gang_in_one_zone_goes_where_all_of_it_has_room),
+        WORLD_TEST(a_gang_that_fits_in_no_single_zone_is_spread),
         WORLD_TEST_SETTLED(a_gang_that_lost_a_task_begins_anew_after_proof),
+        WORLD_TEST(a_broken_gang_is_told_to_stop_once),
         WORLD_TEST_SETTLED(a_gang_of_which_a_machine_is_new_begins_anew),
         WORLD_TEST(tasks_that_fail_together_are_one_try),
         WORLD_TEST(incomplete_is_no_sign_of_a_sick_machine),
