--- a/src/leader.c
+++ b/src/leader.c
@@ -1,39 +1,26 @@
 #include "leader_queue.h"
 
-#include "images.h"
+#include "leader_digest.h"
+#include "leader_job_end.h"
+#include "leader_ledger.h"
 #include "leader_placement.h"
+#include "leader_shards.h"
+#include "leader_sweep.h"
 #include "log.h"
 #include "node.h"
 
 enum {
     SETTLE_MS = 1500, /* after a new epoch: for the digests to come in */
-    SLOW_AFTER = 5,
-    SLOW_BESIDE = 3,
-    MAX_RUN_TIMES = 10000,
-    SICK_MS = 120000, /* then it may try again, if something kept it */
     TICK_MS = 200,
     PASS_MS = 8,
-    DEALS_A_PASS = 64,
-    OUT_TIMEOUT_MS = 1500,
-    UNREACHABLE_MS = 4000,
-    EXCLUDE_MS = 20000,
-    AVOID_MS = 1500,
-    SWEEP_MS = 5000,
-    STUCK_S = 20,
-    MOST_CANCELLING = 4,
-    MOST_PAUSE_MS = 40000, /* of a job that fails everywhere */
+    DEALS_A_PASS = 64, /* then other events have their turn */
 };
 
-/* A machine is slow when its tasks take so many times as long as the others of their jobs. */
-static const double SLOWDOWN_LIMIT = 1.7;
-
 static void on_view(struct leader *leader, const GArray *changes);
 static void tick(void *arg);
 static void pass(void *arg);
-static void shard_send(struct leader *leader, struct leader_shard *shard);
-static int on_digest(void *ctx, const char *from, const cJSON *m, cJSON **answer);
 
-static void pass_soon(struct leader *leader)
+void leader_pass_soon(struct leader *leader)
 {
     if (!leader->pass.place)
         timer_start(leader->loop, &leader->pass, PASS_MS);
@@ -45,38 +32,7 @@
     if (message->kind == MSG_VIEW)
         on_view(leader, message->body);
     else if (message->kind == MSG_FLEET)
-        pass_soon(leader);
-}
-
-static void ljob_free(gpointer q)
-{
-    struct leader_job *job = q;
-    g_hash_table_unref(job->entries);
-    g_hash_table_unref(job->deals);
-    if (job->failed_on)
-        g_hash_table_unref(job->failed_on);
-    g_free(job);
-}
-
-static void lhost_free(gpointer q)
-{
-    struct leader_host *host = q;
-    g_free(host->owner);
-    g_ptr_array_unref(host->images);
-    if (host->failed_jobs)
-        g_hash_table_unref(host->failed_jobs);
-    g_free(host);
-}
-
-static void lpart_free(gpointer q)
-{
-    struct leader_shard *shard = q;
-    cJSON_Delete(shard->deal);
-    cJSON_Delete(shard->halt);
-    cJSON_Delete(shard->gone);
-    cJSON_Delete(shard->sending);
-    g_free(shard->label);
-    g_free(shard);
+        leader_pass_soon(leader);
 }
 
 struct leader *leader_new(const struct node *node, const struct policy *policy)
@@ -92,10 +48,9 @@
     leader->settings = settings;
     leader->policy = policy;
     leader->fleet = fleet_new(node, &leader->actor);
-    leader->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ljob_free);
-    leader->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lhost_free);
+    leader_ledger_init(leader);
     leader->run_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    leader->shards = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, lpart_free);
+    leader_shards_init(leader);
     leader->service_lack = g_new0(int64_t, settings->zones->len);
     leader->zone_cpus = g_new0(double, settings->zones->len);
     leader->zone_tasks = g_new0(uint32_t, settings->zones->len);
@@ -111,7 +66,7 @@
     timer_init(&leader->tick, tick, leader);
     timer_init(&leader->pass, pass, leader);
     view_listen(leader->view, &leader->actor);
-    bus_handle(leader->bus, "digest", on_digest, leader);
+    bus_handle(leader->bus, "digest", leader_on_digest, leader);
     return leader;
 }
 
@@ -141,392 +96,6 @@
     timer_start(leader->loop, &leader->tick, TICK_MS);
 }
 
-/* ---- the ledger ---- */
-
-struct leader_job *leader_job_get(struct leader *leader, const char *id)
-{
-    return g_hash_table_lookup(leader->jobs, id);
-}
-
-/* NULL when the job's description is not known any more, which is only so once nothing of it is on
- * record. */
-static struct leader_job *ljob_make(struct leader *leader, job_id id)
-{
-    struct leader_job *job = leader_job_get(leader, id.s);
-    if (job)
-        return job;
-    struct job *job_view = view_job(leader->view, id.s);
-    int team = job_view && job_view->spec
-                   ? settings_team(leader->settings, job_view->spec->team_name)
-                   : -1;
-    if (team < 0)
-        return NULL;
-    job = g_new0(struct leader_job, 1);
-    job->id = id;
-    job->team = team;
-    job->room = room_of_spec(job_view->spec);
-    job->service = job_view->spec->form == FORM_SERVICE;
-    job->urgency = (enum urgency)job_view->urgency;
-    job->patience_s = leader_patience_s(leader, job_view);
-    job->entries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    job->deals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    g_hash_table_insert(leader->jobs, job->id.s, job);
-    return job;
-}
-
-/* Those that need a job lend it their urgency and their time, and may come and go. */
-static void ljob_lent(struct leader *leader, struct leader_job *job, const struct job *job_view)
-{
-    if (!job)
-        return;
-    int n = (int)g_hash_table_size(job->entries);
-    leader->running[job->urgency] -= n;
-    job->urgency = (enum urgency)job_view->urgency;
-    leader->running[job->urgency] += n;
-    job->patience_s = leader_patience_s(leader, job_view);
-}
-
-gpointer leader_key_of(uint32_t index)
-{
-    return GUINT_TO_POINTER(index + 1);
-}
-
-struct leader_host *leader_host_get(struct leader *leader, const char *id)
-{
-    return g_hash_table_lookup(leader->hosts, id);
-}
-
-static struct leader_host *lhost_make(struct leader *leader, host_id id, const char *type_name,
-                                      const char *zone, bool spot)
-{
-    struct leader_host *host = leader_host_get(leader, id.s);
-    if (!host) {
-        host = g_new0(struct leader_host, 1);
-        host->id = id;
-        host->idle_since = loop_now(leader->loop);
-        host->images = images_new();
-        g_hash_table_insert(leader->hosts, host->id.s, host);
-    }
-    guint zone_index;
-    bool known =
-        g_ptr_array_find_with_equal_func(leader->settings->zones, zone, g_str_equal, &zone_index);
-    host->zone_index = known ? (int)zone_index : -1;
-    g_strlcpy(host->type_name, type_name, sizeof host->type_name);
-    g_strlcpy(host->zone, zone, sizeof host->zone);
-    host->spot = spot;
-    const struct machine_type *type = type_named(leader->view->types, type_name);
-    if (type)
-        host->total = room_of_type(type);
-    return host;
-}
-
-void leader_deal_drop(struct leader *leader, struct leader_job *job, uint32_t index)
-{
-    struct deal *deal = g_hash_table_lookup(job->deals, leader_key_of(index));
-    if (!deal)
-        return;
-    if (deal->host)
-        room_sub(&deal->host->dealt, job->room);
-    room_sub(&leader->teams[job->team].used, job->room);
-    g_hash_table_remove(job->deals, leader_key_of(index));
-    job->cursor = MIN(job->cursor, index);
-}
-
-static void entry_add(struct leader *leader, job_id job, uint32_t index, attempt_no attempt,
-                      host_id host)
-{
-    struct leader_job *j = ljob_make(leader, job);
-    if (!j || g_hash_table_contains(j->entries, leader_key_of(index)))
-        return;
-    struct deal *deal = g_hash_table_lookup(j->deals, leader_key_of(index));
-    if (deal && deal->attempt.v == attempt.v)
-        leader_deal_drop(leader, j, index);
-    struct entry *entry = g_new(struct entry, 1);
-    *entry = (struct entry){.attempt = attempt, .host = host, .since = loop_now(leader->loop)};
-    g_hash_table_insert(j->entries, leader_key_of(index), entry);
-    room_add(&leader->teams[j->team].used, j->room);
-    leader->running[j->urgency]++;
-    struct host_record *rec = view_host(leader->view, host.s);
-    struct leader_host *h = leader_host_get(leader, host.s);
-    if (!h && rec)
-        h = lhost_make(leader, host, rec->type_name, rec->zone, rec->spot);
-    if (h)
-        room_add(&h->booked, j->room);
-    if (h && j->service)
-        room_add(&h->pinned, j->room);
-}
-
-static void entry_remove(struct leader *leader, job_id job, uint32_t index, attempt_no attempt)
-{
-    struct leader_job *j = leader_job_get(leader, job.s);
-    struct entry *entry = j ? g_hash_table_lookup(j->entries, leader_key_of(index)) : NULL;
-    if (!entry || entry->attempt.v != attempt.v)
-        return;
-    struct leader_host *host = leader_host_get(leader, entry->host.s);
-    j->gang.lost_task = true;
-    if (host) {
-        room_sub(&host->booked, j->room);
-        if (j->service)
-            room_sub(&host->pinned, j->room);
-        host->idle_since = loop_now(leader->loop);
-    }
-    room_sub(&leader->teams[j->team].used, j->room);
-    leader->running[j->urgency]--;
-    if (entry->halted)
-        room_sub(&leader->teams[j->team].halting, j->room);
-    struct leader_job *other =
-        entry->preempted_for.s[0] ? leader_job_get(leader, entry->preempted_for.s) : NULL;
-    if (other)
-        other->pending_preemptions--;
-    g_hash_table_remove(j->entries, leader_key_of(index));
-    j->cursor = MIN(j->cursor, index);
-}
-
-struct leader_shard *leader_shard_get(struct leader *leader, const char *label)
-{
-    struct leader_shard *shard = g_hash_table_lookup(leader->shards, label);
-    if (!shard) {
-        shard = g_new0(struct leader_shard, 1);
-        shard->label = g_strdup(label);
-        g_hash_table_insert(leader->shards, shard->label, shard);
-    }
-    return shard;
-}
-
-void leader_shard_add(cJSON **list, cJSON *item)
-{
-    if (!*list)
-        *list = cJSON_CreateArray();
-    cJSON_AddItemToArray(*list, item);
-}
-
-/* A new epoch, or this node has just come to lead: everything is taken from the view. What was
- * dealt under an earlier epoch and is not on record by now never will be, as every record is
- * conditioned on the map. */
-static void rebuild(struct leader *leader)
-{
-    leader->epoch = leader->view->epoch;
-    leader->epoch_at = loop_now(leader->loop);
-    leader->generation++;
-    leader->attempts = 0;
-    GHashTable *old = leader->jobs;
-    leader->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ljob_free);
-    g_hash_table_remove_all(leader->shards);
-    memset(leader->running, 0, sizeof leader->running);
-    for (int i = 0; i < leader->n_teams; i++)
-        leader->teams[i].used = leader->teams[i].halting = (struct room){0};
-    GHashTableIter it;
-    struct leader_host *h;
-    g_hash_table_iter_init(&it, leader->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&h)) {
-        h->booked = h->dealt = h->pinned = (struct room){0};
-        h->told = false;
-        h->flags = 0;
-    }
-    for (guint i = 0; i < leader->view->map->len; i++)
-        leader_shard_get(leader, g_array_index(leader->view->map, struct map_entry, i).label);
-    struct host_record *rec;
-    g_hash_table_iter_init(&it, leader->view->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&rec)) {
-        struct leader_host *n = lhost_make(leader, rec->id, rec->type_name, rec->zone, rec->spot);
-        for (guint i = 0; i < rec->images->len && !n->told; i++)
-            images_add(n->images, rec->images->pdata[i]);
-        for (guint i = 0; i < rec->tasks->len; i++) {
-            struct placed *placed = rec->tasks->pdata[i];
-            entry_add(leader, placed->job->id, placed->index, placed->attempt, rec->id);
-        }
-    }
-    struct job *job;
-    g_hash_table_iter_init(&it, leader->view->jobs);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job)) {
-        if (!job->known || (job->state != JOB_LIVE && !job->spec))
-            continue;
-        struct leader_job *n = ljob_make(leader, job->id), *o = g_hash_table_lookup(old, job->id.s);
-        if (n && o) { /* what was learnt of it stays */
-            n->failures = o->failures;
-            n->not_before = o->not_before;
-            n->failed_on = g_steal_pointer(&o->failed_on);
-        }
-    }
-    g_hash_table_unref(old);
-    LOG_INFO("leading", "jobs=%u machines=%u", g_hash_table_size(leader->jobs),
-             g_hash_table_size(leader->hosts));
-}
-
-/* ---- ends of jobs ---- */
-
-struct finish {
-    struct leader *leader;
-    job_id job;
-    bool cancelled;
-};
-
-static void finish_seen(void *arg, bool ok)
-{
-    struct finish *finish = arg;
-    (void)ok;
-    finish->leader->cancelling -= finish->cancelled;
-    struct leader_job *job = leader_job_get(finish->leader, finish->job.s);
-    if (job)
-        job->finishing = false;
-    pass_soon(finish->leader);
-    g_free(finish);
-}
-
-static void finish_answered(void *arg, const struct txn_outcome *outcome)
-{
-    struct finish *finish = arg;
-    if (outcome->result == TXN_DONE || outcome->result == TXN_CONFLICT)
-        view_await(finish->leader->view, outcome->at, finish_seen, finish);
-    else
-        view_barrier(finish->leader->view, finish_seen, finish);
-}
-
-static void finish(struct leader *leader, struct leader_job *job, struct job *job_view,
-                   enum job_state final)
-{
-    struct txn *txn = txn_new();
-    char *key = key_job(job->id);
-    txn_when(txn, key, job_view->stamp);
-    txn_when(txn, KEY_LEADER, leader->view->leader_stamp);
-    txn_set(txn, key, job_final_value(final, job_view->tasks, loop_wall(leader->loop)),
-            (lease_id){0});
-    g_free(key);
-    job->finishing = true;
-    struct finish *f = g_new(struct finish, 1);
-    *f = (struct finish){leader, job->id, job_view->state == JOB_CANCELLED};
-    leader->cancelling += f->cancelled;
-    store_txn(leader->store, f->cancelled ? LANE_NORMAL : LANE_URGENT, txn, finish_answered, f);
-}
-
-static void consider_end(struct leader *leader, struct leader_job *job)
-{
-    struct job *job_view = view_job(leader->view, job->id.s);
-    if (!job_view || !job_view->known || job->finishing || !job_view->spec ||
-        !membership_leads(leader->members))
-        return;
-    if (job_view->state == JOB_LIVE && job_view->n_done == job_view->tasks)
-        finish(leader, job, job_view, JOB_DONE);
-    /* Many may be cancelled with one. All nodes know that already: it can wait behind other writes.
-     */
-    else if (job_view->state == JOB_CANCELLED && !job_view->placed &&
-             !g_hash_table_size(job->entries) && leader->cancelling < MOST_CANCELLING)
-        finish(leader, job, job_view, JOB_CANCELLED);
-}
-
-static bool over(struct leader *leader, struct leader_job *job)
-{
-    struct job *job_view = view_job(leader->view, job->id.s);
-    return (!job_view || !job_view->spec) && !g_hash_table_size(job->entries) && !job->finishing;
-}
-
-/* A task that is neither recorded nor given back for long would wait for ever, whatever became of
- * it: a new epoch makes all that was dealt void. */
-static void raise_for_stuck_deals(struct leader *leader)
-{
-    mono_time now = loop_now(leader->loop);
-    GHashTableIter it, deals;
-    struct leader_job *job;
-    struct deal *deal;
-    g_hash_table_iter_init(&it, leader->jobs);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job)) {
-        struct job *job_view = view_job(leader->view, job->id.s);
-        /* The switch rule may keep a task back for a twentieth of its time. */
-        double most = STUCK_S + (job_view && job_view->spec ? job_view->spec->expected_s * 0.1 : 0);
-        g_hash_table_iter_init(&deals, job->deals);
-        while (g_hash_table_iter_next(&deals, NULL, (gpointer *)&deal))
-            if ((double)time_ms_since(now, deal->since) > most * 1000 &&
-                (double)time_ms_since(now, leader->idle_at) > most * 1000) {
-                LOG_INFO("deal_stuck", "job=%s machine=%s", job->id.s, deal->host->id.s);
-                membership_raise(leader->members, "a deal is stuck");
-                return;
-            }
-    }
-}
-
-static void swept(void *arg, const struct txn_outcome *outcome)
-{
-    (void)outcome;
-    ((struct leader *)arg)->sweeping = false;
-}
-
-static void still_live(void *ctx, job_id job, uint32_t unit, const GByteArray *bits)
-{
-    void **c = ctx;
-    (void)unit;
-    (void)bits;
-    struct job *j = view_job(c[0], job.s);
-    *(bool *)c[1] = *(bool *)c[1] || (j && j->spec);
-}
-
-static void sweep_key(struct leader *leader, const char *key, revision stamp)
-{
-    struct txn *txn = txn_new();
-    txn_when(txn, KEY_LEADER, leader->view->leader_stamp);
-    txn_when(txn, key, stamp);
-    txn_remove(txn, key);
-    leader->sweeping = true;
-    store_txn(leader->store, LANE_NORMAL, txn, swept, leader);
-}
-
-static bool node_away(const struct leader *leader, const char *label)
-{
-    for (guint i = 0; i < leader->view->map->len; i++)
-        if (strcmp(g_array_index(leader->view->map, struct map_entry, i).label, label) == 0)
-            return false;
-    return true;
-}
-
-/* A page of a node that is away is removed once others have taken its machines over and the jobs
- * are over of which it says what is done. */
-static void sweep_pages(struct leader *leader)
-{
-    GHashTableIter it;
-    struct page *page;
-    g_hash_table_iter_init(&it, leader->view->pages);
-    while (!leader->sweeping && g_hash_table_iter_next(&it, NULL, (gpointer *)&page)) {
-        bool live = false;
-        void *ctx[] = {leader->view, &live};
-        if (page->tasks->len || !node_away(leader, page->label))
-            continue;
-        page_read_done(page->done ? page->done : "", still_live, ctx);
-        if (!live)
-            sweep_key(leader, page->key, page->stamp);
-    }
-}
-
-/* A list of machines of a node that is away is removed once it says nothing of a machine on which
- * anything is on record: those that own them now list them, too. */
-static void sweep_inventories(struct leader *leader)
-{
-    GHashTableIter it;
-    struct inventory *inventory;
-    g_hash_table_iter_init(&it, leader->view->inventories);
-    while (!leader->sweeping && g_hash_table_iter_next(&it, NULL, (gpointer *)&inventory)) {
-        bool needed = false;
-        for (guint i = 0; i < inventory->hosts->len; i++)
-            needed = needed || ((struct host_record *)inventory->hosts->pdata[i])->tasks->len;
-        if (!needed && node_away(leader, inventory->label))
-            sweep_key(leader, inventory->key, inventory->stamp);
-    }
-}
-
-/* ---- the pass ---- */
-
-static void send_all(struct leader *leader)
-{
-    GHashTableIter it;
-    struct leader_shard *shard;
-    GPtrArray *due = g_ptr_array_new();
-    g_hash_table_iter_init(&it, leader->shards);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&shard))
-        if (!shard->out && (shard->sending || shard->deal || shard->halt || shard->gone))
-            g_ptr_array_add(due, shard);
-    for (guint i = 0; i < due->len; i++)
-        shard_send(leader, due->pdata[i]);
-    g_ptr_array_unref(due);
-}
-
 /* Whether the ledger is that of the present epoch, and the digests are in or had their time. */
 static bool ready_to_deal(struct leader *leader)
 {
@@ -544,6 +113,8 @@
     return true;
 }
 
+/* Deals, scales the fleet and sends what that came to. What the budget leaves is for the next pass.
+ */
 static void pass(void *arg)
 {
     struct leader *leader = arg;
@@ -557,358 +128,97 @@
             budget -= leader_deal_rank(leader, rank, budget);
     leader_scale(leader);
     fleet_step(leader->fleet);
-    send_all(leader);
+    leader_send_all(leader);
     if (budget <= 0)
-        pass_soon(leader);
-}
-
-/* ---- parts ---- */
-
-struct shard_out {
-    struct leader *leader;
-    uint64_t generation;
-    char *label;
-};
-
-static void shard_answered(void *arg, int status, const cJSON *answer)
-{
-    (void)answer;
-    struct shard_out *out = arg;
-    struct leader *leader = out->leader;
-    struct leader_shard *shard = g_hash_table_lookup(leader->shards, out->label);
-    if (out->generation == leader->generation && shard) {
-        mono_time now = loop_now(leader->loop);
-        shard->out = false;
-        if (status == 200) {
-            cJSON_Delete(shard->sending);
-            shard->sending = NULL;
-            shard->failing_since = (mono_time){0};
-            if (shard->deal || shard->halt || shard->gone)
-                shard_send(leader, shard);
-        } else if (!shard->failing_since.us) {
-            shard->failing_since = now;
-        } else if (time_ms_since(now, shard->failing_since) > UNREACHABLE_MS &&
-                   membership_leads(leader->members) &&
-                   strcmp(shard->label, leader->settings->label) != 0) {
-            shard->failing_since = now;
-            membership_exclude(leader->members, shard->label, EXCLUDE_MS);
-        }
-    }
-    g_free(out->label);
-    g_free(out);
+        leader_pass_soon(leader);
 }
 
-/* One message at a time, and the same one until it is acknowledged: see on_deal in part.c. */
-static void shard_send(struct leader *leader, struct leader_shard *shard)
+/* Somebody else may lead now: nothing that is on its way to shards counts any more. */
+static void stop_leading(struct leader *leader)
 {
-    if (!shard->sending) {
-        cJSON *message = cJSON_CreateObject();
-        bus_put_u64(message, "e", leader->epoch.v);
-        bus_put_u64(message, "s", ++shard->seq);
-        if (shard->deal)
-            cJSON_AddItemToObject(message, "deal", g_steal_pointer(&shard->deal));
-        if (shard->halt)
-            cJSON_AddItemToObject(message, "halt", g_steal_pointer(&shard->halt));
-        if (shard->gone)
-            cJSON_AddItemToObject(message, "gone", g_steal_pointer(&shard->gone));
-        shard->sending = message;
-    }
-    struct shard_out *out = g_new(struct shard_out, 1);
-    *out = (struct shard_out){leader, leader->generation, g_strdup(shard->label)};
-    shard->out = true;
-    bus_send(leader->bus, shard->label, "deal", cJSON_Duplicate(shard->sending, true),
-             OUT_TIMEOUT_MS, shard_answered, out);
-}
-
-static void host_failed(struct leader *leader, struct leader_host *host, const char *job)
-{
-    if (!host->failed_jobs)
-        host->failed_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    g_hash_table_add(host->failed_jobs, g_strdup(job));
-    if (g_hash_table_size(host->failed_jobs) >= 2) {
-        LOG_INFO("machine_sick", "machine=%s", host->id.s);
-        host->sick_until = time_add_ms(loop_now(leader->loop), SICK_MS);
-        g_hash_table_remove_all(host->failed_jobs);
-    }
-}
-
-/* Owners' estimates are wrong for all tasks of a job together, so a task is compared with the
- * others of its job, wherever they ran. */
-static void learn_pace(struct leader *leader, const char *job, struct leader_host *h, double took_s)
-{
-    struct job_run_time *run_time = g_hash_table_lookup(leader->run_times, job);
-    if (!run_time) {
-        if (g_hash_table_size(leader->run_times) > MAX_RUN_TIMES)
-            g_hash_table_remove_all(leader->run_times);
-        run_time = g_new0(struct job_run_time, 1);
-        g_hash_table_insert(leader->run_times, g_strdup(job), run_time);
-    }
-    if (run_time->n >= SLOW_BESIDE && run_time->mean_s > 0.5) {
-        double slowdown = took_s / run_time->mean_s;
-        h->slowdown =
-            h->slowdown_samples++ ? h->slowdown + (slowdown - h->slowdown) * 0.25 : slowdown;
-    }
-    run_time->mean_s += (took_s - run_time->mean_s) / ++run_time->n;
-}
-
-static gint by_value(gconstpointer a, gconstpointer b)
-{
-    double x = *(const double *)a, y = *(const double *)b;
-    return (x > y) - (x < y);
-}
-
-/* The pace of the machine in the middle. Tasks of a job may take ever longer wherever they run, and
- * where all machines seem slow none is. */
-void leader_measure_slowdowns(struct leader *leader)
-{
-    GArray *run_times = g_array_new(FALSE, FALSE, sizeof(double));
-    GHashTableIter it;
-    struct leader_host *host;
-    g_hash_table_iter_init(&it, leader->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
-        if (host->told && host->slowdown_samples >= SLOW_AFTER)
-            g_array_append_val(run_times, host->slowdown);
-    g_array_sort(run_times, by_value);
-    leader->median_slowdown =
-        run_times->len ? g_array_index(run_times, double, (run_times->len - 1) / 2) : 1;
-    g_array_unref(run_times);
-}
-
-bool leader_host_slow(const struct leader *leader, const struct leader_host *host)
-{
-    return host->slowdown_samples >= SLOW_AFTER &&
-           host->slowdown > SLOWDOWN_LIMIT * MAX(leader->median_slowdown, 1);
-}
-
-/* Tasks of other jobs have failed on the machine, too. */
-static bool fails_others(struct leader *leader, const char *host, const char *job)
-{
-    struct leader_host *h = leader_host_get(leader, host);
-    if (!h)
-        return false;
-    guint n = h->failed_jobs ? g_hash_table_size(h->failed_jobs) : 0;
-    bool this_one = n && g_hash_table_contains(h->failed_jobs, job);
-    return time_before(loop_now(leader->loop), h->sick_until) || n > this_one;
-}
-
-/* Machines on which only this job has failed, as far as is known. When several machines are sick at
- * once, a large job comes to all of them within a moment, and is no worse than others. */
-static guint failed_alone(struct leader *leader, struct leader_job *job)
-{
-    guint n = 0;
-    GHashTableIter it;
-    const char *host;
-    g_hash_table_iter_init(&it, job->failed_on);
-    while (g_hash_table_iter_next(&it, (gpointer *)&host, NULL))
-        n += !fails_others(leader, host, job->id.s);
-    return n;
-}
-
-/* A task that fails is mostly its machine's fault; a job that fails on one machine after the other
- * is at fault itself, and tries again ever more seldom until its user cancels it. */
-static void on_fault(struct leader *leader, struct leader_job *job, struct leader_host *host,
-                     enum cause cause)
-{
-    if (cause == CAUSE_INCOMPLETE) /* another task of its gang was missing */
-        return;
-    if (cause != CAUSE_ERROR) {
-        host->avoid_until = time_add_ms(loop_now(leader->loop), 5000);
-        return;
-    }
-    struct job *job_view = view_job(leader->view, job->id.s);
-    if (!job->failed_on)
-        job->failed_on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    g_hash_table_add(job->failed_on, g_strdup(host->id.s));
-    bool at_fault = job_view && job_view->n_done == 0 && failed_alone(leader, job) >= 3;
-    /* Its tasks fail within a moment of one another: that is one try, not many. */
-    if (at_fault && time_before(loop_now(leader->loop), job->not_before))
+    if (!leader->leading)
         return;
-    if (at_fault) {
-        job->failures++;
-        int64_t pause = MIN(MOST_PAUSE_MS, 4000LL << MIN(job->failures, 5));
-        job->not_before = time_add_ms(loop_now(leader->loop), pause);
-        LOG_INFO("job_failing", "job=%s machines=%u pause_ms=%" G_GINT64_FORMAT, job->id.s,
-                 g_hash_table_size(job->failed_on), pause);
-        return;
-    }
-    host_failed(leader, host, job->id.s);
-    host->avoid_until = time_add_ms(loop_now(leader->loop), 10000);
+    LOG_INFO("not_leading", "epoch=%" G_GUINT64_FORMAT, leader->epoch.v);
+    leader->leading = false;
+    leader->generation++;
 }
 
-static void on_event(struct leader *leader, const cJSON *n)
+static void start_leading(struct leader *leader)
 {
-    const char *host = bus_text(n, "h"), *job = bus_text(n, "j");
-    const cJSON *cause = cJSON_GetObjectItemCaseSensitive(n, "c");
-    const cJSON *took = cJSON_GetObjectItemCaseSensitive(n, "took");
-    struct leader_job *j = job ? leader_job_get(leader, job) : NULL;
-    struct leader_host *h = host ? leader_host_get(leader, host) : NULL;
-    if (job && h && cJSON_IsNumber(took))
-        learn_pace(leader, job, h, took->valuedouble);
-    if (j && h && cJSON_IsNumber(cause))
-        on_fault(leader, j, h, (enum cause)cause->valuedouble);
+    leader->leading = true;
+    g_hash_table_remove_all(leader->hosts);
+    fleet_reset(leader->fleet);
+    leader->demand_peak = 0;
 }
 
-static void on_host(struct leader *leader, const char *from, const cJSON *x)
+/* Takes a change of the view over into the ledger. */
+static void apply_change(struct leader *leader, const struct change *change, bool rebuilt)
 {
-    const cJSON *id = cJSON_GetArrayItem(x, 0), *type_name = cJSON_GetArrayItem(x, 1);
-    const cJSON *zone = cJSON_GetArrayItem(x, 2), *spot = cJSON_GetArrayItem(x, 3);
-    const cJSON *flags = cJSON_GetArrayItem(x, 4);
-    host_id hid;
-    if (!cJSON_IsString(id) || !host_id_from(&hid, id->valuestring) || !cJSON_IsString(type_name) ||
-        !cJSON_IsString(zone) || !cJSON_IsBool(spot) || !cJSON_IsNumber(flags))
-        return;
-    struct leader_host *host =
-        lhost_make(leader, hid, type_name->valuestring, zone->valuestring, cJSON_IsTrue(spot));
-    g_free(host->owner);
-    host->owner = g_strdup(from);
-    host->flags = (int)flags->valuedouble;
-    host->told = true;
-    const cJSON *images = cJSON_GetArrayItem(x, 5), *image;
-    if (!images)
-        return;
-    g_ptr_array_set_size(host->images, 0);
-    cJSON_ArrayForEach(image, images)
-    {
-        if (cJSON_IsString(image))
-            images_add(host->images, image->valuestring);
+    struct job *job_view;
+    switch (change->kind) {
+    case CHANGE_PLACED:
+        leader_entry_add(leader, change->job, change->index, change->attempt, change->host);
+        break;
+    case CHANGE_FREED:
+        leader_entry_remove(leader, change->job, change->index, change->attempt);
+        break;
+    case CHANGE_JOB:
+        job_view = view_job(leader->view, change->job.s);
+        if (job_view && job_view->known && job_view->spec)
+            leader_job_take_lent(leader, leader_job_make(leader, change->job), job_view);
+        break;
+    case CHANGE_RELOADED:
+        /* A task may have been placed and freed again unseen, and its deal would stay open. */
+        if (!rebuilt)
+            membership_raise(leader->members, "changes were lost");
+        break;
+    default:
+        break;
     }
 }
 
-static void on_back(struct leader *leader, const cJSON *x)
+/* What follows for a job of which something has changed: it may have ended. */
+static void settle_job(struct leader *leader, struct leader_job *job)
 {
-    job_id job;
-    uint32_t i;
-    attempt_no attempt;
-    struct leader_job *j =
-        bus_task_read(x, &job, &i, &attempt) ? leader_job_get(leader, job.s) : NULL;
-    if (!j)
-        return;
-    struct deal *deal = g_hash_table_lookup(j->deals, leader_key_of(i));
-    /* A gang's task may be dealt again under the same attempt: an answer that is said again must
-     * not take back the later deal. */
-    uint64_t number = 0;
-    if (!deal || deal->attempt.v != attempt.v ||
-        (bus_u64(x, "n", &number) && number != deal->number))
-        return;
-    if (deal->host)
-        deal->host->avoid_until = time_add_ms(loop_now(leader->loop), AVOID_MS);
-    leader_deal_drop(leader, j, i);
-}
-
-/* What a part is told of its machines: those that are to get nothing more. */
-static cJSON *shut_hosts(struct leader *leader, const char *owner)
-{
-    cJSON *object = cJSON_CreateObject(), *list = cJSON_AddArrayToObject(object, "shut");
-    mono_time now = loop_now(leader->loop);
-    GHashTableIter it;
-    struct leader_host *host;
-    g_hash_table_iter_init(&it, leader->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
-        if (host->owner && strcmp(host->owner, owner) == 0 &&
-            (leader_host_slow(leader, host) || time_before(now, host->sick_until)))
-            cJSON_AddItemToArray(list, cJSON_CreateString(host->id.s));
-    return object;
+    struct job *job_view = view_job(leader->view, job->id.s);
+    /* What was dealt of a job that is over is settled by the shards, which see the same. */
+    if (job_view && job_view->state != JOB_LIVE)
+        for (uint32_t k = 0; g_hash_table_size(job->deals) && k < job_view->tasks; k++)
+            leader_deal_drop(leader, job, k);
+    leader_consider_end(leader, job);
+    job_id id = job->id;
+    if (leader_job_over(leader, job))
+        g_hash_table_remove(leader->jobs, id.s);
 }
 
-static int on_digest(void *ctx, const char *from, const cJSON *m, cJSON **answer)
+/* Whether the change is one of a job or of its tasks. */
+static bool is_of_job(const struct change *change)
 {
-    struct leader *leader = ctx;
-    uint64_t epoch, seq;
-    if (!bus_u64(m, "e", &epoch) || !bus_u64(m, "s", &seq))
-        return 400;
-    if (!membership_leads(leader->members) || !leader->leading || epoch != leader->epoch.v ||
-        epoch != leader->view->epoch.v || seq <= leader_shard_get(leader, from)->digest_seq)
-        return 409;
-    GHashTableIter it;
-    struct leader_host *host;
-    bool whole = cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(m, "whole"));
-    if (!whole && !leader_shard_get(leader, from)->digested)
-        return 409; /* then the next one is whole */
-    leader_shard_get(leader, from)->digest_seq = seq;
-    g_hash_table_iter_init(&it, leader->hosts);
-    while (whole && g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
-        if (host->owner && strcmp(host->owner, from) == 0)
-            host->told = false;
-    const cJSON *x;
-    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "hosts")) on_host(leader, from, x);
-    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "back")) on_back(leader, x);
-    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "news")) on_event(leader, x);
-    /* Machines that nobody tells of any more, and that hold nothing, are forgotten. */
-    g_hash_table_iter_init(&it, leader->hosts);
-    while (whole && g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
-        if (!host->told && host->owner && strcmp(host->owner, from) == 0 &&
-            leader_host_idle(host) && !view_host(leader->view, host->id.s))
-            g_hash_table_iter_remove(&it);
-    if (cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(m, "raise")) &&
-        time_ms_since(loop_now(leader->loop), leader->epoch_at) > 5000)
-        membership_raise(leader->members, "a command may still be on its way");
-    *answer = shut_hosts(leader, from);
-    if (whole)
-        leader_shard_get(leader, from)->digested = true;
-    pass_soon(leader);
-    return 200;
+    return change->kind == CHANGE_JOB || change->kind == CHANGE_PLACED ||
+           change->kind == CHANGE_FREED;
 }
 
-/* ---- the view ---- */
-
 static void on_view(struct leader *leader, const GArray *changes)
 {
     /* An outage may keep the lead from acting for a while. As long as nobody else takes it, which
-     * would raise the epoch, the ledger is kept up: what was dealt is still with the parts. */
+     * would raise the epoch, the ledger is kept up: what was dealt is still with the shards. */
     if (!membership_holds_lead(leader->members)) {
-        if (leader->leading) {
-            LOG_INFO("not_leading", "epoch=%" G_GUINT64_FORMAT, leader->epoch.v);
-            leader->leading = false;
-            leader->generation++;
-        }
+        stop_leading(leader);
         return;
     }
     bool rebuilt = !leader->leading || leader->epoch.v != leader->view->epoch.v;
-    if (!leader->leading) {
-        leader->leading = true;
-        g_hash_table_remove_all(leader->hosts);
-        fleet_reset(leader->fleet);
-        leader->demand_peak = 0;
-    }
+    if (!leader->leading)
+        start_leading(leader);
     if (rebuilt)
-        rebuild(leader);
+        leader_ledger_rebuild(leader);
     for (guint i = 0; i < changes->len; i++) {
         const struct change *change = &g_array_index(changes, struct change, i);
-        struct leader_job *job;
-        struct job *v;
-        switch (change->kind) {
-        case CHANGE_PLACED:
-            entry_add(leader, change->job, change->index, change->attempt, change->host);
-            break;
-        case CHANGE_FREED:
-            entry_remove(leader, change->job, change->index, change->attempt);
-            break;
-        case CHANGE_JOB:
-            v = view_job(leader->view, change->job.s);
-            if (v && v->known && v->spec)
-                ljob_lent(leader, ljob_make(leader, change->job), v);
-            break;
-        case CHANGE_RELOADED:
-            /* A task may have been placed and freed again unseen, and its deal would stay open. */
-            if (!rebuilt)
-                membership_raise(leader->members, "changes were lost");
-            break;
-        default:
-            break;
-        }
-        job = change->kind <= CHANGE_FREED ? leader_job_get(leader, change->job.s) : NULL;
-        if (!job)
-            continue;
-        v = view_job(leader->view, change->job.s);
-        /* What was dealt of a job that is over is settled by the parts, which see the same. */
-        if (v && v->state != JOB_LIVE)
-            for (uint32_t k = 0; g_hash_table_size(job->deals) && k < v->tasks; k++)
-                leader_deal_drop(leader, job, k);
-        consider_end(leader, job);
-        if (over(leader, job))
-            g_hash_table_remove(leader->jobs, change->job.s);
+        apply_change(leader, change, rebuilt);
+        struct leader_job *job = is_of_job(change) ? leader_job_get(leader, change->job.s) : NULL;
+        if (job)
+            settle_job(leader, job);
     }
-    pass_soon(leader);
+    leader_pass_soon(leader);
 }
 
 static void tick(void *arg)
@@ -923,13 +233,8 @@
     struct leader_job *job;
     g_hash_table_iter_init(&it, leader->jobs);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job))
-        consider_end(leader, job);
-    if (time_ms_since(loop_now(leader->loop), leader->swept_at) > SWEEP_MS) {
-        leader->swept_at = loop_now(leader->loop);
-        sweep_pages(leader);
-        sweep_inventories(leader);
-        raise_for_stuck_deals(leader);
-    }
+        leader_consider_end(leader, job);
+    leader_sweep(leader);
     if (ready_to_deal(leader))
         pass(leader);
     else
