Document the leader's policy functions and split the patience of a job

Every function that leader_state.h declares for the leader's files has a doc comment. What an objective leaves of a task's wait is a function, and the boot time without any machine type has a name.

No change of behaviour.

--- a/src/leader.c
+++ b/src/leader.c
@@ -143,6 +143,7 @@
     leader->generation++;
 }
 
+/* Machines are known anew from the view and the digests. */
 static void start_leading(struct leader *leader)
 {
     leader->leading = true;
@@ -221,6 +222,7 @@
     leader_pass_soon(leader);
 }
 
+/* Ends that could not be stored before, the sweep, and a pass. */
 static void tick(void *arg)
 {
     struct leader *leader = arg;
--- a/src/leader_digest.c
+++ b/src/leader_digest.c
@@ -33,6 +33,7 @@
     FIELD_IMAGES, /* only if they have changed */
 };
 
+/* The same, read. */
 struct host_report {
     host_id id;
     const char *type_name, *zone;
@@ -41,6 +42,7 @@
     const cJSON *images; /* NULL: as before */
 };
 
+/* False if it is malformed. */
 static bool read_host(const cJSON *item, struct host_report *report)
 {
     const cJSON *id = cJSON_GetArrayItem(item, FIELD_ID);
--- a/src/leader_ledger.c
+++ b/src/leader_ledger.c
@@ -186,6 +186,7 @@
     }
 }
 
+/* One shard for each node on the map, of which nothing is known yet. */
 static void reset_shards(struct leader *leader)
 {
     g_hash_table_remove_all(leader->shards);
--- a/src/leader_policy.c
+++ b/src/leader_policy.c
@@ -1,21 +1,21 @@
 #include "leader_state.h"
 
-#include "log.h"
-
 #include <math.h>
 
-enum {
-    USUAL_PATIENCE_S = 60,
-};
+/* Of a class of which nothing is expected. */
+enum { USUAL_PATIENCE_S = 60 };
+
+static const double NO_TYPE_BOOT_S = 1e9;
 
 const GArray *leader_types_now(struct leader *leader)
 {
     return fleet_types(leader->fleet) ? fleet_types(leader->fleet) : leader->view->types;
 }
 
+/* Of all machine types; without any, longer than any wait. */
 static double quickest_boot(struct leader *leader)
 {
-    double least = 1e9;
+    double least = NO_TYPE_BOOT_S;
     for (guint i = 0; i < leader_types_now(leader)->len; i++)
         least = MIN(least, g_array_index(leader_types_now(leader), struct machine_type, i).boot_s);
     return least;
@@ -29,32 +29,38 @@
     return most;
 }
 
-/* How long the job's tasks may wait, by what its class is expected to do. Renting cannot meet a
- * wait shorter than a boot, so such an aim does not count here. */
+/* How long a task may wait if the objective is to be met; patience if it says nothing of that. */
+static double wait_left_s(const struct objective *objective, const struct spec *spec,
+                          double patience)
+{
+    if (objective->kind == OBJECTIVE_WAIT)
+        return objective->within_s;
+    if (objective->kind == OBJECTIVE_FINISHED)
+        return objective->within_s - spec->expected_s;
+    if (objective->kind == OBJECTIVE_DEADLINE && spec->due_s >= 0)
+        return spec->due_s - spec->expected_s;
+    return patience;
+}
+
 double leader_patience_s(struct leader *leader, const struct job *job_view)
 {
     const struct spec *spec = job_view->spec;
-    double patience = USUAL_PATIENCE_S, boot = quickest_boot(leader);
+    double patience = USUAL_PATIENCE_S;
+    double boot = quickest_boot(leader);
     for (guint i = 0; i < leader->settings->objectives->len; i++) {
         const struct objective *objective =
             &g_array_index(leader->settings->objectives, struct objective, i);
         if (strcmp(objective->class, spec->job_class) != 0)
             continue;
-        double left = patience;
-        if (objective->kind == OBJECTIVE_WAIT)
-            left = objective->within_s;
-        else if (objective->kind == OBJECTIVE_FINISHED)
-            left = objective->within_s - spec->expected_s;
-        else if (objective->kind == OBJECTIVE_DEADLINE && spec->due_s >= 0)
-            left = spec->due_s - spec->expected_s;
+        double left = wait_left_s(objective, spec, patience);
         if (left > boot)
             patience = MIN(patience, left);
     }
     /* The deadline of a job that needs this one leaves it less, the longer the way there. */
-    if (spec->due_s < 0 && job_view->due.ms != NEVER.ms)
-        patience = MIN(
-            patience,
-            MAX((double)(job_view->due.ms - job_view->since.ms) / 1000 - spec->expected_s, boot));
+    if (spec->due_s < 0 && job_view->due.ms != NEVER.ms) {
+        double due_s = (double)(job_view->due.ms - job_view->since.ms) / 1000;
+        patience = MIN(patience, MAX(due_s - spec->expected_s, boot));
+    }
     return patience;
 }
 
@@ -66,13 +72,13 @@
     return sum;
 }
 
-/* Inputs that tell of the load. */
 void leader_load_inputs(struct leader *leader, struct policy_value *value)
 {
     value[INPUT_USED_CPUS].number = leader_used_cpus(leader);
     value[INPUT_PEAK_CPUS].number = leader->demand_peak;
 }
 
+/* Inputs that tell of the load and the job. */
 static void job_inputs(struct leader *leader, const struct leader_job *job, const struct spec *spec,
                        struct policy_value *value)
 {
@@ -89,8 +95,6 @@
     return floor(policy_number(leader->policy, POLICY_SPARE_CPUS, value));
 }
 
-/* Whether ordinary machines may be rented for a job that spot ones could run, once no more of these
- * are to be had. */
 bool leader_may_rent_ordinary(struct leader *leader, const struct leader_job *job,
                               const struct spec *spec, double backlog_s)
 {
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -183,20 +183,33 @@
 void leader_pass_soon(struct leader *leader);
 
 /* leader_policy.c: what operators and objectives say */
+/* The machine types, as the cloud lists them now or as they were stored last. */
 const GArray *leader_types_now(struct leader *leader);
+/* The longest boot of all machine types; 0 without any. */
 double leader_slowest_boot(struct leader *leader);
+/* How long the job's tasks may wait, by what its class is expected to do. Renting cannot meet a
+ * wait shorter than a boot, so such an aim does not count here. */
 double leader_patience_s(struct leader *leader, const struct job *job_view);
+/* Processors on record or dealt. */
 double leader_used_cpus(struct leader *leader);
+/* Sets the policy inputs that tell of the load. */
 void leader_load_inputs(struct leader *leader, struct policy_value *value);
+/* Processors that are to be free for what comes next. */
 double leader_spare_cpus(struct leader *leader);
+/* Whether ordinary machines may be rented for a job that spot ones could run, once no more of these
+ * are to be had. backlog_s: what the machines need for all that goes before it. */
 bool leader_may_rent_ordinary(struct leader *leader, const struct leader_job *job,
                               const struct spec *spec, double backlog_s);
+/* Whether work of lower priority may be stopped for the job. */
 bool leader_may_preempt(struct leader *leader, const struct leader_job *job,
                         const struct spec *spec);
+/* How long the machine may be idle before it is returned. */
 double leader_idle_ms(struct leader *leader, const struct leader_host *host);
 
 /* leader_scale.c: renting and returning */
+/* Whether nothing is on record, dealt, held or wanted on the machine. */
 bool leader_host_idle(const struct leader_host *host);
+/* Rents what is lacking and returns what is idle or of no use; does so only now and then. */
 void leader_scale(struct leader *leader);
 
 #endif
