Gangs: one look at the machines a gang, sums of capacity in one place, halts said again after 10 s

Completing a gang asked for its machines once for each waiting task; it asks once now. could_be_whole and hold_machines reckoned the same sums, and the second took the first zone that it met for a gang that has to be in one zone; now it holds machines in the zone in which the gang could be whole. leader_deal_gang is split. What is left of a broken gang is told to stop again after 10 s, as its owner passes over a halt that comes before it knows of the task.

The new test of a gang in one zone passes with the former choice of the zone as well, whichever machine was in the other zone: it shows that such a gang begins, not that the mend is needed. All 13 test programs pass with sanitizers.

--- a/src/leader_gang.c
+++ b/src/leader_gang.c
@@ -7,48 +7,49 @@
 #include "log.h"
 
 enum {
+    ANY_ZONE = -1,
     MOST_HOLDING = 4, /* gangs that hold whole machines, in a pass */
     MOST_HOPE_MS = 60000,
+    STOP_AGAIN_MS = 10000,
     COMPLETE_WITHIN_MS = 2000, /* for a task that was given back to find another machine */
 };
 
-/* The best machines for so many tasks of a job, in one zone or (-1) in any; a machine stands there
- * once for each task. */
-static GPtrArray *places(struct leader *leader, struct leader_job *job, const struct spec *spec,
-                         uint32_t most, int zone_index)
+/* Picks machines for so many tasks out of a job's choices, in one zone or in any; a machine stands
+ * in the list once for each task that it is to take. */
+static GPtrArray *pick_places(struct leader *leader, struct leader_job *job,
+                              const struct spec *spec, const GArray *choices, uint32_t most,
+                              int zone_index)
 {
-    GPtrArray *out = g_ptr_array_new();
+    GPtrArray *places = g_ptr_array_new();
     leader_count_zones(leader, job, spec);
-    GArray *hosts = leader_choose_hosts(leader, job, spec, false);
-    for (guint i = 0; i < hosts->len && out->len < most; i++) {
-        struct leader_host *host = g_array_index(hosts, struct host_choice, i).host;
+    for (guint i = 0; i < choices->len && places->len < most; i++) {
+        struct leader_host *host = g_array_index(choices, struct host_choice, i).host;
+        if (zone_index != ANY_ZONE && host->zone_index != zone_index)
+            continue;
         int64_t holds = room_times(leader_host_free_room(host), job->room);
-        for (int64_t k = 0;
-             k < holds && out->len < most && (zone_index < 0 || host->zone_index == zone_index) &&
-             leader_zone_allowed(leader, job, spec, host->zone_index);
+        for (int64_t k = 0; k < holds && places->len < most &&
+                            leader_zone_allowed(leader, job, spec, host->zone_index);
              k++) {
-            g_ptr_array_add(out, host);
+            g_ptr_array_add(places, host);
             if (host->zone_index >= 0 && spec->apart) /* one zone is for the caller to settle */
                 leader->zone_tasks[host->zone_index]++;
         }
     }
-    g_array_unref(hosts);
-    return out;
+    return places;
 }
 
-/* The same for a whole gang, or as much of it as finds room. One that has to be in one zone goes
- * where all of it does; else to where room is being made for it, or where most of it finds some. */
-static GPtrArray *gang_places(struct leader *leader, struct leader_job *job,
-                              const struct spec *spec, uint32_t most)
+/* The same in one zone: that which has room for all tasks; else that where room is being made for
+ * the gang, or where most of it finds some. */
+static GPtrArray *pick_places_in_one_zone(struct leader *leader, struct leader_job *job,
+                                          const struct spec *spec, const GArray *choices,
+                                          uint32_t most)
 {
-    if (!spec->one_zone)
-        return places(leader, job, spec, most, -1);
     GPtrArray *best = g_ptr_array_new();
     guint best_worth = 0;
-    for (guint z = 0; z < leader->settings->zones->len && best->len < most; z++) {
-        GPtrArray *here = places(leader, job, spec, most, (int)z);
-        bool clears = job->pending_preemptions && (int)z == job->gang.preempt_zone;
-        guint worth = here->len == most ? 2 * most : here->len + (clears ? most : 0);
+    for (guint zone = 0; zone < leader->settings->zones->len && best->len < most; zone++) {
+        GPtrArray *here = pick_places(leader, job, spec, choices, most, (int)zone);
+        bool room_is_made = job->pending_preemptions && (int)zone == job->gang.preempt_zone;
+        guint worth = here->len == most ? 2 * most : here->len + (room_is_made ? most : 0);
         if (worth > best_worth) {
             g_ptr_array_unref(best);
             best = g_ptr_array_ref(here);
@@ -59,11 +60,25 @@
     return best;
 }
 
-/* Stops what is left of a gang. Tasks that were told to in this epoch are not told again: their
- * owners repeat a halt until its end is on record, but forget it when the epoch changes. */
+/* The best machines for so many tasks of a gang, or for as many as find room. */
+static GPtrArray *gang_places(struct leader *leader, struct leader_job *job,
+                              const struct spec *spec, uint32_t most)
+{
+    GArray *choices = leader_choose_hosts(leader, job, spec, false);
+    GPtrArray *places = spec->one_zone ? pick_places_in_one_zone(leader, job, spec, choices, most)
+                                       : pick_places(leader, job, spec, choices, most, ANY_ZONE);
+    g_array_unref(choices);
+    return places;
+}
+
+/* Stops what is left of a gang. Tasks that were told to in this epoch are not told again for a
+ * while: their owners repeat a halt until its end is on record. They forget it when the epoch
+ * changes, and pass over one that comes before they know of the task. */
 static void stop_gang(struct leader *leader, struct leader_job *job, const struct job *job_view)
 {
-    bool told_before = job->gang.stopped_in.v == leader->epoch.v;
+    mono_time now = loop_now(leader->loop);
+    bool told_before = job->gang.stopped_in.v == leader->epoch.v &&
+                       time_ms_since(now, job->gang.stopped_at) < STOP_AGAIN_MS;
     guint told = 0;
     GHashTableIter it;
     gpointer key;
@@ -75,6 +90,8 @@
         leader_send_halt(leader, job, GPOINTER_TO_UINT(key) - 1, entry, job_view->spec->save_s);
         told += entry->halted;
     }
+    if (!told_before)
+        job->gang.stopped_at = now;
     job->gang.stopped_in = leader->epoch;
     if (told)
         LOG_INFO("gang_broken", "job=%s stopped=%u placed=%u of=%u", job->id.s, told,
@@ -98,81 +115,97 @@
         stop_gang(leader, job, job_view);
 }
 
-/* Tasks that a part could not place are dealt once more, under the attempt of the others: as they
+/* Tasks that a shard could not place are dealt once more, under the attempt of the others: as they
  * were never on record, the gang has not begun, and waits for them. */
 static void gang_complete(struct leader *leader, struct leader_job *job, struct job *job_view)
 {
-    if (!job->gang.attempt.v || job->gang.lost_task)
+    int64_t waiting = leader_count_allowed(leader, job, job_view);
+    if (!job->gang.attempt.v || job->gang.lost_task || waiting <= 0)
         return;
-    for (uint32_t i = 0; i < job_view->tasks; i++) {
-        if (!leader_task_waits(job, job_view, i) ||
-            !room_holds(leader_limit_left(&leader->teams[job->team]), job->room))
+    GPtrArray *places = gang_places(leader, job, job_view->spec, (uint32_t)waiting);
+    for (uint32_t i = 0, used = 0; i < job_view->tasks && used < places->len; i++) {
+        if (!leader_task_waits(job, job_view, i))
             continue;
-        GPtrArray *place = places(leader, job, job_view->spec, 1, -1);
-        if (place->len) {
-            leader_book_deal(leader, job, i, job->gang.attempt, place->pdata[0]);
-            leader_send_deal(leader, job, i, true);
-        }
-        g_ptr_array_unref(place);
+        leader_book_deal(leader, job, i, job->gang.attempt, places->pdata[used++]);
+        leader_send_deal(leader, job, i, true);
     }
+    g_ptr_array_unref(places);
 }
 
-/* Whether a gang would find room if nothing but services ran on the machines that there are. */
-static bool could_be_whole(struct leader *leader, struct leader_job *job, const struct spec *spec,
-                           uint32_t left)
+/* How many tasks of a gang the machine could take if nothing but services ran on it. */
+static int64_t capacity_of(const struct leader_host *host, const struct leader_job *job)
+{
+    return room_times(room_left(host->total, host->pinned), job->room);
+}
+
+/* The same for all machines that take work, in one zone or in any. */
+static int64_t capacity_in(struct leader *leader, struct leader_job *job, const struct spec *spec,
+                           int zone_index)
 {
-    guint zones = spec->one_zone ? leader->settings->zones->len : 1;
-    bool whole = false;
+    int64_t tasks = 0;
     loop_work(leader->loop, leader->open_hosts->len);
+    for (guint i = 0; i < leader->open_hosts->len; i++) {
+        struct leader_host *host = leader->open_hosts->pdata[i];
+        if (leader_host_allowed(leader, job, spec, host) &&
+            (zone_index == ANY_ZONE || host->zone_index == zone_index))
+            tasks += capacity_of(host, job);
+    }
+    return tasks;
+}
+
+/* Whether a gang would find room if nothing but services ran on the machines that there are, and in
+ * which zone, if it has to be in one: rather where room is held for it already. */
+static bool could_be_whole(struct leader *leader, struct leader_job *job, const struct spec *spec,
+                           uint32_t left, int *zone_index)
+{
+    *zone_index = ANY_ZONE;
     leader_count_zones(leader, job, spec);
-    for (guint z = 0; z < zones && !whole; z++) {
-        int64_t n = 0;
-        for (guint i = 0; i < leader->open_hosts->len; i++) {
-            struct leader_host *host = leader->open_hosts->pdata[i];
-            if (leader_host_allowed(leader, job, spec, host) &&
-                (!spec->one_zone || host->zone_index == (int)z))
-                n += room_times(room_left(host->total, host->pinned), job->room);
-        }
-        whole = n >= left;
+    if (!spec->one_zone)
+        return capacity_in(leader, job, spec, ANY_ZONE) >= left;
+    int zones = (int)leader->settings->zones->len;
+    int first = MAX(job->gang.held_zone, 0);
+    for (int i = 0; i < zones; i++) {
+        *zone_index = (first + i) % zones;
+        if (capacity_in(leader, job, spec, *zone_index) >= left)
+            return true;
     }
-    return whole;
+    return false;
 }
 
-/* Smaller tasks would take what becomes free on a machine before it is enough for a task of the
- * gang. One that has waited for long holds all that is free on further machines, those first that
- * run the least, until they would have room for what it lacks; if there are enough. */
-static void hold_machines(struct leader *leader, struct leader_job *job, const struct spec *spec,
-                          GPtrArray *held, int64_t lacks)
+/* Machines that could take tasks of a gang if they ran empty, those first that run the least. */
+static GArray *machines_to_run_empty(struct leader *leader, struct leader_job *job,
+                                     const struct spec *spec, int zone_index)
 {
-    int zone_index =
-        spec->one_zone && held->len ? ((struct leader_host *)held->pdata[0])->zone_index : -1;
-    GArray *more = g_array_new(FALSE, FALSE, sizeof(struct host_choice));
-    int64_t holds = -(int64_t)held->len;
+    GArray *machines = g_array_new(FALSE, FALSE, sizeof(struct host_choice));
     loop_work(leader->loop, leader->open_hosts->len);
     leader_count_zones(leader, job, spec);
     for (guint i = 0; i < leader->open_hosts->len; i++) {
         struct leader_host *host = leader->open_hosts->pdata[i];
         struct host_choice choice = {host, -room_share(host->booked, host->total)};
-        int64_t n = room_times(room_left(host->total, host->pinned), job->room);
-        if (!n || !leader_host_allowed(leader, job, spec, host) ||
-            (spec->one_zone && zone_index >= 0 && host->zone_index != zone_index))
-            continue;
-        if (spec->one_zone)
-            zone_index = host->zone_index;
-        g_array_append_val(more, choice);
-        holds += n;
+        if (capacity_of(host, job) && leader_host_allowed(leader, job, spec, host) &&
+            (zone_index == ANY_ZONE || host->zone_index == zone_index))
+            g_array_append_val(machines, choice);
     }
-    g_array_sort(more, leader_compare_choices);
-    for (guint i = 0; i < more->len && lacks > 0 && holds >= lacks; i++) {
-        struct leader_host *host = g_array_index(more, struct host_choice, i).host;
-        int64_t n = room_times(room_left(host->total, host->pinned), job->room);
+    g_array_sort(machines, leader_compare_choices);
+    return machines;
+}
+
+/* Smaller tasks would take what becomes free on a machine before it is enough for a task of the
+ * gang. One that has waited for long holds all that is free on further machines, until they would
+ * have room for what it lacks. held: the places for which room is held already. */
+static void hold_machines(struct leader *leader, struct leader_job *job, const struct spec *spec,
+                          const GPtrArray *held, int64_t lacks, int zone_index)
+{
+    GArray *machines = machines_to_run_empty(leader, job, spec, zone_index);
+    for (guint i = 0; i < machines->len && lacks > 0; i++) {
+        struct leader_host *host = g_array_index(machines, struct host_choice, i).host;
+        int64_t more = capacity_of(host, job);
         for (guint k = 0; k < held->len; k++)
-            n -= held->pdata[k] == host;
+            more -= held->pdata[k] == host;
         room_add(&host->held, leader_host_free_room(host));
-        lacks -= n;
-        holds -= n;
+        lacks -= more;
     }
-    g_array_unref(more);
+    g_array_unref(machines);
 }
 
 /* How long a gang may hope for machines that are on their way: as long as slow ones take to boot
@@ -183,6 +216,57 @@
                MOST_HOPE_MS);
 }
 
+/* Whether it has found no room for all its tasks for longer than it may hope for new machines. */
+static bool hopes_for_machines(struct leader *leader, struct leader_job *job)
+{
+    mono_time now = loop_now(leader->loop);
+    if (!job->gang.short_since.us)
+        job->gang.short_since = now;
+    return (double)time_ms_since(now, job->gang.short_since) < hope_ms(leader);
+}
+
+/* Deals all tasks of a gang that are not done, one to each place, under a new attempt. */
+static void start_gang(struct leader *leader, struct leader_job *job, struct job *job_view,
+                       const GPtrArray *places)
+{
+    job->gang.attempt = leader_next_attempt(leader);
+    job->gang.lost_task = false;
+    job->gang.short_since = job->gang.incomplete_since = (mono_time){0};
+    for (uint32_t i = 0, used = 0; i < job_view->tasks; i++) {
+        if (job_task_done(job_view, i))
+            continue;
+        leader_book_deal(leader, job, i, job->gang.attempt, places->pdata[used++]);
+        leader_send_deal(leader, job, i, true);
+    }
+}
+
+/* A gang of which only a part finds room: holds that, and has more made, unless it could not be
+ * whole on the machines that there are and has waited for new ones in vain. */
+static void hold_for_gang(struct leader *leader, struct leader_job *job, struct job *job_view,
+                          const GPtrArray *places, uint32_t left)
+{
+    const struct spec *spec = job_view->spec;
+    job->gang.held_tasks = places->len;
+    job->gang.held_zone =
+        places->len ? ((struct leader_host *)places->pdata[0])->zone_index : ANY_ZONE;
+    job->blocked = true;
+    int zone_index;
+    bool fits = could_be_whole(leader, job, spec, left, &zone_index);
+    bool hope = hopes_for_machines(leader, job) || fits;
+    for (guint i = 0; i < places->len; i++) {
+        struct leader_host *host = places->pdata[i];
+        host->wanted = true;
+        if (hope)
+            room_add(&host->held, job->room);
+    }
+    if (hope || !places->len)
+        leader_note_unplaceable(leader, spec);
+    if (hope)
+        leader_preempt(leader, job, job_view, false);
+    if (fits && job->aged && leader->holding_gangs++ < MOST_HOLDING)
+        hold_machines(leader, job, spec, places, (int64_t)left - places->len, zone_index);
+}
+
 bool leader_deal_gang(struct leader *leader, struct leader_job *job, struct job *job_view)
 {
     if (g_hash_table_size(job->entries) || g_hash_table_size(job->deals) || job_view->placed) {
@@ -195,42 +279,14 @@
     struct room all = {{job->room.cpus.milli * left}, {job->room.gpus.milli * left}, {0}};
     if (!left || !leader_within_limits(team->used, all, team->team->cpus_max, team->team->gpus_max))
         return false;
-    GPtrArray *hosts = leader_known_unplaceable(leader, job_view->spec)
-                           ? g_ptr_array_new()
-                           : gang_places(leader, job, job_view->spec, left);
-    bool whole = hosts->len == left;
-    if (whole) {
-        job->gang.attempt = leader_next_attempt(leader);
-        job->gang.lost_task = false;
-        job->gang.short_since = job->gang.incomplete_since = (mono_time){0};
-        for (uint32_t i = 0, k = 0; i < job_view->tasks; i++) {
-            if (job_task_done(job_view, i))
-                continue;
-            leader_book_deal(leader, job, i, job->gang.attempt, hosts->pdata[k++]);
-            leader_send_deal(leader, job, i, true);
-        }
-    } else {
-        job->gang.held_tasks = hosts->len;
-        job->gang.held_zone = hosts->len ? ((struct leader_host *)hosts->pdata[0])->zone_index : -1;
-        job->blocked = true;
-        mono_time now = loop_now(leader->loop);
-        if (!job->gang.short_since.us)
-            job->gang.short_since = now;
-        bool hope = (double)time_ms_since(now, job->gang.short_since) < hope_ms(leader) ||
-                    could_be_whole(leader, job, job_view->spec, left);
-        for (guint i = 0; i < hosts->len; i++) {
-            struct leader_host *host = hosts->pdata[i];
-            host->wanted = true;
-            if (hope)
-                room_add(&host->held, job->room);
-        }
-        if (hope || !hosts->len)
-            leader_note_unplaceable(leader, job_view->spec);
-        if (hope)
-            leader_preempt(leader, job, job_view, false);
-        if (job->aged && leader->holding_gangs++ < MOST_HOLDING)
-            hold_machines(leader, job, job_view->spec, hosts, (int64_t)left - hosts->len);
-    }
-    g_ptr_array_unref(hosts);
+    GPtrArray *places = leader_known_unplaceable(leader, job_view->spec)
+                            ? g_ptr_array_new()
+                            : gang_places(leader, job, job_view->spec, left);
+    bool whole = places->len == left;
+    if (whole)
+        start_gang(leader, job, job_view, places);
+    else
+        hold_for_gang(leader, job, job_view, places, left);
+    g_ptr_array_unref(places);
     return whole;
 }
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -32,6 +32,7 @@
     bool lost_task; /* one of them was on record and is not any more: it may have begun to run */
     mono_time incomplete_since; /* it is on record in part, and nothing of it dealt; 0: it is not */
     epoch_no stopped_in;        /* what is left of it was told to stop in that epoch; 0: never */
+    mono_time stopped_at;       /* and then */
     mono_time short_since;      /* it has found no room for all its tasks since then; 0: it has */
     uint32_t held_tasks;        /* in this pass: tasks for which room is held */
     int held_zone;              /* where that is, for one that has to be in one zone */
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -195,23 +195,24 @@
     ends_whole(world, "wk-1");
 }
 
-/* An array of so many tasks comes every second, more than can run, and they take TAKES_MS; a gang
- * of four tasks of four processors comes to two machines meanwhile. */
-static void play_arrays_against_a_gang(struct world *world, int tasks, double cpus, int for_s)
+typedef void (*submit_fn)(struct world *world);
+
+/* An array of so many tasks comes every second, more than can run, and they take TAKES_MS; the gang
+ * wk-2 comes meanwhile. */
+static void play_arrays_against(struct world *world, submit_fn submit_gang, int tasks, double cpus,
+                                int for_s)
 {
     enum { TAKES_MS = 8000 };
-    world_worker(world, 6, "b", true);
-    world_worker(world, 7, "a", true);
     world_run(world, 3000);
     for (int s = 0; s < for_s; s++) {
         char id[16];
         g_snprintf(id, sizeof id, "wk-1%03d", s);
         submit(world, id, "sweep", "high", tasks, cpus);
         if (s == 10)
-            submit(world, "wk-2", "gang", "high", 4, 4.0);
+            submit_gang(world);
         world_run(world, 1000);
-        for (int i = 6; i <= 7; i++)
-            for (guint n = 0; n < world->workers[i].tasks->len; n++) {
+        for (int i = 0; i < WORLD_WORKERS; i++)
+            for (guint n = 0; world->workers[i].up && n < world->workers[i].tasks->len; n++) {
                 struct wtask *wtask = &g_array_index(world->workers[i].tasks, struct wtask, n);
                 if (strcmp(wtask->stage, "running") == 0 && strcmp(wtask->job.s, "wk-2") != 0 &&
                     time_ms_since(loop_now(world->loop), wtask->since) >= TAKES_MS)
@@ -220,6 +221,19 @@
     }
 }
 
+static void submit_four_of_four(struct world *world)
+{
+    submit(world, "wk-2", "gang", "high", 4, 4.0);
+}
+
+/* The gang has four tasks of four processors, for two machines. */
+static void play_arrays_against_a_gang(struct world *world, int tasks, double cpus, int for_s)
+{
+    world_worker(world, 6, "b", true);
+    world_worker(world, 7, "a", true);
+    play_arrays_against(world, submit_four_of_four, tasks, cpus, for_s);
+}
+
 /* Room for a part of a gang is held for it: arrays of the same team and urgency that keep coming,
  * twice as many as can run, do not take it for ever. */
 static void room_for_a_part_of_a_gang_is_held(void **state)
@@ -249,6 +263,23 @@
     assert_int_equal(world_gang_begun(world, "wk-2"), 1);
 }
 
+static void submit_four_of_four_in_one_zone(struct world *world)
+{
+    submit_in_one_zone(world, "wk-2", 4, 4.0);
+}
+
+/* Machines are held for it in the zone where it can be whole, whatever zone it is that has the
+ * machine which runs the least. */
+static void a_gang_in_one_zone_does_not_wait_for_ever_behind_smaller_tasks(void **state)
+{
+    struct world *world = gang_world(state);
+    for (int i = 3; i < 6; i++)
+        world_worker(world, i, i == 5 ? "a" : "b", true);
+    play_arrays_against(world, submit_four_of_four_in_one_zone, 2, 2.0, 10 + RULES_BEGIN_MS / 1000);
+    runs_whole(world, "wk-2", 4);
+    assert_int_equal(world_gang_begun(world, "wk-2"), 1);
+}
+
 /* The rest of the machines that a gang needs may be on their way: what is there is held. */
 static void room_is_held_while_machines_are_on_their_way(void **state)
 {
@@ -1078,6 +1109,7 @@
         WORLD_TEST(room_for_a_part_of_a_gang_is_held),
         WORLD_TEST(room_for_a_part_of_a_gang_is_held_from_smaller_tasks),
         WORLD_TEST(a_gang_does_not_wait_for_ever_behind_smaller_tasks),
+        WORLD_TEST(a_gang_in_one_zone_does_not_wait_for_ever_behind_smaller_tasks),
         WORLD_TEST(room_is_held_while_machines_are_on_their_way),
         WORLD_TEST(a_gang_that_fits_nowhere_keeps_nobody_waiting),
         WORLD_TEST(a_gang_stops_less_urgent_work_to_begin),
