Split the run records of a shard into modules with one job each

shard_record.c held nine jobs in 1047 lines. Now shard_record_pages.c keeps the node's own pages and their room, shard_record_sync.c agrees with the view, shard_record_flush.c paces the writes, shard_record_batch.c makes the transaction, shard_record_choose.c chooses its pages, shard_record_draft.c builds their texts, shard_record_adopt.c takes records over from other nodes' pages, shard_record_machine.c writes what machines are, and shard_record_outcome.c applies what became of it. What other files call moves from shard_state.h to shard_record.h; what these share is in shard_batch.h.

Moves and renames only; tests change in the header that they include.

--- a/src/shard_host.c
+++ b/src/shard_host.c
@@ -1,4 +1,4 @@
-#include "shard_state.h"
+#include "shard_record.h"
 
 #include "images.h"
 #include "log.h"
@@ -255,7 +255,7 @@
     int64_t lease = (int64_t)(settings->lease_s * 1002) + 500,
             keep = shard_keeping_ms(shard) * 1002 / 1000;
     /* Until its worker shows a token that only we give, an earlier owner that is cut off may still
-     * answer it, as long as part_keeping_ms() lets it. */
+     * answer it, as long as shard_keeping_ms() lets it. */
     if (host->token < host->owned_since.v)
         return time_ms_since(now, host->owned_at) > (int64_t)(settings->cancel_s * 1002) + 1000 &&
                peers_leases_over(shard->peers, host->owned_at, lease, keep);
--- a/src/shard_place.c
+++ b/src/shard_place.c
@@ -1,4 +1,4 @@
-#include "shard_state.h"
+#include "shard_record.h"
 
 #include "images.h"
 #include "log.h"
--- /dev/null
+++ b/src/shard_record.h
@@ -0,0 +1,81 @@
+/* Run records of the tasks on a node's machines: what they ask of the rest of the shard's files,
+ * and those of them. */
+#ifndef LL_SHARD_RECORD_H
+#define LL_SHARD_RECORD_H
+
+#include "shard_state.h"
+
+/* One of this node's pages: see page.h. */
+struct own_page {
+    revision stamp;
+    gsize bytes;      /* of its texts, as they were last written or seen, and what waits for it */
+    GArray *leftover; /* struct page_rec, of machines that are another node's now */
+};
+
+/* shard_record_pages.c: own pages and their room */
+
+/* How long the texts of a page may be together. */
+gsize shard_text_bytes(const struct shard *shard);
+/* Whether those of a page are longer. */
+bool shard_page_long(const struct shard *shard, const struct page *page);
+/* Whether nodes of version 0 may come to read what is written. They know of one page a machine, and
+ * of marks that begin with their chunk. */
+bool shard_plain(const struct shard *shard);
+void shard_page_free(gpointer page);
+/* This node's page with that number; makes it, and all before it. */
+struct own_page *shard_own_page(struct shard *shard, int number);
+/* The same as the view shows it; NULL: it does not. */
+struct page *shard_page_seen(struct shard *shard, int number);
+/* Whether that is a page from when more was allowed: it is split before it can be written again. */
+bool shard_own_page_long(struct shard *shard, int number);
+/* Whether nothing is on it, nor waits for it. */
+bool shard_own_page_empty(struct shard *shard, int number);
+/* The page of ours that a machine's records are on; -1: none. */
+int shard_page_of_host(const struct host *host);
+/* What a page says of a machine that has no record of its own yet; NULL: nothing. */
+const char *shard_host_about(struct host *host);
+/* The record of a task on one of our machines. */
+struct page_rec shard_record_of(struct host *host, const struct run *run);
+/* Whether one more task can be recorded on the machine. Any page will do, unless a node that knows
+ * of one page a machine may come to read it. */
+bool shard_record_has_room(struct shard *shard, struct host *host, job_id job);
+/* One more task, which is to be recorded. */
+void shard_record_new(struct shard *shard, struct host *host, job_id job);
+/* Room on a page, for marks that are to come as well. */
+gsize shard_page_room(struct shard *shard, int number);
+/* Some of it is taken. */
+void shard_page_keep(struct shard *shard, int number, gsize bytes);
+
+/* shard_record_sync.c: agreement with the view */
+
+/* Makes all pages and machines agree with the view. */
+void shard_records_sync(struct shard *shard);
+/* Somebody wrote a page of ours: another owner took machines over, or it was us, with an answer
+ * that got lost. */
+void shard_page_changed(struct shard *shard, const char *key);
+
+/* shard_record_draft.c: texts of pages */
+
+/* Writes a page as it should be, on condition that it is as it was at the stamp. */
+void shard_page_set(struct txn *txn, const char *key, revision stamp, const char *tasks,
+                    const char *done);
+
+/* shard_record_flush.c: when records are written */
+
+/* Looks for what there is to be written, in a moment. */
+void shard_flush_soon(struct shard *shard);
+/* What is on record, or is to be, has changed. */
+void shard_dirty(struct shard *shard);
+/* Writes what has changed, if that is due; arg: the struct shard. */
+void shard_flush(void *arg);
+/* A transaction with the conditions of all that this node writes of records. */
+struct txn *shard_txn(struct shard *shard);
+/* A write of ours other than of a batch is over; ok: the view shows what became of it. */
+void shard_write_over(struct shard *shard, uint64_t generation, bool ok);
+
+/* shard_record_outcome.c: what became of them */
+
+/* Logs how long starts and ends waited for their records since it last did. */
+void shard_log_waits(struct shard *shard);
+
+#endif
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -1,4 +1,4 @@
-/* What the part's files share: its state, and what they ask of one another. */
+/* What the shard's files share: its state, and what they ask of one another. */
 #ifndef LL_SHARD_STATE_H
 #define LL_SHARD_STATE_H
 
@@ -97,13 +97,6 @@
     mono_time since, queue_since;
 };
 
-/* One of this node's pages: see page.h. */
-struct own_page {
-    revision stamp;
-    gsize bytes;      /* of its texts, as they were last written or seen, and what waits for it */
-    GArray *leftover; /* struct page_rec, of machines that are another node's now */
-};
-
 /* A list of our machines and what they are. */
 struct own_inventory {
     revision stamp;
@@ -150,7 +143,7 @@
         guint starts, ends, writes;
         double starts_ms, ends_ms;
     } waits;                /* for records, since they were last logged */
-    GPtrArray *inventories; /* struct own_roll, by number */
+    GPtrArray *inventories; /* struct own_inventory, by number */
     mono_time inventory_written_at;
     mono_time split_at; /* a page that could not be split is looked at again */
     double write_level; /* of this node's share of the writes */
@@ -167,11 +160,11 @@
     struct timer place;
 };
 
-/* part.c: the part's messages with the leader and the view */
+/* shard.c: the shard's messages with the leader and the view */
 void shard_digest_soon(struct shard *shard);
 bool shard_machine_was_returned(const struct shard *shard, const char *id);
 
-/* part_host.c: machines, and what proves that a task is over */
+/* shard_host.c: machines, and what proves that a task is over */
 struct job *shard_live_job(struct shard *shard, job_id id);
 void shard_run_unbook(struct shard *shard, struct host *host, struct run *run);
 void shard_run_remove(struct shard *shard, struct host *host, guint at);
@@ -195,7 +188,7 @@
 void shard_host_reported(struct shard *shard, struct host *host, const struct report *rep);
 uint32_t shard_report_hash(const struct report *rep);
 
-/* part_worker.c: orders and reports */
+/* shard_worker.c: orders and reports */
 void shard_push(struct shard *shard, struct host *host);
 /* Whether no command may start the attempt once more after it was cleared. */
 bool shard_may_clear(const struct host *host, const struct run *run);
@@ -203,33 +196,7 @@
 int64_t shard_keeping_ms(const struct shard *shard);
 void shard_probe(struct shard *shard, struct host *host);
 
-/* part_record.c: run records */
-void shard_flush_soon(struct shard *shard);
-/* What is on record, or is to be, has changed. */
-void shard_dirty(struct shard *shard);
-/* How long the texts of a page may be together, and whether one is longer. */
-gsize shard_text_bytes(const struct shard *shard);
-bool shard_page_long(const struct shard *shard, const struct page *page);
-/* Whether nodes of version 0 may come to read what is written. */
-bool shard_plain(const struct shard *shard);
-bool shard_record_has_room(struct shard *shard, struct host *host, job_id job);
-/* One more task, which is to be recorded. */
-void shard_record_new(struct shard *shard, struct host *host, job_id job);
-void shard_page_changed(struct shard *shard, const char *key);
-/* Makes all pages and machines agree with the view. */
-void shard_records_sync(struct shard *shard);
-void shard_flush(void *arg);
-void shard_log_waits(struct shard *shard);
-/* A transaction with the conditions of all that this node writes of records. */
-struct txn *shard_txn(struct shard *shard);
-void shard_page_set(struct txn *txn, const char *key, revision stamp, const char *tasks,
-                    const char *done);
-
-/* Room on a page, for marks that are to come as well; and some of it is taken. */
-gsize shard_page_room(struct shard *shard, int number);
-void shard_page_keep(struct shard *shard, int number, gsize bytes);
-
-/* part_mark.c: what is done */
+/* shard_mark.c: what is done */
 typedef bool (*page_test)(const void *ctx, int page);
 /* What a page says of tasks that are done, and the room that this may come to take besides. */
 struct marks_on {
@@ -258,25 +225,21 @@
  */
 bool shard_marks_want(struct shard *shard, double *pages, double weight);
 
-/* A write of ours other than of a batch is over; ok: the view shows what became of it. */
-void shard_write_over(struct shard *shard, uint64_t generation, bool ok);
-
-/* part_roll.c: lists of machines */
+/* shard_inventory.c: lists of machines */
 void shard_inventories_sync(struct shard *shard);
 bool shard_inventory_due(struct shard *shard);
 /* A machine is not to be listed any more. */
 void shard_inventory_lost(struct shard *shard, const struct host *host);
 void shard_inventory(struct shard *shard);
 
-/* part_split.c: pages that are too long by now */
+/* shard_split.c: pages that are too long by now */
 bool shard_label_long(const struct shard *shard, const char *label);
 bool shard_split_due(struct shard *shard);
 /* False when nothing can be done about it yet, and other work may go on. */
 bool shard_split(struct shard *shard);
-void shard_done_free(gpointer q); /* part_mark.c */
-void shard_page_free(gpointer q);
+void shard_done_free(gpointer q); /* shard_mark.c */
 
-/* part_place.c: queues and placement */
+/* shard_place.c: queues and placement */
 bool shard_host_open(struct shard *shard, struct host *host);
 void shard_place_all(void *arg);
 /* The same a moment later, once for many reports. */
--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -1,6 +1,6 @@
 /* The troubles of grown deployments: the way back to workers cut, late copies of reports, nodes
  * that only their workers reach, processes that are back at once. See docs/safety.md. */
-#include "shard_state.h"
+#include "shard_record.h"
 #include "world.h"
 
 #include <string.h>
