Group where a task's record is into struct run_record

The fields page, foreign, in_txn, next_page and tried of struct run belong to the record and change together; they are run->record.page and so on now, in the tests too. Single-letter names in shard_record_draft.c are words.

Renames only.

--- a/src/shard.c
+++ b/src/shard.c
@@ -160,13 +160,13 @@
 {
     for (guint i = 0; i < host->runs->len;) {
         struct run *run = host->runs->pdata[i];
-        if (run->phase != RUN_NEW || run->in_txn) {
+        if (run->phase != RUN_NEW || run->record.in_txn) {
             i++;
             continue;
         }
         struct dealt dealt = {
             .job = run->job, .index = run->index, .attempt = run->attempt, .number = run->deal};
-        if (run->tried)
+        if (run->record.tried)
             shard->want_raise = true;
         else
             shard_give_back(shard, &dealt);
@@ -410,7 +410,7 @@
         }
         for (guint i = 0; i < host->runs->len; i++) {
             struct run *run = host->runs->pdata[i];
-            run->in_txn = false;
+            run->record.in_txn = false;
             if (skipped)
                 run->sent_token.v = shard->epoch.v - 1;
             if (run->phase == RUN_FREEING)
--- a/src/shard_host.c
+++ b/src/shard_host.c
@@ -40,7 +40,7 @@
     run->job = job;
     run->index = index;
     run->attempt = attempt;
-    run->page = run->next_page = -1;
+    run->record.page = run->record.next_page = -1;
     if (spec) {
         run->room = room_of_spec(spec);
         run->service = spec->form == FORM_SERVICE;
@@ -154,8 +154,8 @@
 
 static void run_at(const struct shard *shard, struct run *run, const struct page *page)
 {
-    run->foreign = !is_own(shard, page);
-    run->page = run->foreign ? -1 : page->number;
+    run->record.foreign = !is_own(shard, page);
+    run->record.page = run->record.foreign ? -1 : page->number;
 }
 
 /* Makes what we hold of a machine agree with its records, which are the truth: all of them, or
@@ -196,7 +196,7 @@
     }
     for (guint i = 0; i < host->runs->len; i++) {
         struct run *run = host->runs->pdata[i];
-        if (page >= 0 && run->page != page)
+        if (page >= 0 && run->record.page != page)
             continue;
         struct job *job = view_job(shard->view, run->job.s);
         struct placed *placed = job ? job_placed(job, run->index) : NULL;
@@ -209,8 +209,8 @@
         if (on_record) {
             run_at(shard, run, placed->page);
         } else {
-            run->page = -1;
-            run->foreign = false;
+            run->record.page = -1;
+            run->record.foreign = false;
         }
     }
 }
--- a/src/shard_mark.c
+++ b/src/shard_mark.c
@@ -116,7 +116,7 @@
     if (!job)
         return; /* cancelled: nobody has any use for what its tasks did */
     uint32_t unit = run->index / MARK_TASKS, bit = run->index % MARK_TASKS;
-    int page = run->page;
+    int page = run->record.page;
     struct done_unit *there = page >= 0 ? unit_find(shard, job->id, unit, page) : NULL;
     if (there && there->leaving) {
         page = -1;
--- a/src/shard_record_adopt.c
+++ b/src/shard_record_adopt.c
@@ -15,7 +15,7 @@
 struct page *shard_source_of(struct shard *shard, const struct host *host, const struct run *run)
 {
     struct job *job =
-        run->foreign && run->phase != RUN_GONE ? view_job(shard->view, run->job.s) : NULL;
+        run->record.foreign && run->phase != RUN_GONE ? view_job(shard->view, run->job.s) : NULL;
     struct placed *placed = job ? job_placed(job, run->index) : NULL;
     bool there =
         placed && placed->attempt.v == run->attempt.v && host_eq(placed->host->id, host->id);
@@ -31,18 +31,19 @@
         struct page *source = shard_source_of(batch->shard, host, run);
         if (!source || !g_ptr_array_find(batch->sources, source, NULL))
             continue;
-        run->next_page = -1;
+        run->record.next_page = -1;
         if (run->phase == RUN_FREEING &&
             shard_mark_written(batch->shard, run, shard_is_drafted, batch))
-            run->in_txn = host->in_txn = true;
+            run->record.in_txn = host->in_txn = true;
         else if (!shard_batch_put(batch, host, run, most))
             whole = !batch->plain;
-        batch->rest = batch->rest || !run->in_txn;
+        batch->rest = batch->rest || !run->record.in_txn;
     }
     for (guint i = 0; i < host->runs->len && !whole; i++) {
         struct run *run = host->runs->pdata[i];
-        struct draft *draft =
-            run->foreign && run->in_txn ? shard_draft_of(batch, run->next_page) : NULL;
+        struct draft *draft = run->record.foreign && run->record.in_txn
+                                  ? shard_draft_of(batch, run->record.next_page)
+                                  : NULL;
         for (guint k = 0; draft && k < draft->records->len; k++) {
             const struct page_rec *rec = &g_array_index(draft->records, struct page_rec, k);
             if (host_eq(rec->host, host->id) && job_eq(rec->job, run->job) &&
@@ -51,8 +52,8 @@
                 break;
             }
         }
-        if (run->foreign)
-            run->in_txn = false;
+        if (run->record.foreign)
+            run->record.in_txn = false;
     }
 }
 
@@ -66,7 +67,7 @@
         struct host *host = shard_host_get(shard, placed->host->id.s);
         struct run *run =
             host ? shard_run_find(host, placed->job->id, placed->index, placed->attempt) : NULL;
-        if (run && run->in_txn && run->foreign) {
+        if (run && run->record.in_txn && run->record.foreign) {
             taken++;
             continue;
         }
--- a/src/shard_record_batch.c
+++ b/src/shard_record_batch.c
@@ -68,7 +68,7 @@
             while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
                 for (guint k = 0; k < host->runs->len; k++) {
                     struct run *run = host->runs->pdata[k];
-                    run->in_txn = run->in_txn && run->page != draft->number;
+                    run->record.in_txn = run->record.in_txn && run->record.page != draft->number;
                 }
             g_ptr_array_remove_index(batch->drafts, i);
             again = true;
@@ -96,8 +96,8 @@
         return -1;
     for (guint i = 0; i < host->runs->len; i++) {
         const struct run *run = host->runs->pdata[i];
-        if (run->in_txn && run->next_page >= 0)
-            return run->next_page;
+        if (run->record.in_txn && run->record.next_page >= 0)
+            return run->record.next_page;
     }
     return shard_page_of_host(host);
 }
@@ -113,8 +113,8 @@
         draft = draft_for(batch, &rec, most);
     if (!draft)
         return false;
-    run->next_page = draft->number;
-    run->in_txn = host->in_txn = draft->changed = true;
+    run->record.next_page = draft->number;
+    run->record.in_txn = host->in_txn = draft->changed = true;
     return true;
 }
 
@@ -131,7 +131,7 @@
         shard_batch_describe(batch, host);
         if ((host->stamp.v || host->described || host->inventory >= 0 || shard_host_about(host)) &&
             batch_job(batch, job) && shard_batch_put(batch, host, run, most))
-            run->tried = true;
+            run->record.tried = true;
         else
             batch->rest = true;
     }
--- a/src/shard_record_choose.c
+++ b/src/shard_record_choose.c
@@ -45,8 +45,9 @@
             if (source && !g_ptr_array_find(want->sources, source, NULL) &&
                 shard_source_fits(shard, source, batch->plain))
                 g_ptr_array_add(want->sources, source);
-            if (run->phase == RUN_FREEING && run->page >= 0)
-                want->pages[run->page] += 1 + (double)time_ms_since(now, run->over_at) / 1000;
+            if (run->phase == RUN_FREEING && run->record.page >= 0)
+                want->pages[run->record.page] +=
+                    1 + (double)time_ms_since(now, run->over_at) / 1000;
             if (source && batch->plain && shard_page_of_host(host) >= 0)
                 want->pages[shard_page_of_host(host)] += NEW_WEIGHT;
             if (run->phase == RUN_NEW) {
--- a/src/shard_record_draft.c
+++ b/src/shard_record_draft.c
@@ -73,27 +73,28 @@
     draft->changed = draft->marks.dirty;
     draft->used = draft->marks.text->len + draft->marks.growth;
     for (guint i = 0; i < page->leftover->len; i++) {
-        struct page_rec r = g_array_index(page->leftover, struct page_rec, i);
-        r.about = view_about(shard->view, r.host.s);
-        draft_add(draft, &r);
+        struct page_rec record = g_array_index(page->leftover, struct page_rec, i);
+        record.about = view_about(shard->view, record.host.s);
+        draft_add(draft, &record);
     }
     GHashTableIter it;
     struct host *host;
     g_hash_table_iter_init(&it, shard->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
         for (guint i = 0; i < host->runs->len; i++) {
-            struct run *r = host->runs->pdata[i];
-            if (r->page != draft->number || (r->phase != RUN_RECORDED && r->phase != RUN_FREEING))
+            struct run *run = host->runs->pdata[i];
+            if (run->record.page != draft->number ||
+                (run->phase != RUN_RECORDED && run->phase != RUN_FREEING))
                 continue;
-            r->next_page = -1;
-            r->in_txn = r->phase == RUN_FREEING &&
-                        shard_mark_written(batch->shard, r, shard_is_drafted, batch);
-            host->in_txn = host->in_txn || r->in_txn;
-            draft->changed = draft->changed || r->in_txn;
-            if (r->in_txn)
+            run->record.next_page = -1;
+            run->record.in_txn = run->phase == RUN_FREEING &&
+                                 shard_mark_written(shard, run, shard_is_drafted, batch);
+            host->in_txn = host->in_txn || run->record.in_txn;
+            draft->changed = draft->changed || run->record.in_txn;
+            if (run->record.in_txn)
                 continue;
-            struct page_rec rec = shard_record_of(host, r);
-            draft_add(draft, &rec);
+            struct page_rec record = shard_record_of(host, run);
+            draft_add(draft, &record);
         }
     gsize least;
     draft->used += page_length(draft->records, batch->plain, &least);
--- a/src/shard_record_machine.c
+++ b/src/shard_record_machine.c
@@ -71,8 +71,9 @@
     bool stays = false;
     for (guint i = 0; i < host->runs->len; i++) {
         const struct run *run = host->runs->pdata[i];
-        stays = stays || (run->phase != RUN_GONE &&
-                          !(run->phase == RUN_FREEING && run->in_txn && run->next_page < 0));
+        stays = stays ||
+                (run->phase != RUN_GONE &&
+                 !(run->phase == RUN_FREEING && run->record.in_txn && run->record.next_page < 0));
     }
     if (host->gone && host->stamp.v && !stays)
         batch_forget(batch, host);
--- a/src/shard_record_outcome.c
+++ b/src/shard_record_outcome.c
@@ -11,7 +11,7 @@
     if (run->phase == RUN_NEW) {
         shard->waits.starts++;
         shard->waits.starts_ms += (double)time_ms_since(now, run->placed_at);
-    } else if (run->phase == RUN_FREEING && run->next_page < 0) {
+    } else if (run->phase == RUN_FREEING && run->record.next_page < 0) {
         shard->waits.ends++;
         shard->waits.ends_ms += (double)time_ms_since(now, run->over_at);
     }
@@ -36,18 +36,18 @@
     host->described = host->removing = false;
     for (guint i = 0; i < host->runs->len;) {
         struct run *run = host->runs->pdata[i];
-        if (!run->in_txn) {
+        if (!run->record.in_txn) {
             i++;
             continue;
         }
-        run->in_txn = false;
-        run->page = run->next_page;
-        run->foreign = false;
+        run->record.in_txn = false;
+        run->record.page = run->record.next_page;
+        run->record.foreign = false;
         note_wait(shard, run);
         if (run->phase == RUN_NEW) {
             run->phase = RUN_RECORDED;
             shard_run_apply_job(shard, run);
-        } else if (run->phase == RUN_FREEING && run->next_page < 0) {
+        } else if (run->phase == RUN_FREEING && run->record.next_page < 0) {
             shard_run_unbook(shard, host, run);
             run->phase = RUN_GONE;
             if (!run->seen) {
@@ -115,7 +115,7 @@
         host->new_images = host->new_images || host->described;
         host->described = host->removing = false;
         for (guint k = 0; k < host->runs->len; k++)
-            ((struct run *)host->runs->pdata[k])->in_txn = false;
+            ((struct run *)host->runs->pdata[k])->record.in_txn = false;
     }
     if (current && ok)
         shard_records_sync(shard);
--- a/src/shard_record_pages.c
+++ b/src/shard_record_pages.c
@@ -62,8 +62,8 @@
 {
     for (guint i = 0; i < host->runs->len; i++) {
         const struct run *run = host->runs->pdata[i];
-        if (run->phase != RUN_GONE && run->page >= 0)
-            return run->page;
+        if (run->phase != RUN_GONE && run->record.page >= 0)
+            return run->record.page;
     }
     return -1;
 }
@@ -87,7 +87,7 @@
     if (!shard_plain(shard))
         return true;
     for (guint i = 0; i < host->runs->len; i++)
-        if (((struct run *)host->runs->pdata[i])->foreign)
+        if (((struct run *)host->runs->pdata[i])->record.foreign)
             return false;
     int page = shard_page_of_host(host);
     if (page < 0)
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -13,6 +13,15 @@
     RUN_GONE,     /* off the record; kept until the worker has forgotten it */
 };
 
+/* Where the record of a task is. */
+struct run_record {
+    int page;      /* of ours, that it is on; -1: none */
+    bool foreign;  /* it is on a page of another node still; which one the view knows */
+    bool in_txn;   /* the transaction under way changes it */
+    int next_page; /* with in_txn, the page that it comes to; -1: it leaves the records */
+    bool tried;    /* it was in a transaction, of which nobody may know what became */
+};
+
 /* One task on one of our machines. */
 struct run {
     job_id job;
@@ -21,11 +30,7 @@
     struct room room;
     bool service;
     enum run_phase phase;
-    int page;      /* of ours, that its record is on; -1: none */
-    bool foreign;  /* it is on a page of another node still; which one the view knows */
-    int next_page; /* with in_txn, the page that it comes to; -1: it leaves the records */
-    bool in_txn;
-    bool tried;    /* it was in a transaction, of which nobody may know what became */
+    struct run_record record;
     uint64_t deal; /* its number; 0: not dealt to this process */
     bool listed;   /* in the report at hand */
     bool seen;
--- a/tests/test_troubles.c
+++ b/tests/test_troubles.c
@@ -913,21 +913,21 @@
     world_put(world, own, "{\"t\":\"\",\"d\":\"\"}"); /* so it takes the machine over */
     struct host *host = NULL;
     struct run *run = NULL;
-    for (int i = 0; i < 400 && !(run && run->in_txn && run->foreign); i++) {
+    for (int i = 0; i < 400 && !(run && run->record.in_txn && run->record.foreign); i++) {
         world_run(world, 1);
         host = shard_host_get(shard, worker->id);
         run = host && host->runs->len ? host->runs->pdata[0] : NULL;
     }
-    assert_true(run && run->in_txn && run->foreign);
-    int put = run->next_page;
+    assert_true(run && run->record.in_txn && run->record.foreign);
+    int put = run->record.next_page;
     ((struct own_page *)shard->pages->pdata[put])->bytes = shard_text_bytes(shard);
     world_submit(world, 0, "wk-2", "sweep", 1);
-    for (int i = 0; i < 3000 && run->foreign; i++)
+    for (int i = 0; i < 3000 && run->record.foreign; i++)
         world_run(world, 1);
-    assert_int_equal(run->page, put);
+    assert_int_equal(run->record.page, put);
     world_run(world, 4000);
     assert_int_equal(host->runs->len, 2); /* its records are on two pages now */
-    assert_int_not_equal(((struct run *)host->runs->pdata[1])->page, put);
+    assert_int_not_equal(((struct run *)host->runs->pdata[1])->record.page, put);
     world_worker(world, 3, "a", true); /* where a task that looks free would be started */
     world_run(world, 6000);
     assert_int_equal(world_on_machines(world, "wk-1") + world_on_machines(world, "wk-2"), 2);
