Split view.c into keys, jobs, machines, pages, cluster, watch, reads and waiters

Every public item has a doc comment. CHANGE_ROLL becomes CHANGE_INVENTORY. Names and values of keys are the same as before.

--- a/src/view.h
+++ b/src/view.h
@@ -1,28 +1,24 @@
-/* Every node's replica of our keys, at a revision, kept up by one watch.
+/* Every node's replica of our keys (view_keys.h), at a revision, kept up by one watch.
  *
- * Keys: ll/n/LABEL a live node, ll/leader, ll/map, ll/types, ll/j/JOB, ll/h/HOST what a machine is,
- * ll/a/LABEL/N what its machines are, many at once, ll/v/LABEL what its processes understand, for
- * good, ll/p/LABEL/N the pages on which LABEL keeps the run records of its machines and the tasks
- * that it saw done. A node's changes go to one page or a few, however many machines they are on:
- * writes are what the state service has least of. */
+ * A node's changes go to one page or a few, however many machines they are on: writes are what the
+ * state service has least of. The view owns all records below;
+ * listeners are told ids, not pointers. */
 #ifndef LL_VIEW_H
 #define LL_VIEW_H
 
 #include "page.h"
 #include "pipeline.h"
 #include "store.h"
-
-#define KEY_ROOT "ll/"
-#define KEY_LEADER "ll/leader"
-#define KEY_MAP "ll/map"
-#define KEY_TYPES "ll/types" /* and ll/types/1 and so on, if that would be too long */
+#include "view_keys.h"
 
 /* What a node understands, as it says in its own key. 0 (nothing is said): before jobs could need
  * others, a machine's records could be on several pages, and marks could begin within a chunk. */
 enum { NODE_VERSION = 1 };
 
+/* What became of a job. */
 enum job_state { JOB_LIVE, JOB_CANCELLED, JOB_DONE };
 
+/* A job, as far as keys name it. */
 struct job {
     job_id id;
     bool known; /* its key was seen, not only what hangs on it */
@@ -53,6 +49,7 @@
     uint64_t read; /* counts readings of its page */
 };
 
+/* A machine that some key names. */
 struct host_record {
     host_id id;
     char addr[24], type_name[48], zone[48];
@@ -85,6 +82,7 @@
     uint64_t read;
 };
 
+/* A live node, as its key says. */
 struct node_record {
     char *label;
     char back[24];
@@ -93,18 +91,20 @@
     uint64_t version; /* of what it understands: see NODE_VERSION */
 };
 
+/* A node in the map, as the process that it was then. */
 struct map_entry {
     char *label;
     lease_id incarnation;
 };
 
+/* What a struct change is about. */
 enum change_kind {
     CHANGE_JOB,
     CHANGE_PLACED,
     CHANGE_FREED,
     CHANGE_HOST,
     CHANGE_PAGE,
-    CHANGE_ROLL,
+    CHANGE_INVENTORY,
     CHANGE_NODES,
     CHANGE_LEADER,
     CHANGE_MAP,
@@ -112,6 +112,7 @@
     CHANGE_RELOADED, /* changes in between were lost */
 };
 
+/* A change that listeners are told; fields that its kind has no use for are zero. */
 struct change {
     enum change_kind kind;
     job_id job;
@@ -121,6 +122,7 @@
     char page[72]; /* key */
 };
 
+/* The replica. Others read it and set most_over only. */
 struct view {
     struct loop *loop;
     struct store *store;
@@ -132,7 +134,7 @@
     GHashTable *jobs;        /* id -> struct job */
     GHashTable *hosts;       /* id -> struct host_record */
     GHashTable *pages;       /* key -> struct page */
-    GHashTable *inventories; /* key -> struct roll */
+    GHashTable *inventories; /* key -> struct inventory */
     GHashTable *nodes;       /* label -> struct node_record */
     GHashTable *spoken;      /* label -> version that a process of it has said it understands */
     struct pipeline *pipeline;
@@ -167,14 +169,22 @@
 /* The message that listeners get: its body is a GArray of struct change, in their order. */
 enum { MSG_VIEW = 100 };
 
+/* Makes one that knows nothing yet. */
 struct view *view_new(struct loop *loop, struct store *store);
+/* Frees it with all records. */
 void view_free(struct view *view);
+/* Sends MSG_VIEW to the listener from now on. */
 void view_listen(struct view *view, struct actor *listener);
+/* Begins to read all keys, and then watches. */
 void view_start(struct view *view);
 
+/* The job of that id, or NULL; it may be one that only pages name: see known. */
 struct job *view_job(struct view *view, const char *id);
+/* The machine of that id, or NULL. */
 struct host_record *view_host(struct view *view, const char *id);
+/* The run record of a task, or NULL. */
 struct placed *job_placed(const struct job *job, uint32_t index);
+/* Whether a task is marked as done. */
 bool job_task_done(const struct job *job, uint32_t index);
 /* What is kept of a job that is over; false when the value is of one that is not. */
 bool job_read_final(struct job *job, json_object *value);
@@ -188,13 +198,6 @@
 /* The same for a revision that is known. */
 void view_await(struct view *view, revision at, view_done done, void *arg);
 
-char *key_job(job_id id);
-char *key_host(host_id id);
-char *key_node(const char *label);
-char *key_version(const char *label);
-char *key_page(const char *label, int number);
-char *key_inventory(const char *label, int number);
-
 /* What a page has to say of a machine, as far as the view knows it; NULL: nothing. */
 const char *view_about(struct view *view, const char *host);
 
