A machine that fails a gang is avoided, also when the gang is taken for the one at fault

Now a machine that fails a task is always avoided, and for a minute once it fails the same job again in another try.

Test: a_gang_that_meets_sick_machines_finds_others fails without it.

--- a/src/leader_health.c
+++ b/src/leader_health.c
@@ -13,8 +13,9 @@
     PAUSE_BASE_MS = 4000,  /* of a job that fails everywhere; doubled with each failure */
     MOST_PAUSE_MS = 40000, /* and at most */
     MOST_DOUBLINGS = 5,
-    AVOID_AFTER_LOSS_MS = 5000,   /* a machine on which a task was lost */
-    AVOID_AFTER_ERROR_MS = 10000, /* a machine on which a task failed */
+    AVOID_AFTER_LOSS_MS = 5000,    /* a machine on which a task was lost */
+    AVOID_AFTER_REPEAT_MS = 60000, /* a machine that failed tasks of the same job before */
+    AVOID_AFTER_ERROR_MS = 10000,  /* a machine on which a task failed */
 };
 
 /* A machine is slow when its tasks take so many times as long as the others of their jobs. */
@@ -108,6 +109,21 @@
     return n;
 }
 
+/* A machine that failed a task gets nothing new for a while. If it has failed the same job before,
+ * in another try, it has the job's image by now and would be chosen next: it is left out for
+ * longer, whether the job is taken for the one at fault or not. */
+static void avoid_after_error(struct leader *leader, struct leader_job *job,
+                              struct leader_host *host)
+{
+    mono_time now = loop_now(leader->loop);
+    bool same_try = time_before(now, host->avoid_until);
+    bool failed_before = !g_hash_table_add(job->failed_on, g_strdup(host->id.s));
+    int64_t avoid_ms = failed_before && !same_try ? AVOID_AFTER_REPEAT_MS : AVOID_AFTER_ERROR_MS;
+    mono_time until = time_add_ms(now, avoid_ms);
+    if (time_before(host->avoid_until, until))
+        host->avoid_until = until;
+}
+
 void leader_task_failed(struct leader *leader, struct leader_job *job, struct leader_host *host,
                         enum cause cause)
 {
@@ -120,7 +136,7 @@
     struct job *job_view = view_job(leader->view, job->id.s);
     if (!job->failed_on)
         job->failed_on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    g_hash_table_add(job->failed_on, g_strdup(host->id.s));
+    avoid_after_error(leader, job, host);
     bool at_fault =
         job_view && job_view->n_done == 0 && failed_alone(leader, job) >= AT_FAULT_AFTER;
     /* Its tasks fail within a moment of one another: that is one try, not many. */
@@ -136,5 +152,4 @@
         return;
     }
     host_failed(leader, host, job->id.s);
-    host->avoid_until = time_add_ms(loop_now(leader->loop), AVOID_AFTER_ERROR_MS);
 }
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -590,6 +590,36 @@
     runs_whole(world, "wk-1", 24);
 }
 
+/* Whatever runs on the first so many machines fails. */
+static void fail_on_first_machines(struct world *world, int sick)
+{
+    for (int i = 0; i < sick; i++) {
+        struct worker *worker = &world->workers[i];
+        for (guint t = 0; worker->up && t < worker->tasks->len; t++) {
+            struct wtask *wtask = &g_array_index(worker->tasks, struct wtask, t);
+            if (strcmp(wtask->stage, "running") == 0)
+                worker_exit(worker, wtask->job.s, wtask->index, "error");
+        }
+    }
+}
+
+/* Each attempt of a gang meets one of several sick machines, on which nothing else can fail, as it
+ * takes whole machines: it is not taken for the one at fault, and leaves them for others. */
+static void a_gang_that_meets_sick_machines_finds_others(void **state)
+{
+    enum { SICK = 3, SECONDS = 40 };
+    struct world *world = gang_world(state);
+    for (int i = 0; i < 8; i++)
+        world_worker(world, i, i % 2 ? "a" : "b", true);
+    world_run(world, 4000);
+    submit(world, "wk-1", "gang", "high", 4, 8.0);
+    for (int ms = 0; ms < SECONDS * 1000; ms += 100) {
+        fail_on_first_machines(world, SICK);
+        world_run(world, 100);
+    }
+    runs_whole(world, "wk-1", 4);
+}
+
 /* A gang that was not complete in time tells nothing of its machines, of which there are no others.
  */
 static void incomplete_is_no_sign_of_a_sick_machine(void **state)
@@ -1124,6 +1154,7 @@
         WORLD_TEST(a_broken_gang_is_told_to_stop_once),
         WORLD_TEST_SETTLED(a_gang_of_which_a_machine_is_new_begins_anew),
         WORLD_TEST(tasks_that_fail_together_are_one_try),
+        WORLD_TEST(a_gang_that_meets_sick_machines_finds_others),
         WORLD_TEST(incomplete_is_no_sign_of_a_sick_machine),
         WORLD_TEST_SETTLED(a_gang_that_loses_a_task_before_it_began_is_stopped),
         WORLD_TEST_SETTLED(a_gang_that_is_stopped_as_a_whole_saves_and_goes_on),
