--- a/src/peers.c
+++ b/src/peers.c
@@ -147,8 +147,11 @@
     told_get(peers, job)->open++;
 }
 
-void peers_cancel_over(struct peers *peers, job_id job, enum txn_result result)
+void peers_cancel_over(struct peers *peers, job_id job, const struct txn_outcome *outcome)
 {
+    enum txn_result result = outcome->result;
+    if (result == TXN_DONE)
+        peers_told_cancel(peers, job, outcome->at);
     struct told *told = g_hash_table_lookup(peers->told, job.s);
     if (!told)
         return;
--- a/src/peers.h
+++ b/src/peers.h
@@ -44,7 +44,8 @@
 /* A transaction that cancels a job is on its way; and what became of it: one of which nobody knows
  * may have been carried out, or be so later. */
 void peers_cancel_sent(struct peers *peers, job_id job);
-void peers_cancel_over(struct peers *peers, job_id job, enum txn_result result);
+/* Once it is carried out the user may be told: it is the same as peers_told_cancel then. */
+void peers_cancel_over(struct peers *peers, job_id job, const struct txn_outcome *outcome);
 
 enum cancel_knowledge {
     CANCEL_NONE, /* nothing is known beside the view */
