--- a/src/shard_mark.c
+++ b/src/shard_mark.c
@@ -1,6 +1,6 @@
 /* Marks: the tasks that this node saw done, and the pages that say so. They only add up: a view
  * joins what all pages say. */
-#include "shard_state.h"
+#include "shard_record.h"
 
 #include "log.h"
 
@@ -116,7 +116,7 @@
     if (!job)
         return; /* cancelled: nobody has any use for what its tasks did */
     uint32_t unit = run->index / MARK_TASKS, bit = run->index % MARK_TASKS;
-    int page = run->page;
+    int page = run->record.page;
     struct done_unit *there = page >= 0 ? unit_find(shard, job->id, unit, page) : NULL;
     if (there && there->leaving) {
         page = -1;
