--- a/src/shard_record_machine.c
+++ b/src/shard_record_machine.c
@@ -39,7 +39,7 @@
         txn_bytes(batch->txn) > BATCH_BYTES / 4)
         return;
     bool must = !host->stamp.v && host->inventory < 0 && !shard_host_about(host);
-    if (shard->write_level - txn_writes(batch->txn) <= WRITE_BURST / 2 && !must)
+    if (shard->write_level - txn_writes(batch->txn) <= WRITE_BURST / 2.0 && !must)
         return;
     char *key = key_host(host->id);
     txn_when(batch->txn, key, host->stamp);
