Shorten the functions of the run records and name their constants

Parts of a page that are kept free, the conditions a transaction may have and the bytes reckoned for lists of images are named constants.

No change of behaviour.

--- a/src/shard_batch.h
+++ b/src/shard_batch.h
@@ -62,6 +62,7 @@
 bool shard_is_drafted(const void *batch, int page);
 /* A new draft, empty. */
 struct draft *shard_draft_open(struct batch *batch, int number);
+/* Frees a struct draft. */
 void shard_draft_free(gpointer draft);
 /* Whether it has records of the job. */
 bool shard_draft_has_job(const struct draft *draft, job_id job);
--- a/src/shard_record.h
+++ b/src/shard_record.h
@@ -21,6 +21,7 @@
 /* Whether nodes of version 0 may come to read what is written. They know of one page a machine, and
  * of marks that begin with their chunk. */
 bool shard_plain(const struct shard *shard);
+/* Frees a struct own_page. */
 void shard_page_free(gpointer page);
 /* This node's page with that number; makes it, and all before it. */
 struct own_page *shard_own_page(struct shard *shard, int number);
--- a/src/shard_record_adopt.c
+++ b/src/shard_record_adopt.c
@@ -22,60 +22,84 @@
     return there && strcmp(placed->page->label, shard->settings->label) != 0 ? placed->page : NULL;
 }
 
+/* Takes the record of a task out of its draft again. */
+static void draft_withdraw(struct draft *draft, const struct host *host, const struct run *run)
+{
+    for (guint i = 0; i < draft->records->len; i++) {
+        const struct page_rec *record = &g_array_index(draft->records, struct page_rec, i);
+        if (host_eq(record->host, host->id) && job_eq(record->job, run->job) &&
+            record->index == run->index) {
+            g_array_remove_index(draft->records, i);
+            return;
+        }
+    }
+}
+
+/* None of a machine's records is taken over with this transaction. */
+static void adopt_none(struct batch *batch, struct host *host)
+{
+    for (guint i = 0; i < host->runs->len; i++) {
+        struct run *run = host->runs->pdata[i];
+        if (!run->record.foreign)
+            continue;
+        struct draft *draft =
+            run->record.in_txn ? shard_draft_of(batch, run->record.next_page) : NULL;
+        if (draft)
+            draft_withdraw(draft, host, run);
+        run->record.in_txn = false;
+    }
+}
+
+/* Takes the record of one task over; false: no page that is written has room for it. */
+static bool adopt_run(struct batch *batch, struct host *host, struct run *run)
+{
+    run->record.next_page = -1;
+    if (run->phase == RUN_FREEING &&
+        shard_mark_written(batch->shard, run, shard_is_drafted, batch)) {
+        run->record.in_txn = host->in_txn = true;
+        return true;
+    }
+    return shard_batch_put(batch, host, run, shard_text_bytes(batch->shard));
+}
+
 void shard_batch_adopt(struct batch *batch, struct host *host)
 {
-    gsize most = shard_text_bytes(batch->shard);
-    bool whole = true;
-    for (guint i = 0; i < host->runs->len && whole; i++) {
+    for (guint i = 0; i < host->runs->len; i++) {
         struct run *run = host->runs->pdata[i];
         struct page *source = shard_source_of(batch->shard, host, run);
         if (!source || !g_ptr_array_find(batch->sources, source, NULL))
             continue;
-        run->record.next_page = -1;
-        if (run->phase == RUN_FREEING &&
-            shard_mark_written(batch->shard, run, shard_is_drafted, batch))
-            run->record.in_txn = host->in_txn = true;
-        else if (!shard_batch_put(batch, host, run, most))
-            whole = !batch->plain;
+        bool taken = adopt_run(batch, host, run);
         batch->rest = batch->rest || !run->record.in_txn;
-    }
-    for (guint i = 0; i < host->runs->len && !whole; i++) {
-        struct run *run = host->runs->pdata[i];
-        struct draft *draft = run->record.foreign && run->record.in_txn
-                                  ? shard_draft_of(batch, run->record.next_page)
-                                  : NULL;
-        for (guint k = 0; draft && k < draft->records->len; k++) {
-            const struct page_rec *rec = &g_array_index(draft->records, struct page_rec, k);
-            if (host_eq(rec->host, host->id) && job_eq(rec->job, run->job) &&
-                rec->index == run->index) {
-                g_array_remove_index(draft->records, k);
-                break;
-            }
+        if (!taken && batch->plain) {
+            adopt_none(batch, host);
+            return;
         }
-        if (run->record.foreign)
-            run->record.in_txn = false;
     }
 }
 
+/* Whether the transaction takes the record of a task over. */
+static bool is_taken(struct shard *shard, const struct placed *placed)
+{
+    struct host *host = shard_host_get(shard, placed->host->id.s);
+    const struct run *run =
+        host ? shard_run_find(host, placed->job->id, placed->index, placed->attempt) : NULL;
+    return run && run->record.in_txn && run->record.foreign;
+}
+
 void shard_source_write(struct batch *batch, struct page *page)
 {
     struct shard *shard = batch->shard;
     GArray *left = g_array_new(FALSE, FALSE, sizeof(struct page_rec));
-    guint taken = 0;
     for (guint i = 0; i < page->tasks->len; i++) {
         struct placed *placed = page->tasks->pdata[i];
-        struct host *host = shard_host_get(shard, placed->host->id.s);
-        struct run *run =
-            host ? shard_run_find(host, placed->job->id, placed->index, placed->attempt) : NULL;
-        if (run && run->record.in_txn && run->record.foreign) {
-            taken++;
+        if (is_taken(shard, placed))
             continue;
-        }
         struct page_rec record = {placed->host->id, placed->job->id, placed->attempt, placed->index,
                                   view_about(shard->view, placed->host->id.s)};
         g_array_append_val(left, record);
     }
-    if (taken) {
+    if (left->len < page->tasks->len) {
         GString *text = page_write(left, batch->plain);
         shard_page_set(batch->txn, page->key, page->stamp, text->str, page->done ? page->done : "");
         g_string_free(text, TRUE);
--- a/src/shard_record_batch.c
+++ b/src/shard_record_batch.c
@@ -1,6 +1,11 @@
 /* Makes the transaction: new records find room on the pages that it writes. */
 #include "shard_batch.h"
 
+enum {
+    TXN_CONDITIONS = 4, /* that a transaction may have, for each write that it may */
+    MARKS_SHARE = 8,    /* of a page: that part is left free of new records, for marks */
+};
+
 struct batch *shard_batch_new(struct shard *shard)
 {
     struct batch *batch = g_new0(struct batch, 1);
@@ -31,7 +36,7 @@
         return false; /* nothing starts before what it needs is durably done */
     if (g_hash_table_contains(batch->jobs, job->id.s))
         return true;
-    guint most = 4 * (guint)store_limits(batch->shard->store)->txn_ops;
+    guint most = TXN_CONDITIONS * (guint)store_limits(batch->shard->store)->txn_ops;
     /* Conditions on pages, and on machines that may be described or forgotten. */
     guint to_come = batch->drafts->len + batch->sources->len +
                     (guint)MAX(batch->spare - (int)txn_writes(batch->txn), 0);
@@ -44,46 +49,63 @@
     return true;
 }
 
-/* Drafts with what has to stay. One that is too long already is not written now. */
-static void batch_build(struct batch *batch)
+/* Drafts with what has to stay. */
+static void keep_all(struct batch *batch)
 {
-    bool again = true;
-    while (again) {
-        again = false;
-        for (guint i = 0; i < batch->drafts->len; i++) {
-            struct draft *draft = batch->drafts->pdata[i];
-            g_array_set_size(draft->records, 0);
-            g_hash_table_remove_all(draft->jobs);
-            shard_draft_keep(batch, draft);
+    for (guint i = 0; i < batch->drafts->len; i++) {
+        struct draft *draft = batch->drafts->pdata[i];
+        g_array_set_size(draft->records, 0);
+        g_hash_table_remove_all(draft->jobs);
+        shard_draft_keep(batch, draft);
+    }
+}
+
+/* A page is not written with this transaction: some marks are to leave it first. */
+static void withdraw_draft(struct batch *batch, guint at)
+{
+    int number = ((struct draft *)batch->drafts->pdata[at])->number;
+    shard_marks_move(batch->shard, number);
+    batch->rest = true;
+    GHashTableIter it;
+    struct host *host;
+    g_hash_table_iter_init(&it, batch->shard->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
+        for (guint i = 0; i < host->runs->len; i++) {
+            struct run *run = host->runs->pdata[i];
+            if (run->record.page == number)
+                run->record.in_txn = false;
         }
-        for (guint i = 0; i < batch->drafts->len && !again; i++) {
-            struct draft *draft = batch->drafts->pdata[i];
-            if (!draft->over)
-                continue;
-            shard_marks_move(batch->shard, draft->number);
-            batch->rest = true;
-            GHashTableIter it;
-            struct host *host;
-            g_hash_table_iter_init(&it, batch->shard->hosts);
-            while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
-                for (guint k = 0; k < host->runs->len; k++) {
-                    struct run *run = host->runs->pdata[k];
-                    run->record.in_txn = run->record.in_txn && run->record.page != draft->number;
-                }
-            g_ptr_array_remove_index(batch->drafts, i);
-            again = true;
+    g_ptr_array_remove_index(batch->drafts, at);
+}
+
+/* Withdraws the first draft that is too long already; false: there is none. */
+static bool withdraw_long(struct batch *batch)
+{
+    for (guint i = 0; i < batch->drafts->len; i++)
+        if (((struct draft *)batch->drafts->pdata[i])->over) {
+            withdraw_draft(batch, i);
+            return true;
         }
-    }
+    return false;
+}
+
+/* Fills the drafts with what has to stay. Without one that was withdrawn, other pages may have to
+ * keep records of tasks that are over: so all are filled once more. */
+static void build_drafts(struct batch *batch)
+{
+    do
+        keep_all(batch);
+    while (withdraw_long(batch));
 }
 
 /* Finds room for a record on a page that is written, best where its job is already. */
-static struct draft *draft_for(struct batch *batch, const struct page_rec *rec, gsize most)
+static struct draft *draft_for(struct batch *batch, const struct page_rec *record, gsize most)
 {
     for (int with_job = 1; with_job >= 0; with_job--)
         for (guint i = 0; i < batch->drafts->len; i++) {
             struct draft *draft = batch->drafts->pdata[i];
-            if ((with_job == 0 || shard_draft_has_job(draft, rec->job)) &&
-                shard_draft_take(draft, rec, most))
+            if ((with_job == 0 || shard_draft_has_job(draft, record->job)) &&
+                shard_draft_take(draft, record, most))
                 return draft;
         }
     return NULL;
@@ -104,13 +126,13 @@
 
 bool shard_batch_put(struct batch *batch, struct host *host, struct run *run, gsize most)
 {
-    struct page_rec rec = shard_record_of(host, run);
+    struct page_rec record = shard_record_of(host, run);
     int bound = page_bound(batch, host);
     struct draft *draft = bound >= 0 ? shard_draft_of(batch, bound) : NULL;
-    if (bound >= 0 && (!draft || !shard_draft_take(draft, &rec, most)))
+    if (bound >= 0 && (!draft || !shard_draft_take(draft, &record, most)))
         return false;
     if (bound < 0)
-        draft = draft_for(batch, &rec, most);
+        draft = draft_for(batch, &record, most);
     if (!draft)
         return false;
     run->record.next_page = draft->number;
@@ -118,11 +140,11 @@
     return true;
 }
 
+/* Records a machine's new tasks, as far as there is room. */
 static void batch_news(struct batch *batch, struct host *host)
 {
     struct shard *shard = batch->shard;
-    /* Some room is left on a page for marks. */
-    gsize most = shard_text_bytes(shard) - shard_text_bytes(shard) / 8;
+    gsize most = shard_text_bytes(shard) - shard_text_bytes(shard) / MARKS_SHARE;
     for (guint i = 0; i < host->runs->len; i++) {
         struct run *run = host->runs->pdata[i];
         struct job *job = run->phase == RUN_NEW ? shard_live_job(shard, run->job) : NULL;
@@ -137,15 +159,16 @@
     }
 }
 
-static void each_host(struct batch *batch, void (*f)(struct batch *batch, struct host *host))
+static void each_host(struct batch *batch, void (*step)(struct batch *batch, struct host *host))
 {
     GHashTableIter it;
     struct host *host;
     g_hash_table_iter_init(&it, batch->shard->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
-        f(batch, host);
+        step(batch, host);
 }
 
+/* Machines that the transaction is about. */
 static void batch_list(struct batch *batch, struct host *host)
 {
     if (host->in_txn)
@@ -159,7 +182,7 @@
     for (guint i = 0; i < batch->drafts->len; i++)
         drafted[i] = ((struct draft *)batch->drafts->pdata[i])->number;
     batch->rest = !shard_marks_place(batch->shard, drafted, batch->drafts->len) || batch->rest;
-    batch_build(batch);
+    build_drafts(batch);
     each_host(batch, shard_batch_adopt);
     each_host(batch, batch_news);
     each_host(batch, shard_batch_finish_host);
--- a/src/shard_record_draft.c
+++ b/src/shard_record_draft.c
@@ -65,42 +65,59 @@
     return true;
 }
 
-void shard_draft_keep(struct batch *batch, struct draft *draft)
+/* Records of machines that are another node's now: it takes them off itself. */
+static void keep_leftover(struct shard *shard, struct draft *draft)
 {
-    struct shard *shard = batch->shard;
-    struct own_page *page = shard_own_page(shard, draft->number);
-    shard_marks_write(shard, draft->number, batch->plain, &draft->marks);
-    draft->changed = draft->marks.dirty;
-    draft->used = draft->marks.text->len + draft->marks.growth;
+    const struct own_page *page = shard_own_page(shard, draft->number);
     for (guint i = 0; i < page->leftover->len; i++) {
         struct page_rec record = g_array_index(page->leftover, struct page_rec, i);
         record.about = view_about(shard->view, record.host.s);
         draft_add(draft, &record);
     }
+}
+
+/* The record of a task stays, unless it is over and that is said with this transaction. */
+static void keep_run(struct batch *batch, struct draft *draft, struct host *host, struct run *run)
+{
+    run->record.next_page = -1;
+    run->record.in_txn =
+        run->phase == RUN_FREEING && shard_mark_written(batch->shard, run, shard_is_drafted, batch);
+    if (run->record.in_txn) {
+        host->in_txn = draft->changed = true;
+        return;
+    }
+    struct page_rec record = shard_record_of(host, run);
+    draft_add(draft, &record);
+}
+
+static void keep_runs(struct batch *batch, struct draft *draft, struct host *host)
+{
+    for (guint i = 0; i < host->runs->len; i++) {
+        struct run *run = host->runs->pdata[i];
+        if (run->record.page == draft->number &&
+            (run->phase == RUN_RECORDED || run->phase == RUN_FREEING))
+            keep_run(batch, draft, host, run);
+    }
+}
+
+void shard_draft_keep(struct batch *batch, struct draft *draft)
+{
+    struct shard *shard = batch->shard;
+    shard_marks_write(shard, draft->number, batch->plain, &draft->marks);
+    draft->changed = draft->marks.dirty;
+    draft->used = draft->marks.text->len + draft->marks.growth;
+    keep_leftover(shard, draft);
     GHashTableIter it;
     struct host *host;
     g_hash_table_iter_init(&it, shard->hosts);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host))
-        for (guint i = 0; i < host->runs->len; i++) {
-            struct run *run = host->runs->pdata[i];
-            if (run->record.page != draft->number ||
-                (run->phase != RUN_RECORDED && run->phase != RUN_FREEING))
-                continue;
-            run->record.next_page = -1;
-            run->record.in_txn = run->phase == RUN_FREEING &&
-                                 shard_mark_written(shard, run, shard_is_drafted, batch);
-            host->in_txn = host->in_txn || run->record.in_txn;
-            draft->changed = draft->changed || run->record.in_txn;
-            if (run->record.in_txn)
-                continue;
-            struct page_rec record = shard_record_of(host, run);
-            draft_add(draft, &record);
-        }
+        keep_runs(batch, draft, host);
     gsize least;
     draft->used += page_length(draft->records, batch->plain, &least);
     draft->over = least + draft->marks.text->len > shard_text_bytes(shard);
 }
 
+/* The value of a page in the state service. */
 static json_object *page_value(const char *tasks, const char *done)
 {
     json_object *object = json_object_new_object();
@@ -122,10 +139,11 @@
     struct own_page *page = shard_own_page(shard, draft->number);
     GString *text = page_write(draft->records, batch->plain);
     char *key = key_page(shard->settings->label, draft->number);
-    if (text->len + draft->marks.text->len > shard_text_bytes(shard))
-        LOG_ERROR("page_too_long", "page=%s bytes=%zu", key, text->len + draft->marks.text->len);
+    gsize bytes = text->len + draft->marks.text->len;
+    if (bytes > shard_text_bytes(shard))
+        LOG_ERROR("page_too_long", "page=%s bytes=%zu", key, bytes);
     shard_page_set(batch->txn, key, page->stamp, text->str, draft->marks.text->str);
-    page->bytes = text->len + draft->marks.text->len;
+    page->bytes = bytes;
     g_free(key);
     g_string_free(text, TRUE);
 }
--- a/src/shard_record_flush.c
+++ b/src/shard_record_flush.c
@@ -5,8 +5,8 @@
 #include <math.h>
 
 enum {
-    FLUSH_MS = 4,
-    RETRY_MS = 120,
+    FLUSH_MS = 4,   /* after a change, for what else comes in that moment */
+    RETRY_MS = 120, /* after what could not be written */
 };
 
 /* Of the writes that the state service allows, as much as all nodes' records may use. */
@@ -64,42 +64,59 @@
     return txn;
 }
 
-void shard_flush(void *arg)
+/* Whether this node is a member, and owns what it has by the newest map. */
+static bool may_write(const struct shard *shard)
 {
-    struct shard *shard = arg;
-    if (shard->txn_out || !membership_valid(shard->members) ||
-        shard->epoch.v != shard->view->epoch.v ||
-        !map_names(shard->view, shard->settings->label, membership_incarnation(shard->members)))
-        return;
-    bool split = shard_split_due(shard);
-    bool inventory = shard_inventory_due(shard);
-    if ((!shard->dirty && !split && !inventory) || !write_due(shard) ||
-        (split && shard_split(shard)))
-        return;
-    if (inventory) {
-        shard_inventory(shard);
-        return;
+    return membership_valid(shard->members) && shard->epoch.v == shard->view->epoch.v &&
+           map_names(shard->view, shard->settings->label, membership_incarnation(shard->members));
+}
+
+/* Nothing can be written as things are; a machine without records may be gone. */
+static void batch_drop(struct batch *batch)
+{
+    struct shard *shard = batch->shard;
+    txn_free(batch->txn);
+    shard->dirty = batch->rest;
+    shard_batch_over(batch);
+    for (guint i = 0; i < batch->hosts->len; i++) {
+        struct host *host = shard_host_get(shard, batch->hosts->pdata[i]);
+        if (host && host->gone && !host->stamp.v && !shard_host_has_run(host))
+            g_hash_table_remove(shard->hosts, host->id.s);
     }
+    shard_batch_free(batch);
+    if (shard->dirty)
+        shard_flush_again(shard, false);
+}
+
+static void write_records(struct shard *shard)
+{
     shard->dirty = false;
     struct batch *batch = shard_batch_new(shard);
     shard_batch_fill(batch);
-    if (!txn_writes(batch->txn)) {
-        /* Nothing can be written as things are; a machine without records may be gone. */
-        txn_free(batch->txn);
-        shard->dirty = batch->rest;
-        shard_batch_over(batch);
-        for (guint i = 0; i < batch->hosts->len; i++) {
-            struct host *host = shard_host_get(shard, batch->hosts->pdata[i]);
-            if (host && host->gone && !host->stamp.v && !shard_host_has_run(host))
-                g_hash_table_remove(shard->hosts, host->id.s);
-        }
-        shard_batch_free(batch);
-        if (shard->dirty)
-            shard_flush_again(shard, false);
+    guint writes = txn_writes(batch->txn);
+    if (!writes) {
+        batch_drop(batch);
         return;
     }
-    shard->write_level -= txn_writes(batch->txn);
-    shard->waits.writes += txn_writes(batch->txn);
+    shard->write_level -= writes;
+    shard->waits.writes += writes;
     shard->txn_out = true;
     store_txn(shard->store, LANE_URGENT, batch->txn, shard_batch_answered, batch);
 }
+
+void shard_flush(void *arg)
+{
+    struct shard *shard = arg;
+    if (shard->txn_out || !may_write(shard))
+        return;
+    bool split = shard_split_due(shard);
+    bool inventory = shard_inventory_due(shard);
+    if (!shard->dirty && !split && !inventory)
+        return;
+    if (!write_due(shard) || (split && shard_split(shard)))
+        return;
+    if (inventory)
+        shard_inventory(shard);
+    else
+        write_records(shard);
+}
--- a/src/shard_record_machine.c
+++ b/src/shard_record_machine.c
@@ -2,8 +2,14 @@
  * to spare, and loses it when it is gone and its last task is off the records. */
 #include "shard_batch.h"
 
-enum { DESCRIBE_MS = 30000 }; /* a machine's images are written again no sooner */
+enum {
+    DESCRIBE_MS = 30000,              /* a machine's images are written again no sooner */
+    DESCRIBE_BYTES = BATCH_BYTES / 4, /* of a transaction, for all that it says of machines */
+    LIST_BYTES = 16,                  /* of a value, for the list of images */
+    IMAGE_BYTES = 4,                  /* for one of them besides its name */
+};
 
+/* The value of a machine in the state service, of about so many bytes at most. */
 static json_object *host_value(const struct host *host, gsize most)
 {
     json_object *object = json_object_new_object(), *images = json_object_new_array();
@@ -13,8 +19,8 @@
     json_object_object_add(object, "l", json_object_new_boolean(host->spot));
     /* The newest images, as far as there is room. */
     guint first = host->images->len;
-    for (gsize used = value_size(object) + 16; first > 0; first--) {
-        used += 2 * strlen(host->images->pdata[first - 1]) + 4;
+    for (gsize used = value_size(object) + LIST_BYTES; first > 0; first--) {
+        used += 2 * strlen(host->images->pdata[first - 1]) + IMAGE_BYTES;
         if (used > most)
             break;
     }
@@ -24,6 +30,7 @@
     return object;
 }
 
+/* Whether the transaction may have one more write. */
 static bool batch_spare(const struct batch *batch)
 {
     return (int)txn_writes(batch->txn) < batch->spare;
@@ -36,7 +43,7 @@
     bool due =
         !host->stamp.v || (host->new_images && time_ms_since(now, host->stored) > DESCRIBE_MS);
     if (host->gone || host->described || !host->addr[0] || !due || !batch_spare(batch) ||
-        txn_bytes(batch->txn) > BATCH_BYTES / 4)
+        txn_bytes(batch->txn) > DESCRIBE_BYTES)
         return;
     bool must = !host->stamp.v && host->inventory < 0 && !shard_host_about(host);
     if (shard->write_level - txn_writes(batch->txn) <= WRITE_BURST / 2 && !must)
--- a/src/shard_record_outcome.c
+++ b/src/shard_record_outcome.c
@@ -27,36 +27,48 @@
     memset(&shard->waits, 0, sizeof shard->waits);
 }
 
-static void batch_settled(struct shard *shard, struct host *host, const struct txn_outcome *outcome)
+/* The record of a task is as the transaction has it. Whether it has come off the records so. */
+static bool run_settled(struct shard *shard, struct host *host, struct run *run)
+{
+    run->record.in_txn = false;
+    run->record.page = run->record.next_page;
+    run->record.foreign = false;
+    note_wait(shard, run);
+    if (run->phase == RUN_NEW) {
+        run->phase = RUN_RECORDED;
+        shard_run_apply_job(shard, run);
+        return false;
+    }
+    if (run->phase != RUN_FREEING || run->record.page >= 0)
+        return false;
+    shard_run_unbook(shard, host, run);
+    run->phase = RUN_GONE;
+    return true;
+}
+
+/* The records of a machine's tasks. What comes off them is forgotten, unless its worker still
+ * reports it. */
+static void runs_settled(struct shard *shard, struct host *host)
+{
+    for (guint i = 0; i < host->runs->len;) {
+        struct run *run = host->runs->pdata[i];
+        bool gone = run->record.in_txn && run_settled(shard, host, run);
+        if (gone && !run->seen)
+            g_ptr_array_remove_index_fast(host->runs, i);
+        else
+            i++;
+    }
+}
+
+/* A machine is on record as the transaction has it. Frees it when nothing of it is left. */
+static void host_settled(struct shard *shard, struct host *host, const struct txn_outcome *outcome)
 {
     if (host->removing)
         host->stamp = (revision){0};
     else if (host->described)
         host->stamp = outcome->at;
     host->described = host->removing = false;
-    for (guint i = 0; i < host->runs->len;) {
-        struct run *run = host->runs->pdata[i];
-        if (!run->record.in_txn) {
-            i++;
-            continue;
-        }
-        run->record.in_txn = false;
-        run->record.page = run->record.next_page;
-        run->record.foreign = false;
-        note_wait(shard, run);
-        if (run->phase == RUN_NEW) {
-            run->phase = RUN_RECORDED;
-            shard_run_apply_job(shard, run);
-        } else if (run->phase == RUN_FREEING && run->record.next_page < 0) {
-            shard_run_unbook(shard, host, run);
-            run->phase = RUN_GONE;
-            if (!run->seen) {
-                g_ptr_array_remove_index_fast(host->runs, i);
-                continue;
-            }
-        }
-        i++;
-    }
+    runs_settled(shard, host);
     if (host->gone && !host->stamp.v && !shard_host_has_run(host)) {
         g_hash_table_remove(shard->hosts, host->id.s);
     } else if (host->gone) {
@@ -79,6 +91,7 @@
     }
 }
 
+/* The transaction was carried out. */
 static void batch_done(struct batch *batch, const struct txn_outcome *outcome)
 {
     struct shard *shard = batch->shard;
@@ -92,7 +105,7 @@
     for (guint i = 0; i < batch->hosts->len; i++) {
         struct host *host = shard_host_get(shard, batch->hosts->pdata[i]);
         if (host)
-            batch_settled(shard, host, outcome);
+            host_settled(shard, host, outcome);
     }
     shard->dirty = shard->dirty || batch->rest;
     shard_batch_free(batch);
@@ -100,6 +113,15 @@
     shard_flush_soon(shard);
 }
 
+/* Nothing of a machine counts as in a transaction any more: the view shows what came on record. */
+static void host_withdraw(struct host *host)
+{
+    host->new_images = host->new_images || host->described;
+    host->described = host->removing = false;
+    for (guint i = 0; i < host->runs->len; i++)
+        ((struct run *)host->runs->pdata[i])->record.in_txn = false;
+}
+
 /* The view is past the moment of the conflict, or the unknown end: take what is on record. */
 static void batch_resync(void *arg, bool ok)
 {
@@ -110,12 +132,8 @@
     shard_batch_over(batch);
     for (guint i = 0; current && i < batch->hosts->len; i++) {
         struct host *host = shard_host_get(shard, batch->hosts->pdata[i]);
-        if (!host)
-            continue;
-        host->new_images = host->new_images || host->described;
-        host->described = host->removing = false;
-        for (guint k = 0; k < host->runs->len; k++)
-            ((struct run *)host->runs->pdata[k])->record.in_txn = false;
+        if (host)
+            host_withdraw(host);
     }
     if (current && ok)
         shard_records_sync(shard);
--- a/src/shard_record_sync.c
+++ b/src/shard_record_sync.c
@@ -2,25 +2,27 @@
  * have, from what was read of the state service. */
 #include "shard_record.h"
 
+/* One page of ours as the view shows it. */
 static void page_sync(struct shard *shard, int number)
 {
     struct own_page *page = shard_own_page(shard, number);
-    struct page *v = shard_page_seen(shard, number);
-    page->stamp = v ? v->stamp : (revision){0};
+    struct page *seen = shard_page_seen(shard, number);
+    page->stamp = seen ? seen->stamp : (revision){0};
     g_array_set_size(page->leftover, 0);
-    for (guint i = 0; v && i < v->tasks->len; i++) {
-        struct placed *placed = v->tasks->pdata[i];
+    for (guint i = 0; seen && i < seen->tasks->len; i++) {
+        struct placed *placed = seen->tasks->pdata[i];
         if (shard_host_get(shard, placed->host->id.s))
             continue;
         struct page_rec record = {placed->host->id, placed->job->id, placed->attempt, placed->index,
                                   NULL};
         g_array_append_val(page->leftover, record);
     }
-    if (v && v->done)
-        shard_marks_read(shard, v->done, number);
-    page->bytes = v ? v->bytes : 0;
+    if (seen && seen->done)
+        shard_marks_read(shard, seen->done, number);
+    page->bytes = seen ? seen->bytes : 0;
 }
 
+/* Records of our machines as the view shows them, on one page or (-1) on all. */
 static void hosts_sync(struct shard *shard, int page)
 {
     GHashTableIter it;
