Nothing is rented in a zone that is cut off while another zone has offers

Now a zone of which most machines are silent is passed over until 30 s after the last sign of that, as long as another zone has an offer.

It is kept since a job waits for the end of the cut without it, however long that is: nothing_is_rented_in_a_zone_that_is_cut_off fails without the guard.

--- a/src/leader.c
+++ b/src/leader.c
@@ -53,6 +53,7 @@
     leader_shards_init(leader);
     leader->service_lack = g_new0(int64_t, settings->zones->len);
     leader->zone_cpus = g_new0(double, settings->zones->len);
+    leader->zone_silent_until = g_new0(mono_time, settings->zones->len);
     leader->zone_tasks = g_new0(uint32_t, settings->zones->len);
     leader->move_backoffs = g_new0(struct move_backoff, settings->zones->len);
     leader->open_hosts = g_ptr_array_new();
@@ -84,6 +85,7 @@
     g_free(leader->teams);
     g_free(leader->service_lack);
     g_free(leader->zone_cpus);
+    g_free(leader->zone_silent_until);
     g_free(leader->zone_tasks);
     g_free(leader->move_backoffs);
     g_ptr_array_unref(leader->open_hosts);
--- a/src/leader_scale.c
+++ b/src/leader_scale.c
@@ -11,7 +11,9 @@
     SCALE_MS = 500,
     RATE_SLOTS = 8,
     RATE_SLOT_MS = 30000,
-    MOST_ORDERED = 200, /* machines at a time */
+    MOST_ORDERED = 200,     /* machines at a time */
+    SILENT_ZONE_AFTER = 3,  /* machines: fewer may fail by themselves */
+    SILENT_ZONE_MS = 30000, /* after the last sign of it */
 };
 
 /* Room that is there or on its way, and not needed yet. */
@@ -84,9 +86,45 @@
     return n;
 }
 
-/* The offer that holds n tasks at the least price a task, a little in favour of quick boots. */
+/* Whether most machines of a zone are silent: it is cut off, and what is rented there could not
+ * report. */
+static bool zone_is_silent(struct leader *leader, const char *zone)
+{
+    int lost = 0, heard = 0;
+    GHashTableIter it;
+    struct leader_host *host;
+    g_hash_table_iter_init(&it, leader->hosts);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&host)) {
+        if (!host->told || strcmp(host->zone, zone) != 0)
+            continue;
+        lost += (host->flags & HOST_LOST) != 0;
+        heard += (host->flags & HOST_KNOWN) && !(host->flags & (HOST_LOST | HOST_QUIET));
+    }
+    return lost >= SILENT_ZONE_AFTER && lost > heard;
+}
+
+/* Notes when zones were last seen to be silent. Their machines are returned one after the other, so
+ * that the sign of it passes sooner than the cut does. */
+static void watch_zones(struct leader *leader)
+{
+    mono_time now = loop_now(leader->loop);
+    for (guint i = 0; i < leader->settings->zones->len; i++)
+        if (zone_is_silent(leader, leader->settings->zones->pdata[i]))
+            leader->zone_silent_until[i] = time_add_ms(now, SILENT_ZONE_MS);
+}
+
+static bool zone_shunned(struct leader *leader, const char *zone)
+{
+    for (guint i = 0; i < leader->settings->zones->len; i++)
+        if (strcmp(leader->settings->zones->pdata[i], zone) == 0)
+            return time_before(loop_now(leader->loop), leader->zone_silent_until[i]);
+    return false;
+}
+
+/* The offer that holds n tasks at the least price a task, a little in favour of quick boots. In a
+ * zone that is silent only without shun_silent. */
 static bool best_offer(struct leader *leader, const struct spec *spec, struct room ask, int64_t n,
-                       const char *zone, bool spot_only, struct offer *out)
+                       const char *zone, bool spot_only, bool shun_silent, struct offer *out)
 {
     double least = 0;
     out->type = NULL;
@@ -100,7 +138,8 @@
             for (int spot = spot_only; spot < 2; spot++) {
                 if (!spec_allows(spec, type->name, type->zones[y], spot) ||
                     (zone && strcmp(zone, type->zones[y]) != 0) ||
-                    fleet_refused(leader->fleet, type->name, type->zones[y], spot))
+                    fleet_refused(leader->fleet, type->name, type->zones[y], spot) ||
+                    (shun_silent && zone_shunned(leader, type->zones[y])))
                     continue;
                 double price = (spot ? type->spot_price : type->price) / (double)per *
                                (1 + type->boot_s / 300);
@@ -137,7 +176,9 @@
     n = take_planned(rooms, s, ask, zone, n);
     while (n > 0) {
         struct offer offer;
-        if (total >= MOST_ORDERED || !best_offer(leader, s, ask, n, zone, spot_only, &offer))
+        if (total >= MOST_ORDERED ||
+            (!best_offer(leader, s, ask, n, zone, spot_only, true, &offer) &&
+             !best_offer(leader, s, ask, n, zone, spot_only, false, &offer)))
             return n;
         total++;
         order_offer(orders, &offer);
@@ -315,6 +356,7 @@
     GArray *rooms = g_array_new(FALSE, FALSE, sizeof(struct planned));
     GArray *orders = g_array_new(FALSE, FALSE, sizeof(struct offer));
     fleet_forget_unsent(leader->fleet);
+    watch_zones(leader);
     for (int i = 0; i < leader->n_teams; i++)
         leader->teams[i].wanted = (struct room){0};
     incoming(leader, rooms);
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -162,6 +162,7 @@
     struct room service_usual;
     double service_rate;
     int64_t *service_lack;              /* of tasks, by zone; negative: room to spare */
+    mono_time *zone_silent_until;       /* most of its machines are silent, or were lately */
     double *zone_cpus;                  /* of ordinary machines, as in settings->zones */
     struct move_backoff *move_backoffs; /* by zone */
 };
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -218,6 +218,34 @@
     assert_int_equal(world_on_machines(world, "wk-1"), 1);
 }
 
+/* Runs the world while nothing of a zone is heard, whatever is rented there. */
+static void run_with_silent_zone(struct world *world, const char *zone, int64_t ms)
+{
+    for (int64_t t = 0; t < ms; t += 100) {
+        for (int i = 0; i < WORLD_WORKERS; i++)
+            if (strcmp(world->workers[i].zone, zone) == 0)
+                world->workers[i].silent = true;
+        world_run(world, 100);
+    }
+}
+
+/* What is rented in a zone that is cut off cannot report: a job does not wait for the end of the
+ * cut while another zone has machines to give. */
+static void nothing_is_rented_in_a_zone_that_is_cut_off(void **state)
+{
+    struct world *world = *state;
+    for (int i = 0; i < 4; i++)
+        world_worker(world, i, "a", false);
+    world_run(world, 3000);
+    run_with_silent_zone(world, "a", 5000);
+    world_submit(world, 0, "wk-1", "sweep", 2);
+    run_with_silent_zone(world, "a", 10000);
+    assert_int_equal(world_on_machines(world, "wk-1"), 2);
+    assert_true(world->rented > 0);
+    for (int i = 4; i < WORLD_WORKERS; i++)
+        assert_true(!world->workers[i].up || strcmp(world->workers[i].zone, "b") == 0);
+}
+
 /* With the cloud away there is no return; then the lease must surely have run out. */
 static void without_the_cloud_the_lease_is_the_proof(void **state)
 {
@@ -909,6 +937,7 @@
         WORLD_TEST_SETTLED(a_crash_between_record_and_command_loses_nothing),
         WORLD_TEST_SETTLED(a_silent_machine_is_replaced_after_proof),
         WORLD_TEST(a_silent_ordinary_machine_is_left_to_its_lease),
+        WORLD_TEST(nothing_is_rented_in_a_zone_that_is_cut_off),
         WORLD_TEST_SETTLED(without_the_cloud_the_lease_is_the_proof),
         WORLD_TEST_SETTLED(a_lost_answer_to_a_transaction_accepts_once),
         WORLD_TEST_SETTLED(a_node_cut_from_the_state_service_harms_nobody),
