--- a/src/shard_record.h
+++ b/src/shard_record.h
@@ -1,5 +1,5 @@
-/* Run records of the tasks on a node's machines: what they ask of the rest of the shard's files,
- * and those of them. */
+/* Run records of the tasks on a node's machines: what the files shard_record_*.c offer one another
+ * and the other files of the shard. */
 #ifndef LL_SHARD_RECORD_H
 #define LL_SHARD_RECORD_H
 
--- a/src/shard_record_machine.c
+++ b/src/shard_record_machine.c
@@ -5,8 +5,9 @@
 enum {
     DESCRIBE_MS = 30000,              /* a machine's images are written again no sooner */
     DESCRIBE_BYTES = BATCH_BYTES / 4, /* of a transaction, for all that it says of machines */
-    LIST_BYTES = 16,                  /* of a value, for the list of images */
-    IMAGE_BYTES = 4,                  /* for one of them besides its name */
+    WRITES_KEPT = WRITE_BURST / 2, /* for tasks: machines are described with what is above that */
+    LIST_BYTES = 16,               /* of a value, for the list of images */
+    IMAGE_BYTES = 4,               /* for one of them besides its name */
 };
 
 /* The value of a machine in the state service, of about so many bytes at most. */
@@ -46,7 +47,7 @@
         txn_bytes(batch->txn) > DESCRIBE_BYTES)
         return;
     bool must = !host->stamp.v && host->inventory < 0 && !shard_host_about(host);
-    if (shard->write_level - txn_writes(batch->txn) <= WRITE_BURST / 2 && !must)
+    if (shard->write_level - txn_writes(batch->txn) <= WRITES_KEPT && !must)
         return;
     char *key = key_host(host->id);
     txn_when(batch->txn, key, host->stamp);
