The state service's words and forms go to a codec of their own

Items, changes, versions, leases and the parts of transactions were read and written by name in the view, the store, the membership and the frontend. codec_state.h decodes them into struct state_item and typed revisions. reload_answered (63 lines) and watch_answered become short steps. What goes over the wire is the same.

--- a/src/frontend_request.c
+++ b/src/frontend_request.c
@@ -1,3 +1,4 @@
+#include "codec_state.h"
 #include "frontend_state.h"
 #include "log.h"
 
@@ -108,11 +109,9 @@
 /* Whether the key that was read is of a job that is over, and what became of it. */
 bool request_answer_is_final(const struct net_answer *answer, struct job *job)
 {
-    json_object *object = answer->status > 0 ? json_read(answer->body, answer->len) : NULL,
-                *v = NULL;
-    json_object_object_get_ex(object, "V", &v);
-    bool over =
-        answer->status == 200 && json_u64(object, "Stamp", &job->stamp.v) && job_read_final(job, v);
+    json_object *object = answer->status > 0 ? json_read(answer->body, answer->len) : NULL, *value;
+    bool over = answer->status == 200 && codec_state_read_key(object, &value, &job->stamp) &&
+                job_read_final(job, value);
     job->cancelled_at = job->stamp;
     json_object_put(object);
     return over;
--- a/src/membership.c
+++ b/src/membership.c
@@ -1,5 +1,6 @@
 #include "membership.h"
 
+#include "codec_state.h"
 #include "log.h"
 
 #include <stdlib.h>
@@ -166,7 +167,7 @@
     struct membership *membership = arg;
     membership->lease_out = false;
     json_object *object = answer->status == 200 ? json_read(answer->body, answer->len) : NULL;
-    if (json_u64(object, "Mooring", &membership->lease.v)) {
+    if (codec_state_read_lease(object, &membership->lease)) {
         lease_holds(membership);
         timer_start(membership->loop, &membership->renew, RENEW_MS);
     }
--- a/src/store.c
+++ b/src/store.c
@@ -1,5 +1,6 @@
 #include "store.h"
 
+#include "codec_state.h"
 #include "log.h"
 
 #include <stdlib.h>
@@ -277,10 +278,7 @@
 
 void txn_when(struct txn *txn, const char *key, revision stamp)
 {
-    json_object *object = json_object_new_object();
-    json_put_text(object, "K", key);
-    json_put_u64(object, "Stamp", stamp.v);
-    json_object_array_add(txn->when, object);
+    json_object_array_add(txn->when, codec_state_condition(key, stamp));
     txn->bytes += strlen(key) + 40;
 }
 
@@ -291,21 +289,14 @@
 
 void txn_set(struct txn *txn, const char *key, json_object *value, lease_id lease)
 {
-    json_object *object = json_object_new_object();
-    json_put_text(object, "Set", key);
     txn->bytes += value_size(value);
-    json_object_object_add(object, "V", value);
-    if (lease.v)
-        json_put_u64(object, "Mooring", lease.v);
-    json_object_array_add(txn->writes, object);
+    json_object_array_add(txn->writes, codec_state_set(key, value, lease));
     txn->bytes += strlen(key) + 50;
 }
 
 void txn_remove(struct txn *txn, const char *key)
 {
-    json_object *object = json_object_new_object();
-    json_put_text(object, "Remove", key);
-    json_object_array_add(txn->writes, object);
+    json_object_array_add(txn->writes, codec_state_remove(key));
     txn->bytes += strlen(key) + 20;
 }
 
@@ -329,19 +320,13 @@
     struct txn_call *call = arg;
     struct txn_outcome outcome = {.result = TXN_UNKNOWN};
     json_object *body = answer->status > 0 ? json_read(answer->body, answer->len) : NULL;
-    if (answer->status == 200 && json_u64(body, "Ledger", &outcome.at.v)) {
+    if (answer->status == 200 && codec_state_read_revision(body, &outcome.at)) {
         outcome.result = TXN_DONE;
-    } else if (answer->status == 409 && json_u64(body, "Ledger", &outcome.at.v)) {
+    } else if (answer->status == 409 && codec_state_read_revision(body, &outcome.at)) {
         outcome.result = TXN_CONFLICT;
-        outcome.failed = g_ptr_array_new();
-        json_object *list = json_list(body, "failed");
-        for (size_t i = 0; list && i < json_object_array_length(list); i++)
-            g_ptr_array_add(outcome.failed,
-                            (char *)json_object_get_string(json_object_array_get_idx(list, i)));
+        outcome.failed = codec_state_read_failed(body);
     } else if (answer->status == 400) {
-        const char *error = "";
-        json_text(body, "error", &error);
-        outcome.result = strcmp(error, "no such lease") == 0 ? TXN_NO_LEASE : TXN_REFUSED;
+        outcome.result = codec_state_lease_is_over(body) ? TXN_NO_LEASE : TXN_REFUSED;
         if (outcome.result == TXN_REFUSED) {
             LOG_ERROR("txn_malformed", "answer=%.*s", (int)MIN(answer->len, 200), answer->body);
             call->store->limits.lowered = true; /* if it was for its size, it is made smaller now */
@@ -361,9 +346,7 @@
     struct txn_call *call = g_new(struct txn_call, 1);
     *call = (struct txn_call){store, done, arg};
     int writes = (int)txn_writes(txn);
-    json_object *object = json_object_new_object();
-    json_object_object_add(object, "When", json_object_get(txn->when));
-    json_object_object_add(object, "Writes", json_object_get(txn->writes));
+    json_object *object = codec_state_txn(txn->when, txn->writes);
     store_request(store, lane, "POST", "/txn",
                   json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN), TXN_TIMEOUT_MS,
                   TXN_WAIT_MS, writes, txn_answered, call);
--- a/src/view_seek.c
+++ b/src/view_seek.c
@@ -1,3 +1,4 @@
+#include "codec_state.h"
 #include "view_state.h"
 
 enum {
@@ -20,8 +21,7 @@
                 *value = NULL;
     revision stamp;
     view->sought--;
-    if (json_object_object_get_ex(object, "V", &value) && json_u64(object, "Stamp", &stamp.v) &&
-        value) {
+    if (codec_state_read_key(object, &value, &stamp)) {
         char *key = key_job(seek->job);
         view_apply(view, key, value, stamp);
         view_publish(view);
--- a/src/view_sync.c
+++ b/src/view_sync.c
@@ -1,3 +1,4 @@
+#include "codec_state.h"
 #include "log.h"
 #include "view_state.h"
 
@@ -14,41 +15,25 @@
 
 static void reload_page(struct view *view);
 
-static void reload_answered(void *arg, const struct net_answer *answer)
+/* Takes over a page of keys; the last key of it goes to reload_from. */
+static void apply_page(struct view *view, const GArray *items)
 {
-    struct view *view = arg;
-    json_object *o = answer->status == 200 ? json_read(answer->body, answer->len) : NULL;
-    json_object *items = json_list(o, "Items");
-    uint64_t ledger;
-    bool more;
-    if (!items || !json_u64(o, "Ledger", &ledger) || !json_flag(o, "More", &more)) {
-        json_object_put(o);
-        timer_start(view->loop, &view->watch_timer, RETRY_MS);
-        return;
-    }
-    if (!view->reload_from)
-        view->reload_base.v = ledger; /* the watch starts where the first page stood */
-    const char *key = NULL;
-    for (size_t i = 0; i < json_object_array_length(items); i++) {
-        json_object *x = json_object_array_get_idx(items, i), *value = NULL;
-        revision stamp;
-        json_object_object_get_ex(x, "V", &value);
-        if (!json_text(x, "K", &key) || !json_u64(x, "Stamp", &stamp.v) || !value)
-            continue;
-        if (!key_is_job(key))
-            g_hash_table_add(view->reload_seen, g_strdup(key));
-        view_apply(view, key, value, stamp);
+    const char *last = NULL;
+    for (guint i = 0; i < items->len; i++) {
+        const struct state_item *item = &g_array_index(items, struct state_item, i);
+        if (!key_is_job(item->key))
+            g_hash_table_add(view->reload_seen, g_strdup(item->key));
+        view_apply(view, item->key, item->value, item->stamp);
+        last = item->key;
     }
+    g_free(view->reload_from);
+    view->reload_from = g_strdup(last);
     view_forget_finished(view);
-    if (more && key) {
-        g_free(view->reload_from);
-        view->reload_from = g_strdup(key);
-        json_object_put(o);
-        reload_page(view);
-        return;
-    }
-    json_object_put(o);
-    /* What was there before and was not read is gone. */
+}
+
+/* What was there before and was not read is gone. */
+static void remove_unread(struct view *view)
+{
     GHashTableIter it;
     char *old;
     GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
@@ -61,6 +46,12 @@
         view_apply(view, gone->pdata[i], NULL, *have);
     }
     g_ptr_array_unref(gone);
+}
+
+/* All pages are read. */
+static void reload_finished(struct view *view)
+{
+    remove_unread(view);
     g_hash_table_unref(view->reload_seen);
     view->reload_seen = NULL;
     g_clear_pointer(&view->reload_from, g_free);
@@ -79,6 +70,29 @@
     view_watch(view);
 }
 
+static void reload_answered(void *arg, const struct net_answer *answer)
+{
+    struct view *view = arg;
+    json_object *body = answer->status == 200 ? json_read(answer->body, answer->len) : NULL;
+    GArray *items;
+    revision at;
+    bool more;
+    if (!codec_state_read_page(body, &items, &at, &more)) {
+        json_object_put(body);
+        timer_start(view->loop, &view->watch_timer, RETRY_MS);
+        return;
+    }
+    if (!view->reload_from)
+        view->reload_base = at; /* the watch starts where the first page stood */
+    apply_page(view, items);
+    g_array_unref(items);
+    json_object_put(body);
+    if (more && view->reload_from)
+        reload_page(view);
+    else
+        reload_finished(view);
+}
+
 static void reload_page(struct view *view)
 {
     char *path = view->reload_from ? g_strdup_printf("/keys?Starts=" KEY_ROOT "&From=%s&Page=%d",
@@ -112,14 +126,14 @@
 {
     struct view *view = arg;
     json_object *object = answer->status == 200 ? json_read(answer->body, answer->len) : NULL;
-    uint64_t ledger;
-    bool ok = json_u64(object, "Ledger", &ledger);
+    revision newest;
+    bool ok = codec_state_read_revision(object, &newest);
     json_object_put(object);
     if (!ok) {
         timer_start(view->loop, &view->watch_timer, RETRY_MS);
-    } else if (ledger > view->at.v + most_missed(view)) {
+    } else if (newest.v > view->at.v + most_missed(view)) {
         LOG_INFO("watch_behind", "revision=%" G_GUINT64_FORMAT " newest=%" G_GUINT64_FORMAT,
-                 view->at.v, ledger);
+                 view->at.v, newest.v);
         view_reload(view);
     } else {
         watch_send(view);
@@ -134,32 +148,23 @@
         view_reload(view);
         return;
     }
-    json_object *o = answer->status == 200 ? json_read(answer->body, answer->len) : NULL;
-    json_object *changed = json_list(o, "News");
-    uint64_t ledger;
-    if (!changed || !json_u64(o, "Ledger", &ledger)) {
-        json_object_put(o);
+    json_object *body = answer->status == 200 ? json_read(answer->body, answer->len) : NULL;
+    GArray *changes;
+    revision at;
+    if (!codec_state_read_changes(body, &changes, &at)) {
+        json_object_put(body);
         timer_start(view->loop, &view->watch_timer, RETRY_MS);
         return;
     }
-    for (size_t i = 0; i < json_object_array_length(changed); i++) {
-        json_object *x = json_object_array_get_idx(changed, i), *value = NULL;
-        const char *key;
-        revision stamp;
-        if (!json_u64(x, "Stamp", &stamp.v))
-            continue;
-        if (json_text(x, "Set", &key)) {
-            json_object_object_get_ex(x, "V", &value);
-            if (value)
-                view_apply(view, key, value, stamp);
-        } else if (json_text(x, "Remove", &key)) {
-            view_apply(view, key, NULL, stamp);
-        }
+    for (guint i = 0; i < changes->len; i++) {
+        const struct state_item *item = &g_array_index(changes, struct state_item, i);
+        view_apply(view, item->key, item->value, item->stamp);
     }
-    view->at.v = MAX(view->at.v, ledger);
+    g_array_unref(changes);
+    view->at.v = MAX(view->at.v, at.v);
     view->before = view->fresh;
     view->fresh = view->asked;
-    json_object_put(o);
+    json_object_put(body);
     view_publish(view);
     view_watch(view);
 }
