--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -1,141 +1,11 @@
 /* Gangs, played by workers as the protocol describes them: they gather, run together, and end
  * together. */
-#include "world.h"
+#include "gang_fixtures.h"
 
 #include <stdio.h>
 
-/* ---- what the tests share ---- */
-
-/* Workers play gangs; nothing can be rented. */
-static struct world *gang_world(void **state)
-{
-    struct world *world = *state;
-    world->play_gangs = true;
-    world->capacity = 0;
-    return world;
-}
-
-static void submit(struct world *world, const char *id, const char *form, const char *urgency,
-                   int tasks, double cpus)
-{
-    char *job = world_job(id, form, tasks, "blue", cpus, "");
-    char *by = g_strdup_printf("\"Urgency\":\"%s\"", urgency);
-    char *body = world_swapped(job, "\"Urgency\":\"high\"", by);
-    assert_int_equal(world_ask(world, 0, "POST", "/work", body).status, 201);
-    g_free(job);
-    g_free(by);
-    g_free(body);
-}
-
-static void submit_in_one_zone(struct world *world, const char *id, int tasks, double cpus)
-{
-    char *job = world_job(id, "gang", tasks, "blue", cpus, "");
-    char *body = world_swapped(job, "\"OneZone\":false", "\"OneZone\":true");
-    assert_int_equal(world_ask(world, 0, "POST", "/work", body).status, 201);
-    g_free(job);
-    g_free(body);
-}
-
-/* A machine of a part other than the leader's, which is reached by messages. */
-static struct worker *far_machine(struct world *world, int i, const char *zone)
-{
-    const char *leader = world->nodes[world_leader_index(world)]->settings->label;
-    struct worker *worker = world_worker(world, i, zone, true);
-    while (strcmp(map_owner(world->nodes[0]->view, worker->id), leader) == 0) {
-        timer_stop(world->loop, &worker->report);
-        worker = world_worker(world, i, zone, true);
-    }
-    return worker;
-}
-
-/* The machine on which a task is and has not exited. */
-static struct worker *machine_with(struct world *world, const char *job, uint32_t index)
-{
-    for (int i = 0; i < world->plan.workers; i++) {
-        struct worker *worker = &world->workers[i];
-        struct wtask *wtask = worker->up ? worker_task(worker, job, index) : NULL;
-        if (wtask && strcmp(wtask->stage, "exited") != 0)
-            return worker;
-    }
-    return NULL;
-}
-
-/* Tasks of a gang under that attempt that have not exited. */
-static int under_attempt(struct world *world, const char *job, uint64_t attempt)
-{
-    int n = 0;
-    for (int i = 0; i < world->plan.workers; i++)
-        for (guint t = 0; world->workers[i].up && t < world->workers[i].tasks->len; t++) {
-            struct wtask *wtask = &g_array_index(world->workers[i].tasks, struct wtask, t);
-            n += strcmp(wtask->job.s, job) == 0 && wtask->attempt == attempt &&
-                 strcmp(wtask->stage, "exited") != 0;
-        }
-    return n;
-}
-
-/* Tasks of a job that a node sees on record, under that attempt or (0) any. */
-static int on_record(struct world *world, int node, const char *job, uint64_t attempt)
-{
-    int n = 0;
-    GHashTableIter it;
-    struct host_record *rec;
-    g_hash_table_iter_init(&it, world->nodes[node]->view->hosts);
-    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&rec))
-        for (guint i = 0; i < rec->tasks->len; i++) {
-            struct placed *placed = rec->tasks->pdata[i];
-            n += strcmp(placed->job->id.s, job) == 0 && (!attempt || placed->attempt.v == attempt);
-        }
-    return n;
-}
-
-/* All tasks of a gang run, under one attempt, which is told. */
-static uint64_t runs_whole(struct world *world, const char *job, uint32_t tasks)
-{
-    uint64_t attempt = 0;
-    for (uint32_t i = 0; i < tasks; i++) {
-        struct worker *worker = machine_with(world, job, i);
-        assert_non_null(worker);
-        struct wtask *wtask = worker_task(worker, job, i);
-        assert_string_equal(wtask->stage, "running");
-        assert_true(!attempt || wtask->attempt == attempt);
-        attempt = wtask->attempt;
-    }
-    assert_int_equal(world_on_machines(world, job), tasks);
-    return attempt;
-}
-
-/* One task is done, and so all are. */
-static void ends_whole(struct world *world, const char *job)
-{
-    struct worker *worker = machine_with(world, job, 0);
-    assert_non_null(worker);
-    worker_exit(worker, job, 0, "done");
-    world_run(world, 6000);
-    world_expect_stage(world, world->nodes[1] ? 1 : 0, job, "done");
-}
-
 /* ---- how a gang begins ---- */
 
-static struct worker *reclaimed;
-
-/* The machine of the first task that is dealt by message gets its notice while that is on its way.
- */
-static enum fate recall_on_the_way(struct world *world, int node, const struct net_request *request)
-{
-    (void)node;
-    const char *at = strcmp(request->path, "/bus/deal") == 0 && !reclaimed && request->body
-                         ? strstr(request->body, "\"h\":\"host-")
-                         : NULL;
-    if (!at)
-        return FATE_NORMAL;
-    for (int i = 0; i < world->plan.workers; i++)
-        if (world->workers[i].up && strncmp(at + strlen("\"h\":\""), world->workers[i].id, 11) == 0)
-            reclaimed = &world->workers[i];
-    assert_non_null(reclaimed);
-    reclaimed->reclaim_notice_s = 100;
-    return FATE_SLOW;
-}
-
 /* A task that its part could not place is dealt again under the attempt of the others, which wait
  * for it and are not stopped. */
 static void a_task_that_was_given_back_joins_the_others(void **state)
@@ -866,13 +736,6 @@
 
 /* ---- what comes late ---- */
 
-static enum fate hold_commands(struct world *world, int node, const struct net_request *request)
-{
-    (void)world;
-    (void)node;
-    return strcmp(request->path, "/commands") == 0 ? FATE_HELD : FATE_NORMAL;
-}
-
 /* The starts of an old attempt arrive when the new one runs, also when that is over. */
 static void late_starts_of_an_old_attempt_start_nothing(void **state)
 {
@@ -969,7 +832,7 @@
 
 /* ---- a seeded load ---- */
 
-enum { LOAD_S = 400, AFTER_S = 300, RUNS_MS = 12000 };
+enum { LOAD_S = 400, AFTER_S = 300 };
 
 /* A trouble, and when it is over; node or machine -1: there is none. */
 struct troubles {
@@ -998,32 +861,6 @@
     return body;
 }
 
-/* Submits what waits for that, at any node, until it is refused. */
-static void submit_queued(struct world *world, GQueue *queue, int node)
-{
-    while (queue->head && world->nodes[node] &&
-           world_ask(world, node, "POST", "/work", queue->head->data).status / 100 == 2)
-        g_free(g_queue_pop_head(queue));
-}
-
-/* Plays a second: what has run for long enough is done; now and then a task fails. */
-static void load_second(struct world *world, GRand *luck, double fails)
-{
-    world_run(world, 1000);
-    for (int i = 0; i < WORLD_WORKERS; i++) {
-        struct worker *worker = &world->workers[i];
-        for (guint n = 0; worker->up && !worker->silent && n < worker->tasks->len; n++) {
-            struct wtask *wtask = &g_array_index(worker->tasks, struct wtask, n);
-            if (strcmp(wtask->stage, "running") != 0)
-                continue;
-            if (time_ms_since(loop_now(world->loop), wtask->since) >= RUNS_MS)
-                worker_exit(worker, wtask->job.s, wtask->index, "done");
-            else if (g_rand_double(luck) < fails)
-                worker_exit(worker, wtask->job.s, wtask->index, "error");
-        }
-    }
-}
-
 static void end_due_troubles(struct world *world, struct troubles *troubles, int now)
 {
     if (troubles->node >= 0 && now >= troubles->node_s) {
