--- a/src/leader_gang.c
+++ b/src/leader_gang.c
@@ -250,9 +250,11 @@
     job->gang.held_zone =
         places->len ? ((struct leader_host *)places->pdata[0])->zone_index : ANY_ZONE;
     job->blocked = true;
-    int zone_index;
-    bool fits = could_be_whole(leader, job, spec, left, &zone_index);
-    bool hope = hopes_for_machines(leader, job) || fits;
+    bool hope = hopes_for_machines(leader, job);
+    bool may_hold = job->aged && leader->holding_gangs < MOST_HOLDING;
+    int zone_index = ANY_ZONE;
+    bool fits = (!hope || may_hold) && could_be_whole(leader, job, spec, left, &zone_index);
+    hope = hope || fits;
     for (guint i = 0; i < places->len; i++) {
         struct leader_host *host = places->pdata[i];
         host->wanted = true;
@@ -263,8 +265,10 @@
         leader_note_unplaceable(leader, spec);
     if (hope)
         leader_preempt(leader, job, job_view, false);
-    if (fits && job->aged && leader->holding_gangs++ < MOST_HOLDING)
+    if (fits && may_hold) {
+        leader->holding_gangs++;
         hold_machines(leader, job, spec, places, (int64_t)left - places->len, zone_index);
+    }
 }
 
 bool leader_deal_gang(struct leader *leader, struct leader_job *job, struct job *job_view)
