--- a/daemon/main.c
+++ b/daemon/main.c
@@ -19,7 +19,7 @@
 
 static int usage_error(const char *message)
 {
-    fprintf(stderr, "linenlandingd: %s\n", message);
+    (void)fprintf(stderr, "linenlandingd: %s\n", message);
     return EXIT_USAGE;
 }
 
--- a/src/codec.c
+++ b/src/codec.c
@@ -447,7 +447,7 @@
     for (guint i = 0; i < n; i++) {
         json_object *x = json_object_new_object();
         char name[64];
-        snprintf(name, sizeof name, "%s/%u", commands[i].job.s, commands[i].index);
+        g_snprintf(name, sizeof name, "%s/%u", commands[i].job.s, commands[i].index);
         json_put_text(x, "Verb", verb_words[commands[i].verb]);
         json_put_text(x, "Piece", name);
         json_put_u64(x, "Try", commands[i].attempt.v);
--- a/src/log.c
+++ b/src/log.c
@@ -69,7 +69,7 @@
     char text[800];
     va_list ap;
     va_start(ap, format);
-    vsnprintf(text, sizeof text, format, ap);
+    g_vsnprintf(text, sizeof text, format, ap);
     va_end(ap);
     const GLogField fields[] = {{"MESSAGE", text, -1}, {"LL_EVENT", event, -1}};
     g_log_structured_array(level, fields, G_N_ELEMENTS(fields));
--- a/src/membership.c
+++ b/src/membership.c
@@ -389,7 +389,7 @@
     g_hash_table_iter_init(&it, membership->view->nodes);
     while (g_hash_table_iter_next(&it, (gpointer *)&label, NULL))
         before += strcmp(label, membership->settings->label) < 0;
-    return before * ELECT_STEP_MS;
+    return (int64_t)before * ELECT_STEP_MS;
 }
 
 static void forgive(struct membership *membership)
--- a/src/shard_record.c
+++ b/src/shard_record.c
@@ -272,7 +272,7 @@
         txn_bytes(batch->txn) > TXN_BYTES / 4)
         return;
     bool must = !host->stamp.v && host->inventory < 0 && !about_host(host);
-    if (shard->write_level - txn_writes(batch->txn) <= BURST / 2 && !must)
+    if (shard->write_level - txn_writes(batch->txn) <= BURST / 2.0 && !must)
         return;
     char *key = key_host(host->id);
     txn_when(batch->txn, key, host->stamp);
--- a/src/shard_worker.c
+++ b/src/shard_worker.c
@@ -231,7 +231,7 @@
 void shard_probe(struct shard *shard, struct host *host)
 {
     mono_time now = loop_now(shard->loop);
-    int64_t pause = PROBE_EVERY_MS * (1 + MIN(host->probe_fails / 3, 3));
+    int64_t pause = (int64_t)PROBE_EVERY_MS * (1 + MIN(host->probe_fails / 3, 3));
     if (host->probe_out || !host->addr[0] ||
         (host->probed.us && time_ms_since(now, host->probed) < pause))
         return;
--- a/src/view.c
+++ b/src/view.c
@@ -556,7 +556,7 @@
     if (slash <= name)
         return false;
     *label = g_strndup(name, (gsize)(slash - name));
-    *number = atoi(slash + 1);
+    *number = (int)strtol(slash + 1, NULL, 10);
     return true;
 }
 
