Duties under a lease with fencing: claims, recorded intents, a switch (off by default)

Need: what only one controller may do (renting, returning, clean-up) rested on the leader's key and on rental names, with conditions in several places. Change: package src/duty (records of duties on the holder's lease, the revision as token, intents recorded before the cloud is called), the fleet's client in modules on top of it, clean-up as an actor of its own, features by a file checked against a JSON Schema (valijson), a recorded switch for all nodes.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -13,7 +13,7 @@
 };
 
 struct options {
-    char *config, *policy, *check_policy;
+    char *config, *policy, *check_policy, *features, *check_features;
     gboolean version, check;
 };
 
@@ -31,6 +31,10 @@
         {"policy", 'p', 0, G_OPTION_ARG_FILENAME, &o->policy, "Operators' own settings", "FILE"},
         {"check-policy", 0, 0, G_OPTION_ARG_FILENAME, &o->check_policy,
          "Check operators' own settings and exit", "FILE"},
+        {"features", 'f', 0, G_OPTION_ARG_FILENAME, &o->features, "Features that are switched on",
+         "FILE"},
+        {"check-features", 0, 0, G_OPTION_ARG_FILENAME, &o->check_features,
+         "Check such a file and exit", "FILE"},
         {"check-config", 0, 0, G_OPTION_ARG_NONE, &o->check, "Check the settings and exit", NULL},
         {"version", 'V', 0, G_OPTION_ARG_NONE, &o->version, "Print the version and exit", NULL},
         {0},
@@ -47,7 +51,8 @@
     return ok;
 }
 
-static int run(const struct settings *settings, const struct policy *policy)
+static int run(const struct settings *settings, const struct policy *policy,
+               const struct feature_set *features)
 {
     struct loop *loop = loop_new();
     /* Workers and users come in, and any worker may have to be reached: all of them, when this is
@@ -65,7 +70,7 @@
     http_client_keep(net, settings->cloud_addr);
     for (guint i = 0; i < settings->siblings->len; i++)
         http_client_keep(net, g_array_index(settings->siblings, struct sibling, i).endpoint);
-    struct node *node = node_new(loop, net, settings, policy);
+    struct node *node = node_new(loop, net, settings, policy, features);
     struct http_limits api = {fds * 9 / 16, 64 << 10, 90000, 10000};
     struct http_limits back = {MAX(fds / 16, 4 * settings->size), settings_answer_bytes(settings),
                                90000, 10000};
@@ -96,14 +101,30 @@
     return 0;
 }
 
+static int check_features(const char *path)
+{
+    char *error = NULL;
+    struct feature_set features;
+    if (!feature_set_load(path, &features, &error)) {
+        int rc = usage_error(error);
+        g_free(error);
+        return rc;
+    }
+    printf("%s: fine\n", path);
+    return 0;
+}
+
 /* Reads all that a node needs, and runs it unless it was only to be checked. */
 static int start(const struct options *options)
 {
     char *error = NULL;
     struct settings *settings = settings_load(options->config, &error);
     struct policy *policy = NULL;
+    struct feature_set features = feature_set_default();
     int rc = EXIT_USAGE;
-    if (settings)
+    bool ok =
+        settings && (!options->features || feature_set_load(options->features, &features, &error));
+    if (ok)
         policy = options->policy ? policy_load(options->policy, &error) : policy_default();
     const char *level = g_getenv("LOG_LEVEL");
     if (!policy)
@@ -113,7 +134,7 @@
     else if (options->check)
         rc = printf("%s: fine\n", options->config) < 0;
     else
-        rc = run(settings, policy);
+        rc = run(settings, policy, &features);
     g_free(error);
     if (policy)
         policy_free(policy);
@@ -134,6 +155,8 @@
         puts("linenlandingd " LL_VERSION);
     } else if (options.check_policy) {
         rc = check_policy(options.check_policy);
+    } else if (options.check_features) {
+        rc = check_features(options.check_features);
     } else if (!options.config) {
         rc = usage_error("--config FILE is missing");
     } else {
@@ -142,5 +165,7 @@
     g_free(options.config);
     g_free(options.policy);
     g_free(options.check_policy);
+    g_free(options.features);
+    g_free(options.check_features);
     return rc;
 }
--- /dev/null
+++ b/src/cleanup.h
@@ -0,0 +1,14 @@
+/* Removes what nodes that are away left in the state service: pages and lists of machines that
+ * others have taken over. Every node has this actor; it acts where the duty is, or, without duties,
+ * on the leader. */
+#ifndef LL_CLEANUP_H
+#define LL_CLEANUP_H
+
+struct cleanup;
+struct node;
+
+struct cleanup *cleanup_new(const struct node *node);
+void cleanup_free(struct cleanup *cleanup);
+void cleanup_start(struct cleanup *cleanup);
+
+#endif
--- /dev/null
+++ b/src/duty/duty_types.h
@@ -0,0 +1,50 @@
+/* What the modules of the duty package and their users have in common.
+ *
+ * A duty is work that one node does for all of them. Its record is a key of the state service that
+ * hangs on the holder's lease; the revision at which the record was written is the fencing token,
+ * so that tokens rise also when a record went away with its lease. */
+#ifndef LL_DUTY_TYPES_H
+#define LL_DUTY_TYPES_H
+
+#include "types.h"
+
+/* The duties; duty_name gives each a word. */
+enum duty {
+    DUTY_FLEET,   /* renting and returning machines */
+    DUTY_CLEANUP, /* removing what nodes that are away left in the state service */
+    DUTIES,
+};
+
+/* The fencing token of one holding of a duty: the revision of its record. 0: none. */
+typedef struct {
+    uint64_t v;
+} duty_token;
+
+/* A process that holds a duty: its node's label, and the lease that its keys hang on. */
+struct duty_holder {
+    char label[64];
+    lease_id incarnation;
+};
+
+/* Who holds a duty. */
+struct duty_record {
+    struct duty_holder holder;
+    duty_token token; /* 0: nobody holds it */
+};
+
+/* What the holder of a duty is about to do outside the state service. */
+enum intent_kind {
+    INTENT_RETURN, /* of a machine to the cloud */
+    INTENT_RENT,   /* of machines, by the name of the request */
+};
+
+struct intent {
+    enum intent_kind kind;
+    char name[128]; /* the machine, or the request */
+    /* Of a request to rent: */
+    char type_name[48], zone[48];
+    bool spot;
+    int number;
+};
+
+#endif
--- /dev/null
+++ b/src/feature_check.cpp
@@ -0,0 +1,53 @@
+#include "feature_check.h"
+
+#include "feature_schema.hpp"
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace
+{
+
+// The field as operators write it: "duties.enabled".
+std::string field_of(const valijson::ValidationResults::Error &error)
+{
+    std::string field;
+    for (std::string part : error.context) {
+        if (part == "<root>")
+            continue;
+        if (part.size() > 2 && part.front() == '[')
+            part = part.substr(1, part.size() - 2);
+        field += field.empty() ? part : "." + part;
+    }
+    return field.empty() ? "the file" : field;
+}
+
+} // namespace
+
+extern "C" bool feature_check(const char *json, char *error, unsigned error_size)
+{
+    try {
+        const nlohmann::json schema_text = nlohmann::json::parse(FEATURE_SCHEMA);
+        const nlohmann::json text = nlohmann::json::parse(json);
+        valijson::Schema schema;
+        valijson::SchemaParser parser;
+        parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(schema_text), schema);
+        valijson::Validator validator;
+        valijson::ValidationResults results;
+        valijson::adapters::NlohmannJsonAdapter target(text);
+        if (validator.validate(schema, target, &results))
+            return true;
+        valijson::ValidationResults::Error first;
+        results.popError(first);
+        std::snprintf(error, error_size, "%s: %s", field_of(first).c_str(),
+                      first.description.c_str());
+    } catch (const std::exception &e) {
+        std::snprintf(error, error_size, "%s", e.what());
+    }
+    return false;
+}
--- /dev/null
+++ b/src/feature_check.h
@@ -0,0 +1,18 @@
+/* The check of a features file against its JSON Schema (valijson). */
+#ifndef LL_FEATURE_CHECK_H
+#define LL_FEATURE_CHECK_H
+
+#include <stdbool.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Checks a JSON text; false, with a message that names the field that is wrong first. */
+bool feature_check(const char *json, char *error, unsigned error_size);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -1,5 +1,5 @@
-/* The cloud's client: machine types, rentals and returns, within the call budget. Only the leader's
- * fleet calls the cloud. */
+/* The cloud's client: machine types, rentals and returns, within the call budget. Only the node
+ * that has the duty of the fleet calls the cloud: the leader. */
 #ifndef LL_FLEET_H
 #define LL_FLEET_H
 
@@ -15,9 +15,9 @@
 
 struct fleet *fleet_new(const struct node *node, struct actor *listener);
 void fleet_free(struct fleet *fleet);
-/* While leading: calls what is due. */
+/* While it is this node's duty: calls what is due. */
 void fleet_step(struct fleet *fleet);
-/* Forgets what only a leader can know. */
+/* Forgets what only the holder of the duty can know. */
 void fleet_reset(struct fleet *fleet);
 
 /* A machine that was rented, whether it is up or not. */
@@ -27,7 +27,6 @@
     bool spot;
     enum rental_stage stage;
     mono_time rented;
-    bool returning;
 };
 
 /* Whether the list was read since this node leads. */
@@ -35,17 +34,38 @@
 GHashTable *fleet_machines(struct fleet *fleet); /* id -> struct fleet_machine */
 /* Types with the prices of today; NULL before the first answer. */
 const GArray *fleet_types(const struct fleet *fleet);
+
+/* ---- renting ---- */
+
 /* Whether the offer was refused lately. */
 bool fleet_refused(struct fleet *fleet, const char *type_name, const char *zone, bool spot);
 /* Requested, with no answer yet. */
 int fleet_requested(struct fleet *fleet, const char *type_name, const char *zone, bool spot);
-/* Takes back what was ordered and not asked for yet: what is needed is worked out anew all the
- * time, and calls are few. */
+/* Takes back what was ordered and neither asked for nor recorded yet: what is needed is worked out
+ * anew all the time, and calls are few. */
 void fleet_forget_unsent(struct fleet *fleet);
 enum { FLEET_MOST_RENTED = 50 }; /* by one request */
-void fleet_rent(struct fleet *f, const char *type_name, const char *zone, bool spot, int number);
+void fleet_rent(struct fleet *fleet, const char *type_name, const char *zone, bool spot,
+                int number);
+
+/* ---- returning ---- */
+
 void fleet_return(struct fleet *fleet, host_id id, const char *why);
+/* The machine is to be returned: nothing more may be placed on it. */
+bool fleet_returning(const struct fleet *fleet, const char *id);
 /* The cloud has confirmed that it is gone, and all that was on it. */
 bool fleet_gone(const struct fleet *fleet, const char *id);
+/* Machines (char *, new) whose owners have to say that they place nothing more on them before the
+ * return goes on; some at a time. */
+GPtrArray *fleet_returns_to_close(struct fleet *fleet);
+/* An owner said so in that epoch. */
+void fleet_return_closed(struct fleet *fleet, const char *id, epoch_no epoch);
+
+/* ---- duties ---- */
+
+/* From now on nothing new is recorded, or again it is. */
+void fleet_hold(struct fleet *fleet, bool hold);
+/* Whether nothing that was recorded is open. */
+bool fleet_settled(const struct fleet *fleet);
 
 #endif
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -113,7 +113,8 @@
 {
     const char *peer = peers_served(frontend->peers);
     if (!peer || !is_work(request->path) || frontend->waiting >= frontend->most_waiting ||
-        (!membership_all_understand(frontend->members) && names_others(request)))
+        (!membership_all_understand(frontend->members, NODE_VERSION_PIPELINES) &&
+         names_others(request)))
         return false;
     struct relay *relay = g_new(struct relay, 1);
     *relay = (struct relay){frontend, replier, from};
--- a/src/frontend_submit.c
+++ b/src/frontend_submit.c
@@ -123,7 +123,8 @@
     struct ask *ask = NULL;
     if (!frontend->view->types && !known)
         frontend_reply_error(replier, from, 503, "the machine types are not known yet");
-    else if (spec.n_awaits && !known && !membership_all_understand(frontend->members))
+    else if (spec.n_awaits && !known &&
+             !membership_all_understand(frontend->members, NODE_VERSION_PIPELINES))
         frontend_reply_error(replier, from, 503,
                              "some nodes do not know yet of jobs that await others");
     else
--- a/src/leader.c
+++ b/src/leader.c
@@ -6,6 +6,7 @@
 #include "leader_placement.h"
 #include "leader_shards.h"
 #include "leader_sweep.h"
+#include "leader_switch.h"
 #include "log.h"
 #include "node.h"
 
@@ -47,6 +48,8 @@
     leader->bus = node->bus;
     leader->settings = settings;
     leader->policy = policy;
+    leader->features = node->features;
+    leader->duties = node->duties;
     leader->fleet = fleet_new(node, &leader->actor);
     leader_ledger_init(leader);
     leader->run_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -129,6 +132,7 @@
         for (int rank = 0; rank < RANKS && budget > 0; rank++)
             budget -= leader_deal_rank(leader, rank, budget);
     leader_scale(leader);
+    leader_close_returning(leader);
     fleet_step(leader->fleet);
     leader_send_all(leader);
     if (budget <= 0)
@@ -239,6 +243,7 @@
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job))
         leader_consider_end(leader, job);
     leader_sweep(leader);
+    leader_switch(leader);
     if (ready_to_deal(leader))
         pass(leader);
     else
--- a/src/leader_placement.c
+++ b/src/leader_placement.c
@@ -8,11 +8,10 @@
 bool leader_host_takes(struct leader *leader, struct leader_host *host)
 {
     mono_time now = loop_now(leader->loop);
-    struct fleet_machine *machine = g_hash_table_lookup(fleet_machines(leader->fleet), host->id.s);
     return host->told && !time_before(now, host->sick_until) && !leader_host_slow(leader, host) &&
            (host->flags & HOST_KNOWN) &&
            !(host->flags & (HOST_LOST | HOST_RECLAIMED | HOST_QUIET)) &&
-           !fleet_gone(leader->fleet, host->id.s) && !(machine && machine->returning) &&
+           !fleet_gone(leader->fleet, host->id.s) && !fleet_returning(leader->fleet, host->id.s) &&
            !time_before(now, host->avoid_until);
 }
 
--- a/src/leader_scale.c
+++ b/src/leader_scale.c
@@ -47,8 +47,8 @@
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&machine)) {
         struct leader_host *host = leader_host_get(leader, machine->id.s);
         const struct machine_type *type = type_named(leader_types_now(leader), machine->type_name);
-        if (machine->returning || machine->stage == RENTAL_FAILED || !type ||
-            (host && host->told && (host->flags & HOST_KNOWN)))
+        if (fleet_returning(leader->fleet, machine->id.s) || machine->stage == RENTAL_FAILED ||
+            !type || (host && host->told && (host->flags & HOST_KNOWN)))
             continue;
         if (time_ms_since(now, machine->rented) > (int64_t)(type->boot_s * 1700))
             continue;
--- a/src/leader_shards.c
+++ b/src/leader_shards.c
@@ -14,6 +14,7 @@
     cJSON_Delete(shard->deal);
     cJSON_Delete(shard->halt);
     cJSON_Delete(shard->gone);
+    cJSON_Delete(shard->close);
     cJSON_Delete(shard->sending);
     g_free(shard->label);
     g_free(shard);
@@ -79,9 +80,38 @@
 
 static void shard_send(struct leader *leader, struct leader_shard *shard);
 
+/* Whether there is anything to tell the shard. */
+static bool has_news(const struct leader_shard *shard)
+{
+    return shard->deal || shard->halt || shard->gone || shard->close;
+}
+
+/* The shard names the machines on which it places nothing more. */
+static void take_closed(struct leader *leader, const cJSON *answer)
+{
+    const cJSON *name;
+    cJSON_ArrayForEach(name, cJSON_GetObjectItemCaseSensitive(answer, "closed"))
+    {
+        if (cJSON_IsString(name))
+            fleet_return_closed(leader->fleet, name->valuestring, leader->epoch);
+    }
+}
+
+void leader_close_returning(struct leader *leader)
+{
+    GPtrArray *names = fleet_returns_to_close(leader->fleet);
+    for (guint i = 0; i < names->len; i++) {
+        const char *owner = map_owner(leader->view, names->pdata[i]);
+        struct leader_shard *shard = owner ? leader_shard_get(leader, owner) : NULL;
+        /* While a message is on its way, its answer may name them. */
+        if (shard && !shard->sending)
+            leader_shard_add(&shard->close, cJSON_CreateString(names->pdata[i]));
+    }
+    g_ptr_array_unref(names);
+}
+
 static void shard_answered(void *arg, int status, const cJSON *answer)
 {
-    (void)answer;
     struct shard_out *out = arg;
     struct leader *leader = out->leader;
     struct leader_shard *shard = g_hash_table_lookup(leader->shards, out->label);
@@ -92,7 +122,8 @@
             cJSON_Delete(shard->sending);
             shard->sending = NULL;
             shard->failing_since = (mono_time){0};
-            if (shard->deal || shard->halt || shard->gone)
+            take_closed(leader, answer);
+            if (has_news(shard))
                 shard_send(leader, shard);
         } else if (!shard->failing_since.us) {
             shard->failing_since = now;
@@ -120,6 +151,8 @@
             cJSON_AddItemToObject(message, "halt", g_steal_pointer(&shard->halt));
         if (shard->gone)
             cJSON_AddItemToObject(message, "gone", g_steal_pointer(&shard->gone));
+        if (shard->close)
+            cJSON_AddItemToObject(message, "close", g_steal_pointer(&shard->close));
         shard->sending = message;
     }
     struct shard_out *out = g_new(struct shard_out, 1);
@@ -136,7 +169,7 @@
     GPtrArray *due = g_ptr_array_new();
     g_hash_table_iter_init(&it, leader->shards);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&shard))
-        if (!shard->out && (shard->sending || shard->deal || shard->halt || shard->gone))
+        if (!shard->out && (shard->sending || has_news(shard)))
             g_ptr_array_add(due, shard);
     for (guint i = 0; i < due->len; i++)
         shard_send(leader, due->pdata[i]);
--- a/src/leader_shards.h
+++ b/src/leader_shards.h
@@ -15,5 +15,7 @@
                       struct entry *e, double grace_s);
 /* Sends what is queued to every shard that has answered its last message. */
 void leader_send_all(struct leader *leader);
+/* Has the owners of machines that are to be returned place nothing more on them. */
+void leader_close_returning(struct leader *leader);
 
 #endif
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -2,6 +2,8 @@
 #ifndef LL_LEADER_STATE_H
 #define LL_LEADER_STATE_H
 
+#include "duties.h"
+#include "feature_set.h"
 #include "leader.h"
 #include "room.h"
 
@@ -110,6 +112,7 @@
     char *label;
     uint64_t seq;              /* of the last message */
     cJSON *deal, *halt, *gone; /* lists for the next message; NULL: empty */
+    cJSON *close;              /* and machines on which nothing more is to be placed */
     cJSON *sending;            /* until it is acknowledged */
     bool out;                  /* a request is on its way */
     mono_time failing_since;   /* 0: the last request was answered */
@@ -132,6 +135,8 @@
     struct bus *bus;
     const struct settings *settings;
     const struct policy *policy;
+    const struct feature_set *features;
+    struct duties *duties;
     struct fleet *fleet;
     bool leading;
     epoch_no epoch;      /* that the ledger was built for */
@@ -154,11 +159,12 @@
     int running[4];        /* tasks on record, by urgency */
     struct timer tick, pass;
     mono_time scaled_at, swept_at;
-    mono_time idle_at;  /* it last could not act: an outage */
-    bool sweeping;      /* a key is being removed */
-    int cancelling;     /* ends of cancelled jobs that are being stored */
-    double demand_peak; /* of used cpus, falling off slowly */
-    bool services;      /* some run; the next two tell of them */
+    mono_time idle_at;   /* it last could not act: an outage */
+    bool switching;      /* the switch of features is being written */
+    bool duties_seen_on; /* when it was last looked at */
+    int cancelling;      /* ends of cancelled jobs that are being stored */
+    double demand_peak;  /* of used cpus, falling off slowly */
+    bool services;       /* some run; the next two tell of them */
     struct room service_usual;
     double service_rate;
     int64_t *service_lack;              /* of tasks, by zone; negative: room to spare */
--- a/src/leader_sweep.h
+++ b/src/leader_sweep.h
@@ -1,5 +1,4 @@
-/* What the leader clears up now and then: pages and inventories of nodes that are away, and deals
- * that are stuck. */
+/* Deals that are stuck, which the leader looks for now and then. */
 #ifndef LL_LEADER_SWEEP_H
 #define LL_LEADER_SWEEP_H
 
--- /dev/null
+++ b/src/leader_switch.h
@@ -0,0 +1,11 @@
+/* The recorded switch of duties, ll/features: on once all nodes understand them, the leader's
+ * operators want them and not before; off when no live node's operators want them any more. */
+#ifndef LL_LEADER_SWITCH_H
+#define LL_LEADER_SWITCH_H
+
+#include "leader_state.h"
+
+/* Turns the switch if that is due. */
+void leader_switch(struct leader *leader);
+
+#endif
--- a/src/membership.c
+++ b/src/membership.c
@@ -28,6 +28,7 @@
     mono_time lease_end; /* it surely holds until then */
     mono_time renew_sent;
     bool lease_out, joined, join_out, write_out;
+    bool wants_duties;
     revision stamp; /* of this node's key */
     struct timer tick, renew;
     mono_time vacant_since; /* no leader */
@@ -57,7 +58,7 @@
 }
 
 struct membership *membership_new(struct loop *loop, struct store *store, struct view *view,
-                                  const struct settings *settings)
+                                  const struct settings *settings, bool wants_duties)
 {
     struct membership *membership = g_new0(struct membership, 1);
     membership->actor = (struct actor){"membership", receive};
@@ -65,6 +66,7 @@
     membership->store = store;
     membership->view = view;
     membership->settings = settings;
+    membership->wants_duties = wants_duties;
     membership->excluded = g_array_new(FALSE, FALSE, sizeof(struct excluded));
     g_array_set_clear_func(membership->excluded, clear_excluded);
     timer_init(&membership->tick, tick, membership);
@@ -248,6 +250,8 @@
     json_put_u64(object, "i", membership->lease.v);
     json_put_text(object, "b", membership->settings->back_addr);
     json_put_u64(object, "v", NODE_VERSION);
+    if (membership->wants_duties)
+        json_put_flag(object, "duties", true);
     return object;
 }
 
@@ -256,25 +260,43 @@
     return GPOINTER_TO_UINT(g_hash_table_lookup(view->spoken, label));
 }
 
-static bool understands(const struct membership *membership, const char *label)
+static bool understands(const struct membership *membership, const char *label,
+                        enum node_version version)
 {
     const struct node_record *node_record = g_hash_table_lookup(membership->view->nodes, label);
-    return spoken_by(membership->view, label) >= NODE_VERSION &&
-           (!node_record || node_record->version >= NODE_VERSION);
+    return spoken_by(membership->view, label) >= (guint)version &&
+           (!node_record || node_record->version >= (uint64_t)version);
 }
 
-bool membership_all_understand(const struct membership *membership)
+bool membership_all_understand(const struct membership *membership, enum node_version version)
 {
-    bool all = understands(membership, membership->settings->label);
+    bool all = understands(membership, membership->settings->label, version);
     for (guint i = 0; i < membership->settings->siblings->len; i++)
         all = all &&
               understands(membership,
-                          g_array_index(membership->settings->siblings, struct sibling, i).label);
+                          g_array_index(membership->settings->siblings, struct sibling, i).label,
+                          version);
     return all;
 }
 
-/* An earlier process of this label is dead, so its leadership is given up with its key: nobody has
- * to wait for its lease to end. */
+/* The duties of an earlier process of this label: its keys would stay until its lease ends. */
+static void give_up_duties(struct membership *membership, struct txn *txn)
+{
+    for (int i = 0; i < DUTIES; i++) {
+        const struct duty_record *record =
+            duty_table_record(membership->view->duties, (enum duty)i);
+        if (!record->token.v || strcmp(record->holder.label, membership->settings->label) != 0 ||
+            (int)txn_writes(txn) >= store_limits(membership->store)->txn_ops)
+            continue;
+        char *key = key_duty((enum duty)i);
+        txn_when(txn, key, (revision){record->token.v});
+        txn_remove(txn, key);
+        g_free(key);
+    }
+}
+
+/* An earlier process of this label is dead, so its leadership is given up with its key, and its
+ * duties: nobody has to wait for its lease to end. */
 static void join(struct membership *membership)
 {
     struct view *view = membership->view;
@@ -287,6 +309,7 @@
         txn_when(txn, KEY_LEADER, view->leader_stamp);
         txn_remove(txn, KEY_LEADER);
     }
+    give_up_duties(membership, txn);
     /* It stays when this process ends: its successors understand as much. */
     if (spoken_by(view, membership->settings->label) < NODE_VERSION) {
         char *version = key_version(membership->settings->label);
--- a/src/membership.h
+++ b/src/membership.h
@@ -7,8 +7,9 @@
 
 struct membership;
 
+/* wants_duties: this node's operators have switched duties on, as its key then says. */
 struct membership *membership_new(struct loop *loop, struct store *store, struct view *view,
-                                  const struct settings *settings);
+                                  const struct settings *settings, bool wants_duties);
 void membership_free(struct membership *membership);
 void membership_start(struct membership *membership);
 
@@ -16,7 +17,6 @@
 bool membership_valid(const struct membership *membership);
 /* The view shows this process's own key, whether its lease surely holds or not. */
 bool membership_seen(const struct membership *membership);
-/* Whether it leads, surely at this moment. */
 /* The leader's key is this process's, whether its lease surely holds or not. */
 bool membership_holds_lead(const struct membership *membership);
 /* And the lease surely holds: it may act. */
@@ -25,10 +25,10 @@
 revision membership_stamp(const struct membership *membership);
 lease_id membership_incarnation(const struct membership *membership);
 
-/* Whether every node, alive or not, has once been of a version that understands NODE_VERSION, and
- * none that lives is older: as a node is not taken back to an older one after that, nobody will
- * ever read what it would not understand. */
-bool membership_all_understand(const struct membership *membership);
+/* Whether every node, alive or not, has once been of a version that understands that one, and none
+ * that lives is older: as a node is not taken back to an older one after that, nobody will ever
+ * read what it would not understand. */
+bool membership_all_understand(const struct membership *membership, enum node_version version);
 
 /* Asks the leader's node to raise the epoch; what was dealt under the old one is void. */
 void membership_raise(struct membership *membership, const char *why);
--- a/src/node.c
+++ b/src/node.c
@@ -1,7 +1,7 @@
 #include "node.h"
 
 struct node *node_new(struct loop *loop, struct net *net, const struct settings *settings,
-                      const struct policy *policy)
+                      const struct policy *policy, const struct feature_set *features)
 {
     struct node *node = g_new0(struct node, 1);
     const struct state_limits *now = &settings->state, *next = &settings->state_next;
@@ -18,7 +18,12 @@
     node->net = net;
     node->store = store_new(loop, net, settings->state_addr, limits);
     node->view = view_new(loop, node->store);
-    node->members = membership_new(loop, node->store, node->view, settings);
+    node->features = features;
+    node->members =
+        membership_new(loop, node->store, node->view, settings, features->duties.enabled);
+    node->duty_keeper = duty_keeper_new(loop, node->store, node->view, node->members, settings);
+    node->duties = duty_keeper_duties(node->duty_keeper);
+    node->cleanup = cleanup_new(node);
     node->bus = bus_new(loop, net, settings);
     node->peers = peers_new(loop, node->bus, node->store, node->view, settings);
     node->shard = shard_new(node);
@@ -31,6 +36,8 @@
 {
     view_start(node->view);
     membership_start(node->members);
+    duty_keeper_start(node->duty_keeper);
+    cleanup_start(node->cleanup);
     peers_start(node->peers);
     shard_start(node->shard);
     leader_start(node->leader);
@@ -43,6 +50,8 @@
     shard_free(node->shard);
     peers_free(node->peers);
     bus_free(node->bus);
+    cleanup_free(node->cleanup);
+    duty_keeper_free(node->duty_keeper);
     membership_free(node->members);
     view_free(node->view);
     store_free(node->store);
--- a/src/node.h
+++ b/src/node.h
@@ -2,6 +2,9 @@
 #ifndef LL_NODE_H
 #define LL_NODE_H
 
+#include "cleanup.h"
+#include "duty_keeper.h"
+#include "feature_set.h"
 #include "frontend.h"
 #include "leader.h"
 
@@ -12,6 +15,10 @@
     struct store *store;
     struct view *view;
     struct membership *members;
+    const struct feature_set *features;
+    struct duty_keeper *duty_keeper;
+    struct duties *duties; /* of the keeper */
+    struct cleanup *cleanup;
     struct bus *bus;
     struct peers *peers;
     struct shard *shard;
@@ -20,7 +27,7 @@
 };
 
 struct node *node_new(struct loop *loop, struct net *net, const struct settings *settings,
-                      const struct policy *policy);
+                      const struct policy *policy, const struct feature_set *features);
 void node_start(struct node *node);
 void node_free(struct node *node);
 
--- a/src/shard.c
+++ b/src/shard.c
@@ -55,6 +55,7 @@
     shard->redirects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     shard->returned_machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     shard->returned_machines_before = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    shard->closed_for_return = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     shard->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, host_free);
     for (int i = 0; i <= ARQ_CLASSES; i++)
         g_queue_init(&shard->queues[i]);
@@ -98,6 +99,7 @@
     g_hash_table_unref(shard->redirects);
     g_hash_table_unref(shard->returned_machines);
     g_hash_table_unref(shard->returned_machines_before);
+    g_hash_table_unref(shard->closed_for_return);
     g_array_unref(shard->back);
     g_ptr_array_unref(shard->events);
     g_ptr_array_unref(shard->roomy);
@@ -211,11 +213,39 @@
     }
 }
 
+/* Whether a machine is to be returned: nothing is placed on it any more. */
+bool shard_machine_returning(const struct shard *shard, const char *id)
+{
+    return g_hash_table_contains(shard->closed_for_return, id) ||
+           duty_table_returning(shard->view->duties, id);
+}
+
+static bool has_unrecorded_run(const struct host *host)
+{
+    for (guint i = 0; i < host->runs->len; i++)
+        if (((const struct run *)host->runs->pdata[i])->phase == RUN_NEW)
+            return true;
+    return false;
+}
+
+/* The leader is about to record that the machine goes back. Once this node has said that it places
+ * nothing more there, nothing may: what is placed and not on record yet is waited for, and the
+ * leader asks again. A later owner sees the intent in its view before it owns the machine, as that
+ * is conditioned on the map. */
+static void close_for_return(struct shard *shard, const char *id, cJSON *closed)
+{
+    g_hash_table_add(shard->closed_for_return, g_strdup(id));
+    struct host *host = shard_host_get(shard, id);
+    if (host)
+        host->returning = true;
+    if (!host || !has_unrecorded_run(host))
+        cJSON_AddItemToArray(closed, cJSON_CreateString(id));
+}
+
 /* Messages come in an order, counted within an epoch. A copy that was held back must not deal a
  * task once more after it was given back. */
 static int on_deal(void *ctx, const char *from, const cJSON *m, cJSON **answer)
 {
-    (void)answer;
     struct shard *shard = ctx;
     uint64_t epoch, seq;
     if (!bus_u64(m, "e", &epoch) || !bus_u64(m, "s", &seq))
@@ -226,7 +256,16 @@
     if (seq <= shard->last_deal)
         return 200;
     shard->last_deal = seq;
-    const cJSON *x;
+    const cJSON *x, *close = cJSON_GetObjectItemCaseSensitive(m, "close");
+    if (close) {
+        *answer = cJSON_CreateObject();
+        cJSON *closed = cJSON_AddArrayToObject(*answer, "closed");
+        cJSON_ArrayForEach(x, close)
+        {
+            if (cJSON_IsString(x))
+                close_for_return(shard, x->valuestring, closed);
+        }
+    }
     cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(m, "gone"))
     {
         if (cJSON_IsString(x))
@@ -396,6 +435,7 @@
     shard->digest_whole = true;
     shard->want_raise = false;
     drop_queues(shard);
+    g_hash_table_remove_all(shard->closed_for_return);
     GHashTableIter it;
     struct host *host;
     g_hash_table_iter_init(&it, shard->hosts);
@@ -404,6 +444,7 @@
             g_hash_table_iter_remove(&it);
             continue;
         }
+        host->returning = shard_machine_returning(shard, host->id.s);
         if (skipped) {
             host->owned_since = shard->epoch;
             host->owned_at = loop_now(shard->loop);
@@ -485,6 +526,11 @@
             if (host && !host->in_txn && rec && rec->stamp.v > host->stamp.v)
                 host->stamp = rec->stamp;
             break;
+        case CHANGE_RETURNING:
+            host = shard_host_get(shard, change->host.s);
+            if (host)
+                host->returning = shard_machine_returning(shard, host->id.s);
+            break;
         case CHANGE_PAGE:
             shard_page_changed(shard, change->page);
             break;
--- a/src/shard_host.c
+++ b/src/shard_host.c
@@ -77,6 +77,7 @@
     host->unknown_tasks = g_array_new(FALSE, FALSE, sizeof(struct report_task));
     host->owned_since = shard->epoch;
     host->owned_at = host->heard = host->reached = loop_now(shard->loop);
+    host->returning = shard_machine_returning(shard, id.s);
     g_hash_table_insert(shard->hosts, host->id.s, host);
     return host;
 }
--- a/src/shard_place.c
+++ b/src/shard_place.c
@@ -18,7 +18,7 @@
            host->probe_fails == 0 && host->total.cpus.milli > 0 &&
            time_ms_since(loop_now(shard->loop), host->heard) <
                (int64_t)(shard->settings->report_s * 1250) + 1500 &&
-           !host->closed;
+           !host->closed && !host->returning;
 }
 
 static double host_booked(const struct host *host)
--- a/src/shard_record_adopt.c
+++ b/src/shard_record_adopt.c
@@ -9,7 +9,8 @@
     if (!shard_page_long(shard, page))
         return true;
     const struct node_record *node_record = g_hash_table_lookup(shard->view->nodes, page->label);
-    return plain && node_record && node_record->version < NODE_VERSION && !limits->lowered;
+    return plain && node_record && node_record->version < NODE_VERSION_PIPELINES &&
+           !limits->lowered;
 }
 
 struct page *shard_source_of(struct shard *shard, const struct host *host, const struct run *run)
--- a/src/shard_record_pages.c
+++ b/src/shard_record_pages.c
@@ -18,7 +18,7 @@
 
 bool shard_plain(const struct shard *shard)
 {
-    return !membership_all_understand(shard->members);
+    return !membership_all_understand(shard->members, NODE_VERSION_PIPELINES);
 }
 
 void shard_page_free(gpointer q)
--- a/src/shard_split.c
+++ b/src/shard_split.c
@@ -34,7 +34,7 @@
 static bool node_understands(const struct shard *shard, const char *label)
 {
     const struct node_record *node_record = g_hash_table_lookup(shard->view->nodes, label);
-    return node_record && node_record->version >= NODE_VERSION;
+    return node_record && node_record->version >= NODE_VERSION_PIPELINES;
 }
 
 /* A node splits its own pages. For one that is away the first of the map does it that understands
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -83,6 +83,7 @@
     int told_flags;        /* in the last digest; -1: not in it */
     bool told_images;      /* and what it has fetched */
     bool closed;           /* the leader wants nothing more placed there: it is slow, or sick */
+    bool returning;        /* nor here, as it is to be returned, or that is on record */
     bool push_out, push_wanted, probe_out;
     mono_time probed;
     uint64_t probed_session, probed_sequence; /* known when the probe went out */
@@ -131,6 +132,8 @@
     GHashTable *redirects; /* machine -> struct redirect */
     /* Machines that the cloud took back: what still comes from them is old. */
     GHashTable *returned_machines, *returned_machines_before;
+    /* Machines that the leader of this epoch returns, also those that are not known yet. */
+    GHashTable *closed_for_return;
     const struct settings *settings;
     epoch_no epoch;
     uint64_t generation, last_deal, digest_seq;
@@ -168,6 +171,7 @@
 /* shard.c: the shard's messages with the leader and the view */
 void shard_digest_soon(struct shard *shard);
 bool shard_machine_was_returned(const struct shard *shard, const char *id);
+bool shard_machine_returning(const struct shard *shard, const char *id);
 
 /* shard_host.c: machines, and what proves that a task is over */
 struct job *shard_live_job(struct shard *shard, job_id id);
--- a/src/view.c
+++ b/src/view.c
@@ -15,6 +15,7 @@
     view->inventories = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, view_inventory_free);
     view->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, view_node_free);
     view->type_parts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, view_type_part_free);
+    view->duties = duty_table_new();
     view->spoken = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     view->pipeline = pipeline_new(view_pipeline_changed, view);
     view->map = g_array_new(FALSE, FALSE, sizeof(struct map_entry));
@@ -41,6 +42,7 @@
     g_hash_table_unref(view->jobs);
     g_hash_table_unref(view->nodes);
     g_hash_table_unref(view->spoken);
+    duty_table_free(view->duties);
     pipeline_free(view->pipeline);
     g_array_unref(view->map);
     if (view->types)
@@ -158,6 +160,10 @@
         view_apply_leader(view, value, stamp);
     else if (strcmp(key, KEY_MAP) == 0)
         view_apply_map(view, value, stamp);
+    else if (strcmp(key, KEY_FEATURES) == 0)
+        view_apply_features(view, value, stamp);
     else if (g_str_has_prefix(key, KEY_TYPES))
         view_apply_types(view, key, value, stamp);
+    else
+        view_apply_duty(view, key, value, stamp);
 }
--- a/src/view.h
+++ b/src/view.h
@@ -6,14 +6,22 @@
 #ifndef LL_VIEW_H
 #define LL_VIEW_H
 
+#include "duty_table.h"
 #include "page.h"
 #include "pipeline.h"
 #include "store.h"
 #include "view_keys.h"
 
-/* What a node understands, as it says in its own key. 0 (nothing is said): before jobs could need
- * others, a machine's records could be on several pages, and marks could begin within a chunk. */
-enum { NODE_VERSION = 1 };
+/* What a node understands, as it says in its own key. */
+enum node_version {
+    NODE_VERSION_FIRST = 0, /* nothing is said */
+    /* Jobs may need others, a machine's records may be on several pages, and marks may begin within
+     * a chunk. */
+    NODE_VERSION_PIPELINES = 1,
+    /* Nothing is placed on machines that are on record to be returned. */
+    NODE_VERSION_DUTIES = 2,
+    NODE_VERSION = NODE_VERSION_DUTIES, /* of this program */
+};
 
 /* What became of a job. */
 enum job_state { JOB_LIVE, JOB_CANCELLED, JOB_DONE };
@@ -88,7 +96,8 @@
     char back[24];
     lease_id incarnation;
     revision stamp;
-    uint64_t version; /* of what it understands: see NODE_VERSION */
+    uint64_t version;  /* of what it understands: see enum node_version */
+    bool wants_duties; /* its operators have switched them on */
 };
 
 /* A node in the map, as the process that it was then. */
@@ -109,7 +118,9 @@
     CHANGE_LEADER,
     CHANGE_MAP,
     CHANGE_TYPES,
-    CHANGE_RELOADED, /* changes in between were lost */
+    CHANGE_DUTIES,    /* who holds them, or whether they are on */
+    CHANGE_RETURNING, /* it came on record, or left it, that the machine is to be returned */
+    CHANGE_RELOADED,  /* changes in between were lost */
 };
 
 /* A change that listeners are told; fields that its kind has no use for are zero. */
@@ -146,6 +157,9 @@
     GArray *map; /* struct map_entry */
     GArray *types;
     GHashTable *type_parts; /* key -> struct type_part */
+    struct duty_table *duties;
+    bool duties_on;          /* for all nodes, as ll/features says */
+    revision features_stamp; /* of that key */
     /* Jobs that are over stay in the state service; beyond so many the oldest are not kept here,
      * and whoever asks about one that is not known has to read its key. */
     guint most_over;
--- a/src/view_cluster.c
+++ b/src/view_cluster.c
@@ -24,6 +24,7 @@
         json_u64(value, "i", &node_record->incarnation.v);
         view_copy_text(value, "b", node_record->back, sizeof node_record->back);
         json_u64(value, "v", &node_record->version);
+        json_flag(value, "duties", &node_record->wants_duties);
         g_hash_table_replace(view->nodes, node_record->label, node_record);
     }
     view_note_change(view, (struct change){.kind = CHANGE_NODES});
@@ -77,6 +78,27 @@
     view_note_change(view, (struct change){.kind = CHANGE_MAP});
 }
 
+void view_apply_features(struct view *view, json_object *value, revision stamp)
+{
+    view->duties_on = false;
+    json_flag(value, "duties", &view->duties_on);
+    view->features_stamp = value ? stamp : (revision){0};
+    view_note_change(view, (struct change){.kind = CHANGE_DUTIES});
+}
+
+void view_apply_duty(struct view *view, const char *key, json_object *value, revision stamp)
+{
+    GPtrArray *machines = g_ptr_array_new_with_free_func(g_free);
+    if (duty_table_apply(view->duties, key, value, stamp, machines))
+        view_note_change(view, (struct change){.kind = CHANGE_DUTIES});
+    for (guint i = 0; i < machines->len; i++) {
+        struct change change = {.kind = CHANGE_RETURNING};
+        if (host_id_from(&change.host, machines->pdata[i]))
+            view_note_change(view, change);
+    }
+    g_ptr_array_unref(machines);
+}
+
 struct type_part {
     json_object *value;
     revision stamp;
--- a/src/view_keys.h
+++ b/src/view_keys.h
@@ -1,6 +1,7 @@
 /* The names of the scheduler's keys in the state service.
  *
- * ll/n/LABEL a live node, ll/leader, ll/map, ll/types, ll/j/JOB, ll/h/HOST what a machine is,
+ * ll/n/LABEL a live node, ll/leader, ll/map, ll/types, ll/features, ll/duty and ll/intent (see
+ * duty_codec.h), ll/j/JOB, ll/h/HOST what a machine is,
  * ll/a/LABEL/N what its machines are, many at once, ll/v/LABEL what its processes understand, for
  * good, ll/p/LABEL/N the pages on which LABEL keeps the run records of its machines and the tasks
  * that it saw done. */
@@ -17,6 +18,8 @@
 #define KEY_MAP "ll/map"
 /* Machine types; and ll/types/1 and so on, if that would be too long. */
 #define KEY_TYPES "ll/types"
+/* Which features are on for all nodes (feature_switch.h). */
+#define KEY_FEATURES "ll/features"
 
 /* Each returns a new text: a job, */
 char *key_job(job_id id);
--- a/src/view_state.h
+++ b/src/view_state.h
@@ -80,6 +80,10 @@
 void view_apply_leader(struct view *view, json_object *value, revision stamp);
 /* Takes the value of ll/map. */
 void view_apply_map(struct view *view, json_object *value, revision stamp);
+/* Takes the value of ll/features. */
+void view_apply_features(struct view *view, json_object *value, revision stamp);
+/* Takes the value of a key of the duties, if it is one. */
+void view_apply_duty(struct view *view, const char *key, json_object *value, revision stamp);
 /* Takes the value of ll/types or one of its continuations. */
 void view_apply_types(struct view *view, const char *key, json_object *value, revision stamp);
 
--- a/tests/world.c
+++ b/tests/world.c
@@ -1289,6 +1289,8 @@
     world->charters = g_ptr_array_new_with_free_func(g_free);
     world->answers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     world->policy = policy_default();
+    world->features = feature_set_default();
+    world->features.duties.enabled = plan->duties;
     world->deaf_node = -1;
     world->replier.reply = world_reply;
     for (int i = 0; i < plan->workers; i++) {
@@ -1342,8 +1344,8 @@
 {
     assert_null(world->nodes[node]);
     world->process[node]++;
-    world->nodes[node] =
-        node_new(world->loop, &world->nets[node].net, world->settings[node], world->policy);
+    world->nodes[node] = node_new(world->loop, &world->nets[node].net, world->settings[node],
+                                  world->policy, &world->features);
     node_start(world->nodes[node]);
 }
 
--- a/tests/world.h
+++ b/tests/world.h
@@ -38,6 +38,7 @@
     double report_s, lease_s, cancel_s;
     double rps, write_rps, cloud_rps;
     int txn_ops, fd_limit, boot_ms;
+    bool duties; /* they are switched on */
     /* Limits of the state service that the settings say are to come; 0: they say nothing. */
     double next_value_kb, next_write_rps;
     int next_txn_ops;
@@ -88,6 +89,7 @@
     struct settings *settings[WORLD_MOST_NODES];
     struct wnet nets[WORLD_MOST_NODES];
     struct policy *policy;
+    struct feature_set features; /* of nodes that are started from now on */
     struct node *nodes[WORLD_MOST_NODES];
     int process[WORLD_MOST_NODES]; /* counts a node's processes: an address may be used again */
     fate_fn fate;
