--- a/src/duty/duty_codec.h
+++ b/src/duty/duty_codec.h
@@ -1,7 +1,8 @@
 /* Keys and values of duties in the state service.
  *
- * ll/duty/DUTY who holds it, on the holder's lease; ll/intent/DUTY/N pages of intents that are not
- * settled yet, on no lease. */
+ * ll/duty/DUTY who holds it, on the holder's lease; ll/pending/DUTY/N pages of intents that are not
+ * settled yet, on no lease. Keys are read in their order, page by page: intents come after the map,
+ * so that whoever reads a map has all that was recorded under earlier ones. */
 #ifndef LL_DUTY_CODEC_H
 #define LL_DUTY_CODEC_H
 
@@ -9,7 +10,7 @@
 #include "duty_types.h"
 
 #define KEY_DUTIES "ll/duty/"
-#define KEY_INTENTS "ll/intent/"
+#define KEY_INTENTS "ll/pending/"
 
 /* The word for a duty in keys and logs. */
 const char *duty_name(enum duty duty);
--- a/src/duty/intent_log.c
+++ b/src/duty/intent_log.c
@@ -3,8 +3,9 @@
 #include "log.h"
 
 enum {
-    FLUSH_MS = 3,       /* others may be added within a moment */
-    SETTLE_MS = 1500,   /* settled intents wait so long for a write that is made anyway */
+    RENT_MS = 3,        /* others may be added within a moment */
+    RETURN_MS = 300,    /* a return is not that urgent */
+    SETTLE_MS = 4000,   /* settled intents wait so long for a write that is made anyway */
     RETRY_MS = 200,     /* after a transaction that was not carried out */
     MOST_BYTES = 40000, /* of values in a transaction */
     PAGE_BYTES = 48,    /* of a page without intents */
@@ -186,7 +187,7 @@
     if (!log->open || entry_get(log, intent->kind, intent->name))
         return;
     entry_make(log, intent)->condition = condition;
-    schedule(log, FLUSH_MS);
+    schedule(log, intent->kind == INTENT_RENT ? RENT_MS : RETURN_MS);
 }
 
 enum intent_state intent_log_state(const struct intent_log *log, enum intent_kind kind,
@@ -382,7 +383,7 @@
     log->out = false;
     log->setup.changed(log->setup.ctx);
     if (has_unwritten(log))
-        schedule(log, FLUSH_MS);
+        schedule(log, RENT_MS);
     else if (has_dirty(log))
         schedule(log, SETTLE_MS);
 }
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -60,6 +60,9 @@
 GPtrArray *fleet_returns_to_close(struct fleet *fleet);
 /* An owner said so in that epoch. */
 void fleet_return_closed(struct fleet *fleet, const char *id, epoch_no epoch);
+/* Machines (char *, new) that are gone, while their owners have not been told; and one has. */
+GPtrArray *fleet_returns_to_announce(struct fleet *fleet);
+void fleet_return_announced(struct fleet *fleet, const char *id);
 
 /* ---- duties ---- */
 
--- a/src/fleet_return.c
+++ b/src/fleet_return.c
@@ -5,7 +5,7 @@
 
 enum {
     MOST_RETURNED = 100, /* by one request */
-    MOST_CLOSING = 100,  /* asked of owners at a time */
+    MOST_NAMED = 500,    /* to owners at a time */
 };
 
 bool fleet_gone(const struct fleet *fleet, const char *id)
@@ -46,18 +46,31 @@
 
 /* ---- closing ---- */
 
-GPtrArray *fleet_returns_to_close(struct fleet *fleet)
+static GPtrArray *names_in(struct fleet *fleet, enum return_phase phase)
 {
     GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter it;
     struct machine_return *entry;
     g_hash_table_iter_init(&it, fleet->returns);
-    while (names->len < MOST_CLOSING && g_hash_table_iter_next(&it, NULL, (gpointer *)&entry))
-        if (entry->phase == RETURN_WANTED)
+    while (names->len < MOST_NAMED && g_hash_table_iter_next(&it, NULL, (gpointer *)&entry))
+        if (entry->phase == phase)
             g_ptr_array_add(names, g_strdup(entry->id.s));
     return names;
 }
 
+GPtrArray *fleet_returns_to_close(struct fleet *fleet)
+{
+    /* What was decided before the duty was gained is forgotten then. A machine that was closed for
+     * it would stay closed, and never be idle. */
+    return duties_holds(fleet->duties, DUTY_FLEET) ? names_in(fleet, RETURN_WANTED)
+                                                   : g_ptr_array_new_with_free_func(g_free);
+}
+
+GPtrArray *fleet_returns_to_announce(struct fleet *fleet)
+{
+    return names_in(fleet, RETURN_CONFIRMED);
+}
+
 void fleet_return_closed(struct fleet *fleet, const char *id, epoch_no epoch)
 {
     struct machine_return *entry = g_hash_table_lookup(fleet->returns, id);
@@ -82,6 +95,8 @@
 static void advance(struct fleet *fleet, struct machine_return *entry)
 {
     enum intent_state state = intent_log_state(fleet->intents, INTENT_RETURN, entry->id.s);
+    if (entry->phase == RETURN_CONFIRMED)
+        return;
     if (state == INTENT_RECORDED)
         entry->phase = RETURN_READY;
     else if (entry->phase == RETURN_READY)
@@ -109,6 +124,20 @@
         g_free(key);
         g_hash_table_remove(fleet->machines, id);
     }
+    struct machine_return *entry = g_hash_table_lookup(fleet->returns, id);
+    if (entry && fleet_records(fleet))
+        entry->phase = RETURN_CONFIRMED;
+    else
+        g_hash_table_remove(fleet->returns, id);
+}
+
+/* The intent stays on record until then: the owner would go on placing tasks on a machine that is
+ * no more once a new epoch has opened what was closed. */
+void fleet_return_announced(struct fleet *fleet, const char *id)
+{
+    const struct machine_return *entry = g_hash_table_lookup(fleet->returns, id);
+    if (!entry || entry->phase != RETURN_CONFIRMED)
+        return;
     intent_log_settle(fleet->intents, INTENT_RETURN, id);
     g_hash_table_remove(fleet->returns, id);
 }
@@ -173,7 +202,7 @@
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&entry)) {
         if (fleet_records(fleet) && !entry->out)
             advance(fleet, entry);
-        else if (!fleet_records(fleet))
+        else if (!fleet_records(fleet) && entry->phase != RETURN_CONFIRMED)
             entry->phase = RETURN_READY;
         ready = ready || entry->phase == RETURN_READY;
     }
--- a/src/fleet_state.h
+++ b/src/fleet_state.h
@@ -30,6 +30,8 @@
     RETURN_CLOSED,    /* its owner places nothing more in this epoch */
     RETURN_RECORDING, /* queued in the intent log */
     RETURN_READY,     /* it may be sent */
+    RETURN_CONFIRMED, /* the machine is gone; its owner is to be told before the intent is settled
+                       */
 };
 
 struct machine_return {
--- a/src/leader.c
+++ b/src/leader.c
@@ -132,7 +132,7 @@
         for (int rank = 0; rank < RANKS && budget > 0; rank++)
             budget -= leader_deal_rank(leader, rank, budget);
     leader_scale(leader);
-    leader_close_returning(leader);
+    leader_tell_returns(leader);
     fleet_step(leader->fleet);
     leader_send_all(leader);
     if (budget <= 0)
--- a/src/leader_shards.c
+++ b/src/leader_shards.c
@@ -97,17 +97,29 @@
     }
 }
 
-void leader_close_returning(struct leader *leader)
+/* The shard has heard of the machines that are gone. */
+static void take_announced(struct leader *leader, const struct leader_shard *shard)
 {
-    GPtrArray *names = fleet_returns_to_close(leader->fleet);
-    for (guint i = 0; i < names->len; i++) {
-        const char *owner = map_owner(leader->view, names->pdata[i]);
+    const cJSON *name;
+    cJSON_ArrayForEach(name, cJSON_GetObjectItemCaseSensitive(shard->sending, "gone"))
+        fleet_return_announced(leader->fleet, name->valuestring);
+}
+
+void leader_tell_returns(struct leader *leader)
+{
+    GPtrArray *closing = fleet_returns_to_close(leader->fleet);
+    GPtrArray *gone = fleet_returns_to_announce(leader->fleet);
+    for (guint i = 0; i < closing->len + gone->len; i++) {
+        const char *name = i < closing->len ? closing->pdata[i] : gone->pdata[i - closing->len];
+        const char *owner = map_owner(leader->view, name);
         struct leader_shard *shard = owner ? leader_shard_get(leader, owner) : NULL;
-        /* While a message is on its way, its answer may name them. */
+        /* While a message is on its way, it or its answer may name them. */
         if (shard && !shard->sending)
-            leader_shard_add(&shard->close, cJSON_CreateString(names->pdata[i]));
+            leader_shard_add(i < closing->len ? &shard->close : &shard->gone,
+                             cJSON_CreateString(name));
     }
-    g_ptr_array_unref(names);
+    g_ptr_array_unref(closing);
+    g_ptr_array_unref(gone);
 }
 
 static void shard_answered(void *arg, int status, const cJSON *answer)
@@ -119,6 +131,7 @@
         mono_time now = loop_now(leader->loop);
         shard->out = false;
         if (status == 200) {
+            take_announced(leader, shard);
             cJSON_Delete(shard->sending);
             shard->sending = NULL;
             shard->failing_since = (mono_time){0};
--- a/src/leader_shards.h
+++ b/src/leader_shards.h
@@ -15,7 +15,8 @@
                       struct entry *e, double grace_s);
 /* Sends what is queued to every shard that has answered its last message. */
 void leader_send_all(struct leader *leader);
-/* Has the owners of machines that are to be returned place nothing more on them. */
-void leader_close_returning(struct leader *leader);
+/* Has the owners of machines that are to be returned place nothing more on them, and tells them of
+ * those that are gone. */
+void leader_tell_returns(struct leader *leader);
 
 #endif
--- a/src/loop.c
+++ b/src/loop.c
@@ -244,3 +244,9 @@
     loop->fake_wall.ms += (until.us - loop->now.us) / 1000;
     loop->now = until;
 }
+
+void loop_skip(struct loop *loop, int64_t ms)
+{
+    loop->now = time_add_ms(loop->now, ms);
+    loop->fake_wall.ms += ms;
+}
--- a/src/loop.h
+++ b/src/loop.h
@@ -64,5 +64,7 @@
 void loop_stop(struct loop *loop);
 /* Fake clock: lets the time pass, firing timers and delivering messages in their order. */
 void loop_advance(struct loop *loop, int64_t ms);
+/* Fake clock: the process stands still for that time; what is due meanwhile fires afterwards. */
+void loop_skip(struct loop *loop, int64_t ms);
 
 #endif
--- a/src/shard.c
+++ b/src/shard.c
@@ -199,10 +199,10 @@
 static void host_is_gone(struct shard *shard, const char *id)
 {
     struct host *host = shard_host_get(shard, id);
+    bury(shard, id);
     if (!host || host->gone)
         return;
     LOG_INFO("machine_gone", "machine=%s", id);
-    bury(shard, id);
     host->gone = true;
     shard_inventory_lost(shard, host);
     drop_news(shard, host, false);
--- a/src/view_keys.h
+++ b/src/view_keys.h
@@ -1,6 +1,6 @@
 /* The names of the scheduler's keys in the state service.
  *
- * ll/n/LABEL a live node, ll/leader, ll/map, ll/types, ll/features, ll/duty and ll/intent (see
+ * ll/n/LABEL a live node, ll/leader, ll/map, ll/types, ll/features, ll/duty and ll/pending (see
  * duty_codec.h), ll/j/JOB, ll/h/HOST what a machine is,
  * ll/a/LABEL/N what its machines are, many at once, ll/v/LABEL what its processes understand, for
  * good, ll/p/LABEL/N the pages on which LABEL keeps the run records of its machines and the tasks
--- a/tests/world.c
+++ b/tests/world.c
@@ -58,7 +58,8 @@
     int late_status; /* of the answer that is on its way */
     char *late_text;
     int timeout_ms;
-    uint64_t from;       /* of a watch */
+    uint64_t from;                                                              /* of a watch */
+    enum { WAITS_NOT, WAITS_TO_LEAVE, WAITS_TO_ARRIVE, WAITS_AS_ANSWER } waits; /* in an inbox */
     mono_time watch_end; /* 0: not a watch that waits */
 };
 
@@ -77,10 +78,25 @@
     g_free(flight);
 }
 
+static void wait_in_inbox(struct flight *flight, int node, int how)
+{
+    flight->waits = how;
+    timer_stop(flight->world->loop, &flight->timer);
+    g_ptr_array_add(flight->world->inboxes[node], flight);
+}
+
 static void flight_answer(struct flight *flight, int status, const char *body)
 {
     bool alive = flight->process && flight->world->nodes[flight->node] &&
                  flight->world->process[flight->node] == flight->process;
+    if (alive && flight->world->paused[flight->node]) {
+        char *text = g_strdup(body);
+        g_free(flight->late_text);
+        flight->late_status = status;
+        flight->late_text = text;
+        wait_in_inbox(flight, flight->node, WAITS_AS_ANSWER);
+        return;
+    }
     if (alive && flight->done)
         flight->done(flight->arg, &(struct net_answer){status, body, strlen(body), 0});
     flight_free(flight);
@@ -91,6 +107,20 @@
     flight_answer(arg, NET_NO_ANSWER, "");
 }
 
+/* The same request, on the answer to which nobody waits. */
+static struct flight *flight_copy(const struct flight *flight)
+{
+    struct flight *copy = g_memdup2(flight, sizeof *flight);
+    copy->addr = g_strdup(flight->addr);
+    copy->method = g_strdup(flight->method);
+    copy->path = g_strdup(flight->path);
+    copy->body = g_strdup(flight->body);
+    copy->late_text = NULL;
+    copy->done = NULL;
+    timer_init(&copy->timer, timed_out, copy);
+    return copy;
+}
+
 static void arrived(void *arg)
 {
     struct flight *flight = arg;
@@ -102,16 +132,8 @@
     case FATE_REFUSED:
         flight_answer(flight, 503, "{\"error\":\"trouble\"}");
         return;
-    case FATE_HELD: {
-        struct flight *copy = g_memdup2(flight, sizeof *flight);
-        copy->addr = g_strdup(flight->addr);
-        copy->method = g_strdup(flight->method);
-        copy->path = g_strdup(flight->path);
-        copy->body = g_strdup(flight->body);
-        copy->done = NULL;
-        timer_init(&copy->timer, timed_out, copy);
-        g_ptr_array_add(world->held, copy);
-    }
+    case FATE_HELD:
+        g_ptr_array_add(world->held, flight_copy(flight));
         /* fall through */
     case FATE_LOST:
         timer_init(&flight->timer, timed_out, flight);
@@ -144,8 +166,15 @@
         g_str_has_suffix(request->path, wnet->world->lost))
         flight->fate = FATE_LOST;
     timer_init(&flight->timer, arrived, flight);
+    if (wnet->world->paused[wnet->node]) {
+        wait_in_inbox(flight, wnet->node, WAITS_TO_LEAVE);
+        return;
+    }
     timer_start(wnet->world->loop, &flight->timer,
                 flight->fate == FATE_SLOW ? SLOW_MS : LATENCY_MS);
+    if (wnet->world->pause_after_send[wnet->node])
+        world_pause(wnet->world, wnet->node);
+    wnet->world->pause_after_send[wnet->node] = false;
 }
 
 static void answered_late(void *arg)
@@ -190,6 +219,8 @@
 {
     struct wevent wevent = {g_strdup(key), g_strdup(text), world->ledger};
     g_array_append_val(world->events, wevent);
+    if (world->observer)
+        world->observer->key_changed(world->observer->ctx, key, text, world->ledger);
     if (world->events->len > 2 * KEPT_EVENTS) /* it keeps the last so many */
         g_array_remove_range(world->events, 0, KEPT_EVENTS);
 }
@@ -904,7 +935,7 @@
     bool reaches =
         worker->node != world->deaf_node && (worker->only < 0 || worker->only == worker->node);
     struct node *node = reaches ? world->nodes[worker->node] : NULL;
-    if (!node) {
+    if (!node || world->paused[worker->node]) {
         worker->node = (worker->node + 1) % worker->world->plan.nodes;
         return;
     }
@@ -999,6 +1030,7 @@
     g_strlcpy(worker->type_name, type_name, sizeof worker->type_name);
     g_strlcpy(worker->zone, zone, sizeof worker->zone);
     worker->spot = spot;
+    worker->rented = loop_now(world->loop);
     worker->up = true;
     worker->silent = worker->deaf = false;
     worker->quiet_until = (mono_time){0};
@@ -1028,6 +1060,8 @@
                 worker_loses_tasks(worker);
                 timer_stop(world->loop, &worker->report);
                 world->returned++;
+                if (world->observer)
+                    world->observer->returned(world->observer->ctx, worker->id);
             }
         }
 }
@@ -1048,6 +1082,8 @@
         if (!world->workers[i].up) {
             struct worker *worker = world_machine(world, i, type_name, zone, spot);
             json_object_array_add(list, json_object_new_string(worker->id));
+            if (world->observer)
+                world->observer->rented(world->observer->ctx, charter, worker->id);
             world->capacity--;
             number--;
         }
@@ -1075,7 +1111,9 @@
     assert_true(most <= 500);
     GPtrArray *up = g_ptr_array_new();
     for (int i = 0; i < world->plan.workers; i++)
-        if (world->workers[i].up && (!from || strcmp(world->workers[i].id, from) > 0))
+        if (world->workers[i].up &&
+            time_ms_since(loop_now(world->loop), world->workers[i].rented) >= world->list_lag_ms &&
+            (!from || strcmp(world->workers[i].id, from) > 0))
             g_ptr_array_add(up, &world->workers[i]);
     g_ptr_array_sort(up, by_name);
     for (guint i = 0; i < up->len && i < most; i++) {
@@ -1173,6 +1211,15 @@
         flight_answer(flight, NET_NOT_SENT, "");
         return;
     }
+    if (world
+            ->paused[to]) { /* it arrives once the node goes on; the sender does not wait so long */
+        struct flight *late = flight_copy(flight);
+        late->process = 0;
+        wait_in_inbox(late, to, WAITS_TO_ARRIVE);
+        flight->fate = FATE_LOST;
+        arrived(flight);
+        return;
+    }
     struct bus_reply *reply = g_new(struct bus_reply, 1); /* the answer may come later */
     *reply = (struct bus_reply){{bus_replied}, flight};
     struct http_request request = {flight->method, flight->path,         "",
@@ -1300,6 +1347,7 @@
     }
     for (int i = 0; i < plan->nodes; i++) {
         char *text = settings_text(plan, i), *error = NULL;
+        world->inboxes[i] = g_ptr_array_new();
         world->settings[i] = settings_parse(text, &error);
         if (error)
             fail_msg("%s", error);
@@ -1320,6 +1368,7 @@
     for (int i = 0; i < world->plan.nodes; i++) {
         world_kill(world, i);
         settings_free(world->settings[i]);
+        g_ptr_array_unref(world->inboxes[i]);
     }
     for (int i = 0; i < world->plan.workers; i++) {
         if (world->workers[i].up)
@@ -1341,11 +1390,45 @@
     g_free(world);
 }
 
+/* The node's clock stands where the world's is. */
+static void catch_up(struct world *world, int node)
+{
+    loop_skip(world->node_loops[node],
+              time_ms_since(loop_now(world->loop), loop_now(world->node_loops[node])));
+}
+
+static GPtrArray *take_inbox(struct world *world, int node)
+{
+    GPtrArray *waiting = world->inboxes[node];
+    world->inboxes[node] = g_ptr_array_new();
+    return waiting;
+}
+
+static void leave_inbox(struct flight *flight)
+{
+    int waited = flight->waits;
+    flight->waits = WAITS_NOT;
+    if (waited == WAITS_TO_LEAVE) {
+        timer_start(flight->world->loop, &flight->timer, LATENCY_MS);
+    } else if (waited == WAITS_TO_ARRIVE) {
+        carry_out(flight);
+    } else {
+        char *text = g_steal_pointer(&flight->late_text);
+        flight_answer(flight, flight->late_status, text);
+        g_free(text);
+    }
+}
+
 void world_start(struct world *world, int node)
 {
     assert_null(world->nodes[node]);
     world->process[node]++;
-    world->nodes[node] = node_new(world->loop, &world->nets[node].net, world->settings[node],
+    if (world->plan.pausable) {
+        world->node_loops[node] = loop_new_fake();
+        catch_up(world, node);
+    }
+    struct loop *loop = world->plan.pausable ? world->node_loops[node] : world->loop;
+    world->nodes[node] = node_new(loop, &world->nets[node].net, world->settings[node],
                                   world->policy, &world->features);
     node_start(world->nodes[node]);
 }
@@ -1354,13 +1437,55 @@
 {
     struct node *n = world->nodes[node];
     world->nodes[node] = NULL;
+    world->paused[node] = world->pause_after_send[node] = false;
     if (n)
         node_free(n);
+    if (world->node_loops[node])
+        loop_free(world->node_loops[node]);
+    world->node_loops[node] = NULL;
+    GPtrArray *waiting = take_inbox(world, node);
+    for (guint i = 0; i < waiting->len; i++)
+        flight_free(waiting->pdata[i]);
+    g_ptr_array_unref(waiting);
 }
 
 void world_run(struct world *world, int64_t ms)
 {
-    loop_advance(world->loop, ms);
+    if (!world->plan.pausable) {
+        loop_advance(world->loop, ms);
+        return;
+    }
+    for (; ms > 0; ms--) {
+        loop_advance(world->loop, 1);
+        for (int i = 0; i < world->plan.nodes; i++)
+            if (world->nodes[i] && !world->paused[i])
+                loop_advance(world->node_loops[i], 1);
+        if (world->each_step)
+            world->each_step(world);
+    }
+}
+
+void world_pause(struct world *world, int node)
+{
+    assert_true(world->plan.pausable);
+    world->paused[node] = world->nodes[node] != NULL;
+}
+
+void world_resume(struct world *world, int node)
+{
+    if (!world->paused[node])
+        return;
+    world->paused[node] = false;
+    catch_up(world, node);
+    GPtrArray *waiting = take_inbox(world, node);
+    for (guint i = 0; i < waiting->len; i++) {
+        struct flight *flight = waiting->pdata[i];
+        if (world->paused[node]) /* again, by what came first */
+            g_ptr_array_add(world->inboxes[node], flight);
+        else
+            leave_inbox(flight);
+    }
+    g_ptr_array_unref(waiting);
 }
 
 void world_deliver_held(struct world *world)
--- a/tests/world.h
+++ b/tests/world.h
@@ -38,12 +38,21 @@
     double report_s, lease_s, cancel_s;
     double rps, write_rps, cloud_rps;
     int txn_ops, fd_limit, boot_ms;
-    bool duties; /* they are switched on */
+    bool duties;   /* they are switched on */
+    bool pausable; /* each node has a loop of its own, and may stand still */
     /* Limits of the state service that the settings say are to come; 0: they say nothing. */
     double next_value_kb, next_write_rps;
     int next_txn_ops;
 };
 
+/* Who is told what the state service and the cloud carry out. */
+struct world_observer {
+    void *ctx;
+    void (*key_changed)(void *ctx, const char *key, const char *text, uint64_t revision);
+    void (*rented)(void *ctx, const char *request, const char *machine);
+    void (*returned)(void *ctx, const char *machine);
+};
+
 struct wnet {
     struct net net;
     struct world *world;
@@ -63,7 +72,8 @@
 struct worker {
     char id[16], addr[24], type_name[16], zone[8];
     bool spot, up, silent;
-    bool deaf; /* its reports arrive; answers and commands do not reach it */
+    mono_time rented; /* or begun otherwise */
+    bool deaf;        /* its reports arrive; answers and commands do not reach it */
     mono_time quiet_until;
     uint64_t session, sequence, token;
     double reclaim_notice_s; /* < 0: no notice */
@@ -91,6 +101,15 @@
     struct policy *policy;
     struct feature_set features; /* of nodes that are started from now on */
     struct node *nodes[WORLD_MOST_NODES];
+    /* With plan.pausable: */
+    struct loop *node_loops[WORLD_MOST_NODES];
+    bool paused[WORLD_MOST_NODES];
+    bool pause_after_send[WORLD_MOST_NODES]; /* the node stands still once its request has left */
+    GPtrArray *inboxes[WORLD_MOST_NODES];    /* struct flight: what waits for it to go on */
+    void (*each_step)(struct world *world);  /* every millisecond; NULL: nothing */
+    void *step_ctx;
+    const struct world_observer *observer; /* NULL: nobody */
+    int list_lag_ms;                       /* new machines are not listed before */
     int process[WORLD_MOST_NODES]; /* counts a node's processes: an address may be used again */
     fate_fn fate;
     bool state_down;
@@ -139,6 +158,10 @@
 void world_start(struct world *world, int node);
 void world_kill(struct world *world, int node);
 void world_run(struct world *world, int64_t ms);
+/* With plan.pausable: the node's process stands still, in the middle of a turn if it is just
+ * sending, and goes on later. What it sends or is sent waits meanwhile. */
+void world_pause(struct world *world, int node);
+void world_resume(struct world *world, int node);
 /* A machine that nobody rented: it is just there. */
 struct worker *world_worker(struct world *world, int i, const char *zone, bool spot);
 struct worker *world_machine(struct world *world, int i, const char *type_name, const char *zone,
