Duties: each step alone, lost answers, claims at once, hand-over, the switch; intents within the node's share of writes

Two faults that the tests found: a transaction that made a page and got no answer could be carried out after the page was removed, and brought settled intents back (pages are written empty now); a request that was settled while it was being recorded.

--- a/src/duty/intent_log.c
+++ b/src/duty/intent_log.c
@@ -4,8 +4,8 @@
 
 enum {
     RENT_MS = 3,        /* others may be added within a moment */
-    RETURN_MS = 300,    /* a return is not that urgent */
-    SETTLE_MS = 4000,   /* settled intents wait so long for a write that is made anyway */
+    RETURN_MS = 1000,   /* a return is not that urgent */
+    SETTLE_MS = 10000,  /* settled intents wait so long for a write that is made anyway */
     RETRY_MS = 200,     /* after a transaction that was not carried out */
     MOST_BYTES = 40000, /* of values in a transaction */
     PAGE_BYTES = 48,    /* of a page without intents */
@@ -26,7 +26,6 @@
     gsize bytes;    /* with all its entries that are not settled */
     bool dirty;     /* it is to be written */
     bool writing;   /* the transaction under way writes it */
-    bool stays;     /* and does not remove it */
 };
 
 struct intent_log {
@@ -142,7 +141,6 @@
         own->bytes += entry->settled ? 0 : entry->bytes;
         own->dirty = own->dirty || entry->settled;
     }
-    own->dirty = own->dirty || !page->intents->len;
 }
 
 static gboolean is_settled_and_gone(gpointer key, gpointer value, gpointer ctx)
@@ -227,10 +225,7 @@
 
 bool intent_log_empty(const struct intent_log *log)
 {
-    for (guint i = 0; i < log->pages->len; i++)
-        if (g_array_index(log->pages, struct log_page, i).stamp.v)
-            return false;
-    return !g_hash_table_size(log->entries) && !log->out;
+    return log->open && !g_hash_table_size(log->entries) && !log->out;
 }
 
 /* ---- writing ---- */
@@ -306,20 +301,18 @@
     return members;
 }
 
+/* An empty page is written, not removed: a transaction that made it and got no answer would
+ * otherwise find no page again, be carried out late, and bring settled intents back. */
 static void write_page(struct intent_log *log, struct txn *txn, int number)
 {
     struct log_page *page = page_at(log, number);
     char *key = key_intents(log->setup.duty, number);
     GPtrArray *members = page_members(log, number);
     txn_when(txn, key, page->stamp);
-    if (members->len)
-        txn_set(txn, key, intents_write(duties_token(log->setup.duties, log->setup.duty), members),
-                (lease_id){0});
-    else if (page->stamp.v)
-        txn_remove(txn, key);
+    txn_set(txn, key, intents_write(duties_token(log->setup.duties, log->setup.duty), members),
+            (lease_id){0});
     page->writing = true;
     page->dirty = false;
-    page->stays = members->len > 0;
     g_ptr_array_unref(members);
     g_free(key);
 }
@@ -353,7 +346,7 @@
         if (!page->writing)
             continue;
         page->writing = false;
-        page->stamp = page->stays ? at : (revision){0};
+        page->stamp = at;
     }
     entries_written(log);
 }
@@ -369,6 +362,18 @@
     return false;
 }
 
+/* Whether a request to rent waits for its record. */
+static bool rent_waits(const struct intent_log *log)
+{
+    GHashTableIter it;
+    struct entry *entry;
+    g_hash_table_iter_init(&it, log->entries);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&entry))
+        if (!entry->recorded && entry->intent.kind == INTENT_RENT)
+            return true;
+    return false;
+}
+
 static bool has_dirty(struct intent_log *log)
 {
     for (guint i = 0; i < log->pages->len; i++)
@@ -383,7 +388,7 @@
     log->out = false;
     log->setup.changed(log->setup.ctx);
     if (has_unwritten(log))
-        schedule(log, RENT_MS);
+        schedule(log, rent_waits(log) ? RENT_MS : RETURN_MS);
     else if (has_dirty(log))
         schedule(log, SETTLE_MS);
 }
@@ -456,10 +461,11 @@
     }
 }
 
-static void send(struct intent_log *log, struct txn *txn)
+static void send(struct intent_log *log, struct txn *txn, enum store_lane lane)
 {
     log->out = true;
-    store_txn(log->setup.store, LANE_URGENT, txn, write_answered, written_new(log));
+    log->setup.wrote(log->setup.ctx, txn_writes(txn));
+    store_txn(log->setup.store, lane, txn, write_answered, written_new(log));
 }
 
 /* Adds the pages that are to be written, as far as one transaction holds them. */
@@ -493,8 +499,9 @@
         struct txn *txn = txn_new();
         duties_guard(log->setup.duties, log->setup.duty, txn);
         txn_when(txn, log->setup.condition_key, condition);
+        enum store_lane lane = rent_waits(log) ? LANE_URGENT : LANE_NORMAL;
         write_pages(log, txn);
-        send(log, txn);
+        send(log, txn, lane);
     }
     if (dropped)
         log->setup.changed(log->setup.ctx);
--- a/src/duty/intent_log.h
+++ b/src/duty/intent_log.h
@@ -27,7 +27,8 @@
     void *ctx;                              /* of the functions */
     revision (*condition_stamp)(void *ctx); /* of that key, as the replica has it */
     void (*await)(void *ctx, revision at, duty_seen done, void *arg); /* as of duties_setup */
-    void (*changed)(void *ctx); /* what intent_log_state tells of some has changed */
+    void (*wrote)(void *ctx, guint writes); /* so many are on their way to the state service */
+    void (*changed)(void *ctx);             /* what intent_log_state tells of some has changed */
 };
 
 struct intent_log *intent_log_new(const struct intent_log_setup *setup);
@@ -47,7 +48,7 @@
 void intent_log_settle(struct intent_log *log, enum intent_kind kind, const char *name);
 /* All that are open, recorded or not: const struct intent *, in no order, a new array. */
 GPtrArray *intent_log_all(const struct intent_log *log);
-/* Whether nothing is open and no page is left. */
+/* Whether the log is open and nothing in it is. */
 bool intent_log_empty(const struct intent_log *log);
 
 #endif
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -24,6 +24,12 @@
         view_barrier(fleet->view, done, arg);
 }
 
+/* Intents take the place of run records: all that this node writes keeps within its share. */
+static void intents_wrote(void *ctx, guint writes)
+{
+    shard_charge_writes(((struct fleet *)ctx)->shard, writes);
+}
+
 static void intents_changed(void *ctx)
 {
     fleet_step(ctx);
@@ -70,6 +76,7 @@
     fleet->view = node->view;
     fleet->members = node->members;
     fleet->duties = node->duties;
+    fleet->shard = node->shard;
     fleet->settings = node->settings;
     fleet->features = node->features;
     fleet->listener = listener;
@@ -92,6 +99,7 @@
                                            .ctx = fleet,
                                            .condition_stamp = map_version,
                                            .await = await_view,
+                                           .wrote = intents_wrote,
                                            .changed = intents_changed};
     fleet->intents = intent_log_new(&setup);
     duties_listen(node->duties, &fleet->actor);
--- a/src/fleet_state.h
+++ b/src/fleet_state.h
@@ -50,6 +50,7 @@
     struct view *view;
     struct membership *members;
     struct duties *duties;
+    struct shard *shard;
     const struct settings *settings;
     const struct feature_set *features;
     struct actor *listener;
--- a/src/leader_policy.c
+++ b/src/leader_policy.c
@@ -16,16 +16,18 @@
 static double quickest_boot(struct leader *leader)
 {
     double least = NO_TYPE_BOOT_S;
-    for (guint i = 0; i < leader_types_now(leader)->len; i++)
-        least = MIN(least, g_array_index(leader_types_now(leader), struct machine_type, i).boot_s);
+    const GArray *types = leader_types_now(leader);
+    for (guint i = 0; types && i < types->len; i++)
+        least = MIN(least, g_array_index(types, struct machine_type, i).boot_s);
     return least;
 }
 
 double leader_slowest_boot(struct leader *leader)
 {
     double most = 0;
-    for (guint i = 0; i < leader_types_now(leader)->len; i++)
-        most = MAX(most, g_array_index(leader_types_now(leader), struct machine_type, i).boot_s);
+    const GArray *types = leader_types_now(leader);
+    for (guint i = 0; types && i < types->len; i++)
+        most = MAX(most, g_array_index(types, struct machine_type, i).boot_s);
     return most;
 }
 
--- a/src/leader_switch.c
+++ b/src/leader_switch.c
@@ -32,12 +32,33 @@
     send(leader, txn);
 }
 
-/* Under the token of the fleet: nothing can be recorded by anybody once the switch is off. */
+/* The pages of intents are empty by now; what is left of them goes with the switch. */
+static void remove_pages(struct leader *leader, struct txn *txn)
+{
+    GPtrArray *pages = duty_table_pages(leader->view->duties, DUTY_FLEET);
+    int most = store_limits(leader->store)->txn_ops;
+    for (guint i = 0; i < pages->len && (int)txn_writes(txn) < most; i++) {
+        const struct intent_page *page = pages->pdata[i];
+        char *key = key_intents(page->duty, page->number);
+        txn_when(txn, key, page->stamp);
+        txn_remove(txn, key);
+        g_free(key);
+    }
+    g_ptr_array_unref(pages);
+}
+
+/* Under the token of the fleet: nothing can be recorded by anybody once the switch is off. The
+ * record of the duty goes, too, so that what its holder sent to the pages is refused from now on.
+ */
 static void switch_off(struct leader *leader)
 {
     struct txn *txn = txn_of_leader(leader);
     duties_guard(leader->duties, DUTY_FLEET, txn);
     txn_remove(txn, KEY_FEATURES);
+    char *key = key_duty(DUTY_FLEET);
+    txn_remove(txn, key);
+    g_free(key);
+    remove_pages(leader, txn);
     LOG_INFO("duties_off", "nodes=%u", g_hash_table_size(leader->view->nodes));
     send(leader, txn);
 }
--- a/src/shard.h
+++ b/src/shard.h
@@ -16,6 +16,9 @@
 void shard_free(struct shard *shard);
 void shard_start(struct shard *shard);
 
+/* Other actors of this node have made so many writes, which count in its share. */
+void shard_charge_writes(struct shard *shard, guint writes);
+
 /* POST /agent/beat */
 void shard_report(struct shard *shard, struct http_replier *replier, conn_ref from,
                   const struct http_request *request);
--- a/src/shard_record_flush.c
+++ b/src/shard_record_flush.c
@@ -45,6 +45,11 @@
     return false;
 }
 
+void shard_charge_writes(struct shard *shard, guint writes)
+{
+    shard->write_level -= writes;
+}
+
 void shard_write_over(struct shard *shard, uint64_t generation, bool ok)
 {
     shard->txn_out = false;
