--- a/src/fleet_return.c
+++ b/src/fleet_return.c
@@ -92,18 +92,31 @@
     entry->phase = RETURN_RECORDING;
 }
 
+/* Whether a return has to begin anew: it was sent before duties were on, its intent was dropped as
+ * the map has changed, or the epoch in which it was closed is over. */
+static bool is_void(const struct fleet *fleet, const struct machine_return *entry,
+                    enum intent_state state)
+{
+    switch (entry->phase) {
+    case RETURN_READY:
+        return true;
+    case RETURN_RECORDING:
+        return state == INTENT_UNKNOWN;
+    case RETURN_CLOSED:
+        return entry->closed_in.v != fleet->view->epoch.v;
+    default:
+        return false;
+    }
+}
+
 static void advance(struct fleet *fleet, struct machine_return *entry)
 {
-    enum intent_state state = intent_log_state(fleet->intents, INTENT_RETURN, entry->id.s);
     if (entry->phase == RETURN_CONFIRMED)
         return;
+    enum intent_state state = intent_log_state(fleet->intents, INTENT_RETURN, entry->id.s);
     if (state == INTENT_RECORDED)
         entry->phase = RETURN_READY;
-    else if (entry->phase == RETURN_READY)
-        entry->phase = RETURN_WANTED; /* it was sent before duties were on */
-    else if (entry->phase == RETURN_RECORDING && state == INTENT_UNKNOWN)
-        entry->phase = RETURN_WANTED; /* dropped: the map has changed */
-    else if (entry->phase == RETURN_CLOSED && entry->closed_in.v != fleet->view->epoch.v)
+    else if (is_void(fleet, entry, state))
         entry->phase = RETURN_WANTED;
     else if (entry->phase == RETURN_CLOSED && !fleet->holding)
         record(fleet, entry);
