--- a/tests/world.c
+++ b/tests/world.c
@@ -54,6 +54,7 @@
     net_done done;
     void *arg;
     struct timer timer;
+    bool outside; /* a real process waits for the answer */
     enum fate fate;
     int late_status; /* of the answer that is on its way */
     char *late_text;
@@ -87,8 +88,8 @@
 
 static void flight_answer(struct flight *flight, int status, const char *body)
 {
-    bool alive = flight->process && flight->world->nodes[flight->node] &&
-                 flight->world->process[flight->node] == flight->process;
+    bool alive = flight->outside || (flight->process && flight->world->nodes[flight->node] &&
+                                     flight->world->process[flight->node] == flight->process);
     if (alive && flight->world->paused[flight->node]) {
         char *text = g_strdup(body);
         g_free(flight->late_text);
@@ -177,6 +178,23 @@
     wnet->world->pause_after_send[wnet->node] = false;
 }
 
+void world_serve(struct world *world, const struct net_request *request, net_done done, void *arg)
+{
+    struct flight *flight = g_new0(struct flight, 1);
+    *flight = (struct flight){.world = world,
+                              .outside = true,
+                              .sent = loop_now(world->loop),
+                              .addr = g_strdup(request->addr),
+                              .method = g_strdup(request->method),
+                              .path = g_strdup(request->path),
+                              .body = g_strndup(request->body ? request->body : "", request->len),
+                              .done = done,
+                              .arg = arg,
+                              .timeout_ms = request->timeout_ms};
+    timer_init(&flight->timer, arrived, flight);
+    carry_out(flight);
+}
+
 static void answered_late(void *arg)
 {
     struct flight *flight = arg;
--- a/tests/world.h
+++ b/tests/world.h
@@ -179,6 +179,10 @@
 /* Carries out what was held back, late. */
 void world_deliver_held(struct world *world);
 
+/* A request from outside, by a real process, to the state service or the cloud; done may be called
+ * later. */
+void world_serve(struct world *world, const struct net_request *request, net_done done, void *arg);
+
 /* A user's request at a node; runs the world until it is answered, for five seconds at most. */
 struct user_answer world_ask(struct world *world, int node, const char *method, const char *path,
                              const char *body);
