--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -170,11 +170,28 @@
     return strstr(request->body, "ll\\/pending\\/") ? 0.6 : 0.05;
 }
 
+static bool is_record(const struct net_request *request)
+{
+    return strcmp(request->path, "/txn") == 0 && strstr(request->body, "\"Set\":\"ll\\/p\\/");
+}
+
+static bool is_return_intent(const struct net_request *request)
+{
+    return strcmp(request->path, "/txn") == 0 && strstr(request->body, "\"return\":[\"");
+}
+
 static enum fate troubled(struct world *world, int node, const struct net_request *request)
 {
     struct play *play = play_of(world);
     if (!play->troubles || world->paused[node])
         return FATE_NORMAL;
+    /* An intent waits while the epoch changes, and comes as something is placed. */
+    if (is_return_intent(request) && chance(play, 0.3)) {
+        membership_raise(world->nodes[node]->members, "by the driver");
+        return FATE_HELD;
+    }
+    if (is_record(request) && chance(play, 0.3))
+        play->deliver_at = loop_now(world->loop);
     if (chance(play, pause_share(request)))
         pause_node(play, node, chance(play, 0.5));
     if (strcmp(request->path, "/txn") != 0 && !to_cloud(request))
@@ -644,11 +661,6 @@
 
 /* ---- machines that are to be returned ---- */
 
-static bool is_record(const struct net_request *request)
-{
-    return strcmp(request->path, "/txn") == 0 && strstr(request->body, "\"Set\":\"ll\\/p\\/");
-}
-
 static bool is_fleet_claim(const struct net_request *request)
 {
     return strcmp(request->path, "/txn") == 0 &&
