--- a/tests/duty_history.c
+++ b/tests/duty_history.c
@@ -138,6 +138,11 @@
         note_wrong(history, "returned %s, which is on no record", machine);
 }
 
+bool duty_history_return_known(const struct duty_history *history, const char *machine)
+{
+    return g_hash_table_contains(history->return_intents, machine);
+}
+
 unsigned duty_history_holders(const struct duty_history *history)
 {
     return history->holders;
--- a/tests/duty_history.h
+++ b/tests/duty_history.h
@@ -6,6 +6,7 @@
 #define LL_TEST_DUTY_HISTORY_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 struct duty_history;
@@ -21,6 +22,8 @@
 /* An exception for tests: a machine is just there, for which no request was made. */
 void duty_history_rented_by_hand(struct duty_history *history, const char *machine);
 
+/* Whether a return of the machine was ever on record. */
+bool duty_history_return_known(const struct duty_history *history, const char *machine);
 /* How many holders there were, and how many effects at the cloud. */
 unsigned duty_history_holders(const struct duty_history *history);
 unsigned duty_history_effects(const struct duty_history *history);
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -1,9 +1,12 @@
 /* Single-holder duties: nodes that stand still at every step of an act, and go on after their lease
  * or their successor's. Judged from what the state service and the cloud carried out. */
+#include "delay_histogram.h"
 #include "duty_history.h"
 #include "leader_state.h"
 #include "world.h"
 
+#include <stdio.h>
+
 enum {
     SEEDS = 60,
     SEED_MS = 70000,
@@ -31,6 +34,8 @@
     struct duty_history *history;
     struct world_observer observer;
     GRand *random;
+    GHashTable *closed_under; /* machine -> the map under which its owner last closed it */
+    char *closing_fault; /* an intent to return that was recorded under another map; NULL: none */
     mono_time resume_at[WORLD_MOST_NODES], next_job, next_kill, start_at[WORLD_MOST_NODES];
     mono_time deliver_at, raise_at;
     int capacity; /* of the cloud, at any moment */
@@ -48,6 +53,93 @@
 
 static void each_step(struct world *world);
 
+/* ---- closing before recording ---- */
+
+/* Sees the answer in which an owner names the machines on which it places nothing more. */
+static char *note_closed(struct world *world, int node, const char *path, const char *body)
+{
+    (void)node;
+    (void)path;
+    json_object *answer = json_read(body, strlen(body)), *closed = json_list(answer, "closed");
+    const char *map = world_key(world, "ll/map");
+    for (size_t i = 0; closed && i < json_object_array_length(closed); i++)
+        g_hash_table_replace(play_of(world)->closed_under,
+                             g_strdup(json_object_get_string(json_object_array_get_idx(closed, i))),
+                             g_strdup(map));
+    json_object_put(answer);
+    return NULL;
+}
+
+/* A key's value, new; NULL: there is none. */
+static json_object *parse_key(struct world *world, const char *key)
+{
+    const char *text = world_key(world, key);
+    return text ? json_tokener_parse(text) : NULL;
+}
+
+/* A node whose view has the newest map, or NULL. */
+static const struct node *node_with_map(struct world *world)
+{
+    json_object *map = parse_key(world, "ll/map");
+    uint64_t epoch = 0;
+    json_u64(map, "e", &epoch);
+    json_object_put(map);
+    for (int i = 0; i < WORLD_NODES; i++)
+        if (world->nodes[i] && world->nodes[i]->view->epoch.v == epoch)
+            return world->nodes[i];
+    return NULL;
+}
+
+/* Whether the leader's own node owns the machine, or that cannot be told: its messages to itself
+ * are not seen here. */
+static bool owned_by_leader(struct world *world, const char *machine)
+{
+    const struct node *node = node_with_map(world);
+    json_object *leader = parse_key(world, "ll/leader");
+    const char *label = "", *owner = node ? map_owner(node->view, machine) : NULL;
+    json_text(leader, "n", &label);
+    bool own = !owner || strcmp(owner, label) == 0;
+    json_object_put(leader);
+    return own;
+}
+
+/* An intent to return a machine comes on record only under the map under which its owner closed it.
+ */
+static void expect_closed(struct play *play, const char *text)
+{
+    json_object *value = json_read(text, strlen(text)), *returns = json_list(value, "return");
+    const char *map = world_key(play->world, "ll/map");
+    for (size_t i = 0; returns && i < json_object_array_length(returns); i++) {
+        const char *machine = json_object_get_string(json_object_array_get_idx(returns, i));
+        if (duty_history_return_known(play->history, machine) ||
+            owned_by_leader(play->world, machine))
+            continue;
+        const char *closed = g_hash_table_lookup(play->closed_under, machine);
+        if (!play->closing_fault && g_strcmp0(closed, map) != 0)
+            play->closing_fault = g_strdup_printf("%s is to be returned under %s, closed under %s",
+                                                  machine, map, closed);
+    }
+    json_object_put(value);
+}
+
+static void key_changed(void *ctx, const char *key, const char *text, uint64_t revision)
+{
+    struct play *play = ctx;
+    if (text && g_str_has_prefix(key, KEY_INTENTS))
+        expect_closed(play, text);
+    duty_history_key(play->history, key, text, revision);
+}
+
+static void rented(void *ctx, const char *request, const char *machine)
+{
+    duty_history_rented(((struct play *)ctx)->history, request, machine);
+}
+
+static void returned(void *ctx, const char *machine)
+{
+    duty_history_returned(((struct play *)ctx)->history, machine);
+}
+
 /* fate: what becomes of requests from the first one on; NULL: nothing special. */
 static struct play *play_new_with(unsigned seed, fate_fn fate, const struct stop *stop)
 {
@@ -61,8 +153,9 @@
     play->world->each_step = each_step;
     play->world->fate = fate;
     play->stop = stop;
-    play->observer = (struct world_observer){play->history, duty_history_key, duty_history_rented,
-                                             duty_history_returned};
+    play->observer = (struct world_observer){play, key_changed, rented, returned};
+    play->closed_under = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    play->world->between = note_closed;
     play->world->observer = &play->observer;
     play->world->list_lag_ms = 4000;
     play->world->capacity = play->capacity = MACHINES;
@@ -86,12 +179,15 @@
 {
     if (duty_history_wrong(play->history))
         fail_msg("%s", duty_history_wrong(play->history));
+    if (play->closing_fault)
+        fail_msg("%s", play->closing_fault);
 }
 
 static void play_end(struct play *play)
 {
     expect_right(play);
     world_end(play->world);
+    g_hash_table_unref(play->closed_under);
     duty_history_free(play->history);
     g_rand_free(play->random);
     g_free(play);
@@ -796,8 +892,77 @@
     world_end(world);
 }
 
-int main(void)
+/* ---- a measurement, which is no test ---- */
+
+enum ending { ENDS_BY_CRASH, ENDS_BY_RESTART, ENDS_BY_PAUSE, ENDS_BY_HAND_OVER, ENDINGS };
+
+static void end_holder(struct play *play, enum ending ending, int holder)
+{
+    struct world *world = play->world;
+    struct duty_holder successor = {0};
+    switch (ending) {
+    case ENDS_BY_CRASH:
+        world_kill(world, holder);
+        break;
+    case ENDS_BY_RESTART:
+        world_kill(world, holder);
+        world_start(world, holder);
+        break;
+    case ENDS_BY_PAUSE:
+        world_pause(world, holder);
+        play->resume_at[holder] = time_add_ms(loop_now(world->loop), 20000);
+        break;
+    default:
+        g_strlcpy(successor.label, world->settings[(holder + 1) % WORLD_NODES]->label,
+                  sizeof successor.label);
+        successor.incarnation = ((struct node_record *)g_hash_table_lookup(
+                                     world->nodes[holder]->view->nodes, successor.label))
+                                    ->incarnation;
+        duties_hand_over(world->nodes[holder]->duties, DUTY_CLEANUP, &successor);
+    }
+}
+
+static int living_holder(struct world *world, enum duty duty)
+{
+    for (int i = 0; i < WORLD_NODES; i++)
+        if (world->nodes[i] && !world->paused[i] && duties_may_act(world->nodes[i]->duties, duty))
+            return i;
+    return -1;
+}
+
+static void measure_ending(enum ending ending, const char *name, int rounds)
+{
+    struct delay_histogram *gaps = delay_histogram_new();
+    enum duty duty = ending == ENDS_BY_HAND_OVER ? DUTY_CLEANUP : DUTY_FLEET;
+    for (int round = 0; round < rounds; round++) {
+        struct play *play = play_new(1);
+        world_run(play->world, 1 + round * 37);
+        end_holder(play, ending, living_holder(play->world, duty));
+        int ms = 0;
+        for (; living_holder(play->world, duty) < 0; ms++)
+            world_run(play->world, 1);
+        delay_histogram_add(gaps, ms);
+        play_end(play);
+    }
+    printf("without a holder, %s: %" G_GUINT64_FORMAT " times, p50 %.0f ms, p90 %.0f, p99 %.0f\n",
+           name, delay_histogram_count(gaps), delay_histogram_quantile(gaps, 0.5),
+           delay_histogram_quantile(gaps, 0.9), delay_histogram_quantile(gaps, 0.99));
+    delay_histogram_free(gaps);
+}
+
+static int measure(int rounds)
+{
+    static const char *const names[ENDINGS] = {"crash", "restart at once", "pause", "hand-over"};
+    for (int i = 0; i < ENDINGS; i++)
+        measure_ending((enum ending)i, names[i], rounds);
+    return 0;
+}
+
+/* test_duties [ROUNDS]: the tests, or a measurement of so many rounds. */
+int main(int argc, char **argv)
 {
+    if (argc > 1)
+        return measure((int)strtol(argv[1], NULL, 10));
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(each_step_alone),
         cmocka_unit_test(each_answer_is_lost),
