--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -918,6 +918,7 @@
         successor.incarnation = ((struct node_record *)g_hash_table_lookup(
                                      world->nodes[holder]->view->nodes, successor.label))
                                     ->incarnation;
+        duties_claim(world->nodes[(holder + 1) % WORLD_NODES]->duties, DUTY_CLEANUP);
         duties_hand_over(world->nodes[holder]->duties, DUTY_CLEANUP, &successor);
     }
 }
