--- a/src/duty/intent_log.c
+++ b/src/duty/intent_log.c
@@ -12,15 +12,17 @@
     NO_PAGE = -1,
 };
 
+/* An intent that is open, or settled and still on its page. */
 struct entry {
     struct intent intent;
-    revision condition;
+    revision condition; /* the version of the key on which it depends; 0: none */
     bool recorded, settled;
     bool writing; /* the transaction under way changes where it stands */
     int page;     /* NO_PAGE: none was chosen yet */
     gsize bytes;
 };
 
+/* A page, as the last transaction left it and as the next one is to write it. */
 struct log_page {
     revision stamp; /* 0: it does not exist */
     gsize bytes;    /* with all its entries that are not settled */
@@ -56,13 +58,22 @@
     return entry;
 }
 
-/* What an intent takes on a page. */
+/* What a text takes in JSON, with its quotes: some characters are written as two. */
+static gsize text_bytes(const char *text)
+{
+    gsize bytes = 2;
+    for (; *text; text++)
+        bytes += strchr("/\"\\", *text) ? 2 : 1;
+    return bytes;
+}
+
+/* What an intent takes on a page at most. */
 static gsize intent_bytes(const struct intent *intent)
 {
-    enum { RETURN_SIGNS = 3, RENT_SIGNS = 32 };
-    gsize bytes = strlen(intent->name) + RETURN_SIGNS;
+    enum { RENT_SIGNS = 24 }; /* brackets, commas, the kind and the number */
+    gsize bytes = text_bytes(intent->name) + 1;
     if (intent->kind == INTENT_RENT)
-        bytes += strlen(intent->type_name) + strlen(intent->zone) + RENT_SIGNS;
+        bytes += text_bytes(intent->type_name) + text_bytes(intent->zone) + RENT_SIGNS;
     return bytes;
 }
 
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -630,9 +630,9 @@
     assert_int_equal(play->acts[node], before);
 }
 
-static void a_holder_that_is_refused_does_nothing(void **state)
+/* The state service is away for that long for the holder alone, or for all. */
+static void play_absence(bool for_all)
 {
-    (void)state;
     struct play *play = play_new(1);
     struct world *world = play->world;
     world->fate = stopped_once;
@@ -640,31 +640,26 @@
     world->cloud_down = true;
     add_job(play);
     world_run(world, 2000);
-    world->refused[leader] = true;
+    world->state_down = for_all;
+    world->refused[leader] = !for_all;
     expect_no_acts(play, leader, 15000);
     assert_true(holder_of(world, DUTY_FLEET) != leader);
-    world->refused[leader] = world->cloud_down = false;
+    world->state_down = world->refused[leader] = world->cloud_down = false;
     settle(play);
     expect_nothing_left(play);
     play_end(play);
 }
 
+static void a_holder_that_is_refused_does_nothing(void **state)
+{
+    (void)state;
+    play_absence(false);
+}
+
 static void in_an_outage_nobody_acts(void **state)
 {
     (void)state;
-    struct play *play = play_new(1);
-    struct world *world = play->world;
-    world->fate = stopped_once;
-    int leader = world_leader_index(world);
-    world->cloud_down = true;
-    add_job(play);
-    world_run(world, 2000);
-    world->state_down = true;
-    expect_no_acts(play, leader, 15000);
-    world->state_down = world->cloud_down = false;
-    settle(play);
-    expect_nothing_left(play);
-    play_end(play);
+    play_absence(true);
 }
 
 /* ---- the switch ---- */
--- a/tests/test_loopback.c
+++ b/tests/test_loopback.c
@@ -39,7 +39,7 @@
     struct world_observer observer;
     GRand *random;
     char *folder;
-    int ports[2 * NODES + 2]; /* of users, between nodes, then state service and cloud */
+    int api_ports[NODES], back_ports[NODES], stand_in_ports[2]; /* state service, cloud */
     struct stand_in stand_ins[2];
     GPid processes[NODES];
     bool stopped[NODES];
@@ -98,13 +98,13 @@
     g_string_append_printf(text,
                            "label = \"mast-%d\"\ndomain = \"a\"\napi_addr = \"127.0.0.1:%d\"\n"
                            "back = \"127.0.0.1:%d\"\n",
-                           node, play->ports[node], play->ports[NODES + node]);
+                           node, play->api_ports[node], play->back_ports[node]);
     for (int i = 0; i < NODES; i++)
         if (i != node)
             g_string_append_printf(text,
                                    "[[siblings]]\nlabel = \"mast-%d\"\ndomain = \"a\"\n"
                                    "endpoint = \"127.0.0.1:%d\"\n",
-                                   i, play->ports[NODES + i]);
+                                   i, play->back_ports[i]);
     g_string_append_printf(
         text,
         "[outside]\nstate = \"127.0.0.1:%d\"\ncloud = \"127.0.0.1:%d\"\n[deployment]\nsize = %d\n"
@@ -114,7 +114,7 @@
         "[deployment.state]\nrps = 400.0\nwrite_rps = 200.0\nvalue_kb = 8.0\ntxn_ops = 6\n"
         "[deployment.cloud]\nrps = 10.0\nlist_lag_s = 2.0\n[deployment.machine_limits]\n"
         "core_share = 0.1\nram_mb = 64.0\nfd_limit = 800\n",
-        play->ports[2 * NODES], play->ports[2 * NODES + 1], NODES);
+        play->stand_in_ports[0], play->stand_in_ports[1], NODES);
     char *path = g_strdup_printf("%s/mast-%d.toml", play->folder, node);
     assert_true(g_file_set_contents(path, text->str, -1, NULL));
     g_string_free(text, TRUE);
@@ -194,7 +194,7 @@
     static const char *const addrs[] = {"10.2.0.1:2379", "10.2.0.2:8443"};
     for (int i = 0; i < 2; i++) {
         char *error = NULL;
-        char *addr = g_strdup_printf("127.0.0.1:%d", play->ports[2 * NODES + i]);
+        char *addr = g_strdup_printf("127.0.0.1:%d", play->stand_in_ports[i]);
         play->stand_ins[i] = (struct stand_in){play, addrs[i]};
         assert_non_null(
             http_server_new(play->loop, addr, limits, serve, &play->stand_ins[i], &error));
@@ -232,8 +232,12 @@
     play.observer = (struct world_observer){play.history, duty_history_key, duty_history_rented,
                                             duty_history_returned};
     play.world->observer = &play.observer;
-    for (guint i = 0; i < G_N_ELEMENTS(play.ports); i++)
-        play.ports[i] = free_port();
+    for (int i = 0; i < NODES; i++) {
+        play.api_ports[i] = free_port();
+        play.back_ports[i] = free_port();
+    }
+    for (int i = 0; i < 2; i++)
+        play.stand_in_ports[i] = free_port();
     start_stand_ins(&play);
     world_put(play.world, "ll/types", types_text);
     add_jobs(play.world);
--- a/tests/world.c
+++ b/tests/world.c
@@ -145,15 +145,12 @@
     }
 }
 
-static void net_request_fn(struct net *net, const struct net_request *request, net_done done,
-                           void *arg)
+static struct flight *flight_new(struct world *world, const struct net_request *request,
+                                 net_done done, void *arg)
 {
-    struct wnet *wnet = (struct wnet *)net;
     struct flight *flight = g_new0(struct flight, 1);
-    *flight = (struct flight){.world = wnet->world,
-                              .node = wnet->node,
-                              .process = wnet->world->process[wnet->node],
-                              .sent = loop_now(wnet->world->loop),
+    *flight = (struct flight){.world = world,
+                              .sent = loop_now(world->loop),
                               .addr = g_strdup(request->addr),
                               .method = g_strdup(request->method),
                               .path = g_strdup(request->path),
@@ -161,12 +158,22 @@
                               .done = done,
                               .arg = arg,
                               .timeout_ms = request->timeout_ms};
+    timer_init(&flight->timer, arrived, flight);
+    return flight;
+}
+
+static void net_request_fn(struct net *net, const struct net_request *request, net_done done,
+                           void *arg)
+{
+    struct wnet *wnet = (struct wnet *)net;
+    struct flight *flight = flight_new(wnet->world, request, done, arg);
+    flight->node = wnet->node;
+    flight->process = wnet->world->process[wnet->node];
     flight->fate =
         wnet->world->fate ? wnet->world->fate(wnet->world, wnet->node, request) : FATE_NORMAL;
     if (wnet->world->lost && g_str_has_suffix(request->addr, ":8081") &&
         g_str_has_suffix(request->path, wnet->world->lost))
         flight->fate = FATE_LOST;
-    timer_init(&flight->timer, arrived, flight);
     if (wnet->world->paused[wnet->node]) {
         wait_in_inbox(flight, wnet->node, WAITS_TO_LEAVE);
         return;
@@ -180,18 +187,8 @@
 
 void world_serve(struct world *world, const struct net_request *request, net_done done, void *arg)
 {
-    struct flight *flight = g_new0(struct flight, 1);
-    *flight = (struct flight){.world = world,
-                              .outside = true,
-                              .sent = loop_now(world->loop),
-                              .addr = g_strdup(request->addr),
-                              .method = g_strdup(request->method),
-                              .path = g_strdup(request->path),
-                              .body = g_strndup(request->body ? request->body : "", request->len),
-                              .done = done,
-                              .arg = arg,
-                              .timeout_ms = request->timeout_ms};
-    timer_init(&flight->timer, arrived, flight);
+    struct flight *flight = flight_new(world, request, done, arg);
+    flight->outside = true;
     carry_out(flight);
 }
 
