--- /dev/null
+++ b/src/leader_return.h
@@ -0,0 +1,10 @@
+/* What the leader returns. */
+#ifndef LL_LEADER_RETURN_H
+#define LL_LEADER_RETURN_H
+
+#include "leader_state.h"
+
+/* Returns machines that are no use or idle, and tells their owners of those that are gone. */
+void leader_return_machines(struct leader *leader);
+
+#endif
--- a/src/leader_state.h
+++ b/src/leader_state.h
@@ -214,7 +214,7 @@
 /* How long the machine may be idle before it is returned. */
 double leader_idle_ms(struct leader *leader, const struct leader_host *host);
 
-/* leader_scale.c: renting and returning */
+/* leader_scale.c, leader_rent.c, leader_return.c: renting and returning */
 /* Whether nothing is on record, dealt, held or wanted on the machine. */
 bool leader_host_idle(const struct leader_host *host);
 /* Rents what is lacking and returns what is idle or of no use; does so only now and then. */
