Whether all nodes understand a version is worked out when nodes change, not for each machine looked at

Cause: on a fleet of 4,000 machines that are all up placement spent four fifths of its time there (perf): each look at a machine went through all nodes of the settings with two look-ups each. Change: the answer is kept until a node's key or version changes.

--- a/src/membership.c
+++ b/src/membership.c
@@ -18,6 +18,12 @@
     mono_time until;
 };
 
+/* Whether all nodes understood a version when their changes were counted so. */
+struct understood {
+    uint64_t changes;
+    bool all;
+};
+
 struct membership {
     struct actor actor;
     struct loop *loop;
@@ -29,6 +35,7 @@
     mono_time renew_sent;
     bool lease_out, joined, join_out, write_out;
     bool wants_duties;
+    struct understood understood[NODE_VERSION + 1];
     revision stamp; /* of this node's key */
     struct timer tick, renew;
     mono_time vacant_since; /* no leader */
@@ -268,7 +275,7 @@
            (!node_record || node_record->version >= (uint64_t)version);
 }
 
-bool membership_all_understand(const struct membership *membership, enum node_version version)
+static bool all_understand(const struct membership *membership, enum node_version version)
 {
     bool all = understands(membership, membership->settings->label, version);
     for (guint i = 0; i < membership->settings->siblings->len; i++)
@@ -279,6 +286,16 @@
     return all;
 }
 
+/* Placement asks for each machine that it looks at, so the answer is kept until nodes change. */
+bool membership_all_understand(struct membership *membership, enum node_version version)
+{
+    struct understood *understood = &membership->understood[version];
+    uint64_t changes = membership->view->node_changes + 1; /* 0: never asked */
+    if (understood->changes != changes)
+        *understood = (struct understood){changes, all_understand(membership, version)};
+    return understood->all;
+}
+
 /* The duties of an earlier process of this label: its keys would stay until its lease ends. */
 static void give_up_duties(struct membership *membership, struct txn *txn)
 {
--- a/src/membership.h
+++ b/src/membership.h
@@ -28,7 +28,7 @@
 /* Whether every node, alive or not, has once been of a version that understands that one, and none
  * that lives is older: as a node is not taken back to an older one after that, nobody will ever
  * read what it would not understand. */
-bool membership_all_understand(const struct membership *membership, enum node_version version);
+bool membership_all_understand(struct membership *membership, enum node_version version);
 
 /* Asks the leader's node to raise the epoch; what was dealt under the old one is void. */
 void membership_raise(struct membership *membership, const char *why);
--- a/src/view.h
+++ b/src/view.h
@@ -148,6 +148,7 @@
     GHashTable *inventories; /* key -> struct inventory */
     GHashTable *nodes;       /* label -> struct node_record */
     GHashTable *spoken;      /* label -> version that a process of it has said it understands */
+    uint64_t node_changes;   /* counts changes of these two */
     struct pipeline *pipeline;
     char *leader; /* label, or NULL */
     lease_id leader_incarnation;
--- a/src/view_cluster.c
+++ b/src/view_cluster.c
@@ -15,6 +15,7 @@
 
 void view_apply_node(struct view *view, const char *label, json_object *value, revision stamp)
 {
+    view->node_changes++;
     if (!value) {
         g_hash_table_remove(view->nodes, label);
     } else {
@@ -33,6 +34,7 @@
 void view_apply_version(struct view *view, const char *label, json_object *value)
 {
     uint64_t version = 0;
+    view->node_changes++;
     if (json_u64(value, "v", &version))
         g_hash_table_replace(view->spoken, g_strdup(label), GUINT_TO_POINTER((guint)version));
     else
