Tests: one way to put an accepted job; a field and a constant that nothing used are gone

test_duties and test_loopback wrote the same record of an accepted job by hand; world_put_accepted does it for both.

--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -36,7 +36,7 @@
     GRand *random;
     GHashTable *closed_under; /* machine -> the map under which its owner last closed it */
     char *closing_fault; /* an intent to return that was recorded under another map; NULL: none */
-    mono_time resume_at[WORLD_MOST_NODES], next_job, next_kill, start_at[WORLD_MOST_NODES];
+    mono_time resume_at[WORLD_MOST_NODES], next_kill, start_at[WORLD_MOST_NODES];
     mono_time deliver_at, raise_at;
     int capacity; /* of the cloud, at any moment */
     unsigned pauses, jobs;
@@ -323,7 +323,7 @@
 
 static void each_step(struct world *world)
 {
-    enum { EVERY_MS = 20, FIRST_JOB = 1000 };
+    enum { EVERY_MS = 20 };
     struct play *play = play_of(world);
     mono_time now = loop_now(world->loop);
     for (int i = 0; i < WORLD_NODES; i++)
@@ -343,17 +343,13 @@
         membership_raise(leader->members, "by the driver");
 }
 
-/* A job is stored by hand, as if some node had accepted it: no node need be awake for that. */
+/* No node need be awake for that. */
 static void add_job(struct play *play)
 {
     char id[24];
     g_snprintf(id, sizeof id, "wk-%05u", ++play->jobs);
-    char *job = world_job(id, "sweep", g_rand_int_range(play->random, 4, 20), "blue", 2, "");
-    char *value = g_strdup_printf("{\"t\":%" G_GINT64_FORMAT ",\"w\":%s}",
-                                  loop_wall(play->world->loop).ms, job);
-    world_put_job(play->world, id, value);
-    g_free(value);
-    g_free(job);
+    world_put_accepted(play->world, id, g_rand_int_range(play->random, 4, 20),
+                       loop_wall(play->world->loop));
 }
 
 static void settle(struct play *play)
--- a/tests/test_loopback.c
+++ b/tests/test_loopback.c
@@ -207,12 +207,7 @@
     for (int i = 0; i < JOBS; i++) {
         char id[16];
         g_snprintf(id, sizeof id, "wk-%d", i);
-        char *job = world_job(id, "sweep", 20, "blue", 2, "");
-        char *value =
-            g_strdup_printf("{\"t\":%" G_GINT64_FORMAT ",\"w\":%s}", g_get_real_time() / 1000, job);
-        world_put_job(world, id, value);
-        g_free(value);
-        g_free(job);
+        world_put_accepted(world, id, 20, (wall_time){g_get_real_time() / 1000});
     }
 }
 
--- a/tests/world.c
+++ b/tests/world.c
@@ -331,6 +331,15 @@
         id, team_name, form, tasks, cpus, strcmp(form, "daemon") == 0 ? "0.0" : "10.0", more);
 }
 
+void world_put_accepted(struct world *world, const char *id, int tasks, wall_time submitted)
+{
+    char *job = world_job(id, "sweep", tasks, "blue", 2, "");
+    char *value = g_strdup_printf("{\"t\":%" G_GINT64_FORMAT ",\"w\":%s}", submitted.ms, job);
+    world_put_job(world, id, value);
+    g_free(value);
+    g_free(job);
+}
+
 char *world_swapped(const char *text, const char *what, const char *by)
 {
     char **shards = g_strsplit(text, what, 2);
--- a/tests/world.h
+++ b/tests/world.h
@@ -170,6 +170,8 @@
 void world_put(struct world *world, const char *key, const char *text);
 /* The same for a job that no user submitted, or its end: the rules take its value for true. */
 void world_put_job(struct world *world, const char *job, const char *value);
+/* An array of team blue, of tasks of two processors, as if some node had accepted it then. */
+void world_put_accepted(struct world *world, const char *id, int tasks, wall_time submitted);
 void world_remove(struct world *world, const char *key);
 const char *world_key(struct world *world, const char *key); /* its text, or NULL */
 /* A task is on a machine, as some node started it that nobody sees here. */
