--- /dev/null
+++ b/tests/trouble_fixtures.c
@@ -0,0 +1,73 @@
+#include "trouble_fixtures.h"
+
+#include <string.h>
+
+struct worker *worker_of(struct world *world, const char *job, uint32_t index)
+{
+    for (int i = 0; i < WORLD_WORKERS; i++)
+        if (world->workers[i].up && worker_task(&world->workers[i], job, index))
+            return &world->workers[i];
+    return NULL;
+}
+
+/* Tasks on record on a machine, as any live node sees them. */
+guint recorded(struct world *world, const struct worker *worker)
+{
+    struct host_record *rec = view_host(world_leader(world)->view, worker->id);
+    return rec ? rec->tasks->len : 0;
+}
+
+void two_ordinary_machines(struct world *world)
+{
+    world->capacity = 0;
+    world_worker(world, 6, "a", false);
+    world_worker(world, 7, "b", false);
+    world_run(world, 3000);
+}
+
+/* The machine on which the first replica of wk-1 runs. */
+struct worker *service_on_two_machines(struct world *world, int replicas)
+{
+    two_ordinary_machines(world);
+    world_submit(world, 0, "wk-1", "daemon", replicas);
+    world_run(world, 3000);
+    struct worker *worker = worker_of(world, "wk-1", 0);
+    assert_non_null(worker);
+    return worker;
+}
+
+void lone(struct world *world, int node)
+{
+    world_submit(world, (node + 1) % 3, "wk-1", "daemon", 8);
+    world_run(world, 8000);
+    assert_int_equal(world_on_machines(world, "wk-1"), 8);
+    world->lone = node;
+    world->fate = world_only_workers;
+    world_run(world, 4000);
+    /* Its users hear at once that they should ask others, and it does not call itself ready. */
+    struct user_answer answer = world_ask(world, node, "GET", "/work/wk-1", NULL);
+    assert_int_equal(answer.status, 503);
+    assert_non_null(strstr(answer.fields, "Retry-After"));
+    assert_in_range(answer.took_ms, 0, 50);
+    answer = world_submit(world, node, "wk-2", "sweep", 1);
+    assert_int_equal(answer.status, 503);
+    assert_in_range(answer.took_ms, 0, 50);
+    assert_int_equal(world_ask(world, node, "GET", "/ready", NULL).status, 503);
+    int starts = world_starts(world);
+    world_run(world, 14000); /* past the workers' lease: it keeps them */
+    assert_int_equal(world_on_machines(world, "wk-1"), 8);
+    assert_int_equal(world_starts(world), starts);
+    assert_true(world_leader_index(world) >= 0 && world_leader_index(world) != node);
+    assert_int_equal(world_ask(world, (node + 1) % 3, "POST", "/work/wk-1/abort", NULL).status,
+                     200);
+    world_run(world, 29000);
+    assert_int_equal(world_on_machines(world, "wk-1"), 0);
+    assert_int_equal(world_submit(world, (node + 2) % 3, "wk-3", "sweep", 4).status, 201);
+    world_run(world, 6000);
+    world->fate = NULL;
+    world_run(world, 8000);
+    assert_int_equal(world_on_machines(world, "wk-3"), 4);
+    world_expect_stage(world, node, "wk-1", "cancelled");
+    world_expect_stage(world, node, "wk-3", "running");
+    assert_int_equal(world_ask(world, node, "GET", "/ready", NULL).status, 200);
+}
