--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A direct command is held up, and carried out after its machine has restarted."""
+"""A copy of an old report arrives after its machine has restarted."""
 import asyncio
 import json
 import os
@@ -6,60 +6,48 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standin"))
+from net import request  # noqa: E402
 from world import CannotRun, main  # noqa: E402
 
 TYPES = [
     {"Label": "jangada", "Vcpus": 8, "Cards": 0, "MemoryGb": 16, "LocalGb": 35, "FetchGbPerS": 0.3,
      "Price": 0.5, "MarketPrice": 0.2, "ReadyS": 15, "Yards": ["recife", "fortaleza"]},
 ]
-PIECE = "wk-000301/0"
-HELD_S = 15.0  # "2 to 16 s late"
+LATE_S = 10.0  # "from 2 s to well over a lease later"; the lease is 14 s
+JOB = "wk-000301"
 
 
 async def scenario(world, trouble):
-    held = []  # the command that is held up: (worker, value, when)
-
-    def hold(worker, body):
-        value = json.loads(body)
-        runs = [o for o in value["Orders"] if o["Verb"] == "run" and o["Piece"] == PIECE]
-        if trouble and runs and not held:
-            held.append((worker, value, world.now()))
-            world.record(f"a command to {worker.name} is held up: {body.decode()}")
-            return "held"
-        return None
-
-    world.command_hook = hold
-    capacity = {("jangada", yard, False): 3 for yard in ("recife", "fortaleza")}
-    await world.start(TYPES, capacity)
-    # A short job, after which a machine in each zone is up and idle.
-    await world.submit(world.job(300, Pieces=2, Apart=True, ExpectedS=1.0), 1.0)
-    await world.until(lambda: len(world.rules.completed) == 2, 30, "the first job is done")
-    await asyncio.sleep(1.0)
-    # The first run of this task ends with an error, as on a machine that fails once.
-    world.failures[PIECE] = 0.5
-    await world.submit(world.job(301, ExpectedS=80.0), 80.0, node=1)
-
-    def starts():
-        return [s for s in world.rules.starts if s[2] == PIECE]
-
-    await world.until(lambda: len(starts()) == 2, 15, "the task fails once and starts again")
-    first, second = starts()
-    if first[1] == second[1]:
-        raise CannotRun("the second run is on the same machine")
+    offers = [("jangada", yard, False) for yard in ("recife", "fortaleza")]
+    # Two machines are up at the start. The nodes come 15 s later, which is more than `lease_s`, so
+    # that the workers, without any task, have begun their second session by then.
+    await world.start(TYPES, {offer: 2 for offer in offers}, machines=offers, after_s=15.0)
+    workers = list(world.cloud.machines.values())
+    await world.until(
+        lambda: all(w.last_answered and w.last_answered[1]["Helm"] for w in workers), 15,
+        "the workers report to the nodes")
+    await asyncio.sleep(0.5)
+    worker = workers[0]
+    node, report, since = worker.last_answered
+    if report["Shift"] < 2 or worker.tasks:
+        raise CannotRun("the worker is not in its second session, or has tasks")
+    world.record(f"of this report to {world.nodes[node]} a copy will arrive: {json.dumps(report)}")
     if trouble:
-        worker, value, since = held[0]
-        if worker.name != first[1] or value["Orders"][0]["Try"] != first[3]:
-            raise CannotRun("the command that was held up is not that of the first run")
-        if world.now() - since > HELD_S - 3.0:
-            raise CannotRun("the second run came too late")
-        await asyncio.sleep(1.0)
         worker.restart()
-        await asyncio.sleep(max(0.0, since + HELD_S - world.now()))
-        world.record(f"the command is carried out at {worker.name}, {HELD_S:.0f} s late: {value}")
-        status, answer = worker.commands(value)
-        world.record(f"its answer is lost: {status} {json.dumps(answer)}")
-    await asyncio.sleep(8.0)
-    await world.poll("wk-000301")
+    await asyncio.sleep(2.5)
+    await world.submit(world.job(301, Pieces=2, Vcpus=6.0, ExpectedS=100.0), 100.0)
+    await world.until(lambda: sum(len(m) for m in world.rules.on.values()) == 2, 15,
+                      "both tasks run")
+    mine = [p for p, m in world.rules.on.items() if worker.name in m]
+    if not mine:
+        raise CannotRun("no task is on the machine")
+    await asyncio.sleep(max(2.0, since + LATE_S - world.now()))
+    if trouble:
+        world.record(f"the copy arrives at {world.nodes[node]}, {world.now() - since:.1f} s late")
+        status, answer = await request(world.api_ports[node], "POST", "/agent/beat", report, 4.0)
+        world.record(f"the copy is answered: {status} {json.dumps(answer)}")
+    await asyncio.sleep(30.0)
+    await world.poll(JOB)
 
 
 main(scenario, os.path.join(HERE, "record.txt"))
--- a/review/standin/cloud.py
+++ b/review/standin/cloud.py
@@ -25,6 +25,14 @@
     async def start(self):
         await self.server.start()
 
+    async def add(self, offer):
+        """Adds a machine that is up already."""
+        self.count += 1
+        worker = Worker(self.world, f"host-{self.count:06d}", *offer)
+        self.machines[worker.name] = worker
+        await worker.start()
+        self._snapshot()
+
     def _snapshot(self):
         now = self.world.now()
         rows = []
--- a/review/standin/worker.py
+++ b/review/standin/worker.py
@@ -40,6 +40,7 @@
         self.hung = asyncio.Event()
         self.hung.set()  # set: runs; cleared: hangs
         self.raised_at = -1e9
+        self.last_answered = None  # (index of the node, report, when) of the newest answered report
 
     # ---- life ----
 
@@ -134,6 +135,7 @@
                     f"helm={report['Helm']} pieces={len(report['Pieces'])}: {status}"
                 )
             if status == 200:
+                self.last_answered = (self.home, report, sent_at)
                 self._take_answer(answer, sent_at, shift)
             elif status == 421 and answer.get("Harbour") in w.nodes and (
                 w.nodes.index(answer["Harbour"]) != self.home
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -74,7 +74,8 @@
 
     # ---- nodes ----
 
-    async def start(self, types, capacity, boot_s=1.0):
+    async def start(self, types, capacity, boot_s=1.0, machines=(), after_s=0.0):
+        """Starts the stand-ins and, `after_s` later, the nodes; `machines` are up at the start."""
         self.cloud = Cloud(self, types, capacity, boot_s, self.settings["list_lag_s"])
         await self.cloud.start()
         await self.state.start(self.nodes)
@@ -83,6 +84,9 @@
                 if i != j:
                     self.links[(i, j)] = Proxy(self.back_ports[j])
                     await self.links[(i, j)].start()
+        for offer in machines:
+            await self.cloud.add(offer)
+        await asyncio.sleep(after_s)
         for i in range(len(self.nodes)):
             self.start_node(i)
         await self.until(self.all_ready, 20, "the nodes become ready")
