Review: each case reads TROUBLE itself

Cause: cases 2 and 3 got it from the shared stand-ins only, so that nothing in their folders said what TROUBLE=0 does.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -26,6 +26,8 @@
 BACK_S = 4.0  # "back about 4 s after an end"
 LIMIT_S = 75.0  # "no question is answered for 75 s"
 JOB = "wk-000201"
+WHICH = os.environ.get("TROUBLE", "1")  # 0: no trouble; "crash" or "outage": one of the two alone
+TROUBLE = WHICH != "0"
 
 
 async def scenario(world, trouble):
@@ -37,17 +39,16 @@
     status, _ = await world.poll(JOB)
     if status != 200:
         raise CannotRun("the job is not known before any trouble")
-    which = os.environ.get("TROUBLE", "1")  # "crash" and "outage": one of the two alone
-    if trouble and which != "crash":
+    if trouble and WHICH != "crash":
         world.state.outage = True
         world.record("the state service is down: it answers 503")
     await asyncio.sleep(1.0)
-    if trouble and which != "outage":
+    if trouble and WHICH != "outage":
         for i in range(3):
             world.kill_node(i)
     await asyncio.sleep(BACK_S)
     before = dict(world.state.requests)
-    if trouble and which != "outage":
+    if trouble and WHICH != "outage":
         for i in range(3):
             world.start_node(i)
     await asyncio.sleep(OUTAGE_S - BACK_S - 1.0)
@@ -71,4 +72,4 @@
         await asyncio.sleep(1.0)
 
 
-main(scenario, os.path.join(HERE, "record.txt"), settings=SETTINGS)
+main(scenario, os.path.join(HERE, "record.txt"), TROUBLE, settings=SETTINGS)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,6 +14,7 @@
      "Price": 0.5, "MarketPrice": 0.2, "ReadyS": 15, "Yards": ["recife", "fortaleza"]},
 ]
 JOB = "wk-000101"
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # 0: without the disruption
 
 
 async def scenario(world, trouble):
@@ -71,4 +72,4 @@
     return world.cloud.machines[machine].home
 
 
-main(scenario, os.path.join(HERE, "record.txt"))
+main(scenario, os.path.join(HERE, "record.txt"), TROUBLE)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,6 +15,7 @@
 ]
 LATE_S = 10.0  # "from 2 s to well over a lease later"; the lease is 14 s
 JOB = "wk-000301"
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # 0: without the disruption
 
 
 async def scenario(world, trouble):
@@ -50,4 +51,4 @@
     await world.poll(JOB)
 
 
-main(scenario, os.path.join(HERE, "record.txt"))
+main(scenario, os.path.join(HERE, "record.txt"), TROUBLE)
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -271,12 +271,14 @@
         raise CannotRun(f"in {seconds} s it did not happen that {what}")
 
 
-def main(scenario, record_path, **kwargs):
-    """Runs a scenario, a coroutine of (world, trouble). Exits as the issue says."""
+def main(scenario, record_path, trouble, **kwargs):
+    """Runs a scenario, a coroutine of (world, trouble).
+
+    Exits with 1 if a rule was broken, 0 if none was, 2 if the case could not run.
+    """
 
     async def run():
         world = World(record_path, **kwargs)
-        trouble = os.environ.get("TROUBLE", "1") != "0"
         code = 2
         try:
             await asyncio.wait_for(scenario(world, trouble), 112)
