Log failed lease requests and long waits for the rate limit

Change: `lease_request_failed` (status; the 1st, 2nd, 4th, ... failure in a row) and `kv_requests_wait` (how long queued requests wait for this node's own rate limit, and the tokens left).

--- a/src/cluster/node_lease.c
+++ b/src/cluster/node_lease.c
@@ -26,6 +26,8 @@
     mono_time valid_until;
     mono_time request_sent_at;
     bool request_in_flight;
+    /** Requests for a lease that failed since the process last obtained one. */
+    unsigned failed_requests;
     struct timer renew_timer;
 };
 
@@ -96,6 +98,15 @@
     lease->request_sent_at = loop_now(lease->setup.loop);
 }
 
+/** Counts a failed request for a lease. Logs it if the count is a power of two, so that the log
+ * shows how fast requests fail without a line for each. */
+static void count_failed_request(struct node_lease *lease, int status)
+{
+    lease->failed_requests++;
+    if ((lease->failed_requests & (lease->failed_requests - 1)) == 0)
+        LOG_INFO("lease_request_failed", "status=%d failures=%u", status, lease->failed_requests);
+}
+
 static void on_granted(void *arg, const struct http_response *response)
 {
     struct node_lease *lease = arg;
@@ -103,7 +114,10 @@
     json_object *body = kv_parse_response(response);
     if (kv_decode_lease(body, &lease->id)) {
         extend_validity(lease);
+        lease->failed_requests = 0;
         timer_start(lease->setup.loop, &lease->renew_timer, RENEW_INTERVAL_MS);
+    } else {
+        count_failed_request(lease, response->status);
     }
     json_object_put(body);
     lease->setup.on_change(lease->setup.ctx);
--- a/src/kv/kv_client.c
+++ b/src/kv/kv_client.c
@@ -17,6 +17,10 @@
     MIN_RATE_LIMITED_WRITES = 4,
     /** Maximum interval between two of these responses. */
     RATE_LIMITED_WINDOW_MS = 3000,
+    /** A queued request that has to wait for longer than this is logged. */
+    LOGGED_WAIT_MS = 2000,
+    /** Minimum interval between two of these log lines. */
+    LOGGED_WAIT_INTERVAL_MS = 5000,
 };
 
 /** A queued or sent request. */
@@ -232,6 +236,19 @@
     return true;
 }
 
+/** Logs that queued requests have to wait for long because of this node's own rate limit. */
+static void log_long_wait(struct kv_client *kv, mono_time now, int64_t wait_ms)
+{
+    if (wait_ms < LOGGED_WAIT_MS ||
+        (kv->long_wait_logged_at.us &&
+         time_ms_since(now, kv->long_wait_logged_at) < LOGGED_WAIT_INTERVAL_MS))
+        return;
+    kv->long_wait_logged_at = now;
+    LOG_INFO("kv_requests_wait",
+             "wait_ms=%" G_GINT64_FORMAT " request_tokens=%.0f write_tokens=%.0f", wait_ms,
+             kv->request_bucket.tokens, kv->write_bucket.tokens);
+}
+
 /** Timer callback: sends all calls that may be sent now, and starts the timer for the next one. */
 static void send_queued_calls(void *arg)
 {
@@ -243,8 +260,10 @@
     for (int priority = 0; priority < KV_PRIORITY_COUNT; priority++)
         if (!send_from_queue(kv, (enum kv_priority)priority, now, &wait_ms))
             break;
-    if (wait_ms)
+    if (wait_ms) {
         timer_start(kv->loop, &kv->queue_timer, wait_ms);
+        log_long_wait(kv, now, wait_ms);
+    }
 }
 
 void kv_client_send(struct kv_client *kv, const struct kv_request *request,
--- a/src/kv/kv_client_internal.h
+++ b/src/kv/kv_client_internal.h
@@ -34,6 +34,8 @@
     /** Writes answered with 429, each within RATE_LIMITED_WINDOW_MS of the previous one. */
     int rate_limited_write_count;
     mono_time last_rate_limited_at;
+    /** When a long wait for the rate limit was last logged; 0: never. */
+    mono_time long_wait_logged_at;
     struct read_barrier read_barrier;
 };
 
