Repeat refused requests for a lease with backoff, and bound their debt

Cause: a refused request for the node's lease called membership.c back, which sent the next one at once. Such requests do not wait for the rate limit, but each took a token without a lower bound, so that all other requests, the first read of the keys included, waited until the debt was paid. Joining and the transactions of the election took writes in the same way, every 40 ms. A connection that failed within the call recursed until the stack ended. Change: retry_backoff (exponential, half of the delay random) for requests for a lease, renewals, joining, elections, watches and reads, run records, the pause after a 429 and dispatch messages. Why it works: a node sends at most some ten requests for a lease a second, below its refill of tokens, whatever the state service answers and however fast; the bound on the debt holds for any other caller of that priority.

--- a/src/base/event_loop.c
+++ b/src/base/event_loop.c
@@ -11,6 +11,7 @@
     MAX_TIMERS_PER_ITERATION = 64,
     MAX_POLL_MS = 1000,
     FAKE_CLOCK_START_S = 1000,
+    FAKE_RANDOM_SEED = 1,
 };
 
 static const int64_t US_PER_S = 1000000;
@@ -34,6 +35,7 @@
     /** Memory that is freed at the end of the iteration; see loop_defer_free. */
     GPtrArray *deferred_frees;
     uint64_t operation_count;
+    GRand *random;
 };
 
 static mono_time read_monotonic_clock(void)
@@ -51,6 +53,7 @@
     loop->deferred_frees = g_ptr_array_new_with_free_func(g_free);
     g_queue_init(&loop->mailbox);
     loop->now = read_monotonic_clock();
+    loop->random = g_rand_new();
     return loop;
 }
 
@@ -60,6 +63,7 @@
     loop->has_fake_clock = true;
     loop->now.us = FAKE_CLOCK_START_S * US_PER_S;
     loop->fake_wall_time.ms = FAKE_WALL_CLOCK_START_MS;
+    g_rand_set_seed(loop->random, FAKE_RANDOM_SEED);
     return loop;
 }
 
@@ -79,6 +83,7 @@
     close(loop->epoll_fd);
     g_sequence_free(loop->timers);
     g_ptr_array_unref(loop->deferred_frees);
+    g_rand_free(loop->random);
     g_free(loop);
 }
 
@@ -102,6 +107,11 @@
         loop->now = read_monotonic_clock();
 }
 
+int64_t loop_random_below(struct loop *loop, int64_t limit)
+{
+    return g_rand_int_range(loop->random, 0, (gint32)limit);
+}
+
 void loop_count_operations(struct loop *loop, uint64_t operations)
 {
     loop->operation_count += operations;
--- a/src/base/event_loop.h
+++ b/src/base/event_loop.h
@@ -65,6 +65,10 @@
  * time at which the iteration began.
  */
 void loop_update_time(struct loop *loop);
+/** Returns a random number from 0 to limit - 1, for jitter. The sequence of a loop with a fake
+ * clock is always the same.
+ * @param limit 1 to 2^31 - 1 */
+int64_t loop_random_below(struct loop *loop, int64_t limit);
 /** Adds to the count of operations on machines and tasks, by which tests measure how the cost of an
  * algorithm grows. */
 void loop_count_operations(struct loop *loop, uint64_t operations);
--- a/src/cluster/leader_election.c
+++ b/src/cluster/leader_election.c
@@ -6,11 +6,17 @@
 
 #include "json_fields.h"
 #include "log.h"
+#include "retry_backoff.h"
 #include "shard_map.h"
 #include "stored_fields.h"
 
-/** Delay between successive nodes, ordered by label, before each becomes a candidate. */
-enum { CANDIDATE_STAGGER_MS = 30 };
+enum {
+    /** Delay between successive nodes, ordered by label, before each becomes a candidate. */
+    CANDIDATE_STAGGER_MS = 30,
+    /** Delay before a shard map is written again after a transaction that was not committed. */
+    WRITE_RETRY_MIN_DELAY_MS = 20,
+    WRITE_RETRY_MAX_DELAY_MS = 200,
+};
 
 /** A node that is temporarily excluded from the shard map. */
 struct node_exclusion {
@@ -26,6 +32,9 @@
     mono_time leaderless_since;
     bool is_new_epoch_requested;
     bool write_in_flight;
+    /** Runs while the shard map must not be written again yet. */
+    struct timer retry_timer;
+    struct retry_backoff write_backoff;
 };
 
 static void clear_exclusion(gpointer data)
@@ -33,17 +42,28 @@
     g_free(((struct node_exclusion *)data)->label);
 }
 
+/** Timer callback: lets the owner take the next step. */
+static void on_retry_timer(void *arg)
+{
+    struct leader_election *election = arg;
+    election->setup.on_write_outcome_known(election->setup.ctx);
+}
+
 struct leader_election *leader_election_new(const struct leader_election_setup *setup)
 {
     struct leader_election *election = g_new0(struct leader_election, 1);
     election->setup = *setup;
     election->exclusions = g_array_new(FALSE, FALSE, sizeof(struct node_exclusion));
     g_array_set_clear_func(election->exclusions, clear_exclusion);
+    timer_init(&election->retry_timer, on_retry_timer, election);
+    election->write_backoff =
+        retry_backoff_make(WRITE_RETRY_MIN_DELAY_MS, WRITE_RETRY_MAX_DELAY_MS);
     return election;
 }
 
 void leader_election_free(struct leader_election *election)
 {
+    timer_stop(election->setup.loop, &election->retry_timer);
     g_array_unref(election->exclusions);
     g_free(election);
 }
@@ -152,8 +172,13 @@
     struct leader_election *election = arg;
     if (outcome->status == TXN_LEASE_EXPIRED)
         election->setup.on_lease_refused(election->setup.ctx);
-    if (outcome->status == TXN_COMMITTED)
+    if (outcome->status == TXN_COMMITTED) {
         election->is_new_epoch_requested = false;
+        retry_backoff_reset(&election->write_backoff);
+    } else {
+        int64_t delay_ms = retry_backoff_next_ms(&election->write_backoff, election->setup.loop);
+        timer_start(election->setup.loop, &election->retry_timer, delay_ms);
+    }
     replica_await_txn_outcome(election->setup.replica, outcome, on_write_outcome_known, election);
 }
 
@@ -205,7 +230,7 @@
 void leader_election_step(struct leader_election *election, const struct candidate *self)
 {
     expire_exclusions(election);
-    if (election->write_in_flight)
+    if (election->write_in_flight || election->retry_timer.queue_position)
         return;
     if (!election->setup.replica->leader_label) {
         if (is_election_due(election))
--- a/src/cluster/leader_election.h
+++ b/src/cluster/leader_election.h
@@ -24,7 +24,8 @@
     void *ctx;
     /** Called when the store refused a transaction because this process's lease has expired. */
     void (*on_lease_refused)(void *ctx);
-    /** Called once a transaction has ended and the replica shows its outcome, if it is known. */
+    /** Called once a transaction has ended and the replica shows its outcome, if it is known, and
+     * when the delay after one that was not committed is over. */
     void (*on_write_outcome_known)(void *ctx);
 };
 
--- a/src/cluster/membership.c
+++ b/src/cluster/membership.c
@@ -7,11 +7,17 @@
 #include "leader_election.h"
 #include "log.h"
 #include "node_lease.h"
+#include "retry_backoff.h"
 #include "stored_fields.h"
 #include "version_support.h"
 
-/** Interval between calls of reconcile(), in addition to those on changes of the replica. */
-enum { TICK_MS = 200 };
+enum {
+    /** Interval between calls of reconcile(), in addition to those on changes of the replica. */
+    TICK_MS = 200,
+    /** Delay before the transaction that writes this node's key is sent again. */
+    JOIN_RETRY_MIN_DELAY_MS = 20,
+    JOIN_RETRY_MAX_DELAY_MS = 200,
+};
 
 /** Progress of this process in writing its key. */
 enum join_phase {
@@ -35,6 +41,9 @@
     /** The revision of this node's key; valid once the node has joined. */
     revision mod_revision;
     struct timer tick_timer;
+    /** Runs while the node must not try to join again yet. */
+    struct timer join_timer;
+    struct retry_backoff join_backoff;
 };
 
 static void reconcile(struct membership *membership);
@@ -96,6 +105,8 @@
                                         .on_lease_refused = on_lease_refused,
                                         .on_write_outcome_known = on_state_change});
     timer_init(&membership->tick_timer, on_tick, membership);
+    timer_init(&membership->join_timer, on_state_change, membership);
+    membership->join_backoff = retry_backoff_make(JOIN_RETRY_MIN_DELAY_MS, JOIN_RETRY_MAX_DELAY_MS);
     replica_add_listener(replica, &membership->actor);
     return membership;
 }
@@ -103,6 +114,7 @@
 void membership_free(struct membership *membership)
 {
     timer_stop(membership->loop, &membership->tick_timer);
+    timer_stop(membership->loop, &membership->join_timer);
     leader_election_free(membership->election);
     node_lease_free(membership->lease);
     g_free(membership);
@@ -185,7 +197,11 @@
     if (ok && incarnation.value && node && node->incarnation.value == incarnation.value) {
         membership->join_phase = JOIN_DONE;
         membership->mod_revision = node->mod_revision;
+        retry_backoff_reset(&membership->join_backoff);
         LOG_INFO("joined", "incarnation=%" G_GUINT64_FORMAT, incarnation.value);
+    } else {
+        int64_t delay_ms = retry_backoff_next_ms(&membership->join_backoff, membership->loop);
+        timer_start(membership->loop, &membership->join_timer, delay_ms);
     }
     reconcile(membership);
 }
@@ -286,7 +302,8 @@
         !node_lease_is_valid(membership->lease))
         return;
     if (membership->join_phase == JOIN_NOT_SENT) {
-        send_join(membership);
+        if (!membership->join_timer.queue_position)
+            send_join(membership);
         return;
     }
     if (!membership_is_visible(membership)) {
--- a/src/cluster/node_lease.c
+++ b/src/cluster/node_lease.c
@@ -6,12 +6,17 @@
 
 #include "kv_codec.h"
 #include "log.h"
+#include "retry_backoff.h"
 
 enum {
     LEASE_TTL_MS = 4000,
     RENEW_INTERVAL_MS = 1000,
     /** Delay before a renewal that failed is sent again. */
-    RENEW_RETRY_DELAY_MS = 300,
+    RENEW_RETRY_MIN_DELAY_MS = 200,
+    RENEW_RETRY_MAX_DELAY_MS = 400,
+    /** Delay before a lease is requested after a request failed or the lease was lost. */
+    GRANT_RETRY_MIN_DELAY_MS = 20,
+    GRANT_RETRY_MAX_DELAY_MS = 200,
     GRANT_TIMEOUT_MS = 1500,
     RENEW_TIMEOUT_MS = 1000,
     /** This node's clock may be slower than the store's by 0.1%. */
@@ -29,21 +34,31 @@
     /** Requests for a lease that failed since the process last obtained one. */
     unsigned failed_requests;
     struct timer renew_timer;
+    struct retry_backoff renew_backoff;
+    /** Runs while a lease must not be requested again yet. */
+    struct timer grant_timer;
+    /** Counts failed requests and lost leases since a lease was last renewed. */
+    struct retry_backoff grant_backoff;
 };
 
 static void on_renew_timer(void *arg);
+static void on_grant_timer(void *arg);
 
 struct node_lease *node_lease_new(const struct node_lease_setup *setup)
 {
     struct node_lease *lease = g_new0(struct node_lease, 1);
     lease->setup = *setup;
     timer_init(&lease->renew_timer, on_renew_timer, lease);
+    timer_init(&lease->grant_timer, on_grant_timer, lease);
+    lease->renew_backoff = retry_backoff_make(RENEW_RETRY_MIN_DELAY_MS, RENEW_RETRY_MAX_DELAY_MS);
+    lease->grant_backoff = retry_backoff_make(GRANT_RETRY_MIN_DELAY_MS, GRANT_RETRY_MAX_DELAY_MS);
     return lease;
 }
 
 void node_lease_free(struct node_lease *lease)
 {
     timer_stop(lease->setup.loop, &lease->renew_timer);
+    timer_stop(lease->setup.loop, &lease->grant_timer);
     g_free(lease);
 }
 
@@ -71,6 +86,13 @@
     return "unknown";
 }
 
+/** Delays the next request for a lease. */
+static void delay_next_request(struct node_lease *lease)
+{
+    int64_t delay_ms = retry_backoff_next_ms(&lease->grant_backoff, lease->setup.loop);
+    timer_start(lease->setup.loop, &lease->grant_timer, delay_ms);
+}
+
 void node_lease_drop(struct node_lease *lease, enum lease_loss_reason reason)
 {
     if (!lease->id.value)
@@ -80,6 +102,7 @@
     lease->id.value = 0;
     lease->valid_until = (mono_time){0};
     timer_stop(lease->setup.loop, &lease->renew_timer);
+    delay_next_request(lease);
     lease->setup.on_lost(lease->setup.ctx);
 }
 
@@ -118,6 +141,7 @@
         timer_start(lease->setup.loop, &lease->renew_timer, RENEW_INTERVAL_MS);
     } else {
         count_failed_request(lease, response->status);
+        delay_next_request(lease);
     }
     json_object_put(body);
     lease->setup.on_change(lease->setup.ctx);
@@ -125,12 +149,28 @@
 
 void node_lease_request(struct node_lease *lease)
 {
-    if (lease->request_in_flight || lease->id.value)
+    if (lease->request_in_flight || lease->id.value || lease->grant_timer.queue_position)
         return;
     mark_request_sent(lease);
     kv_client_grant_lease(lease->setup.kv, LEASE_TTL_MS, GRANT_TIMEOUT_MS, on_granted, lease);
 }
 
+static void on_grant_timer(void *arg)
+{
+    node_lease_request(arg);
+}
+
+/** Starts the timer of the next renewal. */
+static void schedule_renewal(struct node_lease *lease, bool is_renewed)
+{
+    int64_t delay_ms = RENEW_INTERVAL_MS;
+    if (is_renewed)
+        retry_backoff_reset(&lease->renew_backoff);
+    else
+        delay_ms = retry_backoff_next_ms(&lease->renew_backoff, lease->setup.loop);
+    timer_start(lease->setup.loop, &lease->renew_timer, delay_ms);
+}
+
 static void on_renewed(void *arg, const struct http_response *response)
 {
     struct node_lease *lease = arg;
@@ -143,10 +183,11 @@
         return;
     }
     bool is_renewed = response->status == HTTP_STATUS_OK;
-    if (is_renewed)
+    if (is_renewed) {
         extend_validity(lease);
-    timer_start(lease->setup.loop, &lease->renew_timer,
-                is_renewed ? RENEW_INTERVAL_MS : RENEW_RETRY_DELAY_MS);
+        retry_backoff_reset(&lease->grant_backoff);
+    }
+    schedule_renewal(lease, is_renewed);
 }
 
 static void on_renew_timer(void *arg)
--- a/src/cluster/node_lease.h
+++ b/src/cluster/node_lease.h
@@ -41,8 +41,8 @@
 void node_lease_free(struct node_lease *lease);
 
 /**
- * Requests a lease unless the process has one or a request is in flight. The lease is then renewed
- * periodically.
+ * Requests a lease unless the process has one, a request is in flight, or the delay after a failure
+ * is not over; then it is requested at the end of the delay. The lease is renewed periodically.
  */
 void node_lease_request(struct node_lease *lease);
 
--- a/src/kv/kv_client.c
+++ b/src/kv/kv_client.c
@@ -7,8 +7,9 @@
 #include "log.h"
 
 enum {
-    /** Pause after a 429 response. */
-    RATE_LIMITED_RETRY_DELAY_MS = 120,
+    /** Pause after a 429 response; it grows if the next request is refused as well. */
+    RATE_LIMITED_MIN_DELAY_MS = 120,
+    RATE_LIMITED_MAX_DELAY_MS = 240,
     /** Time since the last success after which the store counts as unavailable. */
     UNAVAILABLE_AFTER_NO_RESPONSE_MS = 1800,
     /** The same if the last response was a 503. */
@@ -68,6 +69,8 @@
     kv->last_success_at = now;
     kv->request_bucket = token_bucket_make_full(limits.rate_limit_rps * node_share, now);
     kv->write_bucket = token_bucket_make_full(limits.rate_limit_write_rps * node_share, now);
+    kv->rate_limited_backoff =
+        retry_backoff_make(RATE_LIMITED_MIN_DELAY_MS, RATE_LIMITED_MAX_DELAY_MS);
     for (int priority = 0; priority < KV_PRIORITY_COUNT; priority++)
         g_queue_init(&kv->queues[priority]);
     timer_init(&kv->queue_timer, send_queued_calls, kv);
@@ -140,6 +143,18 @@
                           limits->rate_limit_write_rps * get_node_rate_share(limits));
 }
 
+/** Pauses all requests, unless they are paused already: requests that were sent together are often
+ * refused together. */
+static void pause_requests(struct kv_client *kv)
+{
+    mono_time now = loop_now(kv->loop);
+    if (time_before(now, kv->paused_until))
+        return;
+    int64_t delay_ms = retry_backoff_next_ms(&kv->rate_limited_backoff, kv->loop);
+    kv->paused_until = time_add_ms(now, delay_ms);
+    timer_start(kv->loop, &kv->queue_timer, delay_ms);
+}
+
 /**
  * Handles a 429 response: the request was not executed. Returns it to the head of its queue, to be
  * sent again after a pause.
@@ -147,11 +162,10 @@
 static void call_retry_later(struct kv_call *call)
 {
     struct kv_client *kv = call->kv;
-    kv->paused_until = time_add_ms(loop_now(kv->loop), RATE_LIMITED_RETRY_DELAY_MS);
     token_bucket_drain(&kv->request_bucket);
     token_bucket_drain(&kv->write_bucket);
     g_queue_push_head(&kv->queues[call->priority], call);
-    timer_start(kv->loop, &kv->queue_timer, RATE_LIMITED_RETRY_DELAY_MS);
+    pause_requests(kv);
     LOG_DEBUG("kv_rate_limited", "path=%s", call->path);
     if (call->write_count)
         count_rate_limited_write(kv);
@@ -166,6 +180,7 @@
         return;
     }
     if (response->status > 0) {
+        retry_backoff_reset(&kv->rate_limited_backoff);
         kv->last_status_was_503 = response->status == HTTP_STATUS_UNAVAILABLE;
         if (!kv->last_status_was_503)
             kv->last_success_at = loop_now(kv->loop);
@@ -173,11 +188,22 @@
     call_finish(call, response);
 }
 
-static void call_send(struct kv_call *call)
+/** Takes the tokens of a call. A call of KV_PRIORITY_LEASE has not waited for them. */
+static void take_tokens(struct kv_client *kv, const struct kv_call *call)
 {
-    struct kv_client *kv = call->kv;
+    if (call->priority == KV_PRIORITY_LEASE) {
+        token_bucket_borrow(&kv->request_bucket, 1);
+        token_bucket_borrow(&kv->write_bucket, call->write_count);
+        return;
+    }
     kv->request_bucket.tokens -= 1;
     kv->write_bucket.tokens -= call->write_count;
+}
+
+static void call_send(struct kv_call *call)
+{
+    struct kv_client *kv = call->kv;
+    take_tokens(kv, call);
     struct http_client_request request = {
         .address = kv->address,
         .method = call->method,
--- a/src/kv/kv_client.h
+++ b/src/kv/kv_client.h
@@ -54,7 +54,8 @@
 
 /** Priorities of requests, the highest first. */
 enum kv_priority {
-    /** Requests for the node's lease; they bypass the rate limits. */
+    /** Requests for the node's lease; they bypass the rate limits, but take tokens. Whoever repeats
+     * a failed one delays it (retry_backoff.h). */
     KV_PRIORITY_LEASE,
     KV_PRIORITY_URGENT,
     KV_PRIORITY_WATCH,
--- a/src/kv/kv_client_internal.h
+++ b/src/kv/kv_client_internal.h
@@ -3,6 +3,7 @@
 #define LL_KV_CLIENT_INTERNAL_H
 
 #include "kv_client.h"
+#include "retry_backoff.h"
 #include "token_bucket.h"
 
 /** State of kv_client_read_barrier (kv_read_barrier.c). */
@@ -28,6 +29,8 @@
     struct timer queue_timer;
     /** No request is sent before this time; set by a 429 response. */
     mono_time paused_until;
+    /** The length of these pauses. */
+    struct retry_backoff rate_limited_backoff;
     mono_time last_success_at;
     /** The last response was a 503. */
     bool last_status_was_503;
--- a/src/kv/token_bucket.c
+++ b/src/kv/token_bucket.c
@@ -20,6 +20,12 @@
     bucket->tokens = MIN(bucket->tokens, bucket->capacity);
 }
 
+void token_bucket_borrow(struct token_bucket *bucket, double count)
+{
+    double lowest = MIN(bucket->tokens, -bucket->capacity);
+    bucket->tokens = MAX(bucket->tokens - count, lowest);
+}
+
 void token_bucket_drain(struct token_bucket *bucket)
 {
     bucket->tokens = MIN(bucket->tokens, 0);
--- a/src/kv/token_bucket.h
+++ b/src/kv/token_bucket.h
@@ -27,6 +27,12 @@
  */
 void token_bucket_set_rate(struct token_bucket *bucket, double refill_per_s);
 
+/**
+ * Removes tokens for an operation that does not wait for them. The debt is limited to one second's
+ * refill, so that such operations cannot block those that wait for longer than that.
+ */
+void token_bucket_borrow(struct token_bucket *bucket, double count);
+
 /** Removes all remaining tokens, because the server has signalled that the rate was exceeded. */
 void token_bucket_drain(struct token_bucket *bucket);
 
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -3,6 +3,9 @@
 
 enum {
     DEFAULT_MAX_FINISHED_JOBS = 20000,
+    /** Delay before a failed watch or read of the reload is repeated. */
+    READ_RETRY_MIN_DELAY_MS = 100,
+    READ_RETRY_MAX_DELAY_MS = 300,
     EXPIRY_CHECK_INTERVAL_MS = 200,
 };
 
@@ -25,6 +28,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, machine_type_part_free);
     internal->waiters = replica_waiters_new();
     internal->watch.bucket.refilled_at = loop_now(replica->loop);
+    internal->watch.retry_backoff =
+        retry_backoff_make(READ_RETRY_MIN_DELAY_MS, READ_RETRY_MAX_DELAY_MS);
     g_queue_init(&internal->finished_job_ids);
     timer_init(&internal->watch.timer, replica_watch, replica);
     timer_init(&internal->expiry_timer, replica_on_expiry_timer, replica);
--- a/src/replica/replica_internal.h
+++ b/src/replica/replica_internal.h
@@ -11,6 +11,7 @@
 #define LL_REPLICA_INTERNAL_H
 
 #include "replica.h"
+#include "retry_backoff.h"
 #include "token_bucket.h"
 
 /** Timeouts of the replica's requests; see struct kv_request. */
@@ -24,6 +25,8 @@
     /** Expires when the next watch is due or a failed request is retried. */
     struct timer timer;
     struct token_bucket bucket;
+    /** Delays of failed requests, including those of a reload. */
+    struct retry_backoff retry_backoff;
     /** When the outstanding watch request, or the first request of the reload, was sent. */
     mono_time requested_at;
 };
--- a/src/replica/watch.c
+++ b/src/replica/watch.c
@@ -15,7 +15,6 @@
     WATCH_BLOCK_MS = 2000,
     /** How long to wait for the response beyond WATCH_BLOCK_MS. */
     WATCH_RESPONSE_GRACE_MS = 1500,
-    RETRY_DELAY_MS = 250,
     /** After this time without a response, the newest revision is requested first. */
     BACKLOG_CHECK_AFTER_MS = 8000,
     /** Up to this many revisions are always requested with a watch. */
@@ -46,11 +45,14 @@
 
 void replica_schedule_watch_retry(struct replica *replica)
 {
-    timer_start(replica->loop, &replica->internal->watch.timer, RETRY_DELAY_MS);
+    struct replica_watch *watch = &replica->internal->watch;
+    int64_t delay_ms = retry_backoff_next_ms(&watch->retry_backoff, replica->loop);
+    timer_start(replica->loop, &watch->timer, delay_ms);
 }
 
 void replica_mark_fresh(struct replica *replica)
 {
+    retry_backoff_reset(&replica->internal->watch.retry_backoff);
     replica->previous_fresh_at = replica->fresh_at;
     replica->fresh_at = replica->internal->watch.requested_at;
 }
--- a/src/scheduler/shard_dispatcher.c
+++ b/src/scheduler/shard_dispatcher.c
@@ -10,6 +10,9 @@
     /** A node whose requests have failed for longer than this is excluded from the shard map. */
     UNREACHABLE_TIMEOUT_MS = 4000,
     NODE_EXCLUSION_MS = 20000,
+    /** Delay before a message that failed is sent again. */
+    MESSAGE_RETRY_MIN_DELAY_MS = 20,
+    MESSAGE_RETRY_MAX_DELAY_MS = 200,
 };
 
 static void shard_channel_free(gpointer data)
@@ -45,6 +48,8 @@
     if (!channel) {
         channel = g_new0(struct shard_channel, 1);
         channel->label = g_strdup(label);
+        channel->retry_backoff =
+            retry_backoff_make(MESSAGE_RETRY_MIN_DELAY_MS, MESSAGE_RETRY_MAX_DELAY_MS);
         g_hash_table_insert(leader->shard_channels, channel->label, channel);
     }
     return channel;
@@ -180,19 +185,22 @@
     cJSON_Delete(channel->unacknowledged_message);
     channel->unacknowledged_message = NULL;
     channel->failing_since = (mono_time){0};
+    retry_backoff_reset(&channel->retry_backoff);
     note_cordoned_machines(leader, response);
     if (has_queued_items(channel))
         send_message(leader, channel);
 }
 
 /**
- * Handles the failure of a message, which the next flush sends again. If requests have failed for
+ * Handles the failure of a message, which a later flush sends again. If requests have failed for
  * longer than UNREACHABLE_TIMEOUT_MS, the node is excluded from the shard map, so that other nodes
  * become the owners of its machines.
  */
 static void on_failed(struct leader *leader, struct shard_channel *channel)
 {
     mono_time now = loop_now(leader->loop);
+    channel->retry_at =
+        time_add_ms(now, retry_backoff_next_ms(&channel->retry_backoff, leader->loop));
     if (!channel->failing_since.us) {
         channel->failing_since = now;
         return;
@@ -241,10 +249,11 @@
 {
     GHashTableIter it;
     struct shard_channel *channel;
+    mono_time now = loop_now(leader->loop);
     GPtrArray *due_channels = g_ptr_array_new();
     g_hash_table_iter_init(&it, leader->shard_channels);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&channel))
-        if (!channel->is_request_in_flight &&
+        if (!channel->is_request_in_flight && !time_before(now, channel->retry_at) &&
             (channel->unacknowledged_message || has_queued_items(channel)))
             g_ptr_array_add(due_channels, channel);
     for (guint i = 0; i < due_channels->len; i++)
--- a/src/scheduler/shard_dispatcher.h
+++ b/src/scheduler/shard_dispatcher.h
@@ -7,6 +7,7 @@
 #ifndef LL_SHARD_DISPATCHER_H
 #define LL_SHARD_DISPATCHER_H
 
+#include "retry_backoff.h"
 #include "scheduler_internal.h"
 
 /** The message channel to the shard of one node, and the state of the shard's status reports. */
@@ -26,6 +27,9 @@
     /** The last message until the shard acknowledges it; NULL if none is outstanding. */
     cJSON *unacknowledged_message;
     bool is_request_in_flight;
+    /** A message that failed is not sent again before this time. */
+    mono_time retry_at;
+    struct retry_backoff retry_backoff;
     /**
      * When requests began to fail, or when the node was last excluded because of that; 0 if the
      * last request succeeded.
--- a/src/shard/run_records_flush.c
+++ b/src/shard/run_records_flush.c
@@ -13,8 +13,6 @@
     /** The delay after a change, so that other changes of the same moment go into the same
      * transaction. */
     FLUSH_DELAY_MS = 4,
-    /** The delay after a transaction that was refused, or whose outcome could not be determined. */
-    RETRY_DELAY_MS = 120,
 };
 
 /** The fraction of the state service's write rate that the records of all nodes together may use.
@@ -29,7 +27,13 @@
 
 void shard_schedule_flush(struct shard *shard, bool ok)
 {
-    timer_start(shard->loop, &shard->records.flush_timer, ok ? FLUSH_DELAY_MS : RETRY_DELAY_MS);
+    struct shard_records *records = &shard->records;
+    int64_t delay_ms = FLUSH_DELAY_MS;
+    if (ok)
+        retry_backoff_reset(&records->retry_backoff);
+    else
+        delay_ms = retry_backoff_next_ms(&records->retry_backoff, shard->loop);
+    timer_start(shard->loop, &records->flush_timer, delay_ms);
 }
 
 void shard_mark_dirty(struct shard *shard)
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -17,6 +17,9 @@
     TICK_MS = 250,
     /** Fixed part of the time without a heartbeat after which an agent is probed. */
     PROBE_SILENCE_MARGIN_MS = 1000,
+    /** Delay after a transaction of records that was refused or has no known outcome. */
+    FLUSH_RETRY_MIN_DELAY_MS = 120,
+    FLUSH_RETRY_MAX_DELAY_MS = 240,
 };
 
 /** Milliseconds without a heartbeat, per second of the heartbeat interval, after which an agent is
@@ -219,6 +222,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, shard_completion_units_free);
     shard->records.write_budget_at = loop_now(shard->loop);
     timer_init(&shard->records.flush_timer, shard_flush, shard);
+    shard->records.retry_backoff =
+        retry_backoff_make(FLUSH_RETRY_MIN_DELAY_MS, FLUSH_RETRY_MAX_DELAY_MS);
 }
 
 struct shard *shard_new(const struct shard_setup *setup)
--- a/src/shard/shard_internal.h
+++ b/src/shard/shard_internal.h
@@ -8,6 +8,7 @@
 
 #include "arq.h"
 #include "machine_internal.h"
+#include "retry_backoff.h"
 
 /** Machines that were returned to the cloud or are about to be. */
 struct shard_returns {
@@ -93,6 +94,8 @@
     double write_budget;
     mono_time write_budget_at;
     struct timer flush_timer;
+    /** Delays after a transaction that was refused, or whose outcome could not be determined. */
+    struct retry_backoff retry_backoff;
 };
 
 /** A node's shard: the machines that it owns according to the shard map. */
