Raise an agent's token before it forgets an attempt

Cause: `clear` was sent once the outcome of every direct command for the attempt was known. After `clear` a copy of the command starts the attempt again; only its token or agent epoch can stop it, and neither had changed. Nothing else reaches the machine in between. Change: the fencing token of agents is the epoch and a serial (agent_token). The owner of a machine raises the serial in the response that contains a `clear`, if run commands were pushed under the present one (agent_fencing.c). A command that crosses the response gets 409 and is sent again at once. Missing runs are proven to be gone by the serial, too, in place of a new epoch for all nodes. The shard map says whether tokens have serials, which they have once all nodes announced version 3; until then attempts wait for the next epoch. Renewals by proxy answer with the token that the agent has shown. The count of commands in flight is removed. Why it works: the agent that accepts the response refuses all earlier commands and forgets the attempt at the same moment; one that drops the response does neither. All tokens of an epoch come from one owner, and a later epoch's are higher.

--- a/src/cluster/leader_election.c
+++ b/src/cluster/leader_election.c
@@ -121,13 +121,24 @@
     return process;
 }
 
+/** Returns whether tokens have serials in the next epoch. Once they have, they keep them: a number
+ * without a serial is lower than all with one, and agents would refuse it. */
+static bool next_epoch_has_token_serials(const struct leader_election *election,
+                                         const struct candidate *self)
+{
+    return self->may_use_token_serials || election->setup.replica->has_token_serials;
+}
+
 /** Encodes the next shard map, which lists all live nodes that are not excluded, by label. */
-static json_object *encode_next_shard_map(const struct leader_election *election)
+static json_object *encode_next_shard_map(const struct leader_election *election,
+                                          const struct candidate *self)
 {
     const struct replica *replica = election->setup.replica;
     json_object *map = json_object_new_object();
     json_object *nodes = json_object_new_array();
     json_put_u64(map, SHARD_MAP_FIELD_EPOCH, replica->shard_map_epoch.value + 1);
+    if (next_epoch_has_token_serials(election, self))
+        json_put_bool(map, SHARD_MAP_FIELD_TOKEN_SERIALS, true);
     GList *labels = g_list_sort(g_hash_table_get_keys(replica->nodes), (GCompareFunc)strcmp);
     for (GList *link = labels; link; link = link->next) {
         const struct node_record *node = g_hash_table_lookup(replica->nodes, link->data);
@@ -139,10 +150,12 @@
     return map;
 }
 
-/** Returns whether the current shard map lists other nodes than the next one would. */
-static bool is_shard_map_stale(const struct leader_election *election)
+/** Returns whether the next shard map would differ from the current one in more than the epoch. */
+static bool is_shard_map_stale(const struct leader_election *election, const struct candidate *self)
 {
     const struct replica *replica = election->setup.replica;
+    if (next_epoch_has_token_serials(election, self) != replica->has_token_serials)
+        return true;
     guint expected_len = 0;
     GHashTableIter iter;
     struct node_record *node;
@@ -196,7 +209,7 @@
     if (acquires_leadership)
         txn_put(txn, KEY_LEADER, encode_process(setup->label, self->incarnation),
                 self->incarnation);
-    txn_put(txn, KEY_SHARD_MAP, encode_next_shard_map(election), (lease_id){0});
+    txn_put(txn, KEY_SHARD_MAP, encode_next_shard_map(election, self), (lease_id){0});
     election->write_in_flight = true;
     kv_client_commit(setup->kv, KV_PRIORITY_LEASE, txn, on_write_done, election);
     g_free(node_key);
@@ -238,6 +251,6 @@
         return;
     }
     election->is_leaderless = false;
-    if (self->is_leader && (election->is_new_epoch_requested || is_shard_map_stale(election)))
+    if (self->is_leader && (election->is_new_epoch_requested || is_shard_map_stale(election, self)))
         write_shard_map(election, self, false);
 }
--- a/src/cluster/leader_election.h
+++ b/src/cluster/leader_election.h
@@ -36,6 +36,8 @@
     revision mod_revision;
     /** Whether the process is the leader and may act as such. */
     bool is_leader;
+    /** Whether all nodes support serials in the fencing tokens of agents. */
+    bool may_use_token_serials;
 };
 
 /** Creates a leader election; the setup is copied. */
--- a/src/cluster/membership.c
+++ b/src/cluster/membership.c
@@ -313,6 +313,8 @@
     }
     const struct candidate self = {.incarnation = incarnation,
                                    .mod_revision = membership->mod_revision,
-                                   .is_leader = membership_is_leader(membership)};
+                                   .is_leader = membership_is_leader(membership),
+                                   .may_use_token_serials = membership_all_nodes_support(
+                                       membership, NODE_VERSION_TOKEN_SERIALS)};
     leader_election_step(membership->election, &self);
 }
--- a/src/replica/cluster_records.c
+++ b/src/replica/cluster_records.c
@@ -102,6 +102,8 @@
     }
     replica->shard_map_epoch.value = epoch;
     replica->shard_map_mod_revision = update->mod_revision;
+    replica->has_token_serials = false;
+    json_get_bool(update->value, SHARD_MAP_FIELD_TOKEN_SERIALS, &replica->has_token_serials);
     decode_shard_map_nodes(replica->shard_map, nodes);
     log_set_epoch(epoch);
     add_event(replica, REPLICA_EVENT_SHARD_MAP);
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -86,6 +86,8 @@
     revision leader_mod_revision;
     epoch_no shard_map_epoch;
     revision shard_map_mod_revision;
+    /** In this epoch the fencing tokens of agents contain a serial. */
+    bool has_token_serials;
     /** Array of struct shard_map_entry. */
     GArray *shard_map;
     /** Array of struct machine_type; NULL if none are stored yet. */
--- a/src/replica/replica_records.h
+++ b/src/replica/replica_records.h
@@ -20,8 +20,10 @@
     NODE_VERSION_JOB_DAG = 1,
     /** No task is placed on a machine that a recorded intent will return to the cloud. */
     NODE_VERSION_SINGLETON_ROLES = 2,
+    /** The fencing tokens of agents may contain a serial (agent_token.h). */
+    NODE_VERSION_TOKEN_SERIALS = 3,
     /** The version of this program. */
-    NODE_VERSION_CURRENT = NODE_VERSION_SINGLETON_ROLES,
+    NODE_VERSION_CURRENT = NODE_VERSION_TOKEN_SERIALS,
 };
 
 /** The state of a job; done and cancelled jobs are finished. */
--- a/src/replica/stored_fields.h
+++ b/src/replica/stored_fields.h
@@ -58,6 +58,7 @@
 #define PROCESS_FIELD_INCARNATION "i"
 #define SHARD_MAP_FIELD_EPOCH "e"
 #define SHARD_MAP_FIELD_NODES "n"
+#define SHARD_MAP_FIELD_TOKEN_SERIALS "ts"
 
 /* ---- ll/features ---- */
 
--- a/src/shard/agent_commands.c
+++ b/src/shard/agent_commands.c
@@ -4,6 +4,8 @@
  */
 #include "agent_session_internal.h"
 
+#include "agent_fencing_internal.h"
+
 #include "log.h"
 
 enum {
@@ -11,16 +13,38 @@
     MAX_COMMANDS_PER_MESSAGE = 300,
     /** A command is sent again if the agent does not report its effect within this time. */
     RESEND_INTERVAL_MS = 1500,
+    /** A new epoch is requested if an agent reports more exited attempts that wait for one. */
+    MAX_UNCLEARED_ATTEMPTS = 200,
 };
 
-bool shard_can_clear_attempt(const struct machine *machine, const struct task_run *run)
+/** Returns whether a response with the machine's token makes the agent refuse all run commands that
+ * were pushed to it before. */
+static bool is_pushed_run_fenced(const struct shard *shard, const struct machine *machine)
+{
+    return shard->has_token_serials && !machine->fence.covers_pushed_runs;
+}
+
+bool shard_can_clear_attempt(const struct shard *shard, const struct machine *machine,
+                             const struct task_run *run)
+{
+    return is_pushed_run_fenced(shard, machine) ||
+           agent_token_lower(run->start.token, machine->heartbeat.token);
+}
+
+bool shard_clear_needs_new_epoch(const struct shard *shard, const struct machine *machine,
+                                 const struct task_run *run)
+{
+    return !shard->has_token_serials &&
+           !agent_token_lower(run->start.token, machine->heartbeat.token);
+}
+
+/** Returns whether the agent may be told to forget an exited attempt that matches no run. Run
+ * commands of earlier owners have lower tokens than this owner's. */
+static bool can_clear_unknown_attempt(const struct shard *shard, const struct machine *machine)
 {
-    uint64_t agent_token = machine->heartbeat.fencing_token;
-    /* in_flight does not count the commands of earlier owners. They carry lower fencing tokens,
-     * which the agent refuses once it has seen this owner's token. */
-    bool none_in_flight =
-        run->start.in_flight == 0 && agent_token >= machine->lease.owned_since_epoch.value;
-    return none_in_flight || agent_token > run->start.fencing_token.value;
+    agent_token owner_token = agent_token_first(machine->lease.owned_since_epoch);
+    return !machine->fence.covers_pushed_runs &&
+           (shard->has_token_serials || !agent_token_lower(machine->heartbeat.token, owner_token));
 }
 
 static GArray *commands_new(void)
@@ -48,12 +72,18 @@
     g_array_append_val(commands, command);
 }
 
+/** Returns whether the agent reports an exited attempt whose record has been removed. */
+static bool is_clear_due(const struct task_run *run)
+{
+    return run->phase == TASK_RUN_RELEASED && run->reported.visibility == RUN_REPORTED &&
+           run->reported.state == TASK_EXITED;
+}
+
 /** Tells the agent to forget an exited attempt whose record has been removed. */
-static void add_clear_command(const struct machine *machine, const struct task_run *run,
-                              GArray *commands)
+static void add_clear_command(const struct shard *shard, const struct machine *machine,
+                              const struct task_run *run, GArray *commands)
 {
-    if (run->reported.visibility == RUN_REPORTED && run->reported.state == TASK_EXITED &&
-        shard_can_clear_attempt(machine, run))
+    if (is_clear_due(run) && shard_can_clear_attempt(shard, machine, run))
         add_command(commands, run, COMMAND_CLEAR, 0);
 }
 
@@ -75,31 +105,31 @@
     add_command(commands, run, COMMAND_STOP, grace_is_over ? 0 : run->stop.grace_s);
 }
 
-static void add_run_command(struct shard *shard, const struct machine *machine,
-                            struct task_run *run, bool is_push, GArray *commands)
+static void add_run_command(struct shard *shard, struct machine *machine, struct task_run *run,
+                            bool is_push, GArray *commands)
 {
     mono_time now = loop_now(shard->loop);
     struct run_start *start = &run->start;
     if (run->reported.visibility == RUN_REPORTED ||
         (start->sent_at.us && time_ms_since(now, start->sent_at) < RESEND_INTERVAL_MS))
         return;
-    start->fencing_token = shard->epoch;
+    start->token = machine->fence.token;
     start->sent_at = now;
     /* Only an agent epoch later than that of the newest command proves that the task is gone. An
      * older command may have been executed in this agent epoch, and the agent may yet report its
      * task. */
     start->agent_epoch = machine->heartbeat.agent_epoch;
     if (is_push)
-        start->in_flight++;
+        machine->fence.covers_pushed_runs = true;
     add_command(commands, run, COMMAND_RUN, 0);
 }
 
 /** Adds the command that is due for a run, if any. */
-static void add_due_command(struct shard *shard, const struct machine *machine,
-                            struct task_run *run, bool is_push, GArray *commands)
+static void add_due_command(struct shard *shard, struct machine *machine, struct task_run *run,
+                            bool is_push, GArray *commands)
 {
     if (run->phase == TASK_RUN_RELEASED && !is_push)
-        add_clear_command(machine, run, commands);
+        add_clear_command(shard, machine, run, commands);
     else if (run->phase == TASK_RUN_RECORDED && run->stop.is_requested)
         add_stop_command(shard, run, is_push, commands);
     else if (run->phase == TASK_RUN_RECORDED)
@@ -107,10 +137,10 @@
 }
 
 /** Adds commands to stop tasks that have no record, and to clear them once they have exited. */
-static void add_unknown_task_commands(const struct machine *machine, GArray *commands)
+static void add_unknown_task_commands(const struct shard *shard, const struct machine *machine,
+                                      GArray *commands)
 {
-    bool earlier_owner_fenced =
-        machine->heartbeat.fencing_token >= machine->lease.owned_since_epoch.value;
+    bool can_clear = can_clear_unknown_attempt(shard, machine);
     for (guint i = 0; i < machine->unknown_tasks->len && commands->len < MAX_COMMANDS_PER_MESSAGE;
          i++) {
         const struct heartbeat_task *task =
@@ -119,23 +149,50 @@
             LOG_INFO("unknown_task", "job=%s task=%u machine=%s", task->job.text, task->task_index,
                      machine->id.text);
             add_task_command(commands, task, COMMAND_STOP);
-        } else if (earlier_owner_fenced) {
+        } else if (can_clear) {
             add_task_command(commands, task, COMMAND_CLEAR);
-        } /* else a delayed run command of an earlier owner may still start it again */
+        } /* else a copy of its run command may still start it again */
     }
 }
 
+/** Returns the number of exited attempts that the agent may forget as far as their records are
+ * concerned. */
+static guint count_due_clears(const struct machine *machine)
+{
+    guint count = 0;
+    for (guint i = 0; i < machine->runs->len; i++)
+        count += is_clear_due(machine->runs->pdata[i]);
+    for (guint i = 0; i < machine->unknown_tasks->len; i++)
+        count +=
+            g_array_index(machine->unknown_tasks, struct heartbeat_task, i).state == TASK_EXITED;
+    return count;
+}
+
+/** Raises the token before clear commands are added to a response. An agent that accepts the
+ * response forgets the attempts and refuses all copies of their run commands at the same moment.
+ * Without serials the attempts wait for the next epoch, which is requested if there are many. */
+static void fence_cleared_attempts(struct shard *shard, struct machine *machine)
+{
+    guint due_clears = count_due_clears(machine);
+    if (shard->has_token_serials && due_clears)
+        shard_fence_pushed_runs(shard, machine);
+    else if (due_clears > MAX_UNCLEARED_ATTEMPTS)
+        shard->status.wants_epoch_raise = true;
+}
+
 GArray *shard_collect_commands(struct shard *shard, struct machine *machine, bool is_push)
 {
     GArray *commands = commands_new();
     bool has_valid_lease = membership_has_valid_lease(shard->membership);
+    if (!is_push && has_valid_lease)
+        fence_cleared_attempts(shard, machine);
     for (guint i = 0; i < machine->runs->len && commands->len < MAX_COMMANDS_PER_MESSAGE; i++) {
         struct task_run *run = machine->runs->pdata[i];
         if (has_valid_lease || (run->stop.is_requested && shard_job_is_finished(shard, run->job)))
             add_due_command(shard, machine, run, is_push, commands);
     }
     if (!is_push && has_valid_lease)
-        add_unknown_task_commands(machine, commands);
+        add_unknown_task_commands(shard, machine, commands);
     return commands;
 }
 
--- /dev/null
+++ b/src/shard/agent_fencing.c
@@ -0,0 +1,52 @@
+/**
+ * @file
+ * The fencing tokens that this node gives to the agents of its machines.
+ */
+#include "agent_fencing_internal.h"
+
+#include "log.h"
+
+void shard_fence_begin_epoch(struct shard *shard, struct machine *machine)
+{
+    machine->fence = (struct machine_fence){.token = agent_token_first(shard->epoch)};
+}
+
+void shard_fence_adopt_token(struct shard *shard, struct machine *machine, agent_token seen)
+{
+    if (!agent_token_lower(machine->fence.token, seen) ||
+        agent_token_get_epoch(seen).value != shard->epoch.value)
+        return;
+    machine->fence.token = seen;
+    machine->fence.covers_pushed_runs = true;
+}
+
+/** Raises the token by one, or requests a new epoch. Returns whether the token was raised. */
+static bool raise_token(struct shard *shard, struct machine *machine)
+{
+    if (!shard->has_token_serials || !agent_token_increment(&machine->fence.token)) {
+        shard->status.wants_epoch_raise = true;
+        return false;
+    }
+    machine->fence.covers_pushed_runs = false;
+    LOG_DEBUG("agent_token_raised", "machine=%s token=%" G_GUINT64_FORMAT, machine->id.text,
+              machine->fence.token.value);
+    return true;
+}
+
+bool shard_fence_pushed_runs(struct shard *shard, struct machine *machine)
+{
+    return !machine->fence.covers_pushed_runs || raise_token(shard, machine);
+}
+
+void shard_fence_raise_above(struct shard *shard, struct machine *machine, agent_token token)
+{
+    if (!agent_token_lower(token, machine->fence.token))
+        raise_token(shard, machine);
+}
+
+char *shard_encode_commands(const struct shard *shard, agent_token token, uint64_t agent_epoch,
+                            const GArray *commands)
+{
+    return agent_commands_encode(agent_token_encode(token, shard->has_token_serials), agent_epoch,
+                                 (const struct agent_command *)commands->data, commands->len);
+}
--- a/src/shard/agent_requests.c
+++ b/src/shard/agent_requests.c
@@ -5,6 +5,8 @@
  */
 #include "agent_session_internal.h"
 
+#include "agent_fencing_internal.h"
+
 #include "json_fields.h"
 #include "task_placement_internal.h"
 
@@ -26,6 +28,8 @@
     machine_id machine;
     /** The pushed commands (struct agent_command); NULL for a probe. */
     GArray *commands;
+    /** The token of the pushed commands. */
+    agent_token token;
 };
 
 /** Returns whether the response to a probe shows that the agent was restarted: its counters are not
@@ -76,20 +80,16 @@
     return is_valid;
 }
 
-/** Counts the run commands of a push as no longer in flight. Commands that were refused or never
- * sent become due again. */
-static void finish_pushed_run_commands(struct machine *machine, const GArray *commands, int status)
+/** Makes the run commands of a push that was refused or never sent due again. */
+static void reset_refused_run_commands(struct machine *machine, const GArray *commands, int status)
 {
-    if (status <= 0 && status != HTTP_NOT_SENT)
-        return; /* the commands may still arrive */
+    if (status == HTTP_STATUS_OK || (status <= 0 && status != HTTP_NOT_SENT))
+        return; /* the commands were carried out, or may still be */
     for (guint i = 0; i < commands->len; i++) {
         const struct agent_command *command = &g_array_index(commands, struct agent_command, i);
         struct task_run *run =
             shard_run_find(machine, command->job, command->task_index, command->attempt);
-        if (!run || command->verb != COMMAND_RUN)
-            continue;
-        run->start.in_flight--;
-        if (status != HTTP_STATUS_OK)
+        if (run && command->verb == COMMAND_RUN)
             run->start.sent_at = (mono_time){0};
     }
 }
@@ -100,9 +100,12 @@
     struct shard *shard = request->shard;
     struct machine *machine = shard_find_machine(shard, request->machine.text);
     if (machine) {
-        bool push_again = machine->push_state == PUSH_IN_FLIGHT_AGAIN;
+        /* Commands are refused if the token was raised while they were on their way. */
+        bool was_fenced = response->status == HTTP_STATUS_CONFLICT &&
+                          agent_token_lower(request->token, machine->fence.token);
+        bool push_again = machine->push_state == PUSH_IN_FLIGHT_AGAIN || was_fenced;
         machine->push_state = PUSH_IDLE;
-        finish_pushed_run_commands(machine, request->commands, response->status);
+        reset_refused_run_commands(machine, request->commands, response->status);
         handle_agent_response(shard, machine, response, false);
         if (push_again)
             shard_push_commands(shard, machine);
@@ -115,9 +118,9 @@
 static void send_push(struct shard *shard, struct machine *machine, GArray *commands)
 {
     struct agent_request *request = g_new(struct agent_request, 1);
-    *request = (struct agent_request){shard, machine->id, commands};
-    char *body = agent_commands_encode(shard->epoch, machine->heartbeat.agent_epoch,
-                                       (struct agent_command *)commands->data, commands->len);
+    *request = (struct agent_request){shard, machine->id, commands, machine->fence.token};
+    char *body = shard_encode_commands(shard, machine->fence.token, machine->heartbeat.agent_epoch,
+                                       commands);
     struct http_client_request http_request = {machine->address, "POST",         "/commands", body,
                                                strlen(body),     PUSH_TIMEOUT_MS};
     machine->push_state = PUSH_IN_FLIGHT;
--- a/src/shard/agent_session.c
+++ b/src/shard/agent_session.c
@@ -6,6 +6,8 @@
  */
 #include "agent_session_internal.h"
 
+#include "agent_fencing_internal.h"
+
 #include "json_fields.h"
 #include "log.h"
 #include "machine_returns_internal.h"
@@ -53,10 +55,10 @@
 }
 
 /** Responds with commands, which renews the agent's lease. Takes ownership of the array. */
-static void respond_commands(const struct heartbeat_request *request, GArray *commands)
+static void respond_commands(const struct heartbeat_request *request, agent_token token,
+                             GArray *commands)
 {
-    char *body = agent_commands_encode(request->shard->epoch, 0,
-                                       (struct agent_command *)commands->data, commands->len);
+    char *body = shard_encode_commands(request->shard, token, 0, commands);
     respond_json(request->responder, request->connection, HTTP_STATUS_OK, body);
     g_array_unref(commands);
 }
@@ -104,7 +106,9 @@
     }
     GArray *commands = shard_collect_stop_commands(shard, request->heartbeat);
     lease_proxy_record_renewal(shard->lease_proxy);
-    respond_commands(request, commands);
+    /* The owner may have raised the token, and the agent drops responses with a lower one. */
+    agent_token token = agent_token_max(agent_token_first(shard->epoch), request->heartbeat->token);
+    respond_commands(request, token, commands);
 }
 
 /** Handles a heartbeat for a machine that another node owns. An agent that comes back soon after a
@@ -164,7 +168,7 @@
     return (heartbeat->agent_epoch == newest->agent_epoch &&
             heartbeat->sequence == newest->sequence + 1 &&
             strcmp(via_node, newest->via_node) == 0) ||
-           heartbeat->fencing_token > newest->fencing_token;
+           agent_token_lower(newest->token, heartbeat->token);
 }
 
 /** Applies a heartbeat if it cannot be a delayed copy, and returns whether it was applied. The
@@ -176,7 +180,8 @@
 {
     bool is_first = !machine->heartbeat.has_reported;
     bool is_accepted =
-        !is_first || heartbeat->fencing_token >= machine->lease.owned_since_epoch.value;
+        !is_first ||
+        !agent_token_lower(heartbeat->token, agent_token_first(machine->lease.owned_since_epoch));
     if (is_accepted) {
         bool is_reachable = is_first || confirms_reachability(machine, heartbeat, via_node);
         shard_machine_apply_heartbeat(shard, machine, heartbeat);
@@ -226,8 +231,9 @@
     }
     machine->lease.last_renewed_at = loop_now(shard->loop);
     bool may_command = is_accepted && membership_has_valid_lease(shard->membership);
-    respond_commands(request, may_command ? shard_collect_commands(shard, machine, false)
-                                          : shard_collect_stop_commands(shard, heartbeat));
+    GArray *commands = may_command ? shard_collect_commands(shard, machine, false)
+                                   : shard_collect_stop_commands(shard, heartbeat);
+    respond_commands(request, machine->fence.token, commands);
 }
 
 /* ---- all heartbeats ---- */
@@ -240,7 +246,8 @@
     if (replica->is_ready)
         owner = shard_map_get_owner(replica, request->heartbeat->machine.text);
     if (!owner || shard->epoch.value != replica->shard_map_epoch.value ||
-        !shard_may_renew_leases(shard) || request->heartbeat->fencing_token > shard->epoch.value)
+        !shard_may_renew_leases(shard) ||
+        agent_token_get_epoch(request->heartbeat->token).value > shard->epoch.value)
         respond_empty(request, HTTP_STATUS_UNAVAILABLE);
     else if (strcmp(owner, shard->settings->label) != 0)
         handle_heartbeat_for_other_owner(request, owner);
--- a/src/shard/agent_session_internal.h
+++ b/src/shard/agent_session_internal.h
@@ -20,9 +20,16 @@
 
 /* agent_commands.c: selection of commands */
 
-/** Returns whether the agent may be instructed to forget an attempt. This is not allowed while a
- * copy of the run command may still arrive, as that copy would start the task again. */
-bool shard_can_clear_attempt(const struct machine *machine, const struct task_run *run);
+/** Returns whether the next response may instruct the agent to forget an attempt. This is not
+ * allowed while a copy of the run command may be carried out afterwards, as that copy would start
+ * the task again: the response must have a higher token than the command, or the agent must have
+ * seen one. */
+bool shard_can_clear_attempt(const struct shard *shard, const struct machine *machine,
+                             const struct task_run *run);
+/** Returns whether the agent cannot forget an attempt before the next epoch, as tokens have no
+ * serials in this one. */
+bool shard_clear_needs_new_epoch(const struct shard *shard, const struct machine *machine,
+                                 const struct task_run *run);
 /** Returns the commands that are due for an agent, as an array of struct agent_command, and records
  * them as sent. A node without a valid lease only stops tasks of finished jobs: a cancellation is
  * final, even if the machine has another owner by now.
--- a/src/shard/dispatch_queue.c
+++ b/src/shard/dispatch_queue.c
@@ -83,7 +83,7 @@
     for (guint i = 0; i < machine->runs->len; i++) {
         const struct task_run *run = machine->runs->pdata[i];
         if (run->index == dispatch->index && job_id_equal(run->job, dispatch->job) &&
-            run->phase == TASK_RUN_RELEASED && !shard_can_clear_attempt(machine, run) &&
+            run->phase == TASK_RUN_RELEASED && shard_clear_needs_new_epoch(shard, machine, run) &&
             time_ms_since(now, run->start.sent_at) > DELAYED_COMMAND_MS)
             return true;
     }
--- a/src/shard/machine_internal.h
+++ b/src/shard/machine_internal.h
@@ -20,7 +20,7 @@
     /** Number of the heartbeat within the agent epoch. */
     uint64_t sequence;
     /** The highest fencing token that the agent has seen. */
-    uint64_t fencing_token;
+    agent_token token;
     /** Hash of the reported tasks, see shard_heartbeat_tasks_hash(). */
     uint32_t tasks_hash;
     /** Label of the node that forwarded the heartbeat; empty if it came directly. */
@@ -29,6 +29,15 @@
     mono_time received_at;
 };
 
+/** The fencing token that this node gives to the agent (agent_fencing.c). */
+struct machine_fence {
+    /** The token of all commands and responses from now on. */
+    agent_token token;
+    /** Run commands with this token may have been pushed. A copy of such a command can start its
+     * attempt again until the agent has seen a higher token. */
+    bool covers_pushed_runs;
+};
+
 /** Facts that bound the time until which the agent's lease can have been renewed. */
 struct machine_lease {
     /** The shard map epoch since which this node has owned the machine without interruption. */
@@ -122,6 +131,7 @@
     GPtrArray *image_cache;
 
     struct machine_heartbeat heartbeat;
+    struct machine_fence fence;
     struct machine_lease lease;
     struct machine_reachability reachability;
     struct machine_record_state record;
--- a/src/shard/machines.c
+++ b/src/shard/machines.c
@@ -4,6 +4,7 @@
  */
 #include "machine_internal.h"
 
+#include "agent_fencing_internal.h"
 #include "image_cache.h"
 #include "log.h"
 #include "machine_returns_internal.h"
@@ -40,6 +41,9 @@
     machine->lease.owned_since = machine->heartbeat.received_at =
         machine->reachability.confirmed_at = loop_now(shard->loop);
     machine->is_returning = shard_machine_is_returning(shard, id.text);
+    shard_fence_begin_epoch(shard, machine);
+    /* This node may have owned the machine before in this epoch. */
+    machine->fence.covers_pushed_runs = true;
     g_hash_table_insert(shard->machines, machine->id.text, machine);
     return machine;
 }
@@ -123,7 +127,7 @@
                                          stored->attempt, stored->job->spec);
     /* The owner that recorded the run may have sent its command with any token below this owner's.
      */
-    run->start.fencing_token.value = machine->lease.owned_since_epoch.value - 1;
+    run->start.token = agent_token_last_before(machine->lease.owned_since_epoch);
     run->placed_at = loop_now(shard->loop);
     return run;
 }
@@ -256,15 +260,16 @@
                             mono_time now)
 {
     struct machine_heartbeat *newest = &machine->heartbeat;
-    uint64_t owner_token = machine->lease.owned_since_epoch.value;
-    if (newest->fencing_token < owner_token && heartbeat->fencing_token >= owner_token)
+    agent_token owner_token = agent_token_first(machine->lease.owned_since_epoch);
+    if (agent_token_lower(newest->token, owner_token) &&
+        !agent_token_lower(heartbeat->token, owner_token))
         machine->lease.owner_token_seen_at = now;
     newest->has_reported = true;
     newest->received_at = now;
     newest->tasks_hash = shard_heartbeat_tasks_hash(heartbeat);
     newest->agent_epoch = heartbeat->agent_epoch;
     newest->sequence = heartbeat->sequence;
-    newest->fencing_token = heartbeat->fencing_token;
+    newest->token = heartbeat->token;
 }
 
 /** Applies the tasks in a heartbeat: marks their runs as reported, and collects the unknown tasks.
@@ -310,6 +315,7 @@
     if (status_changed)
         shard->placement.capacity_changed = true;
     store_heartbeat(machine, heartbeat, loop_now(shard->loop));
+    shard_fence_adopt_token(shard, machine, heartbeat->token);
     if (apply_reclaim_notice(shard, machine, heartbeat->reclaim_notice_s))
         status_changed = true;
     apply_reported_tasks(shard, machine, heartbeat);
--- a/src/shard/shard_epoch.c
+++ b/src/shard/shard_epoch.c
@@ -6,6 +6,7 @@
  */
 #include "shard_epoch_internal.h"
 
+#include "agent_fencing_internal.h"
 #include "agent_session_internal.h"
 #include "machine_returns_internal.h"
 #include "run_records_internal.h"
@@ -26,7 +27,7 @@
 {
     run->record.is_in_txn = false;
     if (epochs_skipped)
-        run->start.fencing_token.value = shard->epoch.value - 1;
+        run->start.token = agent_token_last_before(shard->epoch);
     if (run->phase == TASK_RUN_ENDED)
         run->phase = TASK_RUN_RECORDED; /* the next heartbeat proves the end again */
 }
@@ -34,6 +35,7 @@
 static void reset_machine(struct shard *shard, struct machine *machine, bool epochs_skipped)
 {
     machine->is_returning = shard_machine_is_returning(shard, machine->id.text);
+    shard_fence_begin_epoch(shard, machine);
     if (epochs_skipped) {
         machine->lease.owned_since_epoch = shard->epoch;
         machine->lease.owned_since = loop_now(shard->loop);
@@ -104,6 +106,7 @@
      * between. It is then treated as if this node had become its owner only now. */
     bool epochs_skipped = shard->replica->shard_map_epoch.value != shard->epoch.value + 1;
     shard->epoch = shard->replica->shard_map_epoch;
+    shard->has_token_serials = shard->replica->has_token_serials;
     shard->generation++;
     shard->last_dispatch_sequence = 0;
     shard->status.next_is_full = true;
--- a/src/shard/shard_internal.h
+++ b/src/shard/shard_internal.h
@@ -114,6 +114,8 @@
 
     /** Epoch of the shard map that determines which machines this node owns. */
     epoch_no epoch;
+    /** In this epoch the fencing tokens of agents contain a serial. */
+    bool has_token_serials;
     /** Number of epochs seen by this process. Operations begun in an earlier generation are void.
      */
     uint64_t generation;
--- a/src/shard/task_end.c
+++ b/src/shard/task_end.c
@@ -6,6 +6,7 @@
  */
 #include "task_end_internal.h"
 
+#include "agent_fencing_internal.h"
 #include "agent_session_internal.h"
 #include "completions_internal.h"
 #include "log.h"
@@ -17,8 +18,8 @@
      * first limit, failures beyond the second. */
     MAX_RUN_TIME_EVENTS = 200,
     MAX_FAILURE_EVENTS = 2 * MAX_TRACKED_MACHINES,
-    /** How long the command for a missing run may still be in transit before a new epoch is
-     * requested to prove the end of the run. */
+    /** How long the command for a missing run may still be in transit before the fencing token is
+     * raised to prove the end of the run. */
     MISSING_RUN_GRACE_MS = 1000,
     /** Safety margins added to the lease duration and to the time limit for stopping cancelled
      * tasks, when their end is inferred from the clock. */
@@ -95,7 +96,7 @@
     int64_t max_renewal_ms = shard_max_renewal_ms(shard) * (int64_t)LENGTHENED_MS_PER_S / 1000;
     /* Until the agent shows a fencing token of this owner, an earlier owner that is cut off may
      * still renew the lease, for as long as shard_max_renewal_ms() allows. */
-    if (machine->heartbeat.fencing_token < lease->owned_since_epoch.value) {
+    if (agent_token_lower(machine->heartbeat.token, agent_token_first(lease->owned_since_epoch))) {
         int64_t cancel_ms =
             (int64_t)(settings->cancel_timeout_s * LENGTHENED_MS_PER_S) + CANCEL_MARGIN_MS;
         return time_ms_since(now, lease->owned_since) > cancel_ms &&
@@ -208,8 +209,8 @@
         run->reported.visibility = RUN_DISAPPEARED;
     /* Either this owner never sent the command, or it sent it with a lower fencing token than the
      * agent has seen since. In both cases no copy of the command can start the attempt any more. */
-    if (heartbeat->fencing_token > run->start.fencing_token.value)
+    if (agent_token_lower(run->start.token, heartbeat->token))
         end_run(shard, run, RUN_END_FENCED);
     else if (time_ms_since(loop_now(shard->loop), run->start.sent_at) > MISSING_RUN_GRACE_MS)
-        shard->status.wants_epoch_raise = true;
+        shard_fence_raise_above(shard, machine, run->start.token);
 }
--- a/src/shard/task_run_internal.h
+++ b/src/shard/task_run_internal.h
@@ -45,11 +45,9 @@
 struct run_start {
     /** The highest fencing token that a run command for this attempt may have carried, including
      * commands of earlier owners. */
-    epoch_no fencing_token;
+    agent_token token;
     /** The agent epoch known when the last command was sent; 0: unknown. */
     uint64_t agent_epoch;
-    /** Number of pushed commands (not those in heartbeat responses) whose outcome is unknown. */
-    int in_flight;
     /** When the last command was sent; 0: never by this node. */
     mono_time sent_at;
 };
--- a/src/wire/agent_codec.c
+++ b/src/wire/agent_codec.c
@@ -38,19 +38,23 @@
 static bool decode_machine(json_object *object, struct heartbeat *heartbeat)
 {
     char machine_name[sizeof heartbeat->machine.text];
+    uint64_t token = 0;
     heartbeat->reclaim_notice_s = -1;
-    return json_copy_string(object, FIELD_MACHINE, machine_name, sizeof machine_name) &&
-           machine_id_parse(&heartbeat->machine, machine_name) &&
-           json_copy_string(object, FIELD_ADDRESS, heartbeat->address, sizeof heartbeat->address) &&
-           json_copy_string(object, FIELD_MACHINE_TYPE, heartbeat->machine_type_name,
-                            sizeof heartbeat->machine_type_name) &&
-           json_copy_string(object, FIELD_ZONE, heartbeat->zone, sizeof heartbeat->zone) &&
-           json_get_bool(object, FIELD_SPOT, &heartbeat->is_spot) &&
-           json_get_u64(object, FIELD_AGENT_EPOCH, &heartbeat->agent_epoch) &&
-           json_get_u64(object, FIELD_SEQUENCE, &heartbeat->sequence) &&
-           json_get_u64(object, FIELD_FENCING_TOKEN, &heartbeat->fencing_token) &&
-           (json_is_absent(object, FIELD_RECLAIM_NOTICE_S) ||
-            json_get_number(object, FIELD_RECLAIM_NOTICE_S, &heartbeat->reclaim_notice_s));
+    bool is_valid =
+        json_copy_string(object, FIELD_MACHINE, machine_name, sizeof machine_name) &&
+        machine_id_parse(&heartbeat->machine, machine_name) &&
+        json_copy_string(object, FIELD_ADDRESS, heartbeat->address, sizeof heartbeat->address) &&
+        json_copy_string(object, FIELD_MACHINE_TYPE, heartbeat->machine_type_name,
+                         sizeof heartbeat->machine_type_name) &&
+        json_copy_string(object, FIELD_ZONE, heartbeat->zone, sizeof heartbeat->zone) &&
+        json_get_bool(object, FIELD_SPOT, &heartbeat->is_spot) &&
+        json_get_u64(object, FIELD_AGENT_EPOCH, &heartbeat->agent_epoch) &&
+        json_get_u64(object, FIELD_SEQUENCE, &heartbeat->sequence) &&
+        json_get_u64(object, FIELD_FENCING_TOKEN, &token) &&
+        (json_is_absent(object, FIELD_RECLAIM_NOTICE_S) ||
+         json_get_number(object, FIELD_RECLAIM_NOTICE_S, &heartbeat->reclaim_notice_s));
+    heartbeat->token = agent_token_decode(token);
+    return is_valid;
 }
 
 bool heartbeat_decode(json_object *object, struct heartbeat *heartbeat)
@@ -86,11 +90,11 @@
     return object;
 }
 
-char *agent_commands_encode(epoch_no fencing_token, uint64_t agent_epoch,
+char *agent_commands_encode(uint64_t encoded_token, uint64_t agent_epoch,
                             const struct agent_command *commands, guint command_count)
 {
     json_object *object = json_object_new_object(), *list = json_object_new_array();
-    json_put_u64(object, FIELD_FENCING_TOKEN, fencing_token.value);
+    json_put_u64(object, FIELD_FENCING_TOKEN, encoded_token);
     if (agent_epoch)
         json_put_u64(object, FIELD_AGENT_EPOCH, agent_epoch);
     for (guint i = 0; i < command_count; i++)
--- a/src/wire/agent_codec.h
+++ b/src/wire/agent_codec.h
@@ -2,6 +2,7 @@
 #ifndef LL_AGENT_CODEC_H
 #define LL_AGENT_CODEC_H
 
+#include "agent_token.h"
 #include "json_fields.h"
 
 /** The state of a task on its machine. */
@@ -42,7 +43,7 @@
     /** Sequence number of the heartbeat within the agent epoch. */
     uint64_t sequence;
     /** The highest fencing token that the agent has received. */
-    uint64_t fencing_token;
+    agent_token token;
     /** Seconds until the cloud reclaims the machine; negative without a reclaim notice. */
     double reclaim_notice_s;
     /** Array of struct heartbeat_task. */
@@ -77,8 +78,9 @@
 /**
  * Encodes commands into a new string. An agent_epoch of 0 leaves the agent epoch out, as in the
  * response to a heartbeat.
+ * @param encoded_token see agent_token_encode()
  */
-char *agent_commands_encode(epoch_no fencing_token, uint64_t agent_epoch,
+char *agent_commands_encode(uint64_t encoded_token, uint64_t agent_epoch,
                             const struct agent_command *commands, guint command_count);
 /** Encodes into a new string the response that redirects an agent to the node that owns its
  * machine. `owner_label` is NULL if the owner is unknown. */
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -34,6 +34,11 @@
      * Times out at the node; a copy is kept and carried out by world_deliver_held_requests().
      */
     FAULT_REQUEST_HELD,
+    /**
+     * Carried out and answered; a copy is kept and carried out again by
+     * world_deliver_held_requests().
+     */
+    FAULT_REQUEST_REPEATED,
     /** The request arrives after two seconds. */
     FAULT_REQUEST_DELAYED,
     /** Carried out at once; the response is sent half a second later. */
@@ -195,7 +200,7 @@
     struct timer tick_timer;
     /** How many writes nodes have requested in transactions. */
     int state_write_count;
-    /** Copies of the requests with FAULT_REQUEST_HELD. */
+    /** Copies of the requests with FAULT_REQUEST_HELD or FAULT_REQUEST_REPEATED. */
     GPtrArray *held_requests;
     /**
      * The cloud: how many more machines it rents out, how many were rented (including those that
@@ -272,7 +277,8 @@
                              uint64_t attempt);
 /** Lowers the limits of the state service to the ones that the settings announce. */
 void world_lower_state_limits(struct world *world);
-/** Carries out the requests with FAULT_REQUEST_HELD. */
+/** Carries out the requests with FAULT_REQUEST_HELD, and those with FAULT_REQUEST_REPEATED again.
+ */
 void world_deliver_held_requests(struct world *world);
 
 /**
--- a/tests/support/world_net.c
+++ b/tests/support/world_net.c
@@ -91,6 +91,10 @@
     case FAULT_UNAVAILABLE:
         pending_request_complete(pending, 503, "{\"error\":\"trouble\"}");
         return;
+    case FAULT_REQUEST_REPEATED:
+        g_ptr_array_add(world->held_requests, copy_without_callback(pending));
+        pending_request_dispatch(pending);
+        return;
     case FAULT_REQUEST_HELD:
         g_ptr_array_add(world->held_requests, copy_without_callback(pending));
         /* fall through */
--- a/tests/test_partitions_and_outages.c
+++ b/tests/test_partitions_and_outages.c
@@ -98,6 +98,51 @@
     assert_int_equal(world_count_active_tasks(world, "wk-2"), 0);
 }
 
+/* Runs a short job in zone b, so that tasks are started and cleared on a machine there. */
+static void run_short_job_in_zone_b(struct world *world, const char *id)
+{
+    char *body = world_format_job(id, "sweep", 4, "blue", 2.0, ",\"Yard\":\"b\""),
+         *on_demand = world_replace_string(body, "\"Loaners\":true", "\"Loaners\":false");
+    assert_int_equal(world_send_user_request(world, 0, "POST", "/work", on_demand).status, 201);
+    g_free(body);
+    g_free(on_demand);
+    world_run(world, 4000);
+    assert_int_equal(world_count_active_tasks(world, id), 4);
+    world_exit_tasks_of_job(world, id, "done");
+    world_run(world, 4000);
+}
+
+/* Returns whether an agent with tasks in zone b has seen a raised token of this epoch. */
+static bool zone_b_has_raised_token(struct world *world)
+{
+    agent_token epoch_token = agent_token_first(world->nodes[0]->replica->shard_map_epoch);
+    for (int i = 0; i < WORLD_WORKERS; i++) {
+        const struct worker *worker = &world->workers[i];
+        if (worker->up && strcmp(worker->zone, "b") == 0 && worker->tasks->len &&
+            agent_token_lower(epoch_token, agent_token_decode(worker->token)))
+            return true;
+    }
+    return false;
+}
+
+/* Guards against a node that renews leases by proxy with a lower fencing token than the agents have
+ * seen from the owner: they would drop its responses and stop their tasks. */
+static void a_partitioned_zone_keeps_its_tasks_after_tokens_were_raised(void **state)
+{
+    struct world *world = *state;
+    run_short_job_in_zone_b(world, "wk-2");
+    start_service_spread_over_machines(world, "wk-1");
+    assert_true(zone_b_has_raised_token(world));
+    world->isolated_node = find_non_owner_of_zone_b(world);
+    int starts = world_count_task_starts(world);
+    run_with_partitioned_zone(world, 18000); /* lease: 10 s; renewed for less than 20 s */
+    assert_int_equal(world_count_active_tasks(world, "wk-1"), 8);
+    heal_partition(world);
+    world_run(world, 10000);
+    assert_int_equal(world_count_active_tasks(world, "wk-1"), 8);
+    assert_int_equal(world_count_task_starts(world), starts);
+}
+
 /* Drops all requests to the state service. */
 static enum request_fault drop_state_requests(struct world *world, int node,
                                               const struct http_client_request *request)
@@ -218,6 +263,7 @@
     const struct CMUnitTest tests[] = {
         WORLD_TEST_SETTLED(a_briefly_partitioned_zone_keeps_its_tasks),
         WORLD_TEST_SETTLED(tasks_of_a_long_partitioned_zone_restart_elsewhere),
+        WORLD_TEST_SETTLED(a_partitioned_zone_keeps_its_tasks_after_tokens_were_raised),
         WORLD_TEST(users_get_503_promptly_while_the_state_service_fails),
         WORLD_TEST_SETTLED(a_leader_continues_its_message_sequence_after_an_outage),
         WORLD_TEST(a_lagging_node_reads_watch_events_in_pages),
