Use one token bucket for the state service, the cloud and run records

Cause: three token buckets were written out by hand, with the same arithmetic in the cloud's calls, the run records and the client of the state service. Change: token_bucket moves to base and serves all three; it gains token_bucket_make and token_bucket_take. Parts of new tests that stood twice are shared.

--- a/src/kv/token_bucket.h
+++ b/src/base/token_bucket.h
@@ -15,12 +15,19 @@
     mono_time refilled_at;
 };
 
+/** Returns a bucket that contains a number of tokens. */
+struct token_bucket token_bucket_make(double refill_per_s, double capacity, double tokens,
+                                      mono_time now);
+
 /** Returns a full bucket with a capacity of one second's refill. */
 struct token_bucket token_bucket_make_full(double refill_per_s, mono_time now);
 
 /** Adds the tokens accrued since the last refill, up to the capacity. */
 void token_bucket_refill(struct token_bucket *bucket, mono_time now);
 
+/** Removes tokens for an operation that has waited for at least one. */
+void token_bucket_take(struct token_bucket *bucket, double count);
+
 /**
  * Changes the rate, and the capacity to one second's refill at that rate. Discards tokens beyond
  * the new capacity.
--- a/src/cloud/cloud_call.c
+++ b/src/cloud/cloud_call.c
@@ -12,24 +12,18 @@
 /** The capacity of the token bucket: BURST_S seconds of calls at the limit, plus part of a call. */
 static const double BURST_S = 1.5, BURST_EXTRA_CALLS = 0.5;
 
-static const double US_PER_S = 1e6;
-
-void cloud_call_budget_init(struct cloud_provider *cloud)
+void cloud_call_bucket_init(struct cloud_provider *cloud)
 {
-    cloud->call_budget.tokens = cloud->settings->cloud_requests_per_s;
-    cloud->call_budget.refilled_at = loop_now(cloud->loop);
+    double limit_per_s = cloud->settings->cloud_requests_per_s;
+    cloud->call_bucket =
+        token_bucket_make(limit_per_s * RATE_LIMIT_SHARE, limit_per_s * BURST_S + BURST_EXTRA_CALLS,
+                          limit_per_s, loop_now(cloud->loop));
 }
 
 bool cloud_provider_may_call(struct cloud_provider *cloud)
 {
-    struct cloud_call_budget *budget = &cloud->call_budget;
-    mono_time now = loop_now(cloud->loop);
-    double limit_per_s = cloud->settings->cloud_requests_per_s;
-    double rate = limit_per_s * RATE_LIMIT_SHARE;
-    double refilled = budget->tokens + rate * (double)(now.us - budget->refilled_at.us) / US_PER_S;
-    budget->tokens = MIN(limit_per_s * BURST_S + BURST_EXTRA_CALLS, refilled);
-    budget->refilled_at = now;
-    return budget->tokens >= 1;
+    token_bucket_refill(&cloud->call_bucket, loop_now(cloud->loop));
+    return token_bucket_has_token(&cloud->call_bucket);
 }
 
 struct cloud_call *cloud_call_new(struct cloud_provider *cloud)
@@ -49,7 +43,7 @@
                      const char *body, http_response_callback callback)
 {
     struct cloud_provider *cloud = call->cloud;
-    cloud->call_budget.tokens -= 1;
+    token_bucket_take(&cloud->call_bucket, 1);
     struct http_client_request request = {
         cloud->settings->cloud_address, method,         path, body,
         body ? strlen(body) : 0,        CALL_TIMEOUT_MS};
--- a/src/cloud/cloud_provider.c
+++ b/src/cloud/cloud_provider.c
@@ -110,7 +110,7 @@
     cloud->offers_refused_until = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     cloud->scale_in_requests = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     g_queue_init(&cloud->scale_out_requests);
-    cloud_call_budget_init(cloud);
+    cloud_call_bucket_init(cloud);
     cloud->delays_logged_at = loop_now(cloud->loop);
     cloud->scale_out_delays = delay_histogram_new();
     cloud->scale_in_delays = delay_histogram_new();
--- a/src/cloud/cloud_provider_internal.h
+++ b/src/cloud/cloud_provider_internal.h
@@ -13,6 +13,7 @@
 #include "cloud_provider.h"
 #include "delay_histogram.h"
 #include "intent_log.h"
+#include "token_bucket.h"
 
 /** The delay before a scale-out or scale-in without a usable response is sent again. */
 enum { CLOUD_RETRY_MS = 700 };
@@ -65,13 +66,6 @@
     enum cloud_send_state send_state;
 };
 
-/** The token bucket that limits the rate of calls; see cloud_provider_may_call(). */
-struct cloud_call_budget {
-    /** The number of calls that may be sent now. */
-    double tokens;
-    mono_time refilled_at;
-};
-
 /** The machine types that the cloud offers, and whether they are stored for the other nodes. */
 struct machine_types_state {
     /** Array of struct machine_type; NULL before the first response. */
@@ -126,7 +120,8 @@
      * `returned_machines`.
      */
     uint64_t generation;
-    struct cloud_call_budget call_budget;
+    /** Limits the rate of calls, see cloud_provider_may_call(). */
+    struct token_bucket call_bucket;
     struct machine_types_state machine_types;
     struct machine_list_state machine_list;
     /** Machine id -> struct cloud_machine. */
@@ -183,8 +178,8 @@
 
 /* ---- cloud_call.c ---- */
 
-/** Fills the token bucket with one second of calls at the limit. */
-void cloud_call_budget_init(struct cloud_provider *cloud);
+/** Initializes the token bucket, which contains one second of calls at the limit. */
+void cloud_call_bucket_init(struct cloud_provider *cloud);
 
 /** Refills the token bucket, and returns whether it allows a call now. */
 bool cloud_provider_may_call(struct cloud_provider *cloud);
--- a/src/cloud/scale_out.c
+++ b/src/cloud/scale_out.c
@@ -251,7 +251,7 @@
             continue;
         }
         expected_calls++;
-        if (expected_calls > cloud->call_budget.tokens)
+        if (expected_calls > cloud->call_bucket.tokens)
             break;
         if (state == INTENT_UNKNOWN && !cloud->recording_paused)
             record_intent(cloud, request);
--- a/src/kv/kv_client.c
+++ b/src/kv/kv_client.c
@@ -196,8 +196,8 @@
         token_bucket_borrow(&kv->write_bucket, call->write_count);
         return;
     }
-    kv->request_bucket.tokens -= 1;
-    kv->write_bucket.tokens -= call->write_count;
+    token_bucket_take(&kv->request_bucket, 1);
+    token_bucket_take(&kv->write_bucket, call->write_count);
 }
 
 static void call_send(struct kv_call *call)
--- a/src/replica/watch.c
+++ b/src/replica/watch.c
@@ -135,7 +135,7 @@
         timer_start(replica->loop, &watch->timer, token_bucket_wait_ms(bucket));
         return false;
     }
-    bucket->tokens -= 1;
+    token_bucket_take(bucket, 1);
     return true;
 }
 
--- a/src/shard/record_batch_machine.c
+++ b/src/shard/record_batch_machine.c
@@ -85,7 +85,7 @@
     if (!needs_machine_record_write(shard, machine) || !can_write_machine_record(batch) ||
         txn_size_bytes(batch->txn) > MAX_TXN_BYTES_FOR_MACHINES)
         return;
-    double budget_left = shard->records.write_budget - txn_write_count(batch->txn);
+    double budget_left = shard->records.write_bucket.tokens - txn_write_count(batch->txn);
     /* No run of a machine can be recorded before the machine is described, so the first description
      * may use the whole budget. */
     if (record_batch_is_machine_described(machine) && budget_left <= WRITES_RESERVED_FOR_RUNS)
--- a/src/shard/record_txn.c
+++ b/src/shard/record_txn.c
@@ -79,7 +79,7 @@
 
 void record_txn_commit(struct shard *shard, struct txn *txn, txn_callback callback, void *arg)
 {
-    shard->records.write_budget -= txn_write_count(txn);
+    shard_charge_writes(shard, txn_write_count(txn));
     shard->records.txn_in_flight = true;
     kv_client_commit(shard->kv, KV_PRIORITY_URGENT, txn, callback, arg);
 }
--- a/src/shard/run_records_flush.c
+++ b/src/shard/run_records_flush.c
@@ -7,8 +7,6 @@
 #include "page_split_internal.h"
 #include "record_batch_internal.h"
 
-#include <math.h>
-
 enum {
     /** The delay after a change, so that other changes of the same moment go into the same
      * transaction. */
@@ -51,28 +49,23 @@
            MAX(shard->replica->shard_map->len, 1);
 }
 
-/** Refills the write budget, a token bucket, and returns whether it allows a write. If not, sets
- * the flush timer to the moment when it will. The longer changes wait, the more of them go into one
+/** Refills the token bucket of writes, and returns whether it allows a write. If not, sets the
+ * flush timer to the moment when it will. The longer changes wait, the more of them go into one
  * transaction. */
-static bool refill_write_budget(struct shard *shard)
+static bool refill_write_bucket(struct shard *shard)
 {
-    struct shard_records *records = &shard->records;
-    double writes_per_s = write_rate_share(shard);
-    mono_time now = loop_now(shard->loop);
-    double elapsed_us = (double)(now.us - records->write_budget_at.us);
-    records->write_budget =
-        MIN(MAX_WRITE_BURST, records->write_budget + writes_per_s * elapsed_us / 1e6);
-    records->write_budget_at = now;
-    if (records->write_budget >= 1)
+    struct token_bucket *bucket = &shard->records.write_bucket;
+    bucket->refill_per_s = write_rate_share(shard);
+    token_bucket_refill(bucket, loop_now(shard->loop));
+    if (token_bucket_has_token(bucket))
         return true;
-    timer_start(shard->loop, &records->flush_timer,
-                (int64_t)ceil((1 - records->write_budget) / writes_per_s * 1000));
+    timer_start(shard->loop, &shard->records.flush_timer, token_bucket_wait_ms(bucket));
     return false;
 }
 
 void shard_charge_writes(struct shard *shard, guint writes)
 {
-    shard->records.write_budget -= writes;
+    token_bucket_take(&shard->records.write_bucket, writes);
 }
 
 void shard_finish_write(const struct pending_write *write, bool ok)
@@ -128,7 +121,7 @@
     bool needs_inventory_write = shard_inventory_is_due(shard);
     if (!shard->records.is_dirty && !needs_split && !needs_inventory_write)
         return;
-    if (!refill_write_budget(shard))
+    if (!refill_write_bucket(shard))
         return;
     /* A page that is being split by copies must not be written until the split has ended. */
     if (needs_split && shard_split_page(shard))
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -8,6 +8,7 @@
 #include "agent_session_internal.h"
 #include "completions_internal.h"
 #include "machine_returns_internal.h"
+#include "record_batch_internal.h"
 #include "run_records_internal.h"
 #include "shard_epoch_internal.h"
 #include "shard_messages_internal.h"
@@ -223,7 +224,7 @@
     shard->records.inventories = g_ptr_array_new_with_free_func(g_free);
     shard->records.completion_units =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, shard_completion_units_free);
-    shard->records.write_budget_at = loop_now(shard->loop);
+    shard->records.write_bucket = token_bucket_make(0, MAX_WRITE_BURST, 0, loop_now(shard->loop));
     timer_init(&shard->records.flush_timer, shard_flush, shard);
     shard->records.retry_backoff =
         retry_backoff_make(FLUSH_RETRY_MIN_DELAY_MS, FLUSH_RETRY_MAX_DELAY_MS);
--- a/src/shard/shard_internal.h
+++ b/src/shard/shard_internal.h
@@ -9,6 +9,7 @@
 #include "arq.h"
 #include "machine_internal.h"
 #include "retry_backoff.h"
+#include "token_bucket.h"
 
 /** Machines that were returned to the cloud or are about to be. */
 struct shard_returns {
@@ -89,10 +90,8 @@
     mono_time inventory_written_at;
     /** When to retry a page that could not be split. */
     mono_time split_retry_at;
-    /** Number of writes that this node may make now, by its share of the write rate; refilled for
-     * the time since write_budget_at. */
-    double write_budget;
-    mono_time write_budget_at;
+    /** Limits the writes of records to this node's share of the write rate. */
+    struct token_bucket write_bucket;
     struct timer flush_timer;
     /** Delays after a transaction that was refused, or whose outcome could not be determined. */
     struct retry_backoff retry_backoff;
--- a/tests/test_machine_restarts.c
+++ b/tests/test_machine_restarts.c
@@ -38,6 +38,18 @@
     assert_int_equal(world_count_active_tasks(world, job), 2);
 }
 
+/** Restarts a machine whose agent is in its second session, and then starts the job wk-1 there.
+ * Returns its worker, and a copy of its last heartbeat from before the restart. */
+static struct worker *run_job_on_restarted_machine(struct world *world, char **heartbeat)
+{
+    struct worker *worker = add_machines_in_second_session(world);
+    *heartbeat = copy_last_heartbeat(worker);
+    worker_start_session(worker, true);
+    world_run(world, 3000);
+    start_job_on_both_machines(world, "wk-1");
+    return worker;
+}
+
 /** Delivers a copy of a heartbeat several times, and checks that no task is started again
  * although there is a machine for it. */
 static void assert_copies_end_no_run(struct world *world, struct worker *worker,
@@ -57,11 +69,8 @@
  * as its session is higher, and ends a run that goes on (review/3). */
 static void check_copy_from_before_a_restart(struct world *world)
 {
-    struct worker *worker = add_machines_in_second_session(world);
-    char *heartbeat = copy_last_heartbeat(worker);
-    worker_start_session(worker, true);
-    world_run(world, 3000);
-    start_job_on_both_machines(world, "wk-1");
+    char *heartbeat;
+    struct worker *worker = run_job_on_restarted_machine(world, &heartbeat);
     assert_copies_end_no_run(world, worker, heartbeat);
     g_free(heartbeat);
 }
@@ -85,11 +94,8 @@
 static void a_copy_from_before_a_restart_ends_no_run_in_a_later_epoch(void **state)
 {
     struct world *world = *state;
-    struct worker *worker = add_machines_in_second_session(world);
-    char *heartbeat = copy_last_heartbeat(worker);
-    worker_start_session(worker, true);
-    world_run(world, 3000);
-    start_job_on_both_machines(world, "wk-1");
+    char *heartbeat;
+    struct worker *worker = run_job_on_restarted_machine(world, &heartbeat);
     membership_raise_epoch(world_get_leader(world)->membership, "test");
     world_run(world, 3000);
     assert_copies_end_no_run(world, worker, heartbeat);
@@ -100,11 +106,8 @@
 static void a_copy_from_before_a_restart_ends_no_run_at_a_new_owner(void **state)
 {
     struct world *world = *state;
-    struct worker *worker = add_machines_in_second_session(world);
-    char *heartbeat = copy_last_heartbeat(worker);
-    worker_start_session(worker, true);
-    world_run(world, 3000);
-    start_job_on_both_machines(world, "wk-1");
+    char *heartbeat;
+    struct worker *worker = run_job_on_restarted_machine(world, &heartbeat);
     world_kill(world, find_owner(world, worker));
     world_run(world, 9000);
     assert_copies_end_no_run(world, worker, heartbeat);
--- a/tests/test_partitions_and_outages.c
+++ b/tests/test_partitions_and_outages.c
@@ -58,20 +58,27 @@
     return -1;
 }
 
-/* A zone is partitioned for longer than a lease together with a node that does not own its
- * machines. The node must keep their leases, so that no task is restarted. */
-static void a_briefly_partitioned_zone_keeps_its_tasks(void **state)
+/* Partitions zone b together with a node that does not own its machines, for longer than a lease,
+ * and checks that the eight tasks of wk-1 keep running and none is restarted. */
+static void expect_tasks_survive_partition(struct world *world, int64_t partition_ms)
 {
-    struct world *world = *state;
-    start_service_spread_over_machines(world, "wk-1");
     world->isolated_node = find_non_owner_of_zone_b(world);
     int starts = world_count_task_starts(world);
-    run_with_partitioned_zone(world, 22000); /* lease: 10 s; renewed for less than 20 s */
+    run_with_partitioned_zone(world, partition_ms); /* lease: 10 s; renewed for less than 20 s */
     assert_int_equal(world_count_active_tasks(world, "wk-1"), 8);
     heal_partition(world);
     world_run(world, 10000);
     assert_int_equal(world_count_active_tasks(world, "wk-1"), 8);
     assert_int_equal(world_count_task_starts(world), starts);
+}
+
+/* A zone is partitioned for longer than a lease together with a node that does not own its
+ * machines. The node must keep their leases, so that no task is restarted. */
+static void a_briefly_partitioned_zone_keeps_its_tasks(void **state)
+{
+    struct world *world = *state;
+    start_service_spread_over_machines(world, "wk-1");
+    expect_tasks_survive_partition(world, 22000);
     world_expect_stage(world, 0, "wk-1", "running");
 }
 
@@ -133,14 +140,7 @@
     run_short_job_in_zone_b(world, "wk-2");
     start_service_spread_over_machines(world, "wk-1");
     assert_true(zone_b_has_raised_token(world));
-    world->isolated_node = find_non_owner_of_zone_b(world);
-    int starts = world_count_task_starts(world);
-    run_with_partitioned_zone(world, 18000); /* lease: 10 s; renewed for less than 20 s */
-    assert_int_equal(world_count_active_tasks(world, "wk-1"), 8);
-    heal_partition(world);
-    world_run(world, 10000);
-    assert_int_equal(world_count_active_tasks(world, "wk-1"), 8);
-    assert_int_equal(world_count_task_starts(world), starts);
+    expect_tasks_survive_partition(world, 18000);
 }
 
 /* Drops all requests to the state service. */
--- a/tests/test_record_pages.c
+++ b/tests/test_record_pages.c
@@ -35,7 +35,7 @@
 static void set_write_budget_exhausted(struct world *world, bool exhausted)
 {
     for (int i = 0; i < WORLD_NODES; i++) {
-        world->nodes[i]->shard->records.write_budget = exhausted ? -2000 : 1;
+        world->nodes[i]->shard->records.write_bucket.tokens = exhausted ? -2000 : 1;
         timer_start(world->loop, &world->nodes[i]->shard->records.flush_timer, 1);
     }
 }
