Own machines only from the first epoch whose map names this process

A task ran on two machines after its owner had restarted within a second and copies of heartbeats from two sessions of an agent arrived. Cause: a restarted node acted as the owner in the epoch whose map names its predecessor. Late copies show tokens of that epoch, so that they looked trustworthy to it; run records that it took over counted as fenced too early. Change: the ownership of a machine begins with the first epoch whose map names the process. Test: a_restarted_node_trusts_no_copies_from_the_epoch_of_its_predecessor.

--- a/src/shard/agent_fencing.c
+++ b/src/shard/agent_fencing.c
@@ -9,7 +9,7 @@
 void shard_fence_begin_ownership(struct shard *shard, struct machine *machine)
 {
     shard_fence_begin_epoch(shard, machine);
-    machine->fence.trusted = machine->fence.token;
+    machine->fence.trusted = agent_token_first(machine->lease.owned_since_epoch);
 }
 
 void shard_fence_begin_epoch(struct shard *shard, struct machine *machine)
--- a/src/shard/agent_fencing_internal.h
+++ b/src/shard/agent_fencing_internal.h
@@ -9,7 +9,7 @@
 
 #include "shard_internal.h"
 
-/** Initializes the token of a machine that this node owns from this epoch on. */
+/** Initializes the token of a machine that this process owns from lease.owned_since_epoch on. */
 void shard_fence_begin_ownership(struct shard *shard, struct machine *machine);
 
 /** Sets the token of a machine for an epoch in which this node has pushed no commands yet. */
--- a/src/shard/agent_session.c
+++ b/src/shard/agent_session.c
@@ -247,7 +247,8 @@
     bool may_command = is_accepted && membership_has_valid_lease(shard->membership);
     GArray *commands = may_command ? shard_collect_commands(shard, machine, false)
                                    : shard_collect_stop_commands(shard, heartbeat);
-    respond_commands(request, machine->fence.token, commands);
+    /* In the epoch of an earlier process of this node, the agent may have seen a higher token. */
+    respond_commands(request, agent_token_max(machine->fence.token, heartbeat->token), commands);
 }
 
 /* ---- all heartbeats ---- */
--- a/src/shard/machine_internal.h
+++ b/src/shard/machine_internal.h
@@ -43,8 +43,10 @@
 
 /** Facts that bound the time until which the agent's lease can have been renewed. */
 struct machine_lease {
-    /** The shard map epoch since which this node has owned the machine without interruption. */
+    /** The shard map epoch since which this process has owned the machine without interruption. The
+     * next epoch, if the map still names an earlier process of this node. */
     epoch_no owned_since_epoch;
+    /** When that epoch began; before that, when the machine was added. */
     mono_time owned_since;
     /** When this node last renewed the lease by responding to a heartbeat; 0: never. */
     mono_time last_renewed_at;
--- a/src/shard/machines.c
+++ b/src/shard/machines.c
@@ -29,6 +29,16 @@
     return g_hash_table_lookup(shard->machines, machine_name);
 }
 
+/** Returns the epoch from which on this process owns a machine that is added now. The map may still
+ * name an earlier process of this node. Agents have seen tokens of that epoch, so that a late copy
+ * of a heartbeat could show one. */
+static epoch_no first_owned_epoch(const struct shard *shard)
+{
+    bool is_in_map = shard_map_contains(shard->replica, shard->settings->label,
+                                        membership_get_incarnation(shard->membership));
+    return is_in_map ? shard->epoch : (epoch_no){shard->epoch.value + 1};
+}
+
 struct machine *shard_add_machine(struct shard *shard, machine_id id)
 {
     struct machine *machine = g_new0(struct machine, 1);
@@ -37,13 +47,13 @@
     machine->image_cache = image_cache_new();
     machine->sent_status.flags = machine->record.inventory_number = -1;
     machine->unknown_tasks = g_array_new(FALSE, FALSE, sizeof(struct heartbeat_task));
-    machine->lease.owned_since_epoch = shard->epoch;
-    machine->lease.owned_since = machine->heartbeat.received_at =
-        machine->reachability.confirmed_at = loop_now(shard->loop);
-    machine->is_returning = shard_machine_is_returning(shard, id.text);
+    machine->lease.owned_since_epoch = first_owned_epoch(shard);
     shard_fence_begin_ownership(shard, machine);
     /* This node may have owned the machine before in this epoch. */
     machine->fence.covers_pushed_runs = true;
+    machine->lease.owned_since = machine->heartbeat.received_at =
+        machine->reachability.confirmed_at = loop_now(shard->loop);
+    machine->is_returning = shard_machine_is_returning(shard, id.text);
     g_hash_table_insert(shard->machines, machine->id.text, machine);
     return machine;
 }
--- a/src/shard/shard_epoch.c
+++ b/src/shard/shard_epoch.c
@@ -36,9 +36,10 @@
 {
     machine->is_returning = shard_machine_is_returning(shard, machine->id.text);
     shard_fence_begin_epoch(shard, machine);
-    if (epochs_skipped) {
-        shard_fence_begin_ownership(shard, machine);
+    if (epochs_skipped)
         machine->lease.owned_since_epoch = shard->epoch;
+    if (machine->lease.owned_since_epoch.value == shard->epoch.value) {
+        shard_fence_begin_ownership(shard, machine);
         machine->lease.owned_since = loop_now(shard->loop);
     }
     for (guint i = 0; i < machine->runs->len; i++)
--- a/tests/support/world.c
+++ b/tests/support/world.c
@@ -291,15 +291,24 @@
     g_ptr_array_unref(waiting);
 }
 
+void world_deliver_held_request(struct world *world, guint index)
+{
+    struct pending_request *pending = g_ptr_array_steal_index(world->held_requests, index);
+    pending->fault = FAULT_NONE;
+    pending->sender_incarnation = 0; /* nobody waits for the response any more */
+    pending_request_dispatch(pending);
+}
+
 void world_deliver_held_requests(struct world *world)
 {
-    for (guint i = 0; i < world->held_requests->len; i++) {
-        struct pending_request *pending = world->held_requests->pdata[i];
-        pending->fault = FAULT_NONE;
-        pending->sender_incarnation = 0; /* nobody waits for the response any more */
-        pending_request_dispatch(pending);
-    }
-    g_ptr_array_set_size(world->held_requests, 0);
+    while (world->held_requests->len)
+        world_deliver_held_request(world, 0);
+}
+
+const struct worker *world_get_held_request_target(struct world *world, guint index)
+{
+    const struct pending_request *pending = world->held_requests->pdata[index];
+    return g_hash_table_lookup(world->workers_by_address, pending->address);
 }
 
 struct user_response world_send_user_request(struct world *world, int node, const char *method,
@@ -493,7 +502,7 @@
     char *violations = g_strdup(rules_finish(world->rules, loop_now(world->loop)));
     world_free(world);
     if (ran_twice)
-        fail_msg("a task ran on two machines at the same time");
+        fail_msg("a task ran on two machines at the same time; %s", violations ? violations : "");
     if (violations)
         fail_msg("%s", violations);
 }
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -280,6 +280,10 @@
 /** Carries out the requests with FAULT_REQUEST_HELD, and those with FAULT_REQUEST_REPEATED again.
  */
 void world_deliver_held_requests(struct world *world);
+/** Carries out one of them. */
+void world_deliver_held_request(struct world *world, guint index);
+/** Returns the worker to which one of them is addressed, or NULL. */
+const struct worker *world_get_held_request_target(struct world *world, guint index);
 
 /**
  * Serves a request of a real process to the state service or the cloud. The callback may be called
@@ -327,6 +331,12 @@
  * reset_counters: session, sequence and token start from the beginning, as on a new machine.
  */
 void worker_start_session(struct worker *worker, bool reset_counters);
+/**
+ * Ends the session of a worker whose lease has expired. The lease runs from the time at which the
+ * last answered heartbeat was sent. Each heartbeat checks it; a test that relies on the exact time
+ * checks it more often.
+ */
+void worker_check_lease(struct worker *worker);
 /** Delivers a copy of an earlier heartbeat to a node and ignores the response. */
 void world_replay_heartbeat(struct world *world, int node, const char *heartbeat);
 /** Returns how often all tasks of a gang have started to run together. Requires simulate_gangs. */
--- a/tests/support/world_worker.c
+++ b/tests/support/world_worker.c
@@ -195,9 +195,7 @@
     worker->lease_start = loop_now(worker->world->loop);
 }
 
-/* Ends the session when the lease has expired. The lease runs from the time at which the last
- * answered heartbeat was sent. */
-static void worker_check_lease(struct worker *worker)
+void worker_check_lease(struct worker *worker)
 {
     struct world *world = worker->world;
     int64_t lease_ms = (int64_t)(world->settings[0]->lease_s * 1000);
--- a/tests/test_machine_restarts.c
+++ b/tests/test_machine_restarts.c
@@ -3,6 +3,7 @@
  * agent counts its sessions and heartbeats from the start, has seen no token and has no tasks,
  * while late messages from before the restart still arrive.
  */
+#include "shard_internal.h"
 #include "trouble_fixtures.h"
 
 #include <string.h>
@@ -138,6 +139,55 @@
     g_free(heartbeat);
 }
 
+/** The address to which the last commands were pushed. */
+static const char *pushed_to;
+
+static enum request_fault note_pushed_commands(struct world *world, int node,
+                                               const struct http_client_request *request)
+{
+    (void)world;
+    (void)node;
+    if (strcmp(request->path, "/commands") == 0)
+        pushed_to = request->address;
+    return FAULT_NONE;
+}
+
+/* Guards against a restarted node that acts as the owner in the epoch of its predecessor, which is
+ * dead: copies from that epoch look trustworthy to it, and end runs that go on. */
+static void a_restarted_node_trusts_no_copies_from_the_epoch_of_its_predecessor(void **state)
+{
+    struct world *world = *state;
+    add_two_on_demand_machines(world);
+    struct worker *worker = &world->workers[6];
+    char *first_session = copy_last_heartbeat(worker);
+    worker_start_session(worker, false);
+    world_run(world, 3000);
+    char *second_session = copy_last_heartbeat(worker);
+    start_job_on_both_machines(world, "wk-1");
+    world_add_worker(world, 5, "a", false);
+    world_run(world, 2000);
+    int starts = world_count_task_starts(world), owner = find_owner(world, worker);
+    worker->heartbeats_paused_until = time_add_ms(loop_now(world->loop), 3000);
+    world_kill(world, owner);
+    world_run(world, 100);
+    world_start(world, owner);
+    /* The first copy arrives as soon as the node has read the keys, the second one while the
+     * command that follows from the first is on its way. */
+    pushed_to = NULL;
+    world->inject_fault = note_pushed_commands;
+    const GHashTable *machines = world->nodes[owner]->shard->machines;
+    for (int ms = 0; ms < 3000 && !pushed_to; ms++) {
+        if (!g_hash_table_lookup((GHashTable *)machines, worker->id))
+            world_replay_heartbeat(world, owner, first_session);
+        world_run(world, 1);
+    }
+    world_replay_heartbeat(world, owner, second_session);
+    world_run(world, 8000);
+    assert_int_equal(world_count_task_starts(world), starts);
+    g_free(first_session);
+    g_free(second_session);
+}
+
 /* Guards against a restarted machine whose heartbeats are never trusted again. */
 static void a_restarted_machine_gets_tasks_soon(void **state)
 {
@@ -238,6 +288,7 @@
         WORLD_TEST(a_copy_from_before_a_restart_ends_no_run_in_a_later_epoch),
         WORLD_TEST(a_copy_from_before_a_restart_ends_no_run_at_a_new_owner),
         WORLD_TEST(a_restart_is_recognized_by_a_forgotten_token),
+        WORLD_TEST(a_restarted_node_trusts_no_copies_from_the_epoch_of_its_predecessor),
         WORLD_TEST_SETTLED(a_restarted_machine_gets_tasks_soon),
         WORLD_TEST(a_delayed_command_starts_no_old_attempt_after_a_restart),
         WORLD_TEST(a_lease_renewed_for_an_unaccepted_heartbeat_has_not_expired),
