Log what each decision rested on: leader, token, revision and age

A large deployment broke quota and ran_twice, and the log could not tell which leader had dispatched a task, from which revision, or why a start, stop, removal, rental, return or response was allowed.

Each such decision is counted and, at level debug, logged with the leader, the fencing token, the revision of the replica and its age. No behaviour changes.

--- a/src/api/api_response.c
+++ b/src/api/api_response.c
@@ -42,6 +42,10 @@
 {
     if (job->state == JOB_CANCELLED)
         cancel_broadcast_confirm(api->cancel_broadcast, job->id, job->cancel_revision);
+    struct decision_basis basis =
+        replica_get_decision_basis(api->replica, api->replica->shard_map_epoch.value);
+    decision_log_record(DECISION_RESPONSE, &basis, "job=%s stage=%d", job->id.text,
+                        (int)get_stage(job));
     api_reply(responder, to, HTTP_STATUS_OK, encode_job_status(job));
 }
 
--- a/src/cloud/cloud_provider.c
+++ b/src/cloud/cloud_provider.c
@@ -205,6 +205,12 @@
            role_manager_may_act(cloud->role_manager, ROLE_AUTOSCALER);
 }
 
+struct decision_basis cloud_provider_get_decision_basis(const struct cloud_provider *cloud)
+{
+    fencing_token token = role_manager_get_token(cloud->role_manager, ROLE_AUTOSCALER);
+    return replica_get_decision_basis(cloud->replica, token.value);
+}
+
 void cloud_provider_pause_recording(struct cloud_provider *cloud, bool is_paused)
 {
     cloud->recording_paused = is_paused;
--- a/src/cloud/cloud_provider_internal.h
+++ b/src/cloud/cloud_provider_internal.h
@@ -157,6 +157,8 @@
 
 /** Returns whether this node may call the cloud and store the results now. */
 bool cloud_provider_may_act(struct cloud_provider *cloud);
+/** Returns what a request to the cloud rests on that is sent now. */
+struct decision_basis cloud_provider_get_decision_basis(const struct cloud_provider *cloud);
 
 /**
  * Returns whether the intents of scale-outs and scale-ins must be recorded before they are sent.
--- a/src/cloud/scale_in.c
+++ b/src/cloud/scale_in.c
@@ -240,6 +240,9 @@
         delay_histogram_add(cloud->scale_in_delays,
                             (double)(now.us - request->decided_at.us) / 1000);
     request->send_state = CLOUD_IN_FLIGHT;
+    struct decision_basis basis = cloud_provider_get_decision_basis(cloud);
+    decision_log_record(DECISION_SCALE_IN, &basis, "machine=%s cordoned_in=%" G_GUINT64_FORMAT,
+                        request->id.text, request->cordoned_in_epoch.value);
     g_array_append_val(machines, request->id);
     g_ptr_array_add(call->ids, g_strdup(request->id.text));
 }
--- a/src/cloud/scale_out.c
+++ b/src/cloud/scale_out.c
@@ -216,6 +216,9 @@
     LOG_INFO("scale_out_requested", "type=%s zone=%s spot=%d machines=%d request_id=%s",
              request->type_name, request->zone, request->is_spot, request->machine_count,
              request->request_id);
+    struct decision_basis basis = cloud_provider_get_decision_basis(cloud);
+    decision_log_record(DECISION_SCALE_OUT, &basis, "request_id=%s machines=%d",
+                        request->request_id, request->machine_count);
     cloud_call_send(call, "POST", CLOUD_PATH_MACHINES, body, on_scale_out_response);
     g_free(body);
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -4,6 +4,8 @@
  */
 #include "node.h"
 
+enum { DECISION_REPORT_INTERVAL_MS = 10000 };
+
 /**
  * Returns the limits of the key-value store that the node keeps to. Some limits may change at an
  * unknown time. The lower of the current and the next value is allowed both before and after that.
@@ -42,12 +44,22 @@
                                          .lease_proxy = node->lease_proxy});
 }
 
+/** Timer callback: logs the summary of the node's decisions. */
+static void report_decisions(void *arg)
+{
+    struct node *node = arg;
+    decision_log_report();
+    timer_start(node->loop, &node->report_timer, DECISION_REPORT_INTERVAL_MS);
+}
+
 struct node *node_new(struct loop *loop, struct http_client *http_client,
                       const struct settings *settings, const struct policy *policy,
                       const struct feature_set *features)
 {
     struct node *node = g_new0(struct node, 1);
     node->settings = settings;
+    node->loop = loop;
+    timer_init(&node->report_timer, report_decisions, node);
     node->kv = kv_client_new(loop, http_client, settings->kv_address, get_kv_limits(settings));
     node->replica = replica_new(loop, node->kv);
     node->membership = membership_new(loop, node->kv, node->replica, settings,
@@ -101,10 +113,12 @@
     failure_detector_start(node->failure_detector);
     shard_start(node->shard);
     leader_start(node->leader);
+    timer_start(node->loop, &node->report_timer, DECISION_REPORT_INTERVAL_MS);
 }
 
 void node_free(struct node *node)
 {
+    timer_stop(node->loop, &node->report_timer);
     api_free(node->api);
     leader_free(node->leader);
     shard_free(node->shard);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -29,6 +29,8 @@
     struct shard *shard;
     struct leader *leader;
     struct api *api;
+    struct loop *loop;
+    struct timer report_timer;
 };
 
 /** Creates a node that is not started yet. All arguments must outlive the node. */
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -95,6 +95,18 @@
     g_ptr_array_add(replica->internal->listeners, listener);
 }
 
+struct decision_basis replica_get_decision_basis(const struct replica *replica, uint64_t token)
+{
+    mono_time now = loop_now(replica->loop);
+    return (struct decision_basis){
+        .now = now,
+        .leader = replica->leader_label,
+        .token = token,
+        .at_revision = replica->applied_revision,
+        .age_ms = time_ms_since(now, replica->fresh_at),
+    };
+}
+
 void replica_start(struct replica *replica)
 {
     timer_start(replica->loop, &replica->internal->expiry_timer, EXPIRY_CHECK_INTERVAL_MS);
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -8,6 +8,7 @@
 #ifndef LL_REPLICA_H
 #define LL_REPLICA_H
 
+#include "decision_log.h"
 #include "job_dag.h"
 #include "kv_client.h"
 #include "kv_keys.h"
@@ -113,6 +114,11 @@
 void replica_free(struct replica *replica);
 /** Sends MSG_REPLICA_EVENTS to the listener from now on. */
 void replica_add_listener(struct replica *replica, struct actor *listener);
+/**
+ * Returns what a decision rests on that is made now under a fencing token: the leader, the revision
+ * and the age of the replica.
+ */
+struct decision_basis replica_get_decision_basis(const struct replica *replica, uint64_t token);
 /** Starts to read all keys and then watches them. */
 void replica_start(struct replica *replica);
 
--- a/src/scheduler/quota_ledger.c
+++ b/src/scheduler/quota_ledger.c
@@ -194,6 +194,19 @@
                         (leader->ledger.attempts_issued & ((1 << ATTEMPT_BITS) - 1))};
 }
 
+static void log_dispatch(struct leader *leader, const struct ledger_job *job, uint32_t index,
+                         const struct pending_dispatch *dispatch)
+{
+    const struct ledger_team *team = quota_ledger_get_team(leader, job);
+    struct decision_basis basis = replica_get_decision_basis(leader->replica, leader->epoch.value);
+    decision_log_record(DECISION_DISPATCH, &basis,
+                        "job=%s task=%u attempt=%" G_GUINT64_FORMAT
+                        " machine=%s used_milli_cpus=%" G_GINT64_FORMAT
+                        " limit_milli_cpus=%" G_GINT64_FORMAT,
+                        job->id.text, index, dispatch->attempt.value, dispatch->machine->id.text,
+                        team->used.cpus.milli, team->quota->cpus_max.milli);
+}
+
 void quota_ledger_add_dispatch(struct leader *leader, struct ledger_job *job, uint32_t index,
                                attempt_no attempt, struct ledger_machine *machine)
 {
@@ -206,6 +219,7 @@
     g_hash_table_insert(job->dispatches, task_key(index), dispatch);
     resources_add(&machine->usage.dispatched, job->task_resources);
     resources_add(&quota_ledger_get_team(leader, job)->used, job->task_resources);
+    log_dispatch(leader, job, index, dispatch);
 }
 
 void quota_ledger_remove_dispatch(struct leader *leader, struct ledger_job *job, uint32_t index)
--- a/src/scheduler/quota_ledger_rebuild.c
+++ b/src/scheduler/quota_ledger_rebuild.c
@@ -57,6 +57,17 @@
     job->failures.failed_machines = g_steal_pointer(&previous->failures.failed_machines);
 }
 
+static guint count_allocations(const struct leader *leader)
+{
+    guint count = 0;
+    GHashTableIter it;
+    const struct ledger_job *job;
+    g_hash_table_iter_init(&it, leader->ledger.jobs);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job))
+        count += g_hash_table_size(job->allocations);
+    return count;
+}
+
 void quota_ledger_rebuild(struct leader *leader)
 {
     leader->epoch = leader->replica->shard_map_epoch;
@@ -77,6 +88,12 @@
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job_record))
         load_job_record(leader, job_record, previous_jobs);
     g_hash_table_unref(previous_jobs);
-    LOG_INFO("leadership_acquired", "jobs=%u machines=%u", g_hash_table_size(leader->ledger.jobs),
-             g_hash_table_size(leader->ledger.machines));
+    const struct replica *replica = leader->replica;
+    LOG_INFO("leadership_acquired",
+             "jobs=%u machines=%u allocations=%u map_revision=%" G_GUINT64_FORMAT
+             " revision=%" G_GUINT64_FORMAT " age_ms=%" G_GINT64_FORMAT,
+             g_hash_table_size(leader->ledger.jobs), g_hash_table_size(leader->ledger.machines),
+             count_allocations(leader), replica->shard_map_mod_revision.value,
+             replica->applied_revision.value,
+             time_ms_since(loop_now(leader->loop), replica->fresh_at));
 }
--- a/src/shard/agent_commands.c
+++ b/src/shard/agent_commands.c
@@ -52,8 +52,9 @@
     return g_array_new(FALSE, TRUE, sizeof(struct agent_command));
 }
 
-static void add_command(GArray *commands, const struct task_run *run, enum agent_command_verb verb,
-                        double grace_period_s)
+/** Adds a command for a run and returns it; it is valid until the next one is added. */
+static const struct agent_command *add_command(GArray *commands, const struct task_run *run,
+                                               enum agent_command_verb verb, double grace_period_s)
 {
     struct agent_command command = {.verb = verb,
                                     .job = run->job,
@@ -61,15 +62,31 @@
                                     .attempt = run->attempt,
                                     .grace_period_s = grace_period_s};
     g_array_append_val(commands, command);
+    return &g_array_index(commands, struct agent_command, commands->len - 1);
+}
+
+/** Logs a command for a task. `why` names the reason that allows it. */
+static void log_command(const struct shard *shard, const struct machine *machine,
+                        enum decision decision, const struct agent_command *command,
+                        const char *why)
+{
+    struct decision_basis basis =
+        replica_get_decision_basis(shard->replica, machine->fence.token.value);
+    decision_log_record(decision, &basis,
+                        "job=%s task=%u attempt=%" G_GUINT64_FORMAT
+                        " machine=%s agent_epoch=%" G_GUINT64_FORMAT " why=%s",
+                        command->job.text, command->task_index, command->attempt.value,
+                        machine->id.text, machine->heartbeat.agent_epoch, why);
 }
 
 /** Adds a command for a task named in a heartbeat. A stop command has no grace period. */
-static void add_task_command(GArray *commands, const struct heartbeat_task *task,
-                             enum agent_command_verb verb)
+static const struct agent_command *
+add_task_command(GArray *commands, const struct heartbeat_task *task, enum agent_command_verb verb)
 {
     struct agent_command command = {
         .verb = verb, .job = task->job, .task_index = task->task_index, .attempt = task->attempt};
     g_array_append_val(commands, command);
+    return &g_array_index(commands, struct agent_command, commands->len - 1);
 }
 
 /** Returns whether the agent reports an exited attempt whose record has been removed. */
@@ -84,13 +101,14 @@
                               const struct task_run *run, GArray *commands)
 {
     if (is_clear_due(run) && shard_can_clear_attempt(shard, machine, run))
-        add_command(commands, run, COMMAND_CLEAR, 0);
+        log_command(shard, machine, DECISION_CLEAR, add_command(commands, run, COMMAND_CLEAR, 0),
+                    "record_removed");
 }
 
 /** Adds a stop command for a run. Once the grace period is over, the command is sent again without
  * one. */
-static void add_stop_command(struct shard *shard, struct task_run *run, bool is_push,
-                             GArray *commands)
+static void add_stop_command(struct shard *shard, const struct machine *machine,
+                             struct task_run *run, bool is_push, GArray *commands)
 {
     if (run->reported.visibility != RUN_REPORTED || run->reported.state == TASK_EXITED)
         return;
@@ -102,7 +120,9 @@
     bool grace_is_over = since_stop_ms > (int64_t)(run->stop.grace_s * 1000);
     if (!was_sent)
         run->stop.sent_at = now;
-    add_command(commands, run, COMMAND_STOP, grace_is_over ? 0 : run->stop.grace_s);
+    log_command(shard, machine, DECISION_STOP,
+                add_command(commands, run, COMMAND_STOP, grace_is_over ? 0 : run->stop.grace_s),
+                run->stop.job_finished_since.us ? "job_finished" : "requested");
 }
 
 static void add_run_command(struct shard *shard, struct machine *machine, struct task_run *run,
@@ -121,7 +141,8 @@
     start->agent_epoch = machine->heartbeat.agent_epoch;
     if (is_push)
         machine->fence.covers_pushed_runs = true;
-    add_command(commands, run, COMMAND_RUN, 0);
+    log_command(shard, machine, DECISION_START, add_command(commands, run, COMMAND_RUN, 0),
+                "recorded");
 }
 
 /** Adds the command that is due for a run, if any. */
@@ -131,7 +152,7 @@
     if (run->phase == TASK_RUN_RELEASED && !is_push)
         add_clear_command(shard, machine, run, commands);
     else if (run->phase == TASK_RUN_RECORDED && run->stop.is_requested)
-        add_stop_command(shard, run, is_push, commands);
+        add_stop_command(shard, machine, run, is_push, commands);
     else if (run->phase == TASK_RUN_RECORDED)
         add_run_command(shard, machine, run, is_push, commands);
 }
@@ -148,9 +169,11 @@
         if (task->state != TASK_EXITED) {
             LOG_INFO("unknown_task", "job=%s task=%u machine=%s", task->job.text, task->task_index,
                      machine->id.text);
-            add_task_command(commands, task, COMMAND_STOP);
+            log_command(shard, machine, DECISION_STOP,
+                        add_task_command(commands, task, COMMAND_STOP), "no_record");
         } else if (can_clear) {
-            add_task_command(commands, task, COMMAND_CLEAR);
+            log_command(shard, machine, DECISION_CLEAR,
+                        add_task_command(commands, task, COMMAND_CLEAR), "no_record");
         } /* else a copy of its run command may still start it again */
     }
 }
--- a/src/shard/shard_epoch.c
+++ b/src/shard/shard_epoch.c
@@ -8,6 +8,7 @@
 
 #include "agent_fencing_internal.h"
 #include "agent_session_internal.h"
+#include "log.h"
 #include "machine_returns_internal.h"
 #include "run_records_internal.h"
 #include "task_placement_internal.h"
@@ -102,6 +103,17 @@
     }
 }
 
+static void log_epoch_began(const struct shard *shard, bool epochs_skipped)
+{
+    const struct replica *replica = shard->replica;
+    LOG_INFO("epoch_began",
+             "machines=%u leader=%s map_revision=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
+             " age_ms=%" G_GINT64_FORMAT " skipped=%d",
+             g_hash_table_size(shard->machines), replica->leader_label ? replica->leader_label : "",
+             replica->shard_map_mod_revision.value, replica->applied_revision.value,
+             time_ms_since(loop_now(shard->loop), replica->fresh_at), epochs_skipped);
+}
+
 void shard_begin_epoch(struct shard *shard)
 {
     /* If the replica shows several new epochs at once, a machine may have had another owner in
@@ -124,4 +136,5 @@
     /* The leader knows that no dispatch of an earlier epoch is outstanding in a new one. */
     g_array_set_size(shard->status.rejected_dispatches, 0);
     shard_request_status(shard);
+    log_epoch_began(shard, epochs_skipped);
 }
--- a/src/shard/task_end.c
+++ b/src/shard/task_end.c
@@ -52,12 +52,26 @@
     return "unproven";
 }
 
+static void log_run_end(const struct shard *shard, const struct machine *machine,
+                        const struct task_run *run, enum run_end_proof proof)
+{
+    struct decision_basis basis =
+        replica_get_decision_basis(shard->replica, machine->fence.token.value);
+    decision_log_record(DECISION_RUN_END, &basis,
+                        "job=%s task=%u attempt=%" G_GUINT64_FORMAT
+                        " machine=%s agent_epoch=%" G_GUINT64_FORMAT " why=%s",
+                        run->job.text, run->index, run->attempt.value, machine->id.text,
+                        machine->heartbeat.agent_epoch, proof_name(proof));
+}
+
 /** Marks a recorded run as ended. Its record will be removed, and its completion recorded if it
  * completed. */
-static void end_run(struct shard *shard, struct task_run *run, enum run_end_proof proof)
+static void end_run(struct shard *shard, const struct machine *machine, struct task_run *run,
+                    enum run_end_proof proof)
 {
     if (run->phase != TASK_RUN_RECORDED)
         return;
+    log_run_end(shard, machine, run, proof);
     mono_time now = loop_now(shard->loop);
     run->phase = TASK_RUN_ENDED;
     run->end = (struct run_end){proof, now};
@@ -75,7 +89,7 @@
 {
     LOG_INFO("task_lost", "job=%s task=%u machine=%s why=%s", run->job.text, run->index,
              machine->id.text, proof_name(proof));
-    end_run(shard, run, proof);
+    end_run(shard, machine, run, proof);
 }
 
 void shard_end_all_runs(struct shard *shard, struct machine *machine, enum run_end_proof proof)
@@ -157,13 +171,13 @@
     if (cause != CAUSE_DONE) {
         if (cause != CAUSE_STOPPED)
             report_failure(shard, machine, run, cause);
-        end_run(shard, run, RUN_END_EXITED);
+        end_run(shard, machine, run, RUN_END_EXITED);
         return;
     }
     if (shard_find_active_job(shard, run->job) && !shard_can_record_completion(shard, run))
         return; /* the next heartbeat reports the run again, and the end is retried */
     report_run_time(shard, machine, run);
-    end_run(shard, run, RUN_END_COMPLETED);
+    end_run(shard, machine, run, RUN_END_COMPLETED);
 }
 
 /** Adds the image of a task to the machine's image cache if the task is running or completed, as
@@ -212,7 +226,7 @@
     /* Either this owner never sent the command, or it sent it with a lower fencing token than the
      * agent has seen since. In both cases no copy of the command can start the attempt any more. */
     if (agent_token_lower(run->start.token, heartbeat->token))
-        end_run(shard, run, RUN_END_FENCED);
+        end_run(shard, machine, run, RUN_END_FENCED);
     else if (time_ms_since(loop_now(shard->loop), run->start.sent_at) > MISSING_RUN_GRACE_MS)
         shard_fence_raise_above(shard, machine, run->start.token);
 }
