Show the keys of a reload only when they are of one revision

Seen: a team over its limit, and a task in two places at once, on a large deployment under faults.

Cause: a replica that reads all keys does so in ranges (500 keys, or what fits into 512 KiB: some 60 pages of run records) at different revisions. It applied each range at once, to the state that the leader and the shard act on, and called itself complete before the watch had repeated the changes since the first range. A record that moved meanwhile from a page read later to one read earlier was on neither; it came back with the watch. If it moved twice, an old value of a page took it over from a newer page that did not change again, and it was lost for good, also in the first read of a process. The leader then counted too little for the team and started the task again. A small deployment is one range.

Fix: the keys are staged. A watch without waiting brings them to one revision, after the last range and whenever the backlog gets long, and only then are they shown, in one step. Until then the replica shows its earlier state, as it does in an outage, and the conditions of writes hold as they do then. The age of the replica counts from that watch, not from the first range: a reload of more than 8 s no longer leads to the next one. A leader that has read all keys again dispatches nothing until its ledger is rebuilt in the new epoch that it requests anyway.

--- a/src/replica/replica_internal.h
+++ b/src/replica/replica_internal.h
@@ -3,9 +3,9 @@
  *
  * replica.c owns the struct, publishes the events and dispatches each key to the file that decodes
  * its value: jobs.c, machines.c, inventories.c, run_records.c (record pages), cluster_records.c
- * (nodes, leader, shard map, features, roles) and machine_types.c. reload.c reads all keys and
- * watch.c follows their changes; job_lookup.c reads jobs that were evicted; read_barrier.c manages
- * the callers that wait for a revision.
+ * (nodes, leader, shard map, features, roles) and machine_types.c. reload.c reads all keys, which
+ * staged_keys.c holds until they are complete, and watch.c follows their changes; job_lookup.c
+ * reads jobs that were evicted; read_barrier.c manages the callers that wait for a revision.
  */
 #ifndef LL_REPLICA_INTERNAL_H
 #define LL_REPLICA_INTERNAL_H
@@ -27,18 +27,23 @@
     struct token_bucket bucket;
     /** Delays of failed requests, including those of a reload. */
     struct retry_backoff retry_backoff;
-    /** When the outstanding watch request, or the first request of the reload, was sent. */
+    /** When the outstanding request of the watch or the reload was sent. */
     mono_time requested_at;
 };
 
 /** State of a reload, which reads all keys, one range at a time (reload.c). */
 struct replica_reload {
     /** The keys that were read, except those of jobs; NULL if no reload is in progress. */
-    GHashTable *seen_keys;
+    struct staged_keys *staged;
+    mono_time started_at;
     /** The last key of the last range; NULL if none was read yet. */
     char *last_key;
-    /** The revision of the first range, from which the watch continues. */
-    revision base_revision;
+    guint range_count;
+    bool has_all_ranges;
+    /** The revisions at which the first range was read, and the newest one. */
+    revision first_revision, newest_range;
+    /** All changes up to this revision have been applied to the keys that were read. */
+    revision complete_until;
 };
 
 /** State of the reads of evicted jobs (job_lookup.c). */
@@ -175,6 +180,8 @@
                           http_response_callback callback);
 /** Schedules the retry of a failed request. */
 void replica_schedule_watch_retry(struct replica *replica);
+/** Returns how many revisions fit into one response even if all values have the maximum size. */
+uint64_t replica_max_watch_backlog(const struct replica *replica);
 /** Records that the replica reflects everything stored at the time of the last request. */
 void replica_mark_fresh(struct replica *replica);
 
--- a/src/replica/watch.c
+++ b/src/replica/watch.c
@@ -57,8 +57,7 @@
     replica->fresh_at = replica->internal->watch.requested_at;
 }
 
-/** Returns how many revisions fit into one response even if all values have the maximum size. */
-static uint64_t max_watch_backlog_revisions(const struct replica *replica)
+uint64_t replica_max_watch_backlog(const struct replica *replica)
 {
     const struct kv_limits *limits = kv_client_limits(replica->kv);
     size_t revision_bytes = MAX_VALUES_PER_REVISION * MAX(limits->max_value_bytes, 1);
@@ -75,7 +74,7 @@
     if (!ok) {
         replica_schedule_watch_retry(replica);
     } else if (newest.value >
-               replica->applied_revision.value + max_watch_backlog_revisions(replica)) {
+               replica->applied_revision.value + replica_max_watch_backlog(replica)) {
         LOG_INFO("watch_behind", "revision=%" G_GUINT64_FORMAT " newest=%" G_GUINT64_FORMAT,
                  replica->applied_revision.value, newest.value);
         replica_reload(replica);
--- a/src/scheduler/leader.c
+++ b/src/scheduler/leader.c
@@ -137,7 +137,7 @@
 {
     if (!membership_is_leader(leader->membership) ||
         leader->epoch.value != leader->replica->shard_map_epoch.value ||
-        !leader->replica->machine_types)
+        leader->ledger.is_outdated || !leader->replica->machine_types)
         return false;
     if (time_ms_since(loop_now(leader->loop), leader->epoch_began_at) > FIRST_STATUS_TIMEOUT_MS)
         return true;
@@ -221,9 +221,12 @@
         break;
     case REPLICA_EVENT_RELOADED:
         /* A run record may have been written and removed again without events, which would leave
-         * its dispatch pending forever. A new epoch drops that dispatch. */
-        if (!was_rebuilt)
+         * its dispatch pending forever, and the events of a task's records are not in the order of
+         * its attempts. The ledger is valid again when a new epoch has voided all dispatches. */
+        if (!was_rebuilt) {
+            leader->ledger.is_outdated = true;
             membership_raise_epoch(leader->membership, "replica changes may have been missed");
+        }
         break;
     default:
         break;
--- a/src/scheduler/quota_ledger_rebuild.c
+++ b/src/scheduler/quota_ledger_rebuild.c
@@ -74,6 +74,7 @@
     leader->epoch_began_at = loop_now(leader->loop);
     leader->generation++;
     leader->ledger.attempts_issued = 0;
+    leader->ledger.is_outdated = false;
     GHashTable *previous_jobs = leader->ledger.jobs;
     leader->ledger.jobs = quota_ledger_new_job_table();
     reset_usage(leader);
--- a/src/scheduler/scheduler_internal.h
+++ b/src/scheduler/scheduler_internal.h
@@ -59,6 +59,8 @@
     uint64_t attempts_issued;
     /** Number of dispatches issued by this leader; pending_dispatch.number is taken from it. */
     uint64_t dispatches_issued;
+    /** The replica was read again in this epoch, so that the ledger may have missed changes. */
+    bool is_outdated;
 };
 
 /** Holds the working data of a scheduling pass. Maintained by placement.c unless noted. */
--- a/tests/support/world.c
+++ b/tests/support/world.c
@@ -157,6 +157,7 @@
         world->http_clients[i] = (struct node_http_client){{node_http_client_request}, world, i};
     }
     world->rules = rules_new(world->settings[0]);
+    world->state_retained_events = RETAINED_EVENTS;
     world->state_max_value_kb = world->settings[0]->kv_limits.max_value_kb;
     world->state_max_txn_ops = world->settings[0]->kv_limits.max_txn_operations;
     timer_init(&world->tick_timer, world_tick, world);
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -184,6 +184,10 @@
     /** Limits of the state service; a node that exceeds them fails the test. */
     double state_max_value_kb;
     int state_max_txn_ops;
+    /** The largest number of keys in one response; 0: as many as the node requests. */
+    guint state_max_listed_keys;
+    /** How many changes the state service retains for watches, at least. */
+    guint state_retained_events;
     /** How many of the next watches are answered with 410, as if their revision were compacted. */
     int watches_to_reject;
     /** The largest number of events in one response to a watch so far. */
@@ -257,6 +261,12 @@
 /** Brings up worker i on a machine of the given type that no node rented. */
 struct worker *world_add_worker_of_type(struct world *world, int i, const char *type_name,
                                         const char *zone, bool spot);
+/** A key and its new value; text NULL: the key is removed. */
+struct world_key_value {
+    const char *key, *text;
+};
+/** Writes keys of the state service directly, all at the same revision. */
+void world_put_keys(struct world *world, const struct world_key_value *changes, int count);
 /** Writes a key of the state service directly. */
 void world_put_key(struct world *world, const char *key, const char *text);
 /**
--- a/tests/support/world_state.c
+++ b/tests/support/world_state.c
@@ -18,8 +18,8 @@
     g_array_append_val(world->events, event);
     if (world->observer)
         world->observer->key_changed(world->observer->ctx, key, text, world->revision);
-    if (world->events->len > 2 * RETAINED_EVENTS) /* drop the oldest */
-        g_array_remove_range(world->events, 0, RETAINED_EVENTS);
+    if (world->events->len > 2 * world->state_retained_events) /* drop the oldest */
+        g_array_remove_range(world->events, 0, world->state_retained_events);
 }
 
 void kv_event_clear(gpointer data)
@@ -180,16 +180,32 @@
     serve_watches(world);
 }
 
-void world_put_key(struct world *world, const char *key, const char *text)
+static void put_or_remove(struct world *world, const char *key, const char *text)
 {
+    record_event(world, key, text);
+    if (!text) {
+        g_tree_remove(world->keys, key);
+        return;
+    }
     struct kv_entry *entry = g_new0(struct kv_entry, 1);
     entry->value = g_strdup(text);
-    entry->mod_revision = ++world->revision;
+    entry->mod_revision = world->revision;
     g_tree_replace(world->keys, g_strdup(key), entry);
-    record_event(world, key, text);
+}
+
+void world_put_keys(struct world *world, const struct world_key_value *changes, int count)
+{
+    world->revision++;
+    for (int i = 0; i < count; i++)
+        put_or_remove(world, changes[i].key, changes[i].text);
     serve_watches(world);
 }
 
+void world_put_key(struct world *world, const char *key, const char *text)
+{
+    world_put_keys(world, &(struct world_key_value){key, text}, 1);
+}
+
 void world_put_job(struct world *world, const char *job, const char *value)
 {
     char *key = g_strconcat("ll/j/", job, NULL);
@@ -200,10 +216,7 @@
 
 void world_remove_key(struct world *world, const char *key)
 {
-    world->revision++;
-    record_event(world, key, NULL);
-    g_tree_remove(world->keys, key);
-    serve_watches(world);
+    world_put_keys(world, &(struct world_key_value){key, NULL}, 1);
 }
 
 const char *world_get_key(struct world *world, const char *key)
@@ -317,6 +330,8 @@
                                   .start_after = copy_query_field(pending->path, "From=")};
     char *page = copy_query_field(pending->path, "Page=");
     listing.max_items = page ? g_ascii_strtoull(page, NULL, 10) : 100;
+    if (world->state_max_listed_keys)
+        listing.max_items = MIN(listing.max_items, world->state_max_listed_keys);
     g_tree_foreach(world->keys, add_key_to_listing, &listing);
     json_object *object = new_response_with_revision(world);
     json_object_object_add(object, "Items", listing.items);
