Check invariants at run time: team limit, one machine, tokens, leases

A violation is logged (invariant_violated) and counted, the action is refused and the process goes on; in tests of whole nodes it fails the test. - quota_ledger_try_dispatch alone decides whether a task may be dispatched, for gangs and for other tasks, and refuses one beyond the team's limit; - a replica that shows records of a task on two machines says so, and no shard starts the task (may_start_run); - the epoch and an agent's token never become lower; - a lease that this node has just renewed is no proof of an end.

--- a/src/replica/cluster_records.c
+++ b/src/replica/cluster_records.c
@@ -1,4 +1,5 @@
 /** Records of the cluster: live nodes, the leader, the shard map, features and singleton roles. */
+#include "invariant.h"
 #include "log.h"
 #include "replica_internal.h"
 #include "stored_fields.h"
@@ -100,6 +101,10 @@
                   update->mod_revision.value);
         return;
     }
+    if (!invariant_check(INVARIANT_TOKEN_ORDER, epoch >= replica->shard_map_epoch.value,
+                         "epoch=%" G_GUINT64_FORMAT " earlier=%" G_GUINT64_FORMAT, epoch,
+                         replica->shard_map_epoch.value))
+        return;
     replica->shard_map_epoch.value = epoch;
     replica->shard_map_mod_revision = update->mod_revision;
     replica->has_token_serials = false;
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -22,6 +22,7 @@
 {
     struct replica_internal *internal = g_new0(struct replica_internal, 1);
     internal->mod_revisions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    internal->superseded_records = g_hash_table_new(NULL, NULL);
     internal->listeners = g_ptr_array_new();
     internal->pending_events = g_array_new(FALSE, TRUE, sizeof(struct replica_event));
     internal->machine_type_parts =
@@ -43,6 +44,7 @@
     timer_stop(replica->loop, &internal->expiry_timer);
     g_hash_table_unref(internal->mod_revisions);
     g_hash_table_unref(internal->machine_type_parts);
+    g_hash_table_unref(internal->superseded_records);
     g_ptr_array_unref(internal->listeners);
     g_array_unref(internal->pending_events);
     g_array_unref(internal->waiters);
@@ -153,6 +155,7 @@
 {
     struct replica_internal *internal = replica->internal;
     replica_evict_finished_jobs(replica);
+    replica_check_run_records(replica);
     if (internal->pending_events->len && replica->is_ready) {
         for (guint i = 0; i < internal->listeners->len; i++)
             actor_send(replica->loop, internal->listeners->pdata[i], MSG_REPLICA_EVENTS,
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -135,6 +135,13 @@
  */
 const char *replica_get_machine_description(struct replica *replica, const char *machine_name);
 
+/**
+ * Returns whether the task has run records on two machines. No revision of the store should show
+ * that; no machine may start the task then.
+ */
+bool replica_has_conflicting_records(const struct replica *replica, job_id job,
+                                     uint32_t task_index);
+
 /** Receives the result of a wait; ok is false if it failed or timed out. */
 typedef void (*replica_callback)(void *arg, bool ok);
 /**
--- a/src/replica/replica_internal.h
+++ b/src/replica/replica_internal.h
@@ -66,6 +66,8 @@
     GArray *pending_events;
     /** Key -> struct machine_type_part. */
     GHashTable *machine_type_parts;
+    /** Set of struct run_record: records whose task has a newer record, too (run_records.c). */
+    GHashTable *superseded_records;
     /** Array of struct revision_waiter (read_barrier.c). */
     GArray *waiters;
     /** Calls replica_on_expiry_timer. */
@@ -137,6 +139,9 @@
 
 /* ---- run_records.c ---- */
 
+/** Checks that no task has run records on two machines, once all changes of a revision are applied.
+ */
+void replica_check_run_records(const struct replica *replica);
 /** Frees a struct record_page; a GDestroyNotify. */
 void replica_page_free(gpointer page);
 /** Applies a change of ll/p/LABEL/N. */
--- a/src/replica/run_records.c
+++ b/src/replica/run_records.c
@@ -1,4 +1,5 @@
 /** Record pages and the run records on them: the values of ll/p/LABEL/N. */
+#include "invariant.h"
 #include "replica_internal.h"
 #include "stored_fields.h"
 
@@ -51,6 +52,9 @@
     struct job *job = run_record->job;
     g_ptr_array_add(run_record->machine->run_records, run_record);
     g_ptr_array_add(run_record->page->run_records, run_record);
+    struct run_record *superseded = job_get_run_record(job, run_record->task_index);
+    if (superseded)
+        g_hash_table_add(replica->internal->superseded_records, superseded);
     if (!job->run_records)
         job->run_records = g_hash_table_new(NULL, NULL);
     g_hash_table_insert(job->run_records, GUINT_TO_POINTER(run_record->task_index + 1), run_record);
@@ -61,6 +65,7 @@
 static void remove_run_record(struct replica *replica, struct run_record *run_record)
 {
     struct job *job = run_record->job;
+    g_hash_table_remove(replica->internal->superseded_records, run_record);
     if (job_get_run_record(job, run_record->task_index) == run_record)
         g_hash_table_remove(job->run_records, GUINT_TO_POINTER(run_record->task_index + 1));
     if (job->run_records && g_hash_table_size(job->run_records) == 0)
@@ -69,6 +74,29 @@
     g_ptr_array_remove_fast(run_record->machine->run_records, run_record); /* frees it */
 }
 
+bool replica_has_conflicting_records(const struct replica *replica, job_id job, uint32_t task_index)
+{
+    GHashTableIter iterator;
+    const struct run_record *superseded;
+    g_hash_table_iter_init(&iterator, replica->internal->superseded_records);
+    while (g_hash_table_iter_next(&iterator, (gpointer *)&superseded, NULL))
+        if (superseded->task_index == task_index && job_id_equal(superseded->job->id, job))
+            return true;
+    return false;
+}
+
+void replica_check_run_records(const struct replica *replica)
+{
+    GHashTableIter iterator;
+    const struct run_record *superseded;
+    g_hash_table_iter_init(&iterator, replica->internal->superseded_records);
+    while (g_hash_table_iter_next(&iterator, (gpointer *)&superseded, NULL))
+        invariant_check(INVARIANT_ONE_MACHINE, false,
+                        "job=%s task=%u machine=%s attempt=%" G_GUINT64_FORMAT,
+                        superseded->job->id.text, superseded->task_index,
+                        superseded->machine->id.text, superseded->attempt.value);
+}
+
 /** The context of apply_page_entry. */
 struct page_reader {
     struct replica *replica;
--- a/src/scheduler/gang_scheduler.c
+++ b/src/scheduler/gang_scheduler.c
@@ -180,8 +180,8 @@
 static void dispatch_task(struct leader *leader, struct ledger_job *job, uint32_t index,
                           struct ledger_machine *machine)
 {
-    quota_ledger_add_dispatch(leader, job, index, job->gang.attempt, machine);
-    shard_dispatcher_queue_dispatch(leader, job, index, true);
+    if (quota_ledger_try_dispatch(leader, job, index, job->gang.attempt, machine))
+        shard_dispatcher_queue_dispatch(leader, job, index, true);
 }
 
 /**
--- a/src/scheduler/job_queue.c
+++ b/src/scheduler/job_queue.c
@@ -87,7 +87,8 @@
         uint32_t index = quota_ledger_next_waiting_task(job, job_record);
         if (index >= job_record->task_count)
             break; /* the allowed count may exceed the number of tasks that are actually waiting */
-        quota_ledger_add_dispatch(leader, job, index, attempt, machine);
+        if (!quota_ledger_try_dispatch(leader, job, index, attempt, machine))
+            break;
         shard_dispatcher_queue_dispatch(leader, job, index, false);
         if (machine->zone_index >= 0)
             leader->pass.zone_task_counts[machine->zone_index]++;
--- a/src/scheduler/quota_ledger.c
+++ b/src/scheduler/quota_ledger.c
@@ -5,6 +5,7 @@
 #include "quota_ledger.h"
 
 #include "image_cache.h"
+#include "invariant.h"
 #include "quota_ledger_internal.h"
 #include "scheduling_policy.h"
 
@@ -207,9 +208,15 @@
                         team->used.cpus.milli, team->quota->cpus_max.milli);
 }
 
-void quota_ledger_add_dispatch(struct leader *leader, struct ledger_job *job, uint32_t index,
+bool quota_ledger_try_dispatch(struct leader *leader, struct ledger_job *job, uint32_t index,
                                attempt_no attempt, struct ledger_machine *machine)
 {
+    const struct ledger_team *team = quota_ledger_get_team(leader, job);
+    if (!invariant_check(INVARIANT_TEAM_LIMIT,
+                         quota_ledger_is_within_limit(team, job->task_resources),
+                         "team=%s job=%s task=%u used_milli_cpus=%" G_GINT64_FORMAT,
+                         team->quota->name, job->id.text, index, team->used.cpus.milli))
+        return false;
     struct pending_dispatch *dispatch = g_new0(struct pending_dispatch, 1);
     dispatch->attempt = attempt;
     dispatch->machine = machine;
@@ -220,6 +227,7 @@
     resources_add(&machine->usage.dispatched, job->task_resources);
     resources_add(&quota_ledger_get_team(leader, job)->used, job->task_resources);
     log_dispatch(leader, job, index, dispatch);
+    return true;
 }
 
 void quota_ledger_remove_dispatch(struct leader *leader, struct ledger_job *job, uint32_t index)
--- a/src/scheduler/quota_ledger.h
+++ b/src/scheduler/quota_ledger.h
@@ -57,8 +57,11 @@
  * Raises the epoch if the numbers of the current epoch are exhausted.
  */
 attempt_no quota_ledger_next_attempt(struct leader *leader);
-/** Records that a task was dispatched to the machine. */
-void quota_ledger_add_dispatch(struct leader *leader, struct ledger_job *job, uint32_t index,
+/**
+ * Records that a task is dispatched to the machine, unless its team would exceed the limit. Returns
+ * whether the task may be sent to the shard.
+ */
+bool quota_ledger_try_dispatch(struct leader *leader, struct ledger_job *job, uint32_t index,
                                attempt_no attempt, struct ledger_machine *machine);
 /**
  * Removes the dispatch of a task, if there is one. The task is then waiting, unless it is
--- a/src/shard/agent_commands.c
+++ b/src/shard/agent_commands.c
@@ -5,7 +5,7 @@
 #include "agent_session_internal.h"
 
 #include "agent_fencing_internal.h"
-
+#include "invariant.h"
 #include "log.h"
 
 enum {
@@ -145,6 +145,19 @@
                 "recorded");
 }
 
+/** Returns whether the agent may be told to start the run: its record is stored, nobody wants it
+ * stopped, and the task has no record on another machine. */
+static bool may_start_run(const struct shard *shard, const struct machine *machine,
+                          const struct task_run *run)
+{
+    return run->phase == TASK_RUN_RECORDED && !run->stop.is_requested &&
+           membership_has_valid_lease(shard->membership) &&
+           invariant_check(INVARIANT_ONE_MACHINE,
+                           !replica_has_conflicting_records(shard->replica, run->job, run->index),
+                           "job=%s task=%u machine=%s attempt=%" G_GUINT64_FORMAT " action=start",
+                           run->job.text, run->index, machine->id.text, run->attempt.value);
+}
+
 /** Adds the command that is due for a run, if any. */
 static void add_due_command(struct shard *shard, struct machine *machine, struct task_run *run,
                             bool is_push, GArray *commands)
@@ -153,7 +166,7 @@
         add_clear_command(shard, machine, run, commands);
     else if (run->phase == TASK_RUN_RECORDED && run->stop.is_requested)
         add_stop_command(shard, machine, run, is_push, commands);
-    else if (run->phase == TASK_RUN_RECORDED)
+    else if (may_start_run(shard, machine, run))
         add_run_command(shard, machine, run, is_push, commands);
 }
 
--- a/src/shard/agent_fencing.c
+++ b/src/shard/agent_fencing.c
@@ -4,8 +4,20 @@
  */
 #include "agent_fencing_internal.h"
 
+#include "invariant.h"
 #include "log.h"
 
+/** Sets the token of a machine, which never becomes lower while this process owns the machine. */
+static void set_token(struct machine *machine, agent_token token, bool covers_pushed_runs)
+{
+    if (!invariant_check(INVARIANT_TOKEN_ORDER, !agent_token_lower(token, machine->fence.token),
+                         "machine=%s token=%" G_GUINT64_FORMAT " earlier=%" G_GUINT64_FORMAT,
+                         machine->id.text, token.value, machine->fence.token.value))
+        return;
+    machine->fence.token = token;
+    machine->fence.covers_pushed_runs = covers_pushed_runs;
+}
+
 void shard_fence_begin_ownership(struct shard *shard, struct machine *machine)
 {
     shard_fence_begin_epoch(shard, machine);
@@ -14,8 +26,7 @@
 
 void shard_fence_begin_epoch(struct shard *shard, struct machine *machine)
 {
-    machine->fence.token = agent_token_first(shard->epoch);
-    machine->fence.covers_pushed_runs = false;
+    set_token(machine, agent_token_first(shard->epoch), false);
 }
 
 void shard_fence_adopt_token(struct shard *shard, struct machine *machine, agent_token seen)
@@ -23,18 +34,18 @@
     if (!agent_token_lower(machine->fence.token, seen) ||
         agent_token_get_epoch(seen).value != shard->epoch.value)
         return;
-    machine->fence.token = seen;
-    machine->fence.covers_pushed_runs = true;
+    set_token(machine, seen, true);
 }
 
 /** Raises the token by one, or requests a new epoch. Returns whether the token was raised. */
 static bool raise_token(struct shard *shard, struct machine *machine)
 {
-    if (!shard->has_token_serials || !agent_token_increment(&machine->fence.token)) {
+    agent_token token = machine->fence.token;
+    if (!shard->has_token_serials || !agent_token_increment(&token)) {
         shard->status.wants_epoch_raise = true;
         return false;
     }
-    machine->fence.covers_pushed_runs = false;
+    set_token(machine, token, false);
     LOG_DEBUG("agent_token_raised", "machine=%s token=%" G_GUINT64_FORMAT, machine->id.text,
               machine->fence.token.value);
     return true;
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -148,9 +148,7 @@
     if (!machine->heartbeat.has_reported || !machine->reachability.is_confirmed ||
         silent_ms > probe_after_ms)
         shard_probe_agent(shard, machine);
-    if (silent_ms > (int64_t)(settings->lease_s * 1000) && shard_machine_has_runs(machine) &&
-        shard_lease_has_expired(shard, machine))
-        shard_end_all_runs(shard, machine, RUN_END_LEASE_EXPIRED);
+    shard_end_runs_if_lease_expired(shard, machine);
     if (shard_fence_needs_new_epoch(machine))
         shard->status.wants_epoch_raise = true;
     if (has_unstarted_run(machine))
--- a/src/shard/task_end.c
+++ b/src/shard/task_end.c
@@ -9,6 +9,7 @@
 #include "agent_fencing_internal.h"
 #include "agent_session_internal.h"
 #include "completions_internal.h"
+#include "invariant.h"
 #include "log.h"
 #include "run_records_internal.h"
 #include "shard_messages.h"
@@ -52,6 +53,18 @@
     return "unproven";
 }
 
+/** Checks that no response of this node can have kept the lease alive, if the proof is its end. */
+static bool is_lease_proof_certain(const struct shard *shard, const struct machine *machine,
+                                   enum run_end_proof proof)
+{
+    if (proof != RUN_END_LEASE_EXPIRED)
+        return true;
+    int64_t since_renewal_ms = time_ms_since(loop_now(shard->loop), machine->lease.last_renewed_at);
+    return invariant_check(
+        INVARIANT_LEASE_EXPIRED, since_renewal_ms > (int64_t)(shard->settings->lease_s * 1000),
+        "machine=%s since_renewal_ms=%" G_GINT64_FORMAT, machine->id.text, since_renewal_ms);
+}
+
 static void log_run_end(const struct shard *shard, const struct machine *machine,
                         const struct task_run *run, enum run_end_proof proof)
 {
@@ -69,7 +82,7 @@
 static void end_run(struct shard *shard, const struct machine *machine, struct task_run *run,
                     enum run_end_proof proof)
 {
-    if (run->phase != TASK_RUN_RECORDED)
+    if (run->phase != TASK_RUN_RECORDED || !is_lease_proof_certain(shard, machine, proof))
         return;
     log_run_end(shard, machine, run, proof);
     mono_time now = loop_now(shard->loop);
@@ -127,6 +140,14 @@
                                              max_renewal_ms);
 }
 
+void shard_end_runs_if_lease_expired(struct shard *shard, struct machine *machine)
+{
+    int64_t silent_ms = time_ms_since(loop_now(shard->loop), machine->heartbeat.received_at);
+    if (silent_ms > (int64_t)(shard->settings->lease_s * 1000) && shard_machine_has_runs(machine) &&
+        shard_lease_has_expired(shard, machine))
+        shard_end_all_runs(shard, machine, RUN_END_LEASE_EXPIRED);
+}
+
 /** Adds a task event to the next status message, unless there are too many.
  * @param value the cause or the run time in seconds, depending on the kind */
 static void add_task_event(struct shard *shard, const struct machine *machine,
--- a/tests/support/world.c
+++ b/tests/support/world.c
@@ -1,5 +1,6 @@
 #include "world_internal.h"
 
+#include "invariant.h"
 #include "log.h"
 
 #include <stdio.h>
@@ -116,6 +117,15 @@
     return world_new_with_config(&default_config);
 }
 
+/* An invariant_observer: keeps the first violation, which world_end() reports. */
+static void on_invariant_violated(void *ctx, enum invariant invariant, const char *fields)
+{
+    struct world *world = ctx;
+    (void)invariant;
+    if (!world->invariant_violation)
+        world->invariant_violation = g_strdup(fields);
+}
+
 struct world *world_new_with_config(const struct world_config *config)
 {
     struct world *world = g_new0(struct world, 1);
@@ -127,6 +137,7 @@
     world->gangs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, simulated_gang_free);
     log_setup(g_getenv("LOG_LEVEL") ? g_getenv("LOG_LEVEL") : "error", "test");
     world_duplicate_task_seen = false;
+    invariant_set_observer(on_invariant_violated, world);
     world->loop = loop_new_fake();
     world->keys = g_tree_new_full(compare_keys, NULL, g_free, kv_entry_free);
     world->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -167,6 +178,8 @@
 
 void world_free(struct world *world)
 {
+    invariant_set_observer(NULL, NULL);
+    g_free(world->invariant_violation);
     rules_free(world->rules);
     for (int i = 0; i < world->config.node_count; i++) {
         world_kill(world, i);
@@ -501,7 +514,11 @@
 {
     bool ran_twice = world_has_duplicate_task(world);
     char *violations = g_strdup(rules_finish(world->rules, loop_now(world->loop)));
+    char *invariant_violation = g_strdup(world->invariant_violation);
     world_free(world);
+    if (invariant_violation)
+        fail_msg("an invariant was violated: %s; %s", invariant_violation,
+                 violations ? violations : "");
     if (ran_twice)
         fail_msg("a task ran on two machines at the same time; %s", violations ? violations : "");
     if (violations)
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -228,6 +228,8 @@
     GHashTable *gangs;
     /** Checks the protocol rules; see world_end(). */
     struct rules *rules;
+    /** The first invariant (invariant.h) that was violated, NULL if none was; fails world_end(). */
+    char *invariant_violation;
     struct http_responder responder;
     /** Maps connection ids to struct world_connection. */
     GHashTable *connections;
--- /dev/null
+++ b/tests/test_invariants.c
@@ -0,0 +1,94 @@
+/**
+ * Tests of the invariants that are checked at run time: a violation is counted, the action is
+ * refused, and the node goes on.
+ */
+#include "agent_fencing_internal.h"
+#include "invariant.h"
+#include "quota_ledger.h"
+#include "task_end_internal.h"
+#include "trouble_fixtures.h"
+
+#include <string.h>
+
+/** Expects that the world has seen a violation whose fields contain the text, and forgets it. */
+static void expect_violation(struct world *world, const char *text)
+{
+    assert_non_null(world->invariant_violation);
+    assert_non_null(strstr(world->invariant_violation, text));
+    g_clear_pointer(&world->invariant_violation, g_free);
+}
+
+static void dispatch_beyond_the_limit_of_a_team_is_refused(void **state)
+{
+    struct world *world = *state;
+    start_service_on_two_machines(world, 2);
+    struct leader *leader = world_get_leader(world)->leader;
+    struct ledger_job *job = quota_ledger_find_job(leader, "wk-1");
+    struct ledger_team *team = quota_ledger_get_team(leader, job);
+    GHashTableIter it;
+    struct ledger_machine *machine;
+    g_hash_table_iter_init(&it, leader->ledger.machines);
+    assert_true(g_hash_table_iter_next(&it, NULL, (gpointer *)&machine));
+    struct resources used = team->used;
+    team->used.cpus = team->quota->cpus_max;
+    guint64 violations = invariant_get_violations(INVARIANT_TEAM_LIMIT);
+    assert_false(quota_ledger_try_dispatch(leader, job, 1, (attempt_no){1}, machine));
+    assert_int_equal(invariant_get_violations(INVARIANT_TEAM_LIMIT), violations + 1);
+    assert_null(quota_ledger_find_dispatch(job, 1));
+    team->used = used;
+    expect_violation(world, "team=blue job=wk-1 task=1");
+    world_run(world, 3000);
+    assert_int_equal(world_count_active_tasks(world, "wk-1"), 2);
+}
+
+/* The task runs on one machine, and a page names it for another machine, too. */
+static void task_with_records_on_two_machines_is_not_started_again(void **state)
+{
+    struct world *world = *state;
+    struct worker *worker = start_service_on_two_machines(world, 1);
+    const struct worker *other = &world->workers[worker == &world->workers[6] ? 7 : 6];
+    char *page = g_strdup_printf("{\"t\":\"@%s #wk-1 *7 0 \",\"d\":\"\"}", other->id);
+    world_put_key(world, "ll/p/mast-9/0", page);
+    world_run(world, 3000);
+    expect_violation(world, "job=wk-1 task=0");
+    assert_int_equal(world_count_task_starts(world), 1);
+    assert_int_equal(world_count_active_tasks(world, "wk-1"), 1);
+    g_free(page);
+}
+
+static void lower_epoch_is_ignored(void **state)
+{
+    struct world *world = *state;
+    epoch_no epoch = world->nodes[0]->replica->shard_map_epoch;
+    assert_true(epoch.value > 0);
+    world_put_key(world, "ll/map", "{\"e\":0,\"n\":[]}");
+    world_run(world, 100);
+    expect_violation(world, "epoch=0");
+    for (int i = 0; i < WORLD_NODES; i++)
+        assert_int_equal(world->nodes[i]->replica->shard_map_epoch.value, epoch.value);
+}
+
+static void run_does_not_end_with_a_lease_that_was_just_renewed(void **state)
+{
+    struct world *world = *state;
+    const struct worker *worker = start_service_on_two_machines(world, 1);
+    const char *owner = shard_map_get_owner(world->nodes[0]->replica, worker->id);
+    struct shard *shard = world->nodes[owner[strlen("mast-")] - '0']->shard;
+    struct machine *machine = shard_find_machine(shard, worker->id);
+    shard_end_all_runs(shard, machine, RUN_END_LEASE_EXPIRED);
+    expect_violation(world, worker->id);
+    world_run(world, 5000);
+    assert_int_equal(world_count_task_starts(world), 1);
+    assert_int_equal(world_count_active_tasks(world, "wk-1"), 1);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        WORLD_TEST(dispatch_beyond_the_limit_of_a_team_is_refused),
+        WORLD_TEST(task_with_records_on_two_machines_is_not_started_again),
+        WORLD_TEST(lower_epoch_is_ignored),
+        WORLD_TEST(run_does_not_end_with_a_lease_that_was_just_renewed),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
