--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -79,14 +79,15 @@
     if form != "daemon" and earlier and rng.random() < 0.2:
         awaits = rng.sample(earlier, min(len(earlier), rng.choice((1, 2))))
     one_zone = form == "gang" and rng.random() < 0.5
+    apart = form == "daemon" and rng.random() < 0.5
     return {
         "Id": f"wk-{number:06d}", "Lot": "deposit-recon", "Crew": rng.choice(TEAMS), "Form": form,
         "Urgency": "prod" if form == "daemon" else rng.choice(("high", "normal", "best_effort")),
         "Pieces": pieces, "Vcpus": rng.choice((1.0, 2.0, 3.0)), "Cards": 0.0, "MemoryGb": 1.0,
         "Mould": f"img-{rng.randrange(4):02d}", "ImageGb": 0.1, "Builds": None,
-        "Yard": rng.choice((None, None, None) + ZONES) if not one_zone else None,
+        "Yard": None if one_zone or apart else rng.choice((None, None, None) + ZONES),
         "OneZone": one_zone,
-        "Apart": form == "daemon" and rng.random() < 0.5,
+        "Apart": apart,
         "Loaners": rng.random() < 0.5, "ExpectedS": 0.0 if form == "daemon" else 5.0,
         "MarkEveryS": 0.0, "StowS": 0.0, "DueS": None, "Awaits": awaits or None,
     }
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -12,12 +12,14 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "..", "review", "standin"))
 import cloud as review_cloud  # noqa: E402
+import net as review_net  # noqa: E402
 import state as review_state  # noqa: E402
 import worker as review_worker  # noqa: E402
 import world as review_world  # noqa: E402
 from net import request  # noqa: E402
 
 from checker import job_of  # noqa: E402
+from ports import Ports  # noqa: E402
 
 MAX_TRANSACTION_BYTES = 64 * 1024
 NO_ANSWER = None
@@ -380,7 +382,10 @@
     def __init__(self, schedule, checker, settings, daemon, record_path):
         self.schedule = schedule
         self.faults = Faults()
+        self.ports = Ports()
+        review_net.free_port = review_world.free_port = self.ports.take
         super().__init__(record_path, settings, schedule.seed)
+        self.held_nodes = set()  # nodes that a trouble has ended or paused
         self.checker = checker
         checker.record = self.record
         self.clock = Clock()
@@ -403,11 +408,18 @@
         if not task.cancelled() and task.exception():
             self.crashes.append(repr(task.exception()))
 
+    def _handle_exception(self, loop, context):
+        error = context.get("exception")
+        self.record(f"stand-in: {context['message']}: {error!r}")
+        if error and not isinstance(error, (ConnectionError, asyncio.CancelledError)):
+            self.crashes.append(repr(error))
+
     def make_cloud(self, types, capacity, boot_s):
         self.cloud = SoakCloud(self, types, capacity, boot_s, self.settings["list_lag_s"])
 
     async def start(self, machines):
         """Starts the stand-ins, the machines that are up at the start, and the nodes."""
+        asyncio.get_running_loop().set_exception_handler(self._handle_exception)
         self.spawn(self.clock.run())
         await self.cloud.start()
         await self.state.start(self.nodes)
@@ -437,7 +449,7 @@
     def check_processes(self):
         """Notes the nodes that ended by themselves, and starts them again."""
         for i, process in enumerate(self.processes):
-            if process and process.poll() is not None:
+            if process and i not in self.held_nodes and process.poll() is not None:
                 self.checker.violate("process_ended", f"{self.nodes[i]}: {process.returncode}")
                 self.start_node(i)
 
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -313,7 +313,6 @@
     def __init__(self, world):
         self.world = world
         self.missing = []
-        world.held_nodes = set()
         install_command_faults(world)
 
     async def _play(self, trouble):
