Replica: one function receives the changes of a watch; test_upgrade restarts its node

run_long_pages compared its kill times with multiples of 50 ms and never met them, so that no node was restarted while pages were split.

--- a/src/replica/reload.c
+++ b/src/replica/reload.c
@@ -137,27 +137,22 @@
     replica_schedule_watch_retry(replica);
 }
 
+static void apply_catch_up(struct replica *replica, const GArray *changes, revision at_revision)
+{
+    struct replica_reload *reload = &replica->internal->reload;
+    apply_keys(replica, changes);
+    reload->complete_until.value = MAX(reload->complete_until.value, at_revision.value);
+}
+
 static void catch_up_on_response(void *arg, const struct http_response *response)
 {
     struct replica *replica = arg;
-    struct replica_reload *reload = &replica->internal->reload;
     if (response->status == HTTP_STATUS_GONE) {
         restart_reload(replica, "compacted");
         return;
     }
-    json_object *body = kv_parse_response(response);
-    GArray *changes;
-    revision at_revision;
-    if (!kv_decode_watch(body, &changes, &at_revision)) {
-        json_object_put(body);
-        replica_schedule_watch_retry(replica);
-        return;
-    }
-    apply_keys(replica, changes);
-    reload->complete_until.value = MAX(reload->complete_until.value, at_revision.value);
-    g_array_unref(changes);
-    json_object_put(body);
-    take_next_step(replica);
+    if (replica_receive_changes(replica, response, apply_catch_up))
+        take_next_step(replica);
 }
 
 static void request_catch_up(struct replica *replica)
--- a/src/replica/replica_internal.h
+++ b/src/replica/replica_internal.h
@@ -183,6 +183,15 @@
 /** Sends a GET request with the priority of the watch; the callback receives the replica. */
 void replica_send_request(struct replica *replica, const char *path, int response_timeout_ms,
                           http_response_callback callback);
+/** Receives the changes (struct kv_item) in a response to a watch, and its revision. */
+typedef void (*replica_changes_handler)(struct replica *replica, const GArray *changes,
+                                        revision at_revision);
+/**
+ * Passes the changes in a response to a watch to the handler. If the response contains none,
+ * because the request failed, schedules a retry and returns false.
+ */
+bool replica_receive_changes(struct replica *replica, const struct http_response *response,
+                             replica_changes_handler handle);
 /** Schedules the retry of a failed request. */
 void replica_schedule_watch_retry(struct replica *replica);
 /** Returns how many revisions fit into one response even if all values have the maximum size. */
--- a/src/replica/watch.c
+++ b/src/replica/watch.c
@@ -93,6 +93,23 @@
     replica_mark_fresh(replica);
 }
 
+bool replica_receive_changes(struct replica *replica, const struct http_response *response,
+                             replica_changes_handler handle)
+{
+    json_object *body = kv_parse_response(response);
+    GArray *changes;
+    revision at_revision;
+    bool is_valid = kv_decode_watch(body, &changes, &at_revision);
+    if (is_valid) {
+        handle(replica, changes, at_revision);
+        g_array_unref(changes);
+    } else {
+        replica_schedule_watch_retry(replica);
+    }
+    json_object_put(body);
+    return is_valid;
+}
+
 static void watch_on_response(void *arg, const struct http_response *response)
 {
     struct replica *replica = arg;
@@ -101,17 +118,8 @@
         replica_reload(replica);
         return;
     }
-    json_object *body = kv_parse_response(response);
-    GArray *changes;
-    revision at_revision;
-    if (!kv_decode_watch(body, &changes, &at_revision)) {
-        json_object_put(body);
-        replica_schedule_watch_retry(replica);
+    if (!replica_receive_changes(replica, response, apply_changes))
         return;
-    }
-    apply_changes(replica, changes, at_revision);
-    g_array_unref(changes);
-    json_object_put(body);
     replica_publish_events(replica);
     replica_watch(replica);
 }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,6 +5,7 @@
 import concurrent.futures
 import os
 import signal
+import subprocess
 import sys
 
 sys.dont_write_bytecode = True
@@ -31,7 +32,8 @@
 
 DEFAULT_WORKERS, MANY_WORKERS, MANY_WORKERS_EVERY = 16, 200, 5
 MIN_DURATION_S = 15.0
-EXIT_PASSED, EXIT_FAILED, EXIT_USAGE, EXIT_NOT_RUN = 0, 1, 2, 3
+EXIT_PASSED, EXIT_FAILED, EXIT_NOT_RUN = 0, 1, 3  # 2: bad arguments
+COUNTED = (EXIT_PASSED, EXIT_FAILED, EXIT_NOT_RUN)
 
 
 class NotRun(Exception):
@@ -144,18 +146,19 @@
     return text + (f"\n    {why}" if why else "")
 
 
-def run_seed(seed, workers, duration_s, daemon, keep):
+def play_seed(options):
     """Plays one seed in this process. Returns (exit code, what to print)."""
+    seed = options.seed
     os.makedirs(RECORDS, exist_ok=True)
     record_path = os.path.join(RECORDS, f"seed-{seed}.txt")
-    workers = worker_count(seed, workers)
+    workers = worker_count(seed, options.workers)
     settings = make_settings(node_count(seed), workers)
-    schedule = Schedule(seed, duration_s, workers)
+    schedule = Schedule(seed, options.duration, workers)
     checker = Checker({team: most for team, (_, most) in settings["teams"].items()},
                       settings["cancel_s"])
 
     async def run():
-        world = SoakWorld(schedule, checker, settings, daemon, record_path)
+        world = SoakWorld(schedule, checker, settings, options.daemon, record_path)
         for trouble in schedule.troubles:
             world.record(f"planned: {trouble}")
         not_run = None
@@ -167,18 +170,56 @@
             world.stop()
         return world, not_run
 
-    world, not_run = asyncio.run(run())
+    world, not_run = asyncio.new_event_loop().run_until_complete(run())
     world.file.close()
     if checker.violations:
         why = "\n    ".join(f"{rule}: {text}" for rule, text in checker.violations[:5])
         return EXIT_FAILED, describe(world, "FAILED", f"{why}\n    {record_path}")
     if not_run:
         return EXIT_NOT_RUN, describe(world, "NOT RUN", f"{not_run}\n    {record_path}")
-    if not keep:
+    if not options.keep:
         os.unlink(record_path)
     return EXIT_PASSED, describe(world, "passed", "")
 
 
+class Children:
+    """Plays seeds in processes of their own."""
+
+    def __init__(self, options):
+        self.options = options
+        self.processes = []
+
+    def play(self, seed):
+        options = self.options
+        command = [sys.executable, os.path.abspath(__file__), "--seed", str(seed),
+                   "--duration", str(options.duration), "--daemon", options.daemon]
+        if options.workers:
+            command += ["--workers", str(options.workers)]
+        if options.keep:
+            command.append("--keep")
+        process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
+                                   text=True)
+        self.processes.append(process)
+        output, _ = process.communicate()
+        lines = output.rstrip().splitlines()
+        code = process.returncode
+        return code if code in COUNTED else EXIT_NOT_RUN, "\n".join(lines[:-1] or lines)
+
+    def play_all(self, seeds):
+        """Yields (exit code, what to print) for each seed, in the order in which they end."""
+        with concurrent.futures.ThreadPoolExecutor(self.options.jobs) as pool:
+            runs = [pool.submit(self.play, seed) for seed in seeds]
+            try:
+                for run in concurrent.futures.as_completed(runs):
+                    yield run.result()
+            except KeyboardInterrupt:
+                for run in runs:
+                    run.cancel()
+                for process in self.processes:
+                    process.terminate()
+                raise
+
+
 def at_least(kind, least):
     def parse(text):
         value = kind(text)
@@ -222,15 +263,14 @@
 def main(arguments=None):
     options = parse_arguments(arguments)
     signal.signal(signal.SIGTERM, interrupt)
-    seeds = range(options.seed, options.seed + options.runs)
-    counts = {EXIT_PASSED: 0, EXIT_FAILED: 0, EXIT_NOT_RUN: 0}
-    with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
-        runs = [pool.submit(run_seed, seed, options.workers, options.duration, options.daemon,
-                            options.keep) for seed in seeds]
-        for run in concurrent.futures.as_completed(runs):
-            code, text = run.result()
-            counts[code] += 1
-            print(text, flush=True)
+    if options.runs == 1:
+        results = [play_seed(options)]
+    else:
+        results = Children(options).play_all(range(options.seed, options.seed + options.runs))
+    counts = dict.fromkeys(COUNTED, 0)
+    for code, text in results:
+        counts[code] += 1
+        print(text, flush=True)
     print(f"{counts[EXIT_PASSED]} passed, {counts[EXIT_FAILED]} failed, "
           f"{counts[EXIT_NOT_RUN]} not run", flush=True)
     if counts[EXIT_FAILED]:
@@ -239,4 +279,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    code = main()
+    os._exit(code)  # the stand-ins' tasks need not end
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -60,8 +60,8 @@
         self.compacted_until = 0
 
     def compact(self):
-        """Forgets all changes but the newest few."""
-        self.compacted_until = max(self.compacted_until, self.ledger - 3)
+        """Forgets all changes so far."""
+        self.compacted_until = self.ledger
 
     async def _handle(self, node, method, path, query, body):
         faults, rng = self.faults, self.rng
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -40,9 +40,21 @@
     return world.processes[i].poll() is None and i not in world.held_nodes
 
 
+async def running_node(world, trouble):
+    """The node that the trouble meets, or another one if that is down; None: all are down."""
+    for _ in range(int(EXTRA_S / 0.1)):
+        first = some_node(world, trouble)
+        for k in range(len(world.nodes)):
+            i = (first + k) % len(world.nodes)
+            if is_running(world, i):
+                return i
+        await asyncio.sleep(0.1)
+    return None
+
+
 async def node_kill(world, trouble, rng):
-    i = some_node(world, trouble)
-    if is_running(world, i):
+    i = await running_node(world, trouble)
+    if i is not None:
         world.faults.note(trouble.kind)
         world.held_nodes.add(i)
         await restart_node(world, i, rng.choice(RESTART_S))
@@ -51,9 +63,9 @@
 
 async def node_back_at_once(world, trouble, rng):
     """One node ends again and again, and is back within a fraction of a second."""
-    i = some_node(world, trouble)
+    i = await running_node(world, trouble)
     for _ in range(3):
-        if not is_running(world, i):
+        if i is None or not is_running(world, i):
             return
         world.faults.note(trouble.kind)
         world.held_nodes.add(i)
@@ -63,6 +75,7 @@
 
 
 async def node_kill_all(world, trouble, rng):
+    await running_node(world, trouble)
     chosen = [i for i in range(len(world.nodes)) if is_running(world, i)]
     if not chosen:
         return
@@ -93,8 +106,8 @@
 
 
 async def node_pause(world, trouble, rng):
-    i = some_node(world, trouble)
-    if not is_running(world, i):
+    i = await running_node(world, trouble)
+    if i is None:
         return
     world.faults.note(trouble.kind)
     world.held_nodes.add(i)
--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -175,6 +175,16 @@
     }
 }
 
+/** Times at which limits are reduced and nodes are started are multiples of this step. */
+enum { LONG_PAGES_STEP_MS = 50 };
+
+static void restart_node(struct world *world, int node)
+{
+    assert_non_null(world->nodes[node]);
+    world_kill(world, node);
+    world_start(world, node);
+}
+
 /**
  * Reduces the limits after `reduction_ms` while nodes take over pages and split them, and restarts
  * a node after `kill_ms`. Checks that every record is kept and that no task is started again; the
@@ -186,17 +196,17 @@
     store_long_pages(world, "ll/p/mast-0/0", "ll/p/mast-2/3");
     if (reduction_ms == 0)
         world_lower_state_limits(world);
-    for (int ms = 0; ms < 14000; ms += 50) {
+    for (int ms = 0; ms < 14000; ms += LONG_PAGES_STEP_MS) {
         if (ms == reduction_ms)
             world_lower_state_limits(world);
         if (ms == 0 || ms == 1000 || ms == 2500)
             world_start(world, ms == 0 ? 1 : ms == 1000 ? 0 : 2);
-        int node = kill_ms % 2;
-        if (ms == kill_ms && world->nodes[node]) {
-            world_kill(world, node);
-            world_start(world, node);
-        }
-        world_run(world, 50);
+        bool kills = ms <= kill_ms && kill_ms < ms + LONG_PAGES_STEP_MS;
+        int before_kill_ms = kills ? kill_ms - ms : LONG_PAGES_STEP_MS;
+        world_run(world, before_kill_ms);
+        if (kills)
+            restart_node(world, kill_ms % 2);
+        world_run(world, LONG_PAGES_STEP_MS - before_kill_ms);
     }
     for (int i = 0; i < config.node_count; i++) {
         assert_int_equal(count_recorded_runs(world, i), LONG_PAGE_JOBS);
