--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,7 +14,7 @@
 sys.path.insert(0, HERE)
 from checker import Checker  # noqa: E402
 from schedule import TEAMS, ZONES, Schedule  # noqa: E402
-from standins import SoakWorld  # noqa: E402
+from soak_world import SoakWorld  # noqa: E402
 from troubles import Troubles  # noqa: E402
 from users import Users  # noqa: E402
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,8 +11,9 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, HERE)
 from checker import Checker  # noqa: E402
+from faults import Clock, Faults  # noqa: E402
 from schedule import ALL_TROUBLES, Schedule, draw_job  # noqa: E402
-from standins import Clock, Faults, SoakWorker  # noqa: E402
+from soak_worker import SoakWorker  # noqa: E402
 from troubles import RUNNERS, Troubles  # noqa: E402
 
 CANCEL_S = 24.0
--- a/tests/soak/users.py
+++ b/tests/soak/users.py
@@ -2,8 +2,9 @@
 import asyncio
 import random
 
+import review_standin
+
 from checker import TERMINAL
-from net import request
 from schedule import TASK_RUN_S, draw_job
 
 SUBMIT_TIMEOUT_S, POLL_TIMEOUT_S = 5.0, 2.0
@@ -29,7 +30,7 @@
         clock = self.world.clock
         sent_at = clock.now()
         port = self.world.api_ports[node % len(self.world.nodes)]
-        status, body = await request(port, method, path, value, timeout)
+        status, body = await review_standin.net.request(port, method, path, value, timeout)
         self.world.record(f"user: {method} {path} at {node % len(self.world.nodes)}: {status} {body}")
         self.checker.answered(clock.now(), sent_at, method, job_id, status, body or {})
         return status, body
