--- a/src/node/node.c
+++ b/src/node/node.c
@@ -52,6 +52,19 @@
     timer_start(node->loop, &node->report_timer, DECISION_REPORT_INTERVAL_MS);
 }
 
+static void create_api(struct node *node, struct loop *loop)
+{
+    node->api = api_new(&(struct api_setup){.loop = loop,
+                                            .kv = node->kv,
+                                            .replica = node->replica,
+                                            .membership = node->membership,
+                                            .rpc = node->rpc,
+                                            .cancel_broadcast = node->cancel_broadcast,
+                                            .failure_detector = node->failure_detector,
+                                            .shard = node->shard,
+                                            .settings = node->settings});
+}
+
 struct node *node_new(struct loop *loop, struct http_client *http_client,
                       const struct settings *settings, const struct policy *policy,
                       const struct feature_set *features)
@@ -92,15 +105,7 @@
                                                      .settings = settings,
                                                      .features = features,
                                                      .policy = policy});
-    node->api = api_new(&(struct api_setup){.loop = loop,
-                                            .kv = node->kv,
-                                            .replica = node->replica,
-                                            .membership = node->membership,
-                                            .rpc = node->rpc,
-                                            .cancel_broadcast = node->cancel_broadcast,
-                                            .failure_detector = node->failure_detector,
-                                            .shard = node->shard,
-                                            .settings = settings});
+    create_api(node, loop);
     return node;
 }
 
--- a/tests/support/world.c
+++ b/tests/support/world.c
@@ -126,6 +126,16 @@
         world->invariant_violation = g_strdup(fields);
 }
 
+static void create_state_service(struct world *world)
+{
+    world->keys = g_tree_new_full(compare_keys, NULL, g_free, kv_entry_free);
+    world->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    world->events = g_array_new(FALSE, TRUE, sizeof(struct kv_event));
+    g_array_set_clear_func(world->events, kv_event_clear);
+    world->watches = g_array_new(FALSE, TRUE, sizeof(struct pending_request *));
+    world->state_retained_events = RETAINED_EVENTS;
+}
+
 struct world *world_new_with_config(const struct world_config *config)
 {
     struct world *world = g_new0(struct world, 1);
@@ -139,11 +149,7 @@
     world_duplicate_task_seen = false;
     invariant_set_observer(on_invariant_violated, world);
     world->loop = loop_new_fake();
-    world->keys = g_tree_new_full(compare_keys, NULL, g_free, kv_entry_free);
-    world->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-    world->events = g_array_new(FALSE, TRUE, sizeof(struct kv_event));
-    g_array_set_clear_func(world->events, kv_event_clear);
-    world->watches = g_array_new(FALSE, TRUE, sizeof(struct pending_request *));
+    create_state_service(world);
     world->held_requests = g_ptr_array_new();
     world->rental_requests = g_ptr_array_new_with_free_func(g_free);
     world->connections = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
@@ -168,7 +174,6 @@
         world->http_clients[i] = (struct node_http_client){{node_http_client_request}, world, i};
     }
     world->rules = rules_new(world->settings[0]);
-    world->state_retained_events = RETAINED_EVENTS;
     world->state_max_value_kb = world->settings[0]->kv_limits.max_value_kb;
     world->state_max_txn_ops = world->settings[0]->kv_limits.max_txn_operations;
     timer_init(&world->tick_timer, world_tick, world);
--- a/tests/test_decision_log.c
+++ b/tests/test_decision_log.c
@@ -31,7 +31,7 @@
     rewind(file);
     size_t bytes = fread(text, 1, TEXT_BYTES - 1, file);
     text[bytes] = '\0';
-    fclose(file);
+    (void)fclose(file);
     return text;
 }
 
