--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -802,10 +802,16 @@
         self.w.record("node_continued", node=self.label)
 
 
+USED_PORTS = set()
+
+
 def free_port():
     """A free port below those that outgoing connections use, so that a node can bind it again."""
     while True:
         p = random.SystemRandom().randint(10000, 32000)
+        if p in USED_PORTS:
+            continue
+        USED_PORTS.add(p)
         s = socket.socket()
         try:
             s.bind(("127.0.0.1", p))
