--- a/review/4/case.py
+++ b/review/4/case.py
@@ -38,7 +38,7 @@
     await until(lambda: c.victims() == 8, 10)
     await asyncio.sleep(2.5)
     c.step("tasks of the victim on machines: %d" % c.victims())
-    # The first attempts fail, as those of a job that was submitted with a mistake.
+    # The first attempts fail.
     c.failing = lambda worker, t: "error" if w.seen[t.piece] == 1 else None
     await until(lambda: not c.victims(), 3)
     await until(lambda: not any(t.job["Id"] == VICTIM for x in w.workers.values() for t in x.tasks.values()), 7)
