Fence off a record transaction of unknown outcome before the next one

Cause: after an unknown outcome the node waited for a read barrier and recorded the same runs again, where the next batch found a place. A barrier shows what was carried out before it. The two transactions shared no key that either changed, so that the late one was carried out as well: the records stood on two pages, and were removed from one. If the barrier failed, the node went on without it. Change: before another record transaction the node writes its own key again, which every record transaction compares (record_txn_fence). The write takes the place of the barrier; without an answer it is repeated, and nothing else is sent. A run that is not recorded after the fence never will be, which clears may_be_recorded. A node is recognized by the incarnation in its key rather than by the key's revision. The transactions that write the key are in a module of their own (node_key). Why it works: from the fence's revision on every earlier transaction of this process fails, whichever pages, machines or inventories it writes, and a replica at that revision shows what was carried out.

--- a/src/cluster/membership.c
+++ b/src/cluster/membership.c
@@ -6,9 +6,9 @@
 
 #include "leader_election.h"
 #include "log.h"
+#include "node_key.h"
 #include "node_lease.h"
 #include "retry_backoff.h"
-#include "stored_fields.h"
 #include "version_support.h"
 
 enum {
@@ -33,7 +33,7 @@
     struct kv_client *kv;
     struct replica *replica;
     const struct settings *settings;
-    bool wants_singleton_roles;
+    struct node_key node_key;
     struct node_lease *lease;
     struct leader_election *election;
     struct version_support version_support;
@@ -88,7 +88,8 @@
     membership->kv = kv;
     membership->replica = replica;
     membership->settings = settings;
-    membership->wants_singleton_roles = wants_singleton_roles;
+    membership->node_key = (struct node_key){replica, settings, wants_singleton_roles,
+                                             kv_client_limits(kv)->max_txn_operations};
     membership->version_support.replica = replica;
     membership->version_support.settings = settings;
     membership->lease = node_lease_new(&(struct node_lease_setup){.loop = loop,
@@ -133,6 +134,13 @@
     return g_hash_table_lookup(membership->replica->nodes, membership->settings->label);
 }
 
+/** Returns whether a record is that of this process. The record may be NULL. */
+static bool is_own_process(const struct membership *membership, const struct node_record *node)
+{
+    lease_id incarnation = node_lease_get_id(membership->lease);
+    return node && incarnation.value && node->incarnation.value == incarnation.value;
+}
+
 bool membership_has_valid_lease(const struct membership *membership)
 {
     return membership->join_phase == JOIN_DONE && node_lease_is_valid(membership->lease);
@@ -140,9 +148,8 @@
 
 bool membership_is_visible(const struct membership *membership)
 {
-    const struct node_record *node = get_own_record(membership);
-    return membership->join_phase == JOIN_DONE && node &&
-           node->mod_revision.value == membership->mod_revision.value;
+    return membership->join_phase == JOIN_DONE &&
+           is_own_process(membership, get_own_record(membership));
 }
 
 bool membership_is_recorded_leader(const struct membership *membership)
@@ -194,7 +201,7 @@
     const struct node_record *node = get_own_record(membership);
     lease_id incarnation = node_lease_get_id(membership->lease);
     membership->join_phase = JOIN_NOT_SENT;
-    if (ok && incarnation.value && node && node->incarnation.value == incarnation.value) {
+    if (ok && is_own_process(membership, node)) {
         membership->join_phase = JOIN_DONE;
         membership->mod_revision = node->mod_revision;
         retry_backoff_reset(&membership->join_backoff);
@@ -214,80 +221,78 @@
     replica_await_txn_outcome(membership->replica, outcome, on_join_outcome_known, membership);
 }
 
-static json_object *encode_node_record(const struct membership *membership)
+/** Sends the transaction that writes this node's key. */
+static void send_join(struct membership *membership)
 {
-    json_object *record = json_object_new_object();
-    json_put_u64(record, NODE_FIELD_INCARNATION, node_lease_get_id(membership->lease).value);
-    json_put_string(record, NODE_FIELD_RPC_ADDRESS, membership->settings->rpc_address);
-    json_put_u64(record, NODE_FIELD_VERSION, NODE_VERSION_CURRENT);
-    if (membership->wants_singleton_roles)
-        json_put_bool(record, NODE_FIELD_SINGLETON_ROLES, true);
-    return record;
+    const struct node_record *previous = get_own_record(membership);
+    struct txn *txn =
+        node_key_new_join_txn(&membership->node_key, node_lease_get_id(membership->lease),
+                              previous ? previous->mod_revision : (revision){0});
+    membership->join_phase = JOIN_IN_FLIGHT;
+    kv_client_commit(membership->kv, KV_PRIORITY_LEASE, txn, on_join_txn_done, membership);
 }
 
-/** Adds the release of the leadership, if an earlier process of this node holds it. */
-static void add_leader_release(const struct membership *membership, struct txn *txn)
+/* ---- fencing earlier transactions ---- */
+
+/** A transaction in flight that rewrites this node's key. */
+struct key_rewrite {
+    struct membership *membership;
+    /** The process and the revision of its key when the transaction was sent. */
+    lease_id incarnation;
+    revision previous_revision;
+    replica_callback callback;
+    void *callback_arg;
+};
+
+/** Adopts the revision of this process's key in the replica if it is newer than the known one: a
+ * rewrite was carried out although its response was lost. */
+static void adopt_rewritten_key(struct membership *membership)
 {
-    const struct replica *replica = membership->replica;
-    if (!replica->leader_label || strcmp(replica->leader_label, membership->settings->label) != 0)
-        return;
-    txn_compare(txn, KEY_LEADER, replica->leader_mod_revision);
-    txn_delete(txn, KEY_LEADER);
+    const struct node_record *node = get_own_record(membership);
+    if (membership->join_phase == JOIN_DONE && is_own_process(membership, node) &&
+        node->mod_revision.value > membership->mod_revision.value)
+        membership->mod_revision = node->mod_revision;
 }
 
-/** Adds the release of singleton roles that an earlier process of this node holds. */
-static void add_role_releases(const struct membership *membership, struct txn *txn)
+static void on_rewrite_outcome_known(void *arg, bool ok)
 {
-    guint max_writes = (guint)kv_client_limits(membership->kv)->max_txn_operations;
-    for (int i = 0; i < ROLE_COUNT; i++) {
-        enum singleton_role role = (enum singleton_role)i;
-        const struct role_record *record =
-            role_records_get(membership->replica->singleton_roles, role);
-        if (!record->token.value ||
-            strcmp(record->holder.label, membership->settings->label) != 0 ||
-            txn_write_count(txn) >= max_writes)
-            continue;
-        char *key = key_role(role);
-        txn_compare(txn, key, (revision){record->token.value});
-        txn_delete(txn, key);
-        g_free(key);
-    }
+    struct key_rewrite *rewrite = arg;
+    struct membership *membership = rewrite->membership;
+    if (ok)
+        adopt_rewritten_key(membership);
+    bool is_rewritten = ok && membership->join_phase == JOIN_DONE &&
+                        node_lease_get_id(membership->lease).value == rewrite->incarnation.value &&
+                        membership->mod_revision.value > rewrite->previous_revision.value;
+    rewrite->callback(rewrite->callback_arg, is_rewritten);
+    g_free(rewrite);
 }
 
-/**
- * Adds an announcement of the version that this program supports. The key is not attached to a
- * lease and outlives the process, because later processes of the node support this version too.
- */
-static void add_version_announcement(const struct membership *membership, struct txn *txn)
+static void on_rewrite_done(void *arg, const struct txn_outcome *outcome)
 {
-    const char *label = membership->settings->label;
-    if (version_support_get_announced(membership->replica, label) >= NODE_VERSION_CURRENT)
-        return;
-    char *key = key_node_version(label);
-    json_object *value = json_object_new_object();
-    json_put_u64(value, NODE_FIELD_VERSION, NODE_VERSION_CURRENT);
-    txn_put(txn, key, value, (lease_id){0});
-    g_free(key);
+    struct key_rewrite *rewrite = arg;
+    struct membership *membership = rewrite->membership;
+    bool is_same_process = node_lease_get_id(membership->lease).value == rewrite->incarnation.value;
+    if (outcome->status == TXN_LEASE_EXPIRED && is_same_process)
+        node_lease_drop(membership->lease, LEASE_REFUSED);
+    if (outcome->status == TXN_COMMITTED && is_same_process)
+        membership->mod_revision = outcome->at_revision;
+    replica_await_txn_outcome(membership->replica, outcome, on_rewrite_outcome_known, rewrite);
 }
 
-/**
- * Sends the transaction that writes this node's key. The same transaction releases the leadership
- * and the roles of an earlier process of the node, which is dead, so that no node has to wait for
- * its lease to expire.
- */
-static void send_join(struct membership *membership)
+void membership_fence_earlier_txns(struct membership *membership, replica_callback callback,
+                                   void *callback_arg)
 {
-    const struct node_record *previous = get_own_record(membership);
-    char *key = key_node(membership->settings->label);
-    struct txn *txn = txn_new();
-    txn_compare(txn, key, previous ? previous->mod_revision : (revision){0});
-    txn_put(txn, key, encode_node_record(membership), node_lease_get_id(membership->lease));
-    add_leader_release(membership, txn);
-    add_role_releases(membership, txn);
-    add_version_announcement(membership, txn);
-    membership->join_phase = JOIN_IN_FLIGHT;
-    kv_client_commit(membership->kv, KV_PRIORITY_LEASE, txn, on_join_txn_done, membership);
-    g_free(key);
+    if (!membership_has_valid_lease(membership)) {
+        callback(callback_arg, false);
+        return;
+    }
+    lease_id incarnation = node_lease_get_id(membership->lease);
+    struct key_rewrite *rewrite = g_new(struct key_rewrite, 1);
+    *rewrite = (struct key_rewrite){membership, incarnation, membership->mod_revision, callback,
+                                    callback_arg};
+    struct txn *txn =
+        node_key_new_rewrite_txn(&membership->node_key, incarnation, membership->mod_revision);
+    kv_client_commit(membership->kv, KV_PRIORITY_URGENT, txn, on_rewrite_done, rewrite);
 }
 
 /** Takes the next step: requests a lease, joins the cluster, or runs the leader election. */
@@ -311,6 +316,7 @@
         node_lease_drop(membership->lease, LEASE_KEY_LOST);
         return;
     }
+    adopt_rewritten_key(membership);
     const struct candidate self = {.incarnation = incarnation,
                                    .mod_revision = membership->mod_revision,
                                    .is_leader = membership_is_leader(membership),
--- a/src/cluster/membership.h
+++ b/src/cluster/membership.h
@@ -43,6 +43,19 @@
 /** Returns the revision of this node's own key, which its transactions compare. */
 revision membership_get_mod_revision(const struct membership *membership);
 
+/**
+ * Makes all transactions fail that this process sent before, that compare this node's own key, and
+ * that were not carried out yet. Used after a transaction of unknown outcome, which may otherwise
+ * be carried out at any later time. The key is written again, so that its revision changes.
+ *
+ * @param callback  called with ok true once the key is written and the replica is at least as new,
+ *                  so that it shows whatever those transactions have written. ok false: it is not
+ *                  known whether the key is written; the caller has to try again. May be called
+ *                  before this function returns.
+ */
+void membership_fence_earlier_txns(struct membership *membership, replica_callback callback,
+                                   void *callback_arg);
+
 /** Returns the lease of this process, which identifies it; 0 if it has none. */
 lease_id membership_get_incarnation(const struct membership *membership);
 
--- a/src/shard/machine_inventory.c
+++ b/src/shard/machine_inventory.c
@@ -28,6 +28,7 @@
 
 /** The context of a write of an inventory. */
 struct inventory_write {
+    /** The first member, so that shard_finish_write() can end the write. */
     struct pending_write pending;
     int number;
 };
@@ -204,13 +205,6 @@
 
 /* ---- transaction ---- */
 
-static void finish_inventory_write(void *arg, bool ok)
-{
-    struct inventory_write *write = arg;
-    shard_finish_write(&write->pending, ok);
-    g_free(write);
-}
-
 /** Notes which machines the inventory lists now, and ends the write. */
 static void commit_inventory(struct inventory_write *write, revision committed_at)
 {
@@ -234,11 +228,11 @@
     struct inventory_write *write = arg;
     struct shard *shard = write->pending.shard;
     if (outcome->status != TXN_COMMITTED)
-        record_txn_await_outcome(shard, outcome, finish_inventory_write, write);
+        record_txn_await_outcome(shard, outcome, shard_finish_write, write);
     else if (write->pending.generation == shard->generation)
         commit_inventory(write, outcome->at_revision);
     else
-        finish_inventory_write(write, false);
+        shard_finish_write(write, false);
 }
 
 void shard_inventory_write(struct shard *shard)
--- a/src/shard/machines.c
+++ b/src/shard/machines.c
@@ -162,8 +162,10 @@
     }
 }
 
-/** Updates the page that holds the run's record, and releases the run if its record was removed. */
-static void reconcile_run(struct shard *shard, struct machine *machine, struct task_run *run)
+/** Updates the page that holds the run's record, and releases the run if its record was removed.
+ * @param is_complete all records are applied, and no earlier transaction can add one. */
+static void reconcile_run(struct shard *shard, struct machine *machine, struct task_run *run,
+                          bool is_complete)
 {
     const struct run_record *record = shard_find_run_record(shard, machine, run);
     if (record) {
@@ -176,6 +178,8 @@
     }
     run->record.page = -1;
     run->record.is_foreign = false;
+    if (is_complete)
+        run->record.may_be_recorded = false;
 }
 
 void shard_machine_reconcile(struct shard *shard, struct machine *machine, int page)
@@ -190,7 +194,7 @@
     for (guint i = 0; i < machine->runs->len; i++) {
         struct task_run *run = machine->runs->pdata[i];
         if (page < 0 || run->record.page == page)
-            reconcile_run(shard, machine, run);
+            reconcile_run(shard, machine, run, page < 0);
     }
 }
 
--- a/src/shard/page_split.c
+++ b/src/shard/page_split.c
@@ -81,19 +81,12 @@
 
 /* ---- transactions ---- */
 
-static void finish_split(void *arg, bool ok)
-{
-    struct pending_write *write = arg;
-    shard_finish_write(write, ok);
-    g_free(write);
-}
-
 /** Handles the outcome of a split; a txn_callback. Whatever the outcome, all pages are read again
  * from the replica. */
 static void handle_split_outcome(void *arg, const struct txn_outcome *outcome)
 {
     struct pending_write *write = arg;
-    record_txn_await_outcome(write->shard, outcome, finish_split, write);
+    record_txn_await_outcome(write->shard, outcome, shard_finish_write, write);
 }
 
 /** Returns the maximum number of writes of the transaction. In the legacy format pages cannot be
@@ -183,9 +176,7 @@
     struct txn *txn = make_split_txn(shard, page, pages, max_writes, method);
     LOG_INFO("page_split", "page=%s bytes=%zu pages=%u copies=%d", page->key, page->size_bytes,
              pages->len, method == SPLIT_BY_COPYING);
-    struct pending_write *write = g_new(struct pending_write, 1);
-    *write = (struct pending_write){shard, shard->generation};
-    record_txn_commit(shard, txn, handle_split_outcome, write);
+    record_txn_commit(shard, txn, handle_split_outcome, shard_pending_write_new(shard));
     g_ptr_array_unref(pages);
     return true;
 }
--- a/src/shard/record_batch_outcome.c
+++ b/src/shard/record_batch_outcome.c
@@ -7,7 +7,7 @@
  *   removed.
  * - Conflict, a compare failed: everything is read again from the replica, at the revision of the
  *   conflict or later.
- * - Unknown: everything is read again after a read barrier.
+ * - Unknown: the transaction is fenced off, and then everything is read again.
  * - Lease expired or refused: nothing was written, and all records are where they were.
  * - Any of these in a later epoch: nothing is done, as everything was read again when the epoch
  *   changed.
--- a/src/shard/record_txn.c
+++ b/src/shard/record_txn.c
@@ -84,6 +84,30 @@
     kv_client_commit(shard->kv, KV_PRIORITY_URGENT, txn, callback, arg);
 }
 
+/** A fence in flight, and whom to tell when it has ended. */
+struct pending_fence {
+    struct shard *shard;
+    replica_callback callback;
+    void *callback_arg;
+};
+
+static void on_fenced(void *arg, bool ok)
+{
+    struct pending_fence *fence = arg;
+    if (ok)
+        fence->shard->records.needs_fence = false;
+    fence->callback(fence->callback_arg, ok);
+    g_free(fence);
+}
+
+void record_txn_fence(struct shard *shard, replica_callback callback, void *arg)
+{
+    struct pending_fence *fence = g_new(struct pending_fence, 1);
+    *fence = (struct pending_fence){shard, callback, arg};
+    shard_charge_writes(shard, 1);
+    membership_fence_earlier_txns(shard->membership, on_fenced, fence);
+}
+
 void record_txn_await_outcome(struct shard *shard, const struct txn_outcome *outcome,
                               replica_callback callback, void *arg)
 {
@@ -93,7 +117,8 @@
         replica_await_revision(shard->replica, outcome->at_revision, callback, arg);
         return;
     case TXN_UNKNOWN:
-        replica_read_barrier(shard->replica, callback, arg);
+        shard->records.needs_fence = true;
+        record_txn_fence(shard, callback, arg);
         return;
     case TXN_LEASE_EXPIRED:
     case TXN_REJECTED:
--- a/src/shard/record_txn.h
+++ b/src/shard/record_txn.h
@@ -10,7 +10,8 @@
  *
  * All transactions compare
  * - the key of this node (ll/n/LABEL). "Every run-record write is conditioned": a node that was
- *   excluded from the cluster, or restarted, cannot write any more;
+ *   excluded from the cluster, or restarted, cannot write any more. "A late transaction changes
+ *   nothing": writing this key again fences off a transaction whose outcome is unknown;
  * - the shard map (ll/map). "Every run-record write is conditioned": a task that an earlier leader
  *   dispatched and that is not recorded when the map changes never will be.
  *
@@ -67,9 +68,17 @@
  * @param callback called with arg and the outcome. */
 void record_txn_commit(struct shard *shard, struct txn *txn, txn_callback callback, void *arg);
 
-/** Calls back once the replica reflects the outcome of a transaction. The callback's ok is false if
- * the replica cannot reach the outcome, or if the transaction was refused and so changed nothing.
- */
+/** Fences off the transactions that were sent before: those that were not carried out yet never
+ * will be, as all of them compare this node's key, which is written again. The next transaction may
+ * choose other pages than the one whose outcome is unknown, so that without a fence both could be
+ * carried out.
+ * @param callback called with arg; ok: the fence holds, and the replica shows what was carried out
+ *     before it. Otherwise the fence has to be repeated before any other transaction is sent. */
+void record_txn_fence(struct shard *shard, replica_callback callback, void *arg);
+
+/** Calls back once the replica reflects the outcome of a transaction. If that is unknown, the
+ * transaction is fenced off first. The callback's ok is false if the replica cannot reach the
+ * outcome, or if the transaction was refused and so changed nothing. */
 void record_txn_await_outcome(struct shard *shard, const struct txn_outcome *outcome,
                               replica_callback callback, void *arg);
 
--- a/src/shard/run_records_flush.c
+++ b/src/shard/run_records_flush.c
@@ -3,6 +3,7 @@
  * When records are written: shortly after a change, by one transaction at a time, within this
  * node's share of the writes that the state service allows.
  */
+#include "agent_session_internal.h"
 #include "machine_inventory_internal.h"
 #include "page_split_internal.h"
 #include "record_batch_internal.h"
@@ -68,14 +69,43 @@
     token_bucket_take(&shard->records.write_bucket, writes);
 }
 
-void shard_finish_write(const struct pending_write *write, bool ok)
+struct pending_write *shard_pending_write_new(struct shard *shard)
 {
+    struct pending_write *write = g_new(struct pending_write, 1);
+    *write = (struct pending_write){shard, shard->generation};
+    return write;
+}
+
+/** Sends the agents of all machines the commands for runs that were found to be recorded. */
+static void push_commands_to_all(struct shard *shard)
+{
+    GHashTableIter iter;
+    struct machine *machine;
+    g_hash_table_iter_init(&iter, shard->machines);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&machine))
+        if (!machine->is_returned)
+            shard_push_commands(shard, machine);
+}
+
+void shard_finish_write(void *arg, bool ok)
+{
+    struct pending_write *write = arg;
     struct shard *shard = write->shard;
     shard->records.txn_in_flight = false;
-    if (ok && write->generation == shard->generation)
+    if (ok && write->generation == shard->generation) {
         shard_records_reconcile(shard);
+        push_commands_to_all(shard);
+    }
     shard->records.is_dirty = true;
     shard_schedule_flush(shard, ok);
+    g_free(write);
+}
+
+/** Fences off a transaction of unknown outcome, after an earlier fence has failed. */
+static void repeat_fence(struct shard *shard)
+{
+    shard->records.txn_in_flight = true;
+    record_txn_fence(shard, shard_finish_write, shard_pending_write_new(shard));
 }
 
 /** Drops a batch that has nothing to write, because nothing has changed or the pending changes fit
@@ -117,6 +147,10 @@
     struct shard *shard = arg;
     if (shard->records.txn_in_flight || !record_txn_is_allowed(shard))
         return;
+    if (shard->records.needs_fence) {
+        repeat_fence(shard);
+        return;
+    }
     bool needs_split = shard_split_is_due(shard);
     bool needs_inventory_write = shard_inventory_is_due(shard);
     if (!shard->records.is_dirty && !needs_split && !needs_inventory_write)
--- a/src/shard/run_records_internal.h
+++ b/src/shard/run_records_internal.h
@@ -25,9 +25,10 @@
  *    record_txn.h lists them with the rules of docs/safety.md that they implement.
  * 6. record_batch_outcome.c handles the outcome. Committed: the state of machines and runs is
  *    updated to match the transaction, and the agents are sent commands for the recorded runs.
- *    Conflict or unknown: no outcome is assumed; once the replica is recent enough, all pages and
- *    runs are read from it again. Refused: the batch is dropped. Whatever the outcome, changes that
- *    are still pending go into the next batch.
+ *    Conflict or unknown: no outcome is assumed. A transaction of unknown outcome is fenced off
+ *    first, so that it cannot be carried out later. Once the replica is recent enough, all pages
+ * and runs are read from it again. Refused: the batch is dropped. Whatever the outcome, changes
+ * that are still pending go into the next batch.
  *
  * From step 4 to step 6 the change is noted in the run (run_record_state.is_in_txn and next_page),
  * while run_record_state.page still says where the record is: only the outcome updates it.
@@ -157,9 +158,14 @@
     uint64_t generation;
 };
 
-/** Ends a transaction other than a batch, and reconciles the shard with the replica.
+/** Creates the context of a transaction of the present generation. */
+struct pending_write *shard_pending_write_new(struct shard *shard);
+
+/** Ends a transaction other than a batch, and reconciles the shard with the replica; a
+ * replica_callback.
+ * @param arg the struct pending_write, which is freed.
  * @param ok whether the replica has reached the outcome of the transaction. */
-void shard_finish_write(const struct pending_write *write, bool ok);
+void shard_finish_write(void *arg, bool ok);
 
 /* ---- record_batch_outcome.c ---- */
 
--- a/src/shard/shard_epoch.c
+++ b/src/shard/shard_epoch.c
@@ -122,6 +122,8 @@
     shard->epoch = shard->replica->shard_map_epoch;
     shard->has_token_serials = shard->replica->has_token_serials;
     shard->generation++;
+    /* Transactions of earlier epochs compare an earlier revision of the map. */
+    shard->records.needs_fence = false;
     shard->last_dispatch_sequence = 0;
     shard->status.next_is_full = true;
     shard->status.wants_epoch_raise = false;
--- a/src/shard/shard_internal.h
+++ b/src/shard/shard_internal.h
@@ -84,6 +84,9 @@
     guint first_source_page;
     /** A transaction of records is in flight. There is at most one. */
     bool txn_in_flight;
+    /** The outcome of a transaction of this epoch is unknown, and it may still be carried out. No
+     * other transaction is sent before this one is fenced off, see record_txn_fence(). */
+    bool needs_fence;
     /** There are changes to write. */
     bool is_dirty;
     struct write_waits write_waits;
