Replica: a run record exists until every page that holds it has dropped it

Cause: the replica knew one page for each record, the one that was read last. When that page dropped the record, the replica removed it, although the other page still held it; only a node that read all keys found it again. Change: the replica remembers the other pages that hold a record (record_copies.c), and lists it on one of them when its page drops it. A shard writes own pages and those of departed nodes that hold copies, and removes no record while a copy of it remains. Records of several attempts are kept in a module of their own, ordered by attempt (superseded_records.c). shard_map_has_label replaces the garbage collector's own loop. Why it works: a task counts as gone only when no page names it, whatever wrote the copies, and the repair comes before the removal. Tests: record_on_two_pages_exists_until_both_drop_it, copies_of_a_record_are_removed (test_record_pages).

--- a/src/cluster/shard_map.c
+++ b/src/cluster/shard_map.c
@@ -55,6 +55,14 @@
     return owner;
 }
 
+bool shard_map_has_label(const struct replica *replica, const char *label)
+{
+    for (guint i = 0; i < replica->shard_map->len; i++)
+        if (strcmp(g_array_index(replica->shard_map, struct shard_map_entry, i).label, label) == 0)
+            return true;
+    return false;
+}
+
 bool shard_map_contains(const struct replica *replica, const char *label, lease_id incarnation)
 {
     for (guint i = 0; i < replica->shard_map->len; i++) {
--- a/src/cluster/shard_map.h
+++ b/src/cluster/shard_map.h
@@ -14,6 +14,9 @@
 /** Returns the label of the node that owns the machine; NULL if the shard map has no nodes. */
 const char *shard_map_get_owner(const struct replica *replica, const char *machine);
 
+/** Returns whether the shard map lists a process of the node. */
+bool shard_map_has_label(const struct replica *replica, const char *label);
+
 /** Returns whether the shard map lists the process with that incarnation of the node. */
 bool shard_map_contains(const struct replica *replica, const char *label, lease_id incarnation);
 
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -23,6 +23,8 @@
     struct replica_internal *internal = g_new0(struct replica_internal, 1);
     internal->mod_revisions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     internal->superseded_records = g_hash_table_new(NULL, NULL);
+    internal->record_copies =
+        g_hash_table_new_full(NULL, NULL, NULL, (GDestroyNotify)g_ptr_array_unref);
     internal->listeners = g_ptr_array_new();
     internal->pending_events = g_array_new(FALSE, TRUE, sizeof(struct replica_event));
     internal->machine_type_parts =
@@ -45,6 +47,7 @@
     g_hash_table_unref(internal->mod_revisions);
     g_hash_table_unref(internal->machine_type_parts);
     g_hash_table_unref(internal->superseded_records);
+    g_hash_table_unref(internal->record_copies);
     g_ptr_array_unref(internal->listeners);
     g_array_unref(internal->pending_events);
     g_array_unref(internal->waiters);
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -135,6 +135,22 @@
  */
 const char *replica_get_machine_description(struct replica *replica, const char *machine_name);
 
+/** Returns the run record of an attempt on a machine, or NULL. */
+struct run_record *replica_find_run_record(const struct replica *replica, const struct job *job,
+                                           uint32_t task_index, attempt_no attempt,
+                                           machine_id machine);
+/** Returns whether any task has records of several attempts. */
+bool replica_has_superseded_records(const struct replica *replica);
+/** Returns whether the task of the record has one of a newer attempt, too. False for NULL. */
+bool replica_is_superseded(const struct replica *replica, const struct run_record *run_record);
+/** Returns a page that holds the record besides the page that lists it, or NULL. */
+struct record_page *replica_find_record_copy(const struct replica *replica,
+                                             const struct run_record *run_record);
+/** Returns whether the page holds a record that another page lists. False for NULL. */
+bool replica_page_holds_copy(const struct replica *replica, const struct record_page *page);
+/** Returns whether any page holds a record that another page lists. */
+bool replica_has_record_copies(const struct replica *replica);
+
 /**
  * Returns whether the task has run records on two machines. No revision of the store should show
  * that; no machine may start the task then.
--- a/src/replica/replica_internal.h
+++ b/src/replica/replica_internal.h
@@ -66,8 +66,11 @@
     GArray *pending_events;
     /** Key -> struct machine_type_part. */
     GHashTable *machine_type_parts;
-    /** Set of struct run_record: records whose task has a newer record, too (run_records.c). */
+    /** Set of struct run_record: records whose task has one of a newer attempt, too. */
     GHashTable *superseded_records;
+    /** struct run_record -> GPtrArray of struct record_page: the pages that hold the record besides
+     * the one that lists it. */
+    GHashTable *record_copies;
     /** Array of struct revision_waiter (read_barrier.c). */
     GArray *waiters;
     /** Calls replica_on_expiry_timer. */
@@ -139,14 +142,32 @@
 
 /* ---- run_records.c ---- */
 
-/** Checks that no task has run records on two machines, once all changes of a revision are applied.
- */
-void replica_check_run_records(const struct replica *replica);
 /** Frees a struct record_page; a GDestroyNotify. */
 void replica_page_free(gpointer page);
 /** Applies a change of ll/p/LABEL/N. */
 void replica_apply_page(struct replica *replica, const struct key_update *update);
 
+/* ---- record_copies.c ---- */
+
+/** Notes that a page holds the record besides the page that lists it. */
+void replica_add_record_copy(struct replica *replica, struct run_record *run_record,
+                             struct record_page *page);
+/** Notes that the page does not hold the record any more, or lists it. */
+void replica_drop_record_copy(struct replica *replica, struct run_record *run_record,
+                              struct record_page *page);
+/** Notes that the page holds no record that another page lists. */
+void replica_drop_copies_on_page(struct replica *replica, struct record_page *page);
+
+/* ---- superseded_records.c ---- */
+
+/** Makes the record the one of its task, unless the task has one of a newer attempt. */
+void replica_add_record_to_task(struct replica *replica, struct run_record *run_record);
+/** Removes a record from its task, whose newest remaining record takes its place. */
+void replica_remove_record_from_task(struct replica *replica, struct run_record *run_record);
+/** Checks that no task has run records on two machines, once all changes of a revision are applied.
+ */
+void replica_check_run_records(const struct replica *replica);
+
 /* ---- cluster_records.c ---- */
 
 /** Frees a struct node_record; a GDestroyNotify. */
--- a/src/replica/run_records.c
+++ b/src/replica/run_records.c
@@ -1,5 +1,4 @@
 /** Record pages and the run records on them: the values of ll/p/LABEL/N. */
-#include "invariant.h"
 #include "replica_internal.h"
 #include "stored_fields.h"
 
@@ -49,54 +48,20 @@
 /** Links a record to its machine, which takes ownership, and to its page and job. */
 static void link_run_record(struct replica *replica, struct run_record *run_record)
 {
-    struct job *job = run_record->job;
     g_ptr_array_add(run_record->machine->run_records, run_record);
     g_ptr_array_add(run_record->page->run_records, run_record);
-    struct run_record *superseded = job_get_run_record(job, run_record->task_index);
-    if (superseded)
-        g_hash_table_add(replica->internal->superseded_records, superseded);
-    if (!job->run_records)
-        job->run_records = g_hash_table_new(NULL, NULL);
-    g_hash_table_insert(job->run_records, GUINT_TO_POINTER(run_record->task_index + 1), run_record);
+    replica_add_record_to_task(replica, run_record);
     add_run_event(replica, REPLICA_EVENT_RUN_RECORD_ADDED, run_record);
 }
 
 /** Unlinks a record that was already removed from its page, and frees it. */
 static void remove_run_record(struct replica *replica, struct run_record *run_record)
 {
-    struct job *job = run_record->job;
-    g_hash_table_remove(replica->internal->superseded_records, run_record);
-    if (job_get_run_record(job, run_record->task_index) == run_record)
-        g_hash_table_remove(job->run_records, GUINT_TO_POINTER(run_record->task_index + 1));
-    if (job->run_records && g_hash_table_size(job->run_records) == 0)
-        g_clear_pointer(&job->run_records, g_hash_table_unref);
+    replica_remove_record_from_task(replica, run_record);
     add_run_event(replica, REPLICA_EVENT_RUN_RECORD_REMOVED, run_record);
     g_ptr_array_remove_fast(run_record->machine->run_records, run_record); /* frees it */
 }
 
-bool replica_has_conflicting_records(const struct replica *replica, job_id job, uint32_t task_index)
-{
-    GHashTableIter iterator;
-    const struct run_record *superseded;
-    g_hash_table_iter_init(&iterator, replica->internal->superseded_records);
-    while (g_hash_table_iter_next(&iterator, (gpointer *)&superseded, NULL))
-        if (superseded->task_index == task_index && job_id_equal(superseded->job->id, job))
-            return true;
-    return false;
-}
-
-void replica_check_run_records(const struct replica *replica)
-{
-    GHashTableIter iterator;
-    const struct run_record *superseded;
-    g_hash_table_iter_init(&iterator, replica->internal->superseded_records);
-    while (g_hash_table_iter_next(&iterator, (gpointer *)&superseded, NULL))
-        invariant_check(INVARIANT_ONE_MACHINE, false,
-                        "job=%s task=%u machine=%s attempt=%" G_GUINT64_FORMAT,
-                        superseded->job->id.text, superseded->task_index,
-                        superseded->machine->id.text, superseded->attempt.value);
-}
-
 /** The context of apply_page_entry. */
 struct page_reader {
     struct replica *replica;
@@ -105,16 +70,28 @@
     GArray *new_records;
 };
 
-static void move_to_page(struct run_record *run_record, struct record_page *page)
+/** Lists a record on another page than before. */
+static void list_on_page(struct run_record *run_record, struct record_page *page)
 {
-    if (run_record->page != page) {
-        g_ptr_array_remove_fast(run_record->page->run_records, run_record);
-        g_ptr_array_add(page->run_records, run_record);
-    }
+    g_ptr_array_add(page->run_records, run_record);
     run_record->page = page;
     run_record->page_generation = page->generation;
 }
 
+/** Lists a known record on the page that was just read. The page that listed it before may still
+ * hold it. */
+static void move_to_page(struct replica *replica, struct run_record *run_record,
+                         struct record_page *page)
+{
+    run_record->page_generation = page->generation;
+    if (run_record->page == page)
+        return;
+    replica_drop_record_copy(replica, run_record, page);
+    replica_add_record_copy(replica, run_record, run_record->page);
+    g_ptr_array_remove_fast(run_record->page->run_records, run_record);
+    list_on_page(run_record, page);
+}
+
 /**
  * record_page_entry_callback: marks a known record as read again and collects new records. These
  * are added after the removal of stale records, because a task may have moved to another machine.
@@ -129,9 +106,10 @@
         return;
     if (entry->description)
         machine_apply_description(machine, entry->description);
-    struct run_record *known = job_get_run_record(job, entry->task_index);
-    if (known && known->machine == machine && known->attempt.value == entry->attempt.value) {
-        move_to_page(known, reader->page);
+    struct run_record *known = replica_find_run_record(reader->replica, job, entry->task_index,
+                                                       entry->attempt, machine->id);
+    if (known) {
+        move_to_page(reader->replica, known, reader->page);
         return;
     }
     struct run_record new_record = {
@@ -145,7 +123,22 @@
     g_array_append_val(reader->new_records, new_record);
 }
 
-/** Removes the records of the page that were not read again, and adds their machines to a set. */
+/** Drops a record from the page that listed it. Lists it on another page that holds it; if there is
+ * none, removes it and adds its machine to a set. */
+static void drop_from_page(struct replica *replica, struct run_record *run_record,
+                           GHashTable *machines)
+{
+    struct record_page *other_page = replica_find_record_copy(replica, run_record);
+    if (other_page) {
+        replica_drop_record_copy(replica, run_record, other_page);
+        list_on_page(run_record, other_page);
+        return;
+    }
+    g_hash_table_add(machines, run_record->machine);
+    remove_run_record(replica, run_record);
+}
+
+/** Drops the records that the page held and that were not read again. */
 static void remove_stale_run_records(struct replica *replica, struct record_page *page,
                                      GHashTable *machines)
 {
@@ -156,9 +149,9 @@
             continue;
         }
         g_ptr_array_remove_index_fast(page->run_records, i);
-        g_hash_table_add(machines, run_record->machine);
-        remove_run_record(replica, run_record);
+        drop_from_page(replica, run_record, machines);
     }
+    replica_drop_copies_on_page(replica, page);
 }
 
 static void add_new_run_records(struct replica *replica, const GArray *new_records)
--- a/src/scheduler/garbage_collector.c
+++ b/src/scheduler/garbage_collector.c
@@ -57,16 +57,6 @@
     kv_client_commit(collector->kv, KV_PRIORITY_NORMAL, txn, on_key_removed, collector);
 }
 
-/** Returns whether the node is missing from the shard map. */
-static bool is_node_departed(const struct garbage_collector *collector, const char *label)
-{
-    const GArray *shard_map = collector->replica->shard_map;
-    for (guint i = 0; i < shard_map->len; i++)
-        if (strcmp(g_array_index(shard_map, struct shard_map_entry, i).label, label) == 0)
-            return false;
-    return true;
-}
-
 /** Returns whether the page contains completions of jobs whose end is not recorded yet. */
 static bool has_completions_of_unfinished_jobs(const struct garbage_collector *collector,
                                                const struct record_page *page)
@@ -87,7 +77,7 @@
     struct record_page *page;
     g_hash_table_iter_init(&it, collector->replica->pages);
     while (!collector->removal_in_flight && g_hash_table_iter_next(&it, NULL, (gpointer *)&page)) {
-        if (!page->run_records->len && is_node_departed(collector, page->label) &&
+        if (!page->run_records->len && !shard_map_has_label(collector->replica, page->label) &&
             !has_completions_of_unfinished_jobs(collector, page))
             remove_key(collector, page->key, page->mod_revision);
     }
@@ -115,7 +105,8 @@
     g_hash_table_iter_init(&it, collector->replica->inventories);
     while (!collector->removal_in_flight &&
            g_hash_table_iter_next(&it, NULL, (gpointer *)&inventory)) {
-        if (!has_run_records(inventory) && is_node_departed(collector, inventory->label))
+        if (!has_run_records(inventory) &&
+            !shard_map_has_label(collector->replica, inventory->label))
             remove_key(collector, inventory->key, inventory->mod_revision);
     }
 }
--- a/src/shard/page_draft.c
+++ b/src/shard/page_draft.c
@@ -98,14 +98,25 @@
     }
 }
 
-/** Keeps the record of a run, unless its end is proven and its completion, if any, is durable or
- * recorded by this transaction. */
+/** Returns whether another page holds the record of the run, too. */
+static bool has_record_copy(struct shard *shard, const struct machine *machine,
+                            const struct task_run *run)
+{
+    const struct run_record *run_record = replica_has_record_copies(shard->replica)
+                                              ? shard_find_run_record(shard, machine, run)
+                                              : NULL;
+    return run_record && replica_find_record_copy(shard->replica, run_record);
+}
+
+/** Keeps the record of a run, unless its end is proven, its completion, if any, is durable or
+ * recorded by this transaction, and no other page holds the record: a copy that remained would be
+ * read as the record of a task that runs. */
 static void keep_run(struct record_batch *batch, struct page_draft *draft, struct machine *machine,
                      struct task_run *run)
 {
     run->record.next_page = -1;
     run->record.is_in_txn =
-        run->phase == TASK_RUN_ENDED &&
+        run->phase == TASK_RUN_ENDED && !has_record_copy(batch->shard, machine, run) &&
         shard_completion_is_written(batch->shard, run, record_batch_writes_page, batch);
     if (run->record.is_in_txn) {
         machine->record.is_in_txn = true;
@@ -132,7 +143,9 @@
     g_array_set_size(draft->records, 0);
     g_hash_table_remove_all(draft->job_keys);
     shard_completions_encode(shard, draft->number, batch->legacy_format, &draft->completions);
-    draft->is_changed = draft->completions.has_unwritten;
+    draft->is_changed =
+        draft->completions.has_unwritten ||
+        replica_page_holds_copy(shard->replica, shard_find_replica_page(shard, draft->number));
     draft->used_bytes = draft->completions.text->len + draft->completions.reserved_bytes;
     keep_foreign_records(shard, draft);
     GHashTableIter iter;
--- a/src/shard/record_batch_adopt.c
+++ b/src/shard/record_batch_adopt.c
@@ -116,7 +116,7 @@
         struct record_page_entry record = shard_make_page_entry_from_replica(shard, run_record);
         g_array_append_val(remaining, record);
     }
-    if (remaining->len < page->run_records->len) {
+    if (remaining->len < page->run_records->len || replica_page_holds_copy(shard->replica, page)) {
         GString *text = record_page_encode(remaining, batch->legacy_format);
         record_txn_put_page(batch->txn, page->key, page->mod_revision, text->str,
                             page->encoded_completions ? page->encoded_completions : "");
--- a/src/shard/record_batch_internal.h
+++ b/src/shard/record_batch_internal.h
@@ -142,7 +142,8 @@
  * page, adopts either all of them or none. */
 void record_batch_adopt_machine(struct record_batch *batch, struct machine *machine);
 
-/** Adds a write of another node's page without the records that the transaction adopts. */
+/** Adds a write of another node's page without the records that the transaction adopts, and without
+ * those that another page lists. */
 void record_batch_write_source(struct record_batch *batch, struct record_page *page);
 
 /* ---- record_batch_machine.c: the machines' own records ---- */
--- a/src/shard/record_batch_select.c
+++ b/src/shard/record_batch_select.c
@@ -84,6 +84,26 @@
         demand->has_unassigned = true;
 }
 
+/** Adds the pages that hold records which another page lists: own pages, and those of nodes that
+ * are away. Writing such a page drops the copies. */
+static void add_copy_demand(struct record_batch *batch, struct write_demand *demand)
+{
+    struct shard *shard = batch->shard;
+    GHashTableIter iter;
+    struct record_page *page;
+    if (!replica_has_record_copies(shard->replica))
+        return;
+    g_hash_table_iter_init(&iter, shard->replica->pages);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&page)) {
+        if (!replica_page_holds_copy(shard->replica, page))
+            continue;
+        if (!shard_map_has_label(shard->replica, page->label))
+            add_source_demand(batch, demand, page);
+        else if (shard_is_own_page(shard, page) && page->number < (int)shard->records.pages->len)
+            demand->page_weights[page->number] += START_WEIGHT;
+    }
+}
+
 /** Collects the pending changes of all runs and completions. */
 static void collect_demand(struct record_batch *batch, struct write_demand *demand)
 {
@@ -99,6 +119,7 @@
         for (guint i = 0; i < machine->runs->len; i++)
             add_run_demand(batch, demand, machine, machine->runs->pdata[i]);
     }
+    add_copy_demand(batch, demand);
     if (shard_completions_add_demand(shard, demand->page_weights, COMPLETION_WEIGHT))
         demand->has_unassigned = true;
 }
--- a/src/shard/run_records_pages.c
+++ b/src/shard/run_records_pages.c
@@ -75,10 +75,8 @@
                                          const struct task_run *run)
 {
     struct job *job = replica_get_job(shard->replica, run->job.text);
-    struct run_record *run_record = job ? job_get_run_record(job, run->index) : NULL;
-    bool is_same_run = run_record && run_record->attempt.value == run->attempt.value &&
-                       machine_id_equal(run_record->machine->id, machine->id);
-    return is_same_run ? run_record : NULL;
+    return job ? replica_find_run_record(shard->replica, job, run->index, run->attempt, machine->id)
+               : NULL;
 }
 
 int shard_find_page_of_machine(const struct machine *machine)
--- a/tests/test_record_pages.c
+++ b/tests/test_record_pages.c
@@ -260,6 +260,95 @@
                      completed + world_count_active_tasks(world, "wk-1"));
 }
 
+/* Returns the text of a page with one record of the task wk-1/0. The caller frees it. */
+static char *format_record(const char *machine, uint64_t attempt)
+{
+    return g_strdup_printf("{\"t\":\"@%s #wk-1 *%" G_GUINT64_FORMAT " 0 \",\"d\":\"\"}", machine,
+                           attempt);
+}
+
+/* Refuses all transactions with run records. */
+static enum request_fault refuse_record_txns(struct world *world, int node,
+                                             const struct http_client_request *request)
+{
+    (void)world;
+    (void)node;
+    return strcmp(request->path, "/txn") == 0 && strstr(request->body, "\"Set\":\"ll\\/p\\/")
+               ? FAULT_UNAVAILABLE
+               : FAULT_NONE;
+}
+
+static bool page_names_job(struct world *world, const char *page, const char *job)
+{
+    const char *value = world_get_key(world, page);
+    return value && strstr(value, job);
+}
+
+/* Two pages hold the record of a task, as a late transaction of an earlier version has left them.
+ * When one page dropped it, the nodes took the task for gone, and a node that read all keys found
+ * the other copy. */
+static void record_on_two_pages_exists_until_both_drop_it(void **state)
+{
+    struct world *world = *state;
+    struct worker *worker = start_service_on_two_machines(world, 1);
+    char *copy = format_record(worker->id, worker_find_task(worker, "wk-1", 0)->attempt);
+    world->inject_fault = refuse_record_txns;
+    world_put_key(world, "ll/p/mast-8/0", copy);
+    world_put_key(world, "ll/p/mast-9/0", copy);
+    world_run(world, 100);
+    assert_int_equal(count_recorded_tasks(world, worker), 1);
+    for (int node = 0; node < WORLD_NODES; node++) {
+        char *page = key_record_page(world->nodes[node]->settings->label, 0);
+        if (page_names_job(world, page, "#wk-1"))
+            world_put_key(world, page, "{\"t\":\"\",\"d\":\"\"}");
+        g_free(page);
+    }
+    world_remove_key(world, "ll/p/mast-9/0");
+    world_run(world, 100);
+    assert_int_equal(count_recorded_tasks(world, worker), 1);
+    world_remove_key(world, "ll/p/mast-8/0");
+    world_run(world, 100);
+    assert_int_equal(count_recorded_tasks(world, worker), 0);
+    world->inject_fault = NULL;
+    g_free(copy);
+}
+
+/* The owner of the machine removes copies of a record from its own pages and from those of nodes
+ * that are away. Otherwise they would remain when the task has ended, and be read as a record of a
+ * task that runs. */
+static void copies_of_a_record_are_removed(void **state)
+{
+    struct world *world = *state;
+    struct worker *worker = start_service_on_two_machines(world, 1);
+    const char *owner = shard_map_get_owner(world->nodes[0]->replica, worker->id);
+    char *own_page = g_strdup_printf("ll/p/%s/7", owner);
+    char *copy = format_record(worker->id, worker_find_task(worker, "wk-1", 0)->attempt);
+    world_put_key(world, own_page, copy);
+    world_put_key(world, "ll/p/mast-9/0", copy);
+    world_run(world, 3000);
+    worker_exit_task(worker, "wk-1", 0, "error");
+    worker_send_heartbeat(worker);
+    world_run(world, 6000);
+    int holding_pages = 0;
+    GHashTableIter it;
+    struct record_page *page;
+    g_hash_table_iter_init(&it, world->nodes[0]->replica->pages);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&page))
+        holding_pages += page_names_job(world, page->key, "#wk-1");
+    assert_int_equal(holding_pages, 1);
+    assert_int_equal(world_count_task_starts(world), 2);
+    assert_int_equal(world_count_active_tasks(world, "wk-1"), 1);
+    for (int node = 0; node < WORLD_NODES; node++) {
+        world_kill(world, node);
+        world_start(world, node);
+    }
+    world_run(world, 10000);
+    assert_int_equal(world_count_task_starts(world), 2);
+    assert_int_equal(world_count_active_tasks(world, "wk-1"), 1);
+    g_free(own_page);
+    g_free(copy);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -269,6 +358,8 @@
         WORLD_TEST(an_unsorted_record_page_is_taken_over),
         WORLD_TEST(a_full_page_is_written_with_its_records_during_a_takeover),
         WORLD_TEST(a_lagging_replica_frees_no_recorded_task),
+        WORLD_TEST(record_on_two_pages_exists_until_both_drop_it),
+        WORLD_TEST(copies_of_a_record_are_removed),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
