Replica: the older record of a task takes the place of a newer one, and is removed

Cause: a record whose task had a newer one stayed superseded when that one was removed, so that nothing showed it as the record of the task. While both existed, the shard of the older one took its run for released and did not find its record; nothing removed it. Change: when the record of a task is removed, its newest superseded one takes its place. A shard stops a run whose task has a record of a newer attempt; once it is proven that the agent does not have it, its record is removed. Why it works: attempts are numbered in the order of the dispatches, so that the older one is the one that nobody waits for, and its end is proven like any other before its record goes. Test: older_record_of_a_task_is_removed (test_invariants) fails before this change.

--- a/src/replica/superseded_records.c
+++ b/src/replica/superseded_records.c
@@ -1,7 +1,7 @@
 /**
  * @file
  * Tasks that have several run records, of different attempts. The record of the newest attempt is
- * the one of the task (job_get_run_record); the others are superseded.
+ * the one of the task (job_get_run_record); the others are superseded until it is removed.
  */
 #include "invariant.h"
 #include "replica_internal.h"
@@ -58,6 +58,12 @@
     if (g_hash_table_remove(replica->internal->superseded_records, run_record) ||
         job_get_run_record(job, run_record->task_index) != run_record)
         return;
+    struct run_record *remaining = find_newest_superseded(replica, job, run_record->task_index);
+    if (remaining) {
+        g_hash_table_remove(replica->internal->superseded_records, remaining);
+        set_record_of_task(remaining);
+        return;
+    }
     g_hash_table_remove(job->run_records, task_key(run_record->task_index));
     if (g_hash_table_size(job->run_records) == 0)
         g_clear_pointer(&job->run_records, g_hash_table_unref);
--- a/src/shard/agent_commands.c
+++ b/src/shard/agent_commands.c
@@ -7,6 +7,7 @@
 #include "agent_fencing_internal.h"
 #include "invariant.h"
 #include "log.h"
+#include "run_records_internal.h"
 
 enum {
     /** Limit for one request to an agent or one response to a heartbeat. */
@@ -216,6 +217,16 @@
         shard->status.wants_epoch_raise = true;
 }
 
+/** Requests that a run be stopped if its task has a record of a newer attempt. That is so only if
+ * an earlier version stored both. Its record is removed once its end is proven. */
+static void stop_if_superseded(struct shard *shard, const struct machine *machine,
+                               struct task_run *run)
+{
+    if (run->phase == TASK_RUN_RECORDED && replica_has_superseded_records(shard->replica) &&
+        replica_is_superseded(shard->replica, shard_find_run_record(shard, machine, run)))
+        shard_run_request_stop(run, 0);
+}
+
 GArray *shard_collect_commands(struct shard *shard, struct machine *machine, bool is_push)
 {
     GArray *commands = commands_new();
@@ -224,6 +235,7 @@
         fence_cleared_attempts(shard, machine);
     for (guint i = 0; i < machine->runs->len && commands->len < MAX_COMMANDS_PER_MESSAGE; i++) {
         struct task_run *run = machine->runs->pdata[i];
+        stop_if_superseded(shard, machine, run);
         if (has_valid_lease || (run->stop.is_requested && shard_job_is_finished(shard, run->job)))
             add_due_command(shard, machine, run, is_push, commands);
     }
--- a/tests/test_invariants.c
+++ b/tests/test_invariants.c
@@ -56,6 +56,32 @@
     g_free(page);
 }
 
+/* Stores a record of an older attempt of wk-1/0 for a machine, on a page of its owner. */
+static void put_older_record(struct world *world, const char *machine)
+{
+    char *key = key_record_page(shard_map_get_owner(world->nodes[0]->replica, machine), 7);
+    char *page = g_strdup_printf("{\"t\":\"@%s #wk-1 *7 0 \",\"d\":\"\"}", machine);
+    world_put_key(world, key, page);
+    g_free(key);
+    g_free(page);
+}
+
+/* The record of an older attempt, which a late transaction of an earlier version has left, is
+ * removed once it is proven that the attempt is not on its machine. */
+static void older_record_of_a_task_is_removed(void **state)
+{
+    struct world *world = *state;
+    struct worker *worker = start_service_on_two_machines(world, 1);
+    struct worker *other = &world->workers[worker == &world->workers[6] ? 7 : 6];
+    put_older_record(world, other->id);
+    world_run(world, 8000);
+    expect_violation(world, "job=wk-1 task=0");
+    assert_int_equal(count_recorded_tasks(world, other), 0);
+    assert_int_equal(count_recorded_tasks(world, worker), 1);
+    assert_int_equal(world_count_task_starts(world), 1);
+    assert_int_equal(world_count_active_tasks(world, "wk-1"), 1);
+}
+
 static void lower_epoch_is_ignored(void **state)
 {
     struct world *world = *state;
@@ -87,6 +113,7 @@
     const struct CMUnitTest tests[] = {
         WORLD_TEST(dispatch_beyond_the_limit_of_a_team_is_refused),
         WORLD_TEST(task_with_records_on_two_machines_is_not_started_again),
+        WORLD_TEST(older_record_of_a_task_is_removed),
         WORLD_TEST(lower_epoch_is_ignored),
         WORLD_TEST(run_does_not_end_with_a_lease_that_was_just_renewed),
     };
