Quota ledger: count every run record of a task

Cause: quota_ledger_add_allocation ignored a record of a task that had an allocation, and nothing added it when that allocation was removed. A record of an old attempt that a late transaction brings back was then started without being counted. Change: further records of a task are kept in other_allocations, and count for team, priority and machine. When the allocation of the task goes, one of them takes its place. Why it works: what counts is what is recorded, in whatever order records come and go. Tests: every_record_of_a_task_counts_towards_the_limit and task_starts_again_after_the_newer_of_two_records_is_removed (test_invariants) fail before this change.

--- a/src/scheduler/ledger_job.h
+++ b/src/scheduler/ledger_job.h
@@ -12,8 +12,10 @@
 
 struct ledger_machine;
 
-/** A task that has a run record. Owned by ledger_job.allocations. */
+/** A run record of a task. Owned by ledger_job.allocations or ledger_job.other_allocations. */
 struct allocation {
+    /** Index of the task. */
+    uint32_t index;
     attempt_no attempt;
     machine_id machine;
     mono_time allocated_at;
@@ -144,6 +146,11 @@
      * index.
      */
     GHashTable *allocations;
+    /**
+     * Further records of tasks that have an allocation already (struct allocation). Each record
+     * counts, as its task may run. Normally there are none; NULL then.
+     */
+    GPtrArray *other_allocations;
     /** Maps a task key to struct pending_dispatch; keys are the same as in allocations. */
     GHashTable *dispatches;
     /**
--- a/src/scheduler/quota_ledger.c
+++ b/src/scheduler/quota_ledger.c
@@ -36,6 +36,7 @@
     struct ledger_job *job = data;
     g_hash_table_unref(job->allocations);
     g_hash_table_unref(job->dispatches);
+    g_clear_pointer(&job->other_allocations, g_ptr_array_unref);
     if (job->failures.failed_machines)
         g_hash_table_unref(job->failures.failed_machines);
     g_free(job);
@@ -132,7 +133,7 @@
 {
     if (!job)
         return;
-    int allocation_count = (int)g_hash_table_size(job->allocations);
+    int allocation_count = (int)quota_ledger_count_allocations(job);
     leader->ledger.allocated_by_priority[job->priority] -= allocation_count;
     job->priority = (enum job_priority)job_record->inherited_priority;
     leader->ledger.allocated_by_priority[job->priority] += allocation_count;
@@ -257,19 +258,84 @@
                                        record->is_spot);
 }
 
+/** Returns the number of other_allocations of the job. */
+static guint count_other_allocations(const struct ledger_job *job)
+{
+    return job->other_allocations ? job->other_allocations->len : 0;
+}
+
+guint quota_ledger_count_allocations(const struct ledger_job *job)
+{
+    return g_hash_table_size(job->allocations) + count_other_allocations(job);
+}
+
+/** Returns the allocation of an attempt of a task, or NULL. */
+static struct allocation *find_attempt(const struct ledger_job *job, uint32_t index,
+                                       attempt_no attempt)
+{
+    struct allocation *allocation = quota_ledger_find_allocation(job, index);
+    if (allocation && allocation->attempt.value == attempt.value)
+        return allocation;
+    for (guint i = 0; i < count_other_allocations(job); i++) {
+        allocation = job->other_allocations->pdata[i];
+        if (allocation->index == index && allocation->attempt.value == attempt.value)
+            return allocation;
+    }
+    return NULL;
+}
+
+/** Stores an allocation: as that of its task or, if the task has one, as a further one. */
+static void insert_allocation(struct ledger_job *job, struct allocation *allocation)
+{
+    if (!quota_ledger_find_allocation(job, allocation->index)) {
+        g_hash_table_insert(job->allocations, task_key(allocation->index), allocation);
+        return;
+    }
+    if (!job->other_allocations)
+        job->other_allocations = g_ptr_array_new_with_free_func(g_free);
+    g_ptr_array_add(job->other_allocations, allocation);
+}
+
+/** Makes a further allocation of the task, if there is one, that of the task. */
+static void promote_other_allocation(struct ledger_job *job, uint32_t index)
+{
+    for (guint i = 0; i < count_other_allocations(job); i++) {
+        struct allocation *allocation = job->other_allocations->pdata[i];
+        if (allocation->index != index)
+            continue;
+        g_hash_table_insert(job->allocations, task_key(index),
+                            g_ptr_array_steal_index_fast(job->other_allocations, i));
+        return;
+    }
+}
+
+/** Frees an allocation of the job. */
+static void delete_allocation(struct ledger_job *job, struct allocation *allocation)
+{
+    uint32_t index = allocation->index;
+    if (quota_ledger_find_allocation(job, index) != allocation) {
+        g_ptr_array_remove_fast(job->other_allocations, allocation);
+        return;
+    }
+    g_hash_table_remove(job->allocations, task_key(index));
+    promote_other_allocation(job, index);
+}
+
 void quota_ledger_add_allocation(struct leader *leader, job_id id, uint32_t index,
                                  attempt_no attempt, machine_id allocated_machine)
 {
     struct ledger_job *job = quota_ledger_ensure_job(leader, id);
-    if (!job || quota_ledger_find_allocation(job, index))
+    if (!job || find_attempt(job, index, attempt))
         return;
     const struct pending_dispatch *dispatch = quota_ledger_find_dispatch(job, index);
     if (dispatch && dispatch->attempt.value == attempt.value)
         quota_ledger_remove_dispatch(leader, job, index);
     struct allocation *allocation = g_new(struct allocation, 1);
-    *allocation = (struct allocation){
-        .attempt = attempt, .machine = allocated_machine, .allocated_at = loop_now(leader->loop)};
-    g_hash_table_insert(job->allocations, task_key(index), allocation);
+    *allocation = (struct allocation){.index = index,
+                                      .attempt = attempt,
+                                      .machine = allocated_machine,
+                                      .allocated_at = loop_now(leader->loop)};
+    insert_allocation(job, allocation);
     resources_add(&quota_ledger_get_team(leader, job)->used, job->task_resources);
     leader->ledger.allocated_by_priority[job->priority]++;
     struct ledger_machine *machine = ensure_recorded_machine(leader, allocated_machine);
@@ -308,8 +374,8 @@
                                     attempt_no attempt)
 {
     struct ledger_job *job = quota_ledger_find_job(leader, id.text);
-    const struct allocation *allocation = job ? quota_ledger_find_allocation(job, index) : NULL;
-    if (!allocation || allocation->attempt.value != attempt.value)
+    struct allocation *allocation = job ? find_attempt(job, index, attempt) : NULL;
+    if (!allocation)
         return;
     job->gang.has_lost_task = true;
     release_machine_resources(leader, job, allocation);
@@ -319,7 +385,7 @@
         preemptor_id[0] ? quota_ledger_find_job(leader, preemptor_id) : NULL;
     if (preemptor)
         preemptor->preemption.pending_victim_count--;
-    g_hash_table_remove(job->allocations, task_key(index));
+    delete_allocation(job, allocation);
     job->first_waiting_index = MIN(job->first_waiting_index, index);
 }
 
--- a/src/scheduler/quota_ledger.h
+++ b/src/scheduler/quota_ledger.h
@@ -70,10 +70,13 @@
 void quota_ledger_remove_dispatch(struct leader *leader, struct ledger_job *job, uint32_t index);
 /**
  * Records that a task has a run record on a machine, and removes the dispatch of the task if it has
- * the same attempt. Does nothing if the task is already allocated.
+ * the same attempt. Does nothing if this attempt is already allocated. Each record counts, also if
+ * the task has several.
  */
 void quota_ledger_add_allocation(struct leader *leader, job_id id, uint32_t index,
                                  attempt_no attempt, machine_id allocated_machine);
+/** Returns the number of allocations of the job, counting each record of a task. */
+guint quota_ledger_count_allocations(const struct ledger_job *job);
 /**
  * Records that the run record of a task was removed. Does nothing if the task is not allocated
  * under this attempt.
--- a/src/scheduler/quota_ledger_rebuild.c
+++ b/src/scheduler/quota_ledger_rebuild.c
@@ -64,7 +64,7 @@
     const struct ledger_job *job;
     g_hash_table_iter_init(&it, leader->ledger.jobs);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job))
-        count += g_hash_table_size(job->allocations);
+        count += quota_ledger_count_allocations(job);
     return count;
 }
 
--- a/tests/test_invariants.c
+++ b/tests/test_invariants.c
@@ -82,6 +82,52 @@
     assert_int_equal(world_count_active_tasks(world, "wk-1"), 1);
 }
 
+/* When the record of the newer attempt was removed, the replicas still took the older one for
+ * superseded. Neither attempt was started then, nor a third one, until the dispatch timed out. */
+static void task_starts_again_after_the_newer_of_two_records_is_removed(void **state)
+{
+    struct world *world = *state;
+    struct worker *worker = start_service_on_two_machines(world, 1);
+    struct worker *other = &world->workers[worker == &world->workers[6] ? 7 : 6];
+    other->heartbeats_paused_until = time_add_ms(loop_now(world->loop), 5000);
+    put_older_record(world, other->id);
+    worker_exit_task(worker, "wk-1", 0, "error");
+    worker_send_heartbeat(worker);
+    world_run(world, 12000);
+    expect_violation(world, "job=wk-1 task=0");
+    assert_int_equal(world_count_active_tasks(world, "wk-1"), 1);
+    assert_int_equal(world_count_task_starts(world), 2);
+}
+
+/* The ledger ignored a second record of a task, also when the first one was removed: the task ran
+ * without being counted, and its team used more than its limit. */
+static void every_record_of_a_task_counts_towards_the_limit(void **state)
+{
+    struct world *world = *state;
+    const struct worker *worker = start_service_on_two_machines(world, 1);
+    const struct worker *other = &world->workers[worker == &world->workers[6] ? 7 : 6];
+    struct leader *leader = world_get_leader(world)->leader;
+    struct ledger_job *job = quota_ledger_find_job(leader, "wk-1");
+    const struct ledger_team *team = quota_ledger_get_team(leader, job);
+    const struct ledger_machine *machine = quota_ledger_find_machine(leader, other->id);
+    int64_t task_cpus = job->task_resources.cpus.milli,
+            machine_cpus = machine->usage.allocated.cpus.milli;
+    attempt_no first = quota_ledger_find_allocation(job, 0)->attempt, second = {7};
+    quota_ledger_add_allocation(leader, job->id, 0, second, machine->id);
+    quota_ledger_add_allocation(leader, job->id, 0, second, machine->id);
+    assert_int_equal(team->used.cpus.milli, 2 * task_cpus);
+    assert_int_equal(machine->usage.allocated.cpus.milli, machine_cpus + task_cpus);
+    quota_ledger_remove_allocation(leader, job->id, 0, first);
+    assert_int_equal(team->used.cpus.milli, task_cpus);
+    assert_int_equal(quota_ledger_find_allocation(job, 0)->attempt.value, second.value);
+    quota_ledger_remove_allocation(leader, job->id, 0, second);
+    assert_int_equal(team->used.cpus.milli, 0);
+    assert_int_equal(machine->usage.allocated.cpus.milli, machine_cpus);
+    assert_null(quota_ledger_find_allocation(job, 0));
+    quota_ledger_rebuild(leader);
+    assert_int_equal(team->used.cpus.milli, task_cpus);
+}
+
 static void lower_epoch_is_ignored(void **state)
 {
     struct world *world = *state;
@@ -114,6 +160,8 @@
         WORLD_TEST(dispatch_beyond_the_limit_of_a_team_is_refused),
         WORLD_TEST(task_with_records_on_two_machines_is_not_started_again),
         WORLD_TEST(older_record_of_a_task_is_removed),
+        WORLD_TEST(task_starts_again_after_the_newer_of_two_records_is_removed),
+        WORLD_TEST(every_record_of_a_task_counts_towards_the_limit),
         WORLD_TEST(lower_epoch_is_ignored),
         WORLD_TEST(run_does_not_end_with_a_lease_that_was_just_renewed),
     };
