Bound the messages between nodes and the heartbeats, however many tasks a job has

Cause: the whole gang was queued as one cJSON object, some 700 bytes a task, copied to be sent and kept until it was acknowledged; stops and rejected dispatches likewise, and the ledger kept up to 290 bytes a task. Nothing bounded any of it. Beside it, a machine got as many tasks as its resources allow: its heartbeat was then longer than the 64 KiB that a request may have, was refused, and the tasks were lost with the lease. Change: dispatches and stops wait in compact form (dispatch_backlog) and are encoded 400 at a time, the next part after the acknowledgement; a status message has at most 400 rejected dispatches. Allocations hold interned names, pending dispatches no copy of the zone, and a rebuild of the ledger drops the former tasks first. A machine takes at most 400 tasks: struct resources has task slots, so that placement, gangs, preemption and the autoscaler all count them. Why it works: a gang's all-or-nothing lies in its attempt and its records, not in one message. Parts that a leader could not send any more are like a lost message: the next leader stops what is recorded.

--- a/src/scheduler/autoscaler_capacity.h
+++ b/src/scheduler/autoscaler_capacity.h
@@ -35,7 +35,8 @@
 {
     return (struct resources){{task.cpus.milli * task_count},
                               {task.gpus.milli * task_count},
-                              {task.memory.milli * task_count}};
+                              {task.memory.milli * task_count},
+                              task.task_slots * task_count};
 }
 
 /**
--- a/src/scheduler/autoscaler_scale_out.c
+++ b/src/scheduler/autoscaler_scale_out.c
@@ -16,7 +16,7 @@
 enum { FIRST_RANK_AFTER_SERVICES = 1 };
 
 /** Spare CPUs are planned as tasks with these resources, on the cheapest spot offers. */
-static const struct resources SPARE_TASK_RESOURCES = {{1000}, {0}, {1500}};
+static const struct resources SPARE_TASK_RESOURCES = {{1000}, {0}, {1500}, 1};
 
 /** The work of the jobs planned so far, and the CPUs that will do it. */
 struct backlog {
--- a/src/scheduler/autoscaler_services.c
+++ b/src/scheduler/autoscaler_services.c
@@ -80,7 +80,8 @@
         state->mean_service_request =
             (struct resources){{sample.total_resources.cpus.milli / sample.task_count},
                                {sample.total_resources.gpus.milli / sample.task_count},
-                               {sample.total_resources.memory.milli / sample.task_count}};
+                               {sample.total_resources.memory.milli / sample.task_count},
+                               1};
 }
 
 /** Returns how many service tasks of mean size the machine could run in addition to its own. */
--- a/src/scheduler/gang_scheduler.c
+++ b/src/scheduler/gang_scheduler.c
@@ -135,14 +135,12 @@
                                 time_ms_since(now, job->gang.stopped_at) < STOP_RETRY_MS;
     guint stopped_count = 0;
     GHashTableIter it;
-    gpointer key;
     struct allocation *allocation;
     g_hash_table_iter_init(&it, job->allocations);
-    while (g_hash_table_iter_next(&it, &key, (gpointer *)&allocation)) {
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&allocation)) {
         if (was_stopped_recently && allocation->is_stopping)
             continue;
-        shard_dispatcher_queue_stop(leader, job, quota_ledger_task_index(key), allocation,
-                                    job_record->spec->checkpoint_save_s);
+        shard_dispatcher_queue_stop(leader, job, allocation, job_record->spec->checkpoint_save_s);
         stopped_count += allocation->is_stopping;
     }
     if (!was_stopped_recently)
--- a/src/scheduler/ledger_job.h
+++ b/src/scheduler/ledger_job.h
@@ -12,17 +12,24 @@
 
 struct ledger_machine;
 
-/** A run record of a task. Owned by ledger_job.allocations or ledger_job.other_allocations. */
+/**
+ * A run record of a task. Owned by ledger_job.allocations or ledger_job.other_allocations. There
+ * may be 100,000 of them for one job.
+ */
 struct allocation {
-    /** Index of the task. */
-    uint32_t index;
     attempt_no attempt;
-    machine_id machine;
     mono_time allocated_at;
+    /** Id of the machine, an interned reference-counted string. */
+    char *machine;
+    /**
+     * Id of the job for which the task was preempted, an interned reference-counted string; NULL if
+     * the task was not preempted.
+     */
+    char *preemptor_job;
+    /** Index of the task. */
+    uint32_t index;
     /** Whether the shard that owns the machine was asked to stop the task. */
     bool is_stopping;
-    /** Id of the job for which the task was preempted; empty if the task was not preempted. */
-    job_id preemptor_job;
 };
 
 /**
@@ -41,7 +48,6 @@
      */
     uint64_t number;
     mono_time dispatched_at;
-    char zone[48];
 };
 
 /** Scheduling state of a gang, a job whose tasks are started all together or not at all. */
--- a/src/scheduler/placement.c
+++ b/src/scheduler/placement.c
@@ -41,12 +41,12 @@
 }
 
 /** Returns the zone of the machine, or NULL if neither the ledger nor the replica knows it. */
-static const char *find_machine_zone(struct leader *leader, machine_id id)
+static const char *find_machine_zone(struct leader *leader, const char *id)
 {
-    const struct ledger_machine *machine = quota_ledger_find_machine(leader, id.text);
+    const struct ledger_machine *machine = quota_ledger_find_machine(leader, id);
     if (machine && machine->zone[0])
         return machine->zone;
-    const struct machine_record *record = replica_get_machine(leader->replica, id.text);
+    const struct machine_record *record = replica_get_machine(leader->replica, id);
     return record && record->zone[0] ? record->zone : NULL;
 }
 
@@ -65,7 +65,7 @@
     struct pending_dispatch *dispatch;
     g_hash_table_iter_init(&it, job->dispatches);
     while (g_hash_table_iter_next(&it, NULL, (gpointer *)&dispatch))
-        task_count += strcmp(dispatch->zone, zone) == 0;
+        task_count += strcmp(dispatch->machine->zone, zone) == 0;
     return task_count;
 }
 
--- a/src/scheduler/preemption.c
+++ b/src/scheduler/preemption.c
@@ -53,11 +53,11 @@
     double grace_s = job_record && job_record->spec ? job_record->spec->checkpoint_save_s : 0;
     bool has_lower_priority = victim->job->priority > preemptor->job->priority;
     LOG_INFO("task_preempted", "job=%s task=%u machine=%s preemptor=%s reason=%s",
-             victim->job->id.text, victim->index, victim->allocation->machine.text,
+             victim->job->id.text, victim->index, victim->allocation->machine,
              preemptor->job->id.text, has_lower_priority ? "priority" : "guarantee");
-    victim->allocation->preemptor_job = preemptor->job->id;
+    quota_ledger_set_preemptor(victim->allocation, preemptor->job);
     preemptor->job->preemption.pending_victim_count++;
-    shard_dispatcher_queue_stop(leader, victim->job, victim->index, victim->allocation, grace_s);
+    shard_dispatcher_queue_stop(leader, victim->job, victim->allocation, grace_s);
 }
 
 /** Stops as many tasks on the machine as are necessary for one task of the preemptor. */
--- a/src/scheduler/preemption_victims.c
+++ b/src/scheduler/preemption_victims.c
@@ -82,7 +82,7 @@
     struct allocation *allocation =
         job ? quota_ledger_find_allocation(job, run_record->task_index) : NULL;
     if (!allocation || allocation->attempt.value != run_record->attempt.value ||
-        !machine_id_equal(allocation->machine, machine->id) || allocation->is_stopping)
+        strcmp(allocation->machine, machine->id.text) != 0 || allocation->is_stopping)
         return false;
     /* Stopping one task of a gang would cause the whole gang to be stopped. */
     if (!spec || spec->form == FORM_GANG || !may_preempt_job(leader, job, preemptor))
--- a/src/scheduler/quota_ledger.c
+++ b/src/scheduler/quota_ledger.c
@@ -31,6 +31,14 @@
     return GPOINTER_TO_UINT(key) - 1;
 }
 
+static void allocation_free(gpointer data)
+{
+    struct allocation *allocation = data;
+    g_ref_string_release(allocation->machine);
+    g_clear_pointer(&allocation->preemptor_job, g_ref_string_release);
+    g_free(allocation);
+}
+
 static void ledger_job_free(gpointer data)
 {
     struct ledger_job *job = data;
@@ -97,7 +105,7 @@
     job->is_service = job_record->spec->form == FORM_SERVICE;
     job->priority = (enum job_priority)job_record->inherited_priority;
     job->patience_s = scheduling_policy_patience_s(leader, job_record);
-    job->allocations = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    job->allocations = g_hash_table_new_full(NULL, NULL, NULL, allocation_free);
     job->dispatches = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     return job;
 }
@@ -223,7 +231,6 @@
     dispatch->machine = machine;
     dispatch->number = ++leader->ledger.dispatches_issued;
     dispatch->dispatched_at = loop_now(leader->loop);
-    g_strlcpy(dispatch->zone, machine->zone, sizeof dispatch->zone);
     g_hash_table_insert(job->dispatches, task_key(index), dispatch);
     resources_add(&machine->usage.dispatched, job->task_resources);
     resources_add(&quota_ledger_get_team(leader, job)->used, job->task_resources);
@@ -292,7 +299,7 @@
         return;
     }
     if (!job->other_allocations)
-        job->other_allocations = g_ptr_array_new_with_free_func(g_free);
+        job->other_allocations = g_ptr_array_new_with_free_func(allocation_free);
     g_ptr_array_add(job->other_allocations, allocation);
 }
 
@@ -333,7 +340,7 @@
     struct allocation *allocation = g_new(struct allocation, 1);
     *allocation = (struct allocation){.index = index,
                                       .attempt = attempt,
-                                      .machine = allocated_machine,
+                                      .machine = g_ref_string_new_intern(allocated_machine.text),
                                       .allocated_at = loop_now(leader->loop)};
     insert_allocation(job, allocation);
     resources_add(&quota_ledger_get_team(leader, job)->used, job->task_resources);
@@ -350,7 +357,7 @@
 static void release_machine_resources(struct leader *leader, const struct ledger_job *job,
                                       const struct allocation *allocation)
 {
-    struct ledger_machine *machine = quota_ledger_find_machine(leader, allocation->machine.text);
+    struct ledger_machine *machine = quota_ledger_find_machine(leader, allocation->machine);
     if (!machine)
         return;
     resources_subtract(&machine->usage.allocated, job->task_resources);
@@ -380,15 +387,20 @@
     job->gang.has_lost_task = true;
     release_machine_resources(leader, job, allocation);
     release_quota(leader, job, allocation);
-    const char *preemptor_id = allocation->preemptor_job.text;
     struct ledger_job *preemptor =
-        preemptor_id[0] ? quota_ledger_find_job(leader, preemptor_id) : NULL;
+        allocation->preemptor_job ? quota_ledger_find_job(leader, allocation->preemptor_job) : NULL;
     if (preemptor)
         preemptor->preemption.pending_victim_count--;
     delete_allocation(job, allocation);
     job->first_waiting_index = MIN(job->first_waiting_index, index);
 }
 
+void quota_ledger_set_preemptor(struct allocation *allocation, const struct ledger_job *preemptor)
+{
+    g_clear_pointer(&allocation->preemptor_job, g_ref_string_release);
+    allocation->preemptor_job = g_ref_string_new_intern(preemptor->id.text);
+}
+
 bool quota_ledger_is_task_waiting(const struct ledger_job *job, const struct job *job_record,
                                   uint32_t index)
 {
@@ -426,7 +438,8 @@
 {
     return (struct resources){{job->task_resources.cpus.milli * task_count},
                               {job->task_resources.gpus.milli * task_count},
-                              {0}};
+                              {0},
+                              0};
 }
 
 static bool is_total_within(struct resources used, struct resources additional, amount cpus,
@@ -449,6 +462,7 @@
 struct resources quota_ledger_remaining_limit(const struct ledger_team *team)
 {
     const amount unlimited = {INT64_MAX / 4};
-    return resources_remaining(
-        (struct resources){team->quota->cpus_max, team->quota->gpus_max, unlimited}, team->used);
+    struct resources limit = {team->quota->cpus_max, team->quota->gpus_max, unlimited,
+                              unlimited.milli};
+    return resources_remaining(limit, team->used);
 }
--- a/src/scheduler/quota_ledger.h
+++ b/src/scheduler/quota_ledger.h
@@ -75,6 +75,8 @@
  */
 void quota_ledger_add_allocation(struct leader *leader, job_id id, uint32_t index,
                                  attempt_no attempt, machine_id allocated_machine);
+/** Notes for which job an allocated task is preempted. */
+void quota_ledger_set_preemptor(struct allocation *allocation, const struct ledger_job *preemptor);
 /** Returns the number of allocations of the job, counting each record of a task. */
 guint quota_ledger_count_allocations(const struct ledger_job *job);
 /**
@@ -115,7 +117,7 @@
 
 /**
  * Returns what task_count tasks of the job would count against quotas: their CPUs and GPUs, but not
- * their memory, which has no quota.
+ * their memory and task slots, which have no quota.
  */
 struct resources quota_ledger_quota_request(const struct ledger_job *job, int64_t task_count);
 /** Returns whether the team's use would stay within its guarantee if `additional` were added. */
@@ -124,7 +126,7 @@
 bool quota_ledger_is_within_limit(const struct ledger_team *team, struct resources additional);
 /**
  * Returns the resources that the team may still use within its limit. The memory is a very large
- * value, as it has no limit.
+ * value, as it has no limit, and so are the task slots.
  */
 struct resources quota_ledger_remaining_limit(const struct ledger_team *team);
 
--- a/src/scheduler/quota_ledger_rebuild.c
+++ b/src/scheduler/quota_ledger_rebuild.c
@@ -57,6 +57,18 @@
     job->failures.failed_machines = g_steal_pointer(&previous->failures.failed_machines);
 }
 
+/** Drops the tasks of the jobs of the ledger before the rebuild, whose memory the new ones need. */
+static void drop_tasks(GHashTable *previous_jobs)
+{
+    GHashTableIter it;
+    struct ledger_job *job;
+    g_hash_table_iter_init(&it, previous_jobs);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job)) {
+        g_hash_table_remove_all(job->allocations);
+        g_hash_table_remove_all(job->dispatches);
+    }
+}
+
 static guint count_allocations(const struct leader *leader)
 {
     guint count = 0;
@@ -77,6 +89,7 @@
     leader->ledger.is_outdated = false;
     GHashTable *previous_jobs = leader->ledger.jobs;
     leader->ledger.jobs = quota_ledger_new_job_table();
+    drop_tasks(previous_jobs);
     reset_usage(leader);
     shard_dispatcher_reset(leader);
     GHashTableIter it;
--- a/src/scheduler/service_relocation.c
+++ b/src/scheduler/service_relocation.c
@@ -76,8 +76,7 @@
         }
         LOG_INFO("service_relocated", "job=%s task=%u machine=%s preemptor=%s", service->id.text,
                  run_record->task_index, machine->id.text, requester->id.text);
-        shard_dispatcher_queue_stop(leader, service, run_record->task_index, allocation,
-                                    spec->checkpoint_save_s);
+        shard_dispatcher_queue_stop(leader, service, allocation, spec->checkpoint_save_s);
         return true;
     }
     return false;
--- a/src/scheduler/shard_dispatcher.c
+++ b/src/scheduler/shard_dispatcher.c
@@ -1,7 +1,6 @@
 /** Queues and sends the leader's messages to the shards, and handles the responses. */
 #include "shard_dispatcher.h"
 
-#include "placement.h"
 #include "quota_ledger.h"
 #include "shard_messages.h"
 
@@ -18,8 +17,7 @@
 static void shard_channel_free(gpointer data)
 {
     struct shard_channel *channel = data;
-    cJSON_Delete(channel->dispatches);
-    cJSON_Delete(channel->stops);
+    dispatch_backlog_clear(&channel->backlog);
     cJSON_Delete(channel->returned);
     cJSON_Delete(channel->to_cordon);
     cJSON_Delete(channel->unacknowledged_message);
@@ -66,35 +64,22 @@
                                      uint32_t index, bool is_bound)
 {
     const struct pending_dispatch *dispatch = quota_ledger_find_dispatch(job, index);
-    const struct job_spec *spec = replica_get_job(leader->replica, job->id.text)->spec;
-    struct dispatch_item item = {
-        .task = {job->id, index, dispatch->attempt},
-        .number = dispatch->number,
-        .zone = placement_has_zone_rule(spec) ? dispatch->zone : NULL,
-        .bound_machine = is_bound ? dispatch->machine->id.text : NULL,
-    };
     struct shard_channel *channel =
         shard_dispatcher_ensure_channel(leader, dispatch->machine->owner_label);
-    shard_dispatcher_append(&channel->dispatches, dispatch_item_encode(&item));
+    dispatch_backlog_add_dispatch(&channel->backlog, job->id, index, dispatch->number, is_bound);
 }
 
 void shard_dispatcher_queue_stop(struct leader *leader, const struct ledger_job *job,
-                                 uint32_t index, struct allocation *allocation, double grace_s)
+                                 struct allocation *allocation, double grace_s)
 {
-    const struct ledger_machine *machine =
-        quota_ledger_find_machine(leader, allocation->machine.text);
+    const struct ledger_machine *machine = quota_ledger_find_machine(leader, allocation->machine);
     if (!machine || !machine->owner_label)
         return;
     if (!allocation->is_stopping)
         resources_add(&quota_ledger_get_team(leader, job)->stopping, job->task_resources);
     allocation->is_stopping = true;
-    struct stop_item item = {
-        .task = {job->id, index, allocation->attempt},
-        .machine = allocation->machine.text,
-        .grace_s = grace_s,
-    };
     struct shard_channel *channel = shard_dispatcher_ensure_channel(leader, machine->owner_label);
-    shard_dispatcher_append(&channel->stops, stop_item_encode(&item));
+    dispatch_backlog_add_stop(&channel->backlog, job->id, allocation, grace_s);
 }
 
 /**
@@ -129,7 +114,7 @@
 /** Returns whether any item is queued for the next message. */
 static bool has_queued_items(const struct shard_channel *channel)
 {
-    return channel->dispatches || channel->stops || channel->returned || channel->to_cordon;
+    return !dispatch_backlog_is_empty(&channel->backlog) || channel->returned || channel->to_cordon;
 }
 
 /** Tells the cloud provider which machines the shard has cordoned, so that it can return them. */
@@ -157,12 +142,11 @@
         cJSON_AddItemToObject(message, name, g_steal_pointer(list));
 }
 
-/** Builds a message from all queued items, and clears the queues. */
-static cJSON *build_message(const struct leader *leader, struct shard_channel *channel)
+/** Builds a message from the queued items, as many as one may have, and removes them. */
+static cJSON *build_message(struct leader *leader, struct shard_channel *channel)
 {
     cJSON *message = dispatch_message_new(leader->epoch, ++channel->message_sequence);
-    move_list_to_message(message, DISPATCH_MESSAGE_DISPATCHES, &channel->dispatches);
-    move_list_to_message(message, DISPATCH_MESSAGE_STOPS, &channel->stops);
+    dispatch_backlog_move_to_message(&channel->backlog, leader, message);
     move_list_to_message(message, DISPATCH_MESSAGE_RETURNED, &channel->returned);
     move_list_to_message(message, DISPATCH_MESSAGE_TO_CORDON, &channel->to_cordon);
     return message;
--- a/src/scheduler/shard_dispatcher.h
+++ b/src/scheduler/shard_dispatcher.h
@@ -7,6 +7,7 @@
 #ifndef LL_SHARD_DISPATCHER_H
 #define LL_SHARD_DISPATCHER_H
 
+#include "dispatch_backlog.h"
 #include "retry_backoff.h"
 #include "scheduler_internal.h"
 
@@ -16,10 +17,8 @@
     char *label;
     /** Sequence number of the last message. */
     uint64_t message_sequence;
-    /** Dispatched tasks for the next message; NULL while there are none. */
-    cJSON *dispatches;
-    /** Tasks to stop, for the next message; NULL while there are none. */
-    cJSON *stops;
+    /** Dispatched tasks and tasks to stop, for the next messages. */
+    struct dispatch_backlog backlog;
     /** Names of returned machines for the next message; NULL while there are none. */
     cJSON *returned;
     /** Names of machines to cordon, for the next message; NULL while there are none. */
@@ -65,7 +64,7 @@
  * that the task has to save its state. Does nothing while the owner of the machine is unknown.
  */
 void shard_dispatcher_queue_stop(struct leader *leader, const struct ledger_job *job,
-                                 uint32_t index, struct allocation *allocation, double grace_s);
+                                 struct allocation *allocation, double grace_s);
 /**
  * Queues the machines to cordon before their return, and the machines that were returned, for the
  * shards that own them.
@@ -73,7 +72,7 @@
 void shard_dispatcher_queue_returns(struct leader *leader);
 /**
  * Sends a message to every shard that has no request in flight: the outstanding message again, or
- * the queued items.
+ * the first of the queued items. The others follow when it is acknowledged.
  */
 void shard_dispatcher_flush(struct leader *leader);
 
--- a/src/shard/dispatch_queue.c
+++ b/src/shard/dispatch_queue.c
@@ -10,6 +10,7 @@
 #include "image_cache.h"
 #include "log.h"
 #include "run_records_internal.h"
+#include "shard_messages.h"
 
 enum {
     SWITCH_RULE_INTERVAL_MS = 2000,
@@ -52,7 +53,12 @@
 
 void shard_reject_dispatch(struct shard *shard, const struct dispatch *dispatch)
 {
-    g_array_append_val(shard->status.rejected_dispatches, *dispatch);
+    struct rejected_dispatch rejected = {
+        .task = {dispatch->job, dispatch->index, dispatch->attempt},
+        .number = dispatch->number,
+        .has_number = true,
+    };
+    g_array_append_val(shard->status.rejected_dispatches, rejected);
     shard_request_status(shard);
 }
 
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -201,7 +201,7 @@
 
 static void init_status(struct shard *shard)
 {
-    shard->status.rejected_dispatches = g_array_new(FALSE, FALSE, sizeof(struct dispatch));
+    shard->status.rejected_dispatches = g_array_new(FALSE, FALSE, sizeof(struct rejected_dispatch));
     shard->status.events = g_array_new(FALSE, FALSE, sizeof(struct task_event));
     timer_init(&shard->status.timer, shard_send_status, shard);
 }
--- a/src/shard/shard_internal.h
+++ b/src/shard/shard_internal.h
@@ -35,8 +35,8 @@
     bool next_is_full;
     /** The next message requests a new epoch, as only that proves the end of some run. */
     bool wants_epoch_raise;
-    /** Dispatches that could not be placed here (struct dispatch), for the leader to dispatch
-     * again. */
+    /** Dispatches that could not be placed here (struct rejected_dispatch), for the leader to
+     * dispatch again. */
     GArray *rejected_dispatches;
     /** Events for the leader (struct task_event). */
     GArray *events;
--- a/src/shard/shard_status.c
+++ b/src/shard/shard_status.c
@@ -16,6 +16,8 @@
     /** Delay after a request, so that one message covers several changes. */
     STATUS_DELAY_MS = 15,
     STATUS_RETRY_MS = 250,
+    /** The maximum number of rejected dispatches in one message. */
+    MAX_REJECTED_PER_MESSAGE = 400,
     /** One message in this number lists all machines. */
     MESSAGES_PER_FULL_STATUS = 15,
     /** Time beyond the lease duration after which the lease of an unreachable machine may be
@@ -118,19 +120,12 @@
     }
 }
 
+/** Adds the oldest rejected dispatches. The others go into the next message. */
 static void add_rejected_dispatches(const struct shard_status *status,
                                     struct status_message *message)
 {
-    for (guint i = 0; i < status->rejected_dispatches->len; i++) {
-        const struct dispatch *dispatch =
-            &g_array_index(status->rejected_dispatches, struct dispatch, i);
-        struct rejected_dispatch item = {
-            .task = {dispatch->job, dispatch->index, dispatch->attempt},
-            .number = dispatch->number,
-            .has_number = true,
-        };
-        g_array_append_val(message->rejected, item);
-    }
+    guint count = MIN(status->rejected_dispatches->len, MAX_REJECTED_PER_MESSAGE);
+    g_array_append_vals(message->rejected, status->rejected_dispatches->data, count);
 }
 
 static cJSON *encode_status(struct shard *shard)
@@ -192,6 +187,7 @@
         g_array_remove_range(status->rejected_dispatches, 0, request->rejected_count);
         g_array_remove_range(status->events, 0, request->event_count);
         status->wants_epoch_raise = false;
+        status->is_requested = status->is_requested || status->rejected_dispatches->len > 0;
         apply_cordoned_machines(shard, response);
     } else {
         status->next_is_full = true;
@@ -213,8 +209,12 @@
     }
     cJSON *message = encode_status(shard);
     struct status_request *request = g_new(struct status_request, 1);
-    *request = (struct status_request){shard, shard->generation, status->rejected_dispatches->len,
-                                       status->events->len};
+    *request = (struct status_request){
+        .shard = shard,
+        .generation = shard->generation,
+        .rejected_count = MIN(status->rejected_dispatches->len, MAX_REJECTED_PER_MESSAGE),
+        .event_count = status->events->len,
+    };
     status->in_flight = true;
     node_rpc_call(shard->node_rpc, leader, SHARD_MESSAGE_STATUS, message, STATUS_TIMEOUT_MS,
                   handle_status_response, request);
--- a/src/shard/task_placement.c
+++ b/src/shard/task_placement.c
@@ -68,6 +68,13 @@
     return false;
 }
 
+/** Returns whether the heartbeat has space for one more task. It names exited tasks, too, until
+ * they are cleared. */
+static bool has_heartbeat_space(const struct machine *machine)
+{
+    return machine->runs->len + machine->unknown_tasks->len < MAX_TASKS_PER_MACHINE;
+}
+
 static bool machine_fits(struct shard *shard, struct machine *machine,
                          const struct dispatch *dispatch, const struct job_spec *spec)
 {
@@ -76,7 +83,7 @@
     if (dispatch->zone[0] && strcmp(dispatch->zone, machine->zone) != 0)
         return false;
     struct resources remaining = resources_remaining(machine->capacity, machine->allocated);
-    return resources_fit(remaining, resources_of_job_spec(spec)) &&
+    return resources_fit(remaining, resources_of_job_spec(spec)) && has_heartbeat_space(machine) &&
            job_spec_allows_machine(spec, machine->type_name, machine->zone, machine->is_spot) &&
            shard_can_record_run(shard, machine, dispatch->job) &&
            !has_any_attempt(machine, dispatch);
--- a/src/wire/resources.c
+++ b/src/wire/resources.c
@@ -30,7 +30,8 @@
     int64_t count = MAX_FIT_COUNT;
     count = fit_count(free.cpus.milli, requested.cpus.milli, count);
     count = fit_count(free.gpus.milli, requested.gpus.milli, count);
-    return fit_count(free.memory.milli, requested.memory.milli, count);
+    count = fit_count(free.memory.milli, requested.memory.milli, count);
+    return fit_count(free.task_slots, requested.task_slots, count);
 }
 
 bool unschedulable_list_covers(const GArray *unschedulable_list,
--- a/src/wire/resources.h
+++ b/src/wire/resources.h
@@ -8,21 +8,32 @@
 #include "cloud_codec.h"
 #include "job_codec.h"
 
+enum {
+    /**
+     * The maximum number of tasks on a machine. A heartbeat names all of them, in up to 160 bytes
+     * each, and a request may have 64 KiB: a longer heartbeat would be refused, and the lease of
+     * the machine would expire.
+     */
+    MAX_TASKS_PER_MACHINE = 400,
+};
+
 /** The resources that a task requests or that a machine has. */
 struct resources {
     amount cpus, gpus, memory;
+    /** Entries in the machine's heartbeat; each task takes one. */
+    int64_t task_slots;
 };
 
 /** Returns the resources that each task of a job requests. */
 static inline struct resources resources_of_job_spec(const struct job_spec *spec)
 {
-    return (struct resources){spec->cpus, spec->gpus, spec->memory};
+    return (struct resources){spec->cpus, spec->gpus, spec->memory, 1};
 }
 
 /** Returns the resources of a machine of a type. */
 static inline struct resources resources_of_machine_type(const struct machine_type *type)
 {
-    return (struct resources){type->cpus, type->gpus, type->memory};
+    return (struct resources){type->cpus, type->gpus, type->memory, MAX_TASKS_PER_MACHINE};
 }
 
 /** Adds `added` to `sum`. */
@@ -31,6 +42,7 @@
     sum->cpus.milli += added.cpus.milli;
     sum->gpus.milli += added.gpus.milli;
     sum->memory.milli += added.memory.milli;
+    sum->task_slots += added.task_slots;
 }
 
 /** Subtracts `subtracted` from `remaining`. */
@@ -39,6 +51,7 @@
     remaining->cpus.milli -= subtracted.cpus.milli;
     remaining->gpus.milli -= subtracted.gpus.milli;
     remaining->memory.milli -= subtracted.memory.milli;
+    remaining->task_slots -= subtracted.task_slots;
 }
 
 /** Returns what is left of a total after `used` is subtracted. */
@@ -58,11 +71,11 @@
 static inline bool resources_fit(struct resources free, struct resources requested)
 {
     return requested.cpus.milli <= free.cpus.milli && requested.gpus.milli <= free.gpus.milli &&
-           requested.memory.milli <= free.memory.milli;
+           requested.memory.milli <= free.memory.milli && requested.task_slots <= free.task_slots;
 }
 
-/** Returns the dominant share of a request: the largest share that it takes of the total of any one
- * resource. A share greater than 1 means that the request does not fit. */
+/** Returns the dominant share of a request: the largest share that it takes of the total of CPUs,
+ * GPUs or memory. A share greater than 1 means that the request does not fit. */
 double resources_dominant_share(struct resources requested, struct resources total);
 /** Returns how many times a request fits into the free resources, at most 1,000,000. */
 int64_t resources_fit_count(struct resources free, struct resources requested);
--- a/tests/test_autoscaler.c
+++ b/tests/test_autoscaler.c
@@ -13,7 +13,7 @@
 /**
  * Half of a machine of the simulated cluster's only type, so that a machine holds two such tasks.
  */
-static const struct resources HALF_MACHINE = {{4000}, {0}, {1000}};
+static const struct resources HALF_MACHINE = {{4000}, {0}, {1000}, 1};
 
 /** Returns the leader once it knows the machine types and the rented machines. */
 static struct leader *wait_for_ready_leader(struct world *world)
@@ -101,7 +101,7 @@
 {
     struct leader *leader = wait_for_ready_leader(*state);
     struct job_spec spec = {.may_use_spot = true};
-    struct capacity_request too_large = {&spec, {{64000}, {0}, {1000}}, NULL, true};
+    struct capacity_request too_large = {&spec, {{64000}, {0}, {1000}, 1}, NULL, true};
     struct capacity_request request = {&spec, HALF_MACHINE, NULL, true};
     struct scale_out_plan *plan = new_plan_without_pending(leader);
     assert_int_equal(scale_out_plan_add_tasks(plan, &too_large, 7), 7);
@@ -135,7 +135,7 @@
     (void)state;
     struct job_spec spec = {.may_use_spot = true};
     struct capacity_request request = {&spec, HALF_MACHINE, "a", false};
-    struct resources machine = {{8000}, {0}, {32000}};
+    struct resources machine = {{8000}, {0}, {32000}, MAX_TASKS_PER_MACHINE};
     GArray *pending = g_array_new(FALSE, FALSE, sizeof(struct pending_capacity));
     pending_capacity_add(pending, "g8", "a", false, machine);
     pending_capacity_add(pending, "g8", "b", true, machine);
