Tests: reserved ports, and the log of a node that has ended by itself

The test sent the nodes' error output to nowhere and did not say which node, or when. find_free_port closed its socket and drew from the range of outgoing connections, so that a port could be named twice or be taken before the node listened; test_http had the same function. Which of the two it was is not known. Each node has a log, and if its process has ended, the test prints how, its ports and the end of its log. The check itself is unchanged.

--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -7,13 +7,11 @@
 #include "http.h"
 #include "node_rpc.h"
 #include "settings.h"
+#include "test_ports.h"
 
-#include <netinet/in.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -348,18 +346,6 @@
     test->client->request(test->client, &request, handle_response, test);
 }
 
-/** A port of the loopback interface that nothing listens on. */
-static int find_free_port(void)
-{
-    struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t address_size = sizeof address;
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    assert_int_equal(bind(fd, (struct sockaddr *)&address, sizeof address), 0);
-    assert_int_equal(getsockname(fd, (struct sockaddr *)&address, &address_size), 0);
-    close(fd);
-    return ntohs(address.sin_port);
-}
-
 /* At its connection limit the client closes an idle connection to make room for another. It must
  * not close the one that it is about to use: with 1,357 machines that terminated the process. */
 static void client_at_its_connection_limit_reuses_its_connection(void **state)
@@ -373,7 +359,7 @@
                                         .connect_timeout_ms = 5000,
                                         .idle_timeout_ms = 5000};
     test.client = http_client_new(test.loop, limits);
-    g_snprintf(test.address, sizeof test.address, "127.0.0.1:%d", find_free_port());
+    g_snprintf(test.address, sizeof test.address, "127.0.0.1:%d", test_ports_take());
     struct http_server_limits server_limits = {10, 1000, 5000, 5000};
     char *error = NULL;
     struct http_server *server =
@@ -407,8 +393,9 @@
                                         .idle_timeout_ms = 30000};
     test.client = http_client_new(test.loop, limits);
     char unresponsive_address[24];
-    g_snprintf(unresponsive_address, sizeof unresponsive_address, "127.0.0.1:%d", find_free_port());
-    g_snprintf(test.address, sizeof test.address, "127.0.0.1:%d", find_free_port());
+    g_snprintf(unresponsive_address, sizeof unresponsive_address, "127.0.0.1:%d",
+               test_ports_take());
+    g_snprintf(test.address, sizeof test.address, "127.0.0.1:%d", test_ports_take());
     struct http_server_limits server_limits = {10, 1000, 30000, 30000},
                               no_connections = {0, 1000, 30000, 30000};
     char *error = NULL;
--- a/tests/test_role_process_pauses.c
+++ b/tests/test_role_process_pauses.c
@@ -6,13 +6,14 @@
  * are checked against the history of role holders, so the verdict does not depend on timing.
  */
 #include "duty_history.h"
+#include "test_ports.h"
 #include "world.h"
 
-#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
 #include <glib/gstdio.h>
 #include <signal.h>
 #include <stdio.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -24,6 +25,8 @@
     TIMEOUT_S = 180, /* the test fails when it takes longer */
     STEP_MS = 2,     /* interval at which the simulated world catches up with real time */
     JOB_COUNT = 4,
+    /* The part of a node's log that is printed if the node has ended by itself. */
+    MAX_PRINTED_LOG_BYTES = 20000,
 };
 
 static const char machine_types_json[] =
@@ -88,18 +91,6 @@
 
 /* ---- processes ---- */
 
-/** A port of the loopback interface that nothing listens on. */
-static int find_free_port(void)
-{
-    struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t address_size = sizeof address;
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    assert_int_equal(bind(fd, (struct sockaddr *)&address, sizeof address), 0);
-    assert_int_equal(getsockname(fd, (struct sockaddr *)&address, &address_size), 0);
-    close(fd);
-    return ntohs(address.sin_port);
-}
-
 /** Writes the settings file of a node. Returns its path. */
 static char *write_settings(struct loopback_test *test, int node)
 {
@@ -130,24 +121,52 @@
     return path;
 }
 
+/** Returns the path of the log of a node. The caller frees it. */
+static char *log_path(const struct loopback_test *test, int node)
+{
+    return g_strdup_printf("%s/mast-%d.log", test->directory, node);
+}
+
 static void start_process(struct loopback_test *test, int node)
 {
+    char *log = log_path(test, node);
+    int log_fd = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    assert_true(log_fd >= 0);
     char *features = g_strdup_printf("%s/features.toml", test->directory);
     char *settings = write_settings(test, node);
     char *args[] = {LL_DAEMON, "--features", features, "--config", settings, NULL};
     assert_true(g_file_set_contents(features, "[duties]\nenabled = true\n", -1, NULL));
-    assert_true(g_spawn_async(NULL, args, NULL,
-                              G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDERR_TO_DEV_NULL, NULL, NULL,
-                              &test->processes[node], NULL));
+    assert_true(g_spawn_async_with_fds(NULL, args, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL,
+                                       &test->processes[node], -1, -1, log_fd, NULL));
+    close(log_fd);
+    g_free(log);
     g_free(settings);
     g_free(features);
 }
 
+/** Prints how the process of a node has ended, and the end of its log. */
+static void print_process_end(const struct loopback_test *test, int node, int status)
+{
+    char *path = log_path(test, node), *log = NULL;
+    gsize bytes = 0;
+    print_error("mast-%d has ended: %s %d, its ports are %d and %d\n", node,
+                WIFSIGNALED(status) ? "signal" : "exit code",
+                WIFSIGNALED(status) ? WTERMSIG(status) : WEXITSTATUS(status), test->api_ports[node],
+                test->rpc_ports[node]);
+    if (g_file_get_contents(path, &log, &bytes, NULL))
+        print_error("%s\n", log + MAX(bytes, MAX_PRINTED_LOG_BYTES) - MAX_PRINTED_LOG_BYTES);
+    g_free(log);
+    g_free(path);
+}
+
 /** Checks that the process of a node is still running, then kills it. */
 static void kill_process(struct loopback_test *test, int node)
 {
     int status = 0;
-    assert_int_equal(waitpid(test->processes[node], &status, WNOHANG), 0); /* has not exited */
+    pid_t ended = waitpid(test->processes[node], &status, WNOHANG);
+    if (ended)
+        print_process_end(test, node, status);
+    assert_int_equal(ended, 0); /* has not exited */
     kill(test->processes[node], SIGKILL);
     waitpid(test->processes[node], &status, 0);
 }
@@ -240,11 +259,11 @@
                                             duty_history_rented, duty_history_returned};
     test.world->observer = &test.observer;
     for (int i = 0; i < NODE_COUNT; i++) {
-        test.api_ports[i] = find_free_port();
-        test.rpc_ports[i] = find_free_port();
+        test.api_ports[i] = test_ports_take();
+        test.rpc_ports[i] = test_ports_take();
     }
     for (int i = 0; i < 2; i++)
-        test.service_ports[i] = find_free_port();
+        test.service_ports[i] = test_ports_take();
     start_services(&test);
     world_put_key(test.world, "ll/types", machine_types_json);
     add_jobs(test.world);
