Start tasks in responses to heartbeats only

Callers saw: nothing here yet; on a similar service a late copy of a start command reached a machine that had just restarted, so that a task ran on two machines and a cancelled task ran again. Cause: start commands were pushed to agents. Evidence: test_late_starts on: seven of eight orders of events end with a task on two machines or with a cancelled task that runs. Change: pushes carry stops and tokens, no starts. So that starts are soon all the same, the owner holds the response to a heartbeat if it has nothing to say: for 0.4 s, which delays no report, longer while a record is being written or while no task is expected to end (held_response.c). When it places a task it pushes a higher token, which makes the agent report. A task of a job that has failed is bound to the machine that the leader chose, as the shard would place it on the machine where it failed as soon as that has forgotten the attempt. Why it works: agents drop responses after 4 s and after a restart, so that a response has no late copies. A held response is checked and counted when it is sent. Tests: test_late_starts, one test for each order. The world's workers now report changes at once, with half a second between two heartbeats, never more than one under way, and drop late responses, as the protocol says; before, they reported at fixed times. Tests that held back pushed start commands now hold or repeat the start commands of responses as requests to /commands (inject_run_fault), as a node of an earlier version would push them. Changed beside that: 7.5 instead of 8 s of a hang within a lease (the last response may be lost, too), 2 s before the cancellation in lost_stop_commands_are_repeated_in_an_outage (a held response would carry the stop), one machine to rent in a_machine_permanently_without_inbound_messages_is_returned (the idle one is returned first), delayed_commands_to_continuing_machines_have_no_effect raises the epoch of the held starts, and in a_heartbeat_from_before_a_task_restart_does_not_free_the_task the start goes with a heartbeat.

--- a/src/scheduler/job_queue.c
+++ b/src/scheduler/job_queue.c
@@ -89,7 +89,8 @@
             break; /* the allowed count may exceed the number of tasks that are actually waiting */
         if (!quota_ledger_try_dispatch(leader, job, index, attempt, machine))
             break;
-        shard_dispatcher_queue_dispatch(leader, job, index, false);
+        /* The machine is one of those that are not avoided after the failures of the job. */
+        shard_dispatcher_queue_dispatch(leader, job, index, job->failures.failed_machines != NULL);
         if (machine->zone_index >= 0)
             leader->pass.zone_task_counts[machine->zone_index]++;
         dispatched_tasks++;
--- a/src/shard/agent_commands.c
+++ b/src/shard/agent_commands.c
@@ -127,7 +127,7 @@
 }
 
 static void add_run_command(struct shard *shard, struct machine *machine, struct task_run *run,
-                            bool is_push, GArray *commands)
+                            GArray *commands)
 {
     mono_time now = loop_now(shard->loop);
     struct run_start *start = &run->start;
@@ -140,8 +140,9 @@
      * older command may have been executed in this agent epoch, and the agent may yet report its
      * task. */
     start->agent_epoch = machine->heartbeat.agent_epoch;
-    if (is_push)
-        machine->fence.covers_pushed_runs = true;
+    /* A copy is not carried out as long as every node starts tasks in responses only. Nodes of
+     * earlier versions push this command with the same token. */
+    machine->fence.covers_pushed_runs = true;
     log_command(shard, machine, DECISION_START, add_command(commands, run, COMMAND_RUN, 0),
                 "recorded");
 }
@@ -161,14 +162,15 @@
 
 /** Adds the command that is due for a run, if any. */
 static void add_due_command(struct shard *shard, struct machine *machine, struct task_run *run,
-                            bool is_push, GArray *commands)
+                            enum command_channel channel, GArray *commands)
 {
-    if (run->phase == TASK_RUN_RELEASED && !is_push)
+    bool is_push = channel == COMMANDS_PUSHED;
+    if (run->phase == TASK_RUN_RELEASED && channel == COMMANDS_IN_RESPONSE)
         add_clear_command(shard, machine, run, commands);
     else if (run->phase == TASK_RUN_RECORDED && run->stop.is_requested)
         add_stop_command(shard, machine, run, is_push, commands);
-    else if (may_start_run(shard, machine, run))
-        add_run_command(shard, machine, run, is_push, commands);
+    else if (!is_push && may_start_run(shard, machine, run))
+        add_run_command(shard, machine, run, commands);
 }
 
 /** Adds commands to stop tasks that have no record, and to clear them once they have exited. */
@@ -227,23 +229,72 @@
         shard_run_request_stop(run, 0);
 }
 
-GArray *shard_collect_commands(struct shard *shard, struct machine *machine, bool is_push)
+/** Returns whether no response has started the run yet, as far as this node knows. */
+static bool is_unstarted(const struct task_run *run)
+{
+    return !run->stop.is_requested && !run->start.sent_at.us &&
+           run->reported.visibility == RUN_NOT_REPORTED;
+}
+
+bool shard_has_due_start(const struct machine *machine)
+{
+    for (guint i = 0; i < machine->runs->len; i++) {
+        const struct task_run *run = machine->runs->pdata[i];
+        if (run->phase == TASK_RUN_RECORDED && is_unstarted(run))
+            return true;
+    }
+    return false;
+}
+
+bool shard_will_start_task(const struct machine *machine)
+{
+    for (guint i = 0; i < machine->runs->len; i++) {
+        const struct task_run *run = machine->runs->pdata[i];
+        bool is_coming = run->phase == TASK_RUN_PLACED || run->phase == TASK_RUN_RECORDED;
+        if (is_coming && is_unstarted(run))
+            return true;
+    }
+    return false;
+}
+
+GArray *shard_collect_commands(struct shard *shard, struct machine *machine,
+                               enum command_channel channel)
 {
     GArray *commands = commands_new();
     bool has_valid_lease = membership_has_valid_lease(shard->membership);
-    if (!is_push && has_valid_lease)
+    bool may_clear = channel == COMMANDS_IN_RESPONSE && has_valid_lease;
+    if (may_clear)
         fence_cleared_attempts(shard, machine);
     for (guint i = 0; i < machine->runs->len && commands->len < MAX_COMMANDS_PER_MESSAGE; i++) {
         struct task_run *run = machine->runs->pdata[i];
         stop_if_superseded(shard, machine, run);
         if (has_valid_lease || (run->stop.is_requested && shard_job_is_finished(shard, run->job)))
-            add_due_command(shard, machine, run, is_push, commands);
+            add_due_command(shard, machine, run, channel, commands);
     }
-    if (!is_push && has_valid_lease)
+    if (may_clear)
         add_unknown_task_commands(shard, machine, commands);
     return commands;
 }
 
+GArray *shard_collect_known_stop_commands(struct shard *shard, const struct machine *machine)
+{
+    GArray *commands = commands_new();
+    for (guint i = 0; i < machine->runs->len && commands->len < MAX_COMMANDS_PER_MESSAGE; i++) {
+        const struct task_run *run = machine->runs->pdata[i];
+        if (run->reported.visibility == RUN_REPORTED && run->reported.state != TASK_EXITED &&
+            shard_job_is_finished(shard, run->job))
+            add_command(commands, run, COMMAND_STOP, 0);
+    }
+    for (guint i = 0; i < machine->unknown_tasks->len && commands->len < MAX_COMMANDS_PER_MESSAGE;
+         i++) {
+        const struct heartbeat_task *task =
+            &g_array_index(machine->unknown_tasks, struct heartbeat_task, i);
+        if (task->state != TASK_EXITED && shard_job_is_finished(shard, task->job))
+            add_task_command(commands, task, COMMAND_STOP);
+    }
+    return commands;
+}
+
 GArray *shard_collect_stop_commands(struct shard *shard, const struct heartbeat *heartbeat)
 {
     GArray *commands = commands_new();
--- a/src/shard/agent_fencing.c
+++ b/src/shard/agent_fencing.c
@@ -51,6 +51,11 @@
     return true;
 }
 
+bool shard_fence_raise_token(struct shard *shard, struct machine *machine)
+{
+    return raise_token(shard, machine);
+}
+
 bool shard_fence_pushed_runs(struct shard *shard, struct machine *machine)
 {
     return !machine->fence.covers_pushed_runs || raise_token(shard, machine);
--- a/src/shard/agent_fencing_internal.h
+++ b/src/shard/agent_fencing_internal.h
@@ -43,4 +43,8 @@
 char *shard_encode_commands(const struct shard *shard, agent_token token, uint64_t agent_epoch,
                             const GArray *commands);
 
+/** Raises the token of a machine, or requests a new epoch if tokens have no serials. Returns
+ * whether the token was raised. */
+bool shard_fence_raise_token(struct shard *shard, struct machine *machine);
+
 #endif
--- a/src/shard/agent_requests.c
+++ b/src/shard/agent_requests.c
@@ -6,6 +6,7 @@
 #include "agent_session_internal.h"
 
 #include "agent_fencing_internal.h"
+#include "held_response.h"
 
 #include "json_fields.h"
 #include "task_placement_internal.h"
@@ -20,14 +21,14 @@
      * MAX_BACKOFF times. */
     FAILURES_PER_BACKOFF = 3,
     MAX_BACKOFF = 3,
+    /** An agent reports a higher token at most once in half a lease. */
+    PROMPT_MS_PER_LEASE_S = 500,
 };
 
 /** A request to an agent that awaits its response. */
 struct agent_request {
     struct shard *shard;
     machine_id machine;
-    /** The pushed commands (struct agent_command); NULL for a probe. */
-    GArray *commands;
     /** The machine's token when the request was sent. */
     agent_token token;
     /** The newest state of the agent that was known when the request was sent. */
@@ -100,20 +101,6 @@
     return is_valid;
 }
 
-/** Makes the run commands of a push that was refused or never sent due again. */
-static void reset_refused_run_commands(struct machine *machine, const GArray *commands, int status)
-{
-    if (status == HTTP_STATUS_OK || (status <= 0 && status != HTTP_NOT_SENT))
-        return; /* the commands were carried out, or may still be */
-    for (guint i = 0; i < commands->len; i++) {
-        const struct agent_command *command = &g_array_index(commands, struct agent_command, i);
-        struct task_run *run =
-            shard_run_find(machine, command->job, command->task_index, command->attempt);
-        if (run && command->verb == COMMAND_RUN)
-            run->start.sent_at = (mono_time){0};
-    }
-}
-
 static void handle_push_response(void *arg, const struct http_response *response)
 {
     struct agent_request *request = arg;
@@ -125,24 +112,19 @@
                           agent_token_lower(request->token, machine->fence.token);
         bool push_again = machine->push_state == PUSH_IN_FLIGHT_AGAIN || was_fenced;
         machine->push_state = PUSH_IDLE;
-        reset_refused_run_commands(machine, request->commands, response->status);
         handle_agent_response(shard, machine, response, request);
         if (push_again)
             shard_push_commands(shard, machine);
     }
-    g_array_unref(request->commands);
     g_free(request);
 }
 
-/** Returns a new request to the agent.
- * @param commands the pushed commands, NULL for a probe; ownership passes to the request. */
-static struct agent_request *agent_request_new(struct shard *shard, const struct machine *machine,
-                                               GArray *commands)
+/** Returns a new request to the agent. */
+static struct agent_request *agent_request_new(struct shard *shard, const struct machine *machine)
 {
     struct agent_request *request = g_new(struct agent_request, 1);
     *request = (struct agent_request){.shard = shard,
                                       .machine = machine->id,
-                                      .commands = commands,
                                       .token = machine->fence.token,
                                       .known = machine->heartbeat};
     return request;
@@ -151,7 +133,7 @@
 /** Pushes commands to the agent. Takes ownership of the array. */
 static void send_push(struct shard *shard, struct machine *machine, GArray *commands)
 {
-    struct agent_request *request = agent_request_new(shard, machine, commands);
+    struct agent_request *request = agent_request_new(shard, machine);
     char *body = shard_encode_commands(shard, machine->fence.token, machine->heartbeat.agent_epoch,
                                        commands);
     struct http_client_request http_request = {machine->address, "POST",         "/commands", body,
@@ -159,6 +141,7 @@
     machine->push_state = PUSH_IN_FLIGHT;
     shard->http_client->request(shard->http_client, &http_request, handle_push_response, request);
     g_free(body);
+    g_array_unref(commands);
 }
 
 /** Returns whether the agent has to be told the token, even without a command: it was restarted,
@@ -171,8 +154,26 @@
            !shard_fence_needs_new_epoch(machine);
 }
 
+/** Raises the token if a task is to be started: an agent that sees a higher token sends a
+ * heartbeat, whose response starts the task. That counts once in half a lease; otherwise the task
+ * waits for the next heartbeat. Returns whether the token was raised. */
+static bool prompt_heartbeat(struct shard *shard, struct machine *machine)
+{
+    mono_time now = loop_now(shard->loop);
+    int64_t interval_ms = (int64_t)(shard->settings->lease_s * PROMPT_MS_PER_LEASE_S);
+    bool was_prompted =
+        machine->prompted_at.us && time_ms_since(now, machine->prompted_at) < interval_ms;
+    if (was_prompted || machine->held_response || !shard->has_token_serials ||
+        !membership_has_valid_lease(shard->membership) || !shard_will_start_task(machine))
+        return false;
+    machine->prompted_at = now;
+    return shard_fence_raise_token(shard, machine);
+}
+
 void shard_push_commands(struct shard *shard, struct machine *machine)
 {
+    if (machine->held_response && shard_has_due_start(machine))
+        shard_release_response(shard, machine);
     if (machine->push_state != PUSH_IDLE) {
         machine->push_state = PUSH_IN_FLIGHT_AGAIN;
         return;
@@ -183,8 +184,9 @@
         shard_probe_agent(shard, machine);
         return;
     }
-    GArray *commands = shard_collect_commands(shard, machine, true);
-    if (commands->len || must_push_token(machine))
+    GArray *commands = shard_collect_commands(shard, machine, COMMANDS_PUSHED);
+    bool is_prompted = prompt_heartbeat(shard, machine);
+    if (commands->len || is_prompted || must_push_token(machine))
         send_push(shard, machine, commands);
     else
         g_array_unref(commands);
@@ -217,7 +219,7 @@
     if (probe->last_probe_at.us &&
         time_ms_since(now, probe->last_probe_at) < (int64_t)PROBE_INTERVAL_MS * backoff)
         return;
-    struct agent_request *agent_request = agent_request_new(shard, machine, NULL);
+    struct agent_request *agent_request = agent_request_new(shard, machine);
     probe->probe_in_flight = true;
     probe->last_probe_at = now;
     struct http_client_request http_request = {machine->address, "GET", "/status", NULL, 0,
--- a/src/shard/agent_session.c
+++ b/src/shard/agent_session.c
@@ -8,6 +8,7 @@
 
 #include "agent_fencing_internal.h"
 
+#include "held_response.h"
 #include "json_fields.h"
 #include "log.h"
 #include "machine_returns_internal.h"
@@ -245,12 +246,35 @@
     }
     machine->lease.last_renewed_at = loop_now(shard->loop);
     bool may_command = is_accepted && membership_has_valid_lease(shard->membership);
-    GArray *commands = may_command ? shard_collect_commands(shard, machine, false)
+    GArray *commands = may_command ? shard_collect_commands(shard, machine, COMMANDS_IN_RESPONSE)
                                    : shard_collect_stop_commands(shard, heartbeat);
+    if (may_command && !commands->len && !request->http->forwarded_by &&
+        shard_machine_is_available(shard, machine)) {
+        g_array_unref(commands);
+        shard_hold_response(shard, machine, request->responder, request->connection);
+        return;
+    }
     /* In the epoch of an earlier process of this node, the agent may have seen a higher token. */
     respond_commands(request, agent_token_max(machine->fence.token, heartbeat->token), commands);
 }
 
+void shard_respond_after_hold(struct shard *shard, struct machine *machine,
+                              struct http_responder *responder, connection_ref connection)
+{
+    if (!shard_may_renew_leases(shard) || shard_must_not_renew_lease(shard, machine)) {
+        respond_json(responder, connection, HTTP_STATUS_UNAVAILABLE, g_strdup("{}"));
+        return;
+    }
+    machine->lease.last_renewed_at = loop_now(shard->loop);
+    GArray *commands = membership_has_valid_lease(shard->membership)
+                           ? shard_collect_commands(shard, machine, COMMANDS_IN_HELD_RESPONSE)
+                           : shard_collect_known_stop_commands(shard, machine);
+    agent_token token = agent_token_max(machine->fence.token, machine->heartbeat.token);
+    respond_json(responder, connection, HTTP_STATUS_OK,
+                 shard_encode_commands(shard, token, 0, commands));
+    g_array_unref(commands);
+}
+
 /* ---- all heartbeats ---- */
 
 static void handle_heartbeat(const struct heartbeat_request *request)
--- a/src/shard/dispatch_queue.c
+++ b/src/shard/dispatch_queue.c
@@ -151,6 +151,7 @@
     run->dispatch_number = dispatch->number;
     run->placed_at = loop_now(shard->loop);
     run->placement_pool = pool;
+    shard_push_commands(shard, machine); /* prompts a heartbeat while the record is written */
     LOG_DEBUG("placed", "job=%s task=%u machine=%s class=%d pool=%d image=%d", dispatch->job.text,
               dispatch->index, machine->id.text, dispatch->task_class, pool,
               image_cache_contains(machine->image_cache, spec->image));
--- a/src/shard/machine_internal.h
+++ b/src/shard/machine_internal.h
@@ -140,6 +140,10 @@
     struct machine_record_state record;
     struct machine_sent_status sent_status;
     enum push_state push_state;
+    /** When this node last raised the token to prompt a heartbeat; 0: never. */
+    mono_time prompted_at;
+    /** The response to the newest heartbeat, which waits for a start; NULL: it was sent. */
+    struct held_response *held_response;
 
     /** The cloud has announced that it will reclaim the machine. */
     bool is_being_reclaimed;
--- a/src/shard/machines.c
+++ b/src/shard/machines.c
@@ -5,6 +5,7 @@
 #include "machine_internal.h"
 
 #include "agent_fencing_internal.h"
+#include "held_response.h"
 #include "image_cache.h"
 #include "log.h"
 #include "machine_returns_internal.h"
@@ -65,6 +66,7 @@
     g_ptr_array_unref(machine->image_cache);
     g_array_unref(machine->unknown_tasks);
     g_free(machine->record.page_description);
+    shard_drop_held_response(machine);
     g_free(machine);
 }
 
--- a/src/shard/shard_epoch.c
+++ b/src/shard/shard_epoch.c
@@ -8,6 +8,7 @@
 
 #include "agent_fencing_internal.h"
 #include "agent_session_internal.h"
+#include "held_response.h"
 #include "log.h"
 #include "machine_returns_internal.h"
 #include "run_records_internal.h"
@@ -116,6 +117,7 @@
 
 void shard_begin_epoch(struct shard *shard)
 {
+    shard_release_all_responses(shard);
     /* If the replica shows several new epochs at once, a machine may have had another owner in
      * between. It is then treated as if this node had become its owner only now. */
     bool epochs_skipped = shard->replica->shard_map_epoch.value != shard->epoch.value + 1;
--- a/tests/support/trouble_fixtures.c
+++ b/tests/support/trouble_fixtures.c
@@ -90,3 +90,21 @@
     (void)node;
     return g_str_has_prefix(request->path, "/watch") ? FAULT_RESPONSE_DELAYED : FAULT_NONE;
 }
+
+enum run_command_fault repeat_run_commands(struct world *world, const struct worker *worker,
+                                           const char *response)
+{
+    (void)world;
+    (void)worker;
+    (void)response;
+    return RUN_COMMANDS_REPEATED;
+}
+
+enum run_command_fault hold_run_commands(struct world *world, const struct worker *worker,
+                                         const char *response)
+{
+    (void)world;
+    (void)worker;
+    (void)response;
+    return RUN_COMMANDS_HELD;
+}
--- a/tests/support/trouble_fixtures.h
+++ b/tests/support/trouble_fixtures.h
@@ -22,6 +22,12 @@
  * again once it is no longer isolated.
  */
 void check_isolated_node(struct world *world, int node);
+/** A run_command_fault_fn: all run commands are carried out, and copies of them are kept. */
+enum run_command_fault repeat_run_commands(struct world *world, const struct worker *worker,
+                                           const char *response);
+/** A run_command_fault_fn: all run commands are held back. */
+enum run_command_fault hold_run_commands(struct world *world, const struct worker *worker,
+                                         const char *response);
 /** A request_fault_fn that delays responses to watches, so that nodes see changes 0.5 s late. */
 enum request_fault delay_watch_responses(struct world *world, int node,
                                          const struct http_client_request *request);
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -45,7 +45,25 @@
     FAULT_RESPONSE_DELAYED
 };
 
+/** What happens to the run commands in a response to a heartbeat. */
+enum run_command_fault {
+    RUN_COMMANDS_DELIVERED,
+    /**
+     * They are carried out; a copy is kept, as a request to /commands with the same token and
+     * session, and carried out again by world_deliver_held_requests(). Nodes of earlier versions
+     * send run commands in such requests.
+     */
+    RUN_COMMANDS_REPEATED,
+    /** Only the copy is kept; the worker gets the response without them. */
+    RUN_COMMANDS_HELD,
+};
+
 struct world;
+struct worker;
+/** Chooses the fault of run commands at the moment when a response with some reaches a worker. */
+typedef enum run_command_fault (*run_command_fault_fn)(struct world *world,
+                                                       const struct worker *worker,
+                                                       const char *response);
 /** Chooses the fault of a request at the moment when a node sends it. */
 typedef enum request_fault (*request_fault_fn)(struct world *world, int node,
                                                const struct http_client_request *request);
@@ -126,6 +144,14 @@
     /** The only node that the worker can exchange messages with; -1: all nodes. */
     int reachable_node;
     int start_count;
+    /** When the last heartbeat was sent, and when a higher token last led to one. */
+    mono_time reported_at, token_reported_at;
+    /** Something has changed since the last heartbeat. */
+    bool has_change;
+    /** The heartbeat that was not answered yet, the process that it was sent to; 0: there is none.
+     */
+    uint64_t awaited_connection;
+    int awaited_node, awaited_incarnation;
     /** Start of the current lease: when the last answered heartbeat was sent. */
     mono_time lease_start;
     struct timer report_timer;
@@ -168,6 +194,8 @@
     int incarnation[WORLD_MAX_NODES];
     /** Chooses the fault of each request; NULL: no request fails. */
     request_fault_fn inject_fault;
+    /** Chooses the fault of run commands; NULL: all are delivered. */
+    run_command_fault_fn inject_run_fault;
     /** The state service is unavailable to all nodes. */
     bool state_down;
     /** The state service is unavailable to this node only. */
--- a/tests/support/world_internal.h
+++ b/tests/support/world_internal.h
@@ -134,6 +134,9 @@
 /** Set once a task has been on two machines at the same time. */
 extern bool world_duplicate_task_seen;
 
+/** Keeps a request to a worker, which world_deliver_held_requests() delivers. */
+void hold_worker_request(const struct worker *worker, const char *path, const char *body);
+
 /* ---- world_gang.c ---- */
 
 /** Frees a struct simulated_gang; a GDestroyNotify. */
--- a/tests/support/world_net.c
+++ b/tests/support/world_net.c
@@ -126,6 +126,18 @@
     return pending;
 }
 
+void hold_worker_request(const struct worker *worker, const char *path, const char *body)
+{
+    const struct http_client_request request = {.address = worker->address,
+                                                .method = "POST",
+                                                .path = path,
+                                                .body = body,
+                                                .body_bytes = strlen(body)};
+    struct pending_request *pending = pending_request_new(worker->world, &request, NULL, NULL);
+    pending->node = worker->node;
+    g_ptr_array_add(worker->world->held_requests, pending);
+}
+
 void node_http_client_request(struct http_client *http_client,
                               const struct http_client_request *request,
                               http_response_callback done, void *arg)
