Inventories: a refused write lists no machine, and is repeated

Callers saw: nothing; found while the writes of unknown outcome were swept. A node that takes machines over would not know the addresses of those that no inventory and no page describes. Cause: a write of an inventory marks its machines and takes the inventory for no longer stale before it is sent. If it was refused, the marks remained, and the next write that was committed, of another inventory, was taken to list those machines; the first inventory was not written again. Change: the marks are cleared when an inventory is encoded, and an inventory that was not written is as stale as before. Test: refused_inventory_write_is_repeated (test_record_pages) fails before this change: a machine of inventory 0 counts as listed in inventory 1.

--- a/src/shard/machine_inventory.c
+++ b/src/shard/machine_inventory.c
@@ -31,6 +31,8 @@
     /** The first member, so that shard_finish_write() can end the write. */
     struct pending_write pending;
     int number;
+    /** The inventory was stale, and is so still if it is not written. */
+    bool was_stale;
 };
 
 /** Returns this node's inventory with that number, and creates it if necessary. */
@@ -190,11 +192,22 @@
     return true;
 }
 
+/** Forgets which machines an earlier write listed, which may have been refused. */
+static void clear_pending_marks(struct shard *shard)
+{
+    GHashTableIter iter;
+    struct machine *machine;
+    g_hash_table_iter_init(&iter, shard->machines);
+    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&machine))
+        machine->record.is_in_pending_inventory = false;
+}
+
 /** Encodes an inventory. If it is the last one and some machines do not fit, adds an empty
  * inventory for them. The caller frees the string. */
 static GString *make_inventory_text(struct shard *shard, int number)
 {
     GString *text = g_string_new(NULL);
+    clear_pending_marks(shard);
     bool fits = true;
     for (int pass = PASS_LISTED; pass < PASS_COUNT && fits; pass++)
         fits = append_machines(shard, pass, number, text);
@@ -227,6 +240,8 @@
 {
     struct inventory_write *write = arg;
     struct shard *shard = write->pending.shard;
+    if (outcome->status != TXN_COMMITTED)
+        get_own_inventory(shard, write->number)->is_stale = write->was_stale;
     if (outcome->status != TXN_COMMITTED)
         record_txn_await_outcome(shard, outcome, shard_finish_write, write);
     else if (write->pending.generation == shard->generation)
@@ -240,6 +255,7 @@
     int number = choose_inventory(shard);
     struct own_inventory *inventory = get_own_inventory(shard, number);
     GString *text = make_inventory_text(shard, number);
+    bool was_stale = inventory->is_stale;
     inventory->is_stale = false;
     shard->records.inventory_written_at = loop_now(shard->loop);
     struct txn *txn = record_txn_new(shard);
@@ -248,6 +264,6 @@
     g_free(key);
     g_string_free(text, TRUE);
     struct inventory_write *write = g_new(struct inventory_write, 1);
-    *write = (struct inventory_write){{shard, shard->generation}, number};
+    *write = (struct inventory_write){{shard, shard->generation}, number, was_stale};
     record_txn_commit(shard, txn, handle_inventory_outcome, write);
 }
--- a/tests/test_record_pages.c
+++ b/tests/test_record_pages.c
@@ -2,6 +2,7 @@
  * Tests of run record pages: machines that are lost before a record is written, and pages that are
  * taken over by another node.
  */
+#include "machine_inventory_internal.h"
 #include "run_records_internal.h"
 #include "trouble_fixtures.h"
 
@@ -349,6 +350,70 @@
     g_free(copy);
 }
 
+static int refused_inventory_writes;
+
+/* Refuses the first write of an inventory. */
+static enum request_fault refuse_first_inventory_write(struct world *world, int node,
+                                                       const struct http_client_request *request)
+{
+    (void)world;
+    (void)node;
+    bool is_inventory =
+        strcmp(request->path, "/txn") == 0 && strstr(request->body, "\"Set\":\"ll\\/a\\/");
+    return is_inventory && refused_inventory_writes++ == 0 ? FAULT_UNAVAILABLE : FAULT_NONE;
+}
+
+/* Stores an inventory of mast-0 that lists a worker's machine. */
+static void put_inventory(struct world *world, int number, const struct worker *worker)
+{
+    char *key = g_strdup_printf("ll/a/mast-0/%d", number);
+    char *value =
+        g_strdup_printf("{\"a\":\"@%s =%s,g8,%s,0 \"}", worker->id, worker->address, worker->zone);
+    world_put_key(world, key, value);
+    g_free(key);
+    g_free(value);
+}
+
+/* Lets the node write an inventory that lists a machine again. */
+static void write_inventory_of(struct world *world, const struct worker *worker)
+{
+    struct shard *shard = world->nodes[0]->shard;
+    shard_inventory_mark_stale(shard, shard_find_machine(shard, worker->id));
+    world_run(world, 13000); /* two writes are that long apart */
+    shard_request_flush(shard);
+    world_run(world, 1000);
+}
+
+/* A write of an inventory was refused. The next write, of another inventory, was then taken to list
+ * the machines of the first one, which no inventory described after that; and the first one was not
+ * written again. */
+static void refused_inventory_write_is_repeated(void **state)
+{
+    struct world *world = *state;
+    world->cloud_capacity = 0;
+    world_kill(world, 1);
+    world_kill(world, 2);
+    for (int i = 0; i < 2; i++)
+        world_add_worker(world, i, "a", false);
+    world_run(world, 8000);
+    world->cloud_down = true; /* the idle machines cannot be returned */
+    for (int i = 0; i < 2; i++)
+        put_inventory(world, i, &world->workers[i]);
+    membership_raise_epoch(world->nodes[0]->membership, "test");
+    world_run(world, 1000);
+    refused_inventory_writes = 0;
+    world->inject_fault = refuse_first_inventory_write;
+    write_inventory_of(world, &world->workers[0]);
+    assert_true(refused_inventory_writes > 0);
+    for (int i = 0; i < 2; i++)
+        write_inventory_of(world, &world->workers[1]);
+    struct shard *shard = world->nodes[0]->shard;
+    for (int i = 0; i < 2; i++)
+        assert_int_equal(shard_find_machine(shard, world->workers[i].id)->record.inventory_number,
+                         i);
+    assert_true(refused_inventory_writes >= 3);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -360,6 +425,7 @@
         WORLD_TEST(a_lagging_replica_frees_no_recorded_task),
         WORLD_TEST(record_on_two_pages_exists_until_both_drop_it),
         WORLD_TEST(copies_of_a_record_are_removed),
+        WORLD_TEST(refused_inventory_write_is_repeated),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
