Machine types: an older list that is written late does not replace a newer one

Until the list was read again, up to a minute later, all nodes used the older types. Cause: the transaction compared the token or the leader, and not the stored list. Change: it compares the key of the list as well. Test: late_machine_types_do_not_replace_newer_ones (test_unknown_outcomes) fails before this change: 16 instead of 32 CPUs.

--- a/src/cloud/machine_types.c
+++ b/src/cloud/machine_types.c
@@ -159,6 +159,8 @@
         role_manager_add_guard(cloud->role_manager, ROLE_AUTOSCALER, txn);
     else
         txn_compare(txn, KEY_LEADER, cloud->replica->leader_mod_revision);
+    /* An earlier list that is written late must not replace this one. */
+    txn_compare(txn, KEY_MACHINE_TYPES, cloud->replica->machine_types_mod_revision);
     const struct list_split split = put_all_parts(cloud, txn);
     if (!may_store_parts(cloud, &split)) {
         LOG_INFO("machine_types_not_stored", "types=%u parts=%u", cloud->machine_types.types->len,
--- a/src/replica/machine_types.c
+++ b/src/replica/machine_types.c
@@ -67,6 +67,8 @@
 
 void replica_apply_machine_types(struct replica *replica, const struct key_update *update)
 {
+    if (strcmp(update->key, KEY_MACHINE_TYPES) == 0)
+        replica->machine_types_mod_revision = update->value ? update->mod_revision : (revision){0};
     GHashTable *parts = replica->internal->machine_type_parts;
     if (!update->value) {
         g_hash_table_remove(parts, update->key);
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -93,6 +93,8 @@
     GArray *shard_map;
     /** Array of struct machine_type; NULL if none are stored yet. */
     GArray *machine_types;
+    /** The revision of the key with the first part of the machine types; 0: there is none. */
+    revision machine_types_mod_revision;
     struct role_records *singleton_roles;
     /** Singleton roles are enabled for all nodes (ll/features). */
     bool singleton_roles_enabled;
--- a/tests/test_unknown_outcomes.c
+++ b/tests/test_unknown_outcomes.c
@@ -1,6 +1,6 @@
 /**
- * Tests of transactions with run records that get no answer and are carried out late, after newer
- * ones of the same node.
+ * Tests of transactions that get no answer and are carried out late, after newer ones of the same
+ * node.
  */
 #include "run_records_internal.h"
 #include "trouble_fixtures.h"
@@ -194,6 +194,55 @@
     fail_attempt_and_restart(world);
 }
 
+static bool types_are_held;
+
+/* A request_fault_fn: the first list of machine types gets no answer. */
+static enum request_fault hold_first_types(struct world *world, int node,
+                                           const struct http_client_request *request)
+{
+    (void)world;
+    (void)node;
+    bool is_list = strcmp(request->path, "/txn") == 0 &&
+                   strstr(request->body, "\"Set\":\"ll\\/types\"") && !types_are_held;
+    types_are_held = types_are_held || is_list;
+    return is_list ? FAULT_REQUEST_HELD : FAULT_NONE;
+}
+
+/* Returns the machine types of the cloud with another number of CPUs. The caller frees them. */
+static char *types_with_cpus(struct world *world, int cpus)
+{
+    char *vcpus = g_strdup_printf("\"Vcpus\":%d", cpus);
+    char *types = world_replace_string(world->machine_types, "\"Vcpus\":8", vcpus);
+    g_free(vcpus);
+    return types;
+}
+
+/* An older list of machine types that is written late replaced a newer one, until the list was read
+ * again a minute later. */
+static void late_machine_types_do_not_replace_newer_ones(void **state)
+{
+    struct world *world = *state;
+    const int refresh_ms = 65000;
+    const char *original = world->machine_types;
+    char *second = types_with_cpus(world, 16), *third = types_with_cpus(world, 32);
+    types_are_held = false;
+    world->inject_fault = hold_first_types;
+    world->machine_types = second;
+    world_run(world, refresh_ms);
+    assert_true(types_are_held);
+    world->machine_types = third;
+    world_run(world, refresh_ms);
+    assert_non_null(strstr(world_get_key(world, "ll/types"), "32"));
+    world_deliver_held_requests(world);
+    world_run(world, 1000);
+    const struct machine_type *type =
+        machine_type_find(world->nodes[0]->replica->machine_types, "g8");
+    assert_int_equal(type->cpus.milli, 32000);
+    world->machine_types = original;
+    g_free(second);
+    g_free(third);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -202,6 +251,7 @@
         WORLD_TEST_SETTLED(records_carried_out_before_the_fence_are_used),
         WORLD_TEST_SETTLED(node_keeps_its_lease_after_a_fence_without_an_answer),
         WORLD_TEST_SETTLED(lost_lease_replaces_the_fence),
+        WORLD_TEST(late_machine_types_do_not_replace_newer_ones),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
