--- a/tests/test_combined_machine_failures.c
+++ b/tests/test_combined_machine_failures.c
@@ -190,6 +190,13 @@
     return holding_runs && n++ % 2 == 0 ? RUN_COMMANDS_HELD : RUN_COMMANDS_DELIVERED;
 }
 
+static void run_until_a_command_is_held(struct world *world)
+{
+    for (int i = 0; i < 200 && !world->held_requests->len; i++)
+        combined_run(world, COMBINED_CHECK_INTERVAL_MS);
+    assert_true(world->held_requests->len > 0);
+}
+
 /* Begins a new epoch. Only nodes of earlier versions push run commands, so that a copy of one is
  * never of the present owner's epoch. */
 static void end_epoch_of_held_runs(struct world *world)
@@ -214,9 +221,7 @@
             g_snprintf(id[i], sizeof id[i], "wk-%d%d", round, i);
             jobs[i] = combined_submit(world, i, id[i], "sweep", 6);
         }
-        for (int i = 0; i < 200 && !world->held_requests->len; i++)
-            combined_run(world, COMBINED_CHECK_INTERVAL_MS);
-        assert_true(world->held_requests->len > 0);
+        run_until_a_command_is_held(world);
         for (int i = 5; i < 8; i++)
             world->workers[i].unreachable = round % 2 == 0 && (i + round) % 3 != 0;
         if (round % 2 == 0) /* this raises the epoch, which invalidates old commands */
--- a/tests/test_late_starts.c
+++ b/tests/test_late_starts.c
@@ -73,7 +73,7 @@
     struct world *world = start_job(state, "sweep", 2, 1);
     restart_silently(world, move_task(world));
     expect_copies_start_nothing(world);
-    world_run(world, 2 * SILENCE_MS);
+    world_run(world, 2L * SILENCE_MS);
     assert_int_equal(world_count_active_tasks(world, "wk-1"), 1);
 }
 
@@ -115,10 +115,10 @@
     struct world *world = start_job(state, "sweep", 1, 1);
     struct worker *worker = find_worker_with_task(world, "wk-1", 0);
     submit_job(world, "wk-2", "daemon", "prod", 1, 8.0);
-    world_run(world, 2 * STEP_MS);
+    world_run(world, 2L * STEP_MS);
     assert_ptr_equal(find_worker_with_task(world, "wk-2", 0), worker);
     world_add_worker(world, 1, "a", false);
-    world_run(world, 4 * STEP_MS);
+    world_run(world, 4L * STEP_MS);
     assert_non_null(find_worker_with_task(world, "wk-1", 0));
     assert_ptr_not_equal(find_worker_with_task(world, "wk-1", 0), worker);
     restart_silently(world, worker);
@@ -143,7 +143,7 @@
     struct world *world = start_job(state, "sweep", 2, 1);
     struct worker *worker = move_task(world);
     worker_start_session(worker, true);
-    world_run(world, 2 * STEP_MS);
+    world_run(world, 2L * STEP_MS);
     restart_silently(world, worker);
     expect_copies_start_nothing(world);
 }
@@ -159,7 +159,7 @@
     expect_copies_start_nothing(world);
     world_start(world, owner);
     expect_copies_start_nothing(world);
-    world_run(world, 4 * STEP_MS);
+    world_run(world, 4L * STEP_MS);
     assert_int_equal(world_count_active_tasks(world, "wk-1"), 1);
 }
 
@@ -176,7 +176,7 @@
     for (int node = 0; node < WORLD_NODES; node++)
         world_start(world, node);
     expect_copies_start_nothing(world);
-    world_run(world, 4 * STEP_MS);
+    world_run(world, 4L * STEP_MS);
     assert_int_equal(world_count_active_tasks(world, "wk-1"), 1);
 }
 
@@ -189,7 +189,7 @@
     int starts = world_count_task_starts(world);
     restart_silently(world, worker);
     expect_copies_start_nothing(world);
-    world_run(world, 3 * SILENCE_MS);
+    world_run(world, 3L * SILENCE_MS);
     assert_int_equal(world_count_active_tasks(world, "wk-1"), 1);
     assert_int_equal(world_count_task_starts(world), starts + 1);
 }
--- a/tests/test_unknown_outcomes.c
+++ b/tests/test_unknown_outcomes.c
@@ -131,7 +131,7 @@
     fence_fault = FAULT_REQUEST_HELD;
     faulty_fences = 2;
     record_on_other_page(world);
-    world_run(world, 2 * UNKNOWN_OUTCOME_MS);
+    world_run(world, 2L * UNKNOWN_OUTCOME_MS);
     assert_int_equal(faulty_fences, 0);
     assert_true(page_has_job(world, 1 - held_page, "wk-3"));
     world_deliver_held_requests(world);
@@ -151,7 +151,7 @@
     assert_false(page_has_job(world, 1 - held_page, "wk-3"));
     world_deliver_held_requests(world);
     assert_true(page_has_job(world, held_page, "wk-3"));
-    world_run(world, 2 * UNKNOWN_OUTCOME_MS);
+    world_run(world, 2L * UNKNOWN_OUTCOME_MS);
     assert_false(page_has_job(world, 1 - held_page, "wk-3"));
     assert_int_equal(world_count_active_tasks(world, "wk-3"), 1);
     fail_attempt_and_restart(world);
