Membership: take the revision of the own key from the replica only

No task started after 125 s. Cause: a fault of the fence. The revision in the answer to a fence was taken for the revision of the node's key. The answer may show a later one, if other changes come between the write and the answer; the condition on the key then never held again, and as the known revision was higher than the one in the replica, it was not corrected. The node kept its lease and could write neither records nor the shard map. Evidence: the leader logs 36 dispatch_timeout and a single epoch_raise, after record_txn_unknown in epoch 17; the stand-in reads its revision after it has notified the watches. Change: the revision is taken from the replica once that is as new as the answer, as after joining, and again with every change of the replica. Until then no record transaction is sent. Test: answer_of_a_fence_may_show_a_later_revision (test_unknown_outcomes) fails before this change.

--- a/src/cluster/membership.c
+++ b/src/cluster/membership.c
@@ -244,13 +244,12 @@
     void *callback_arg;
 };
 
-/** Adopts the revision of this process's key in the replica if it is newer than the known one: a
- * rewrite was carried out although its response was lost. */
-static void adopt_rewritten_key(struct membership *membership)
+/** Adopts the revision that this process's key has in the replica, after a rewrite. The response to
+ * a rewrite does not tell that revision, only one that is not older, and it may be lost. */
+static void adopt_key_revision(struct membership *membership)
 {
     const struct node_record *node = get_own_record(membership);
-    if (membership->join_phase == JOIN_DONE && is_own_process(membership, node) &&
-        node->mod_revision.value > membership->mod_revision.value)
+    if (membership->join_phase == JOIN_DONE && is_own_process(membership, node))
         membership->mod_revision = node->mod_revision;
 }
 
@@ -259,7 +258,7 @@
     struct key_rewrite *rewrite = arg;
     struct membership *membership = rewrite->membership;
     if (ok)
-        adopt_rewritten_key(membership);
+        adopt_key_revision(membership);
     bool is_rewritten = ok && membership->join_phase == JOIN_DONE &&
                         node_lease_get_id(membership->lease).value == rewrite->incarnation.value &&
                         membership->mod_revision.value > rewrite->previous_revision.value;
@@ -274,8 +273,6 @@
     bool is_same_process = node_lease_get_id(membership->lease).value == rewrite->incarnation.value;
     if (outcome->status == TXN_LEASE_EXPIRED && is_same_process)
         node_lease_drop(membership->lease, LEASE_REFUSED);
-    if (outcome->status == TXN_COMMITTED && is_same_process)
-        membership->mod_revision = outcome->at_revision;
     replica_await_txn_outcome(membership->replica, outcome, on_rewrite_outcome_known, rewrite);
 }
 
@@ -316,7 +313,7 @@
         node_lease_drop(membership->lease, LEASE_KEY_LOST);
         return;
     }
-    adopt_rewritten_key(membership);
+    adopt_key_revision(membership);
     const struct candidate self = {.incarnation = incarnation,
                                    .mod_revision = membership->mod_revision,
                                    .is_leader = membership_is_leader(membership),
--- a/tests/test_unknown_outcomes.c
+++ b/tests/test_unknown_outcomes.c
@@ -194,6 +194,50 @@
     fail_attempt_and_restart(world);
 }
 
+/* Changes another key as soon as the key of mast-0 is written, so that the answer to that
+ * transaction has a later revision than the key. */
+static void change_other_key(void *ctx, const char *key, const char *text, uint64_t mod_revision)
+{
+    struct world *world = ctx;
+    (void)mod_revision;
+    if (text && strcmp(key, "ll/n/mast-0") == 0)
+        world_put_job(world, "wk-9", "{\"f\":\"done\",\"n\":1}");
+}
+
+static void ignore_machine(void *ctx, const char *machine)
+{
+    (void)ctx;
+    (void)machine;
+}
+
+static void ignore_rental(void *ctx, const char *request, const char *machine)
+{
+    (void)ctx;
+    (void)request;
+    (void)machine;
+}
+
+/* The answer to a fence may show a later revision than the one at which the key was written. A node
+ * that took it for the revision of its key could not write anything more, nor begin an epoch. */
+static void answer_of_a_fence_may_show_a_later_revision(void **state)
+{
+    struct world *world = *state;
+    arrange_two_pages(world);
+    static struct world_observer observer;
+    observer = (struct world_observer){world, change_other_key, ignore_rental, ignore_machine};
+    world->observer = &observer;
+    record_on_other_page(world);
+    assert_true(page_has_job(world, 1 - held_page, "wk-3"));
+    assert_int_equal(world_count_active_tasks(world, "wk-3"), 1);
+    epoch_no epoch = world->nodes[0]->replica->shard_map_epoch;
+    membership_raise_epoch(world->nodes[0]->membership, "test");
+    world_run(world, STEP_MS);
+    assert_true(world->nodes[0]->replica->shard_map_epoch.value > epoch.value);
+    world->observer = NULL;
+    world_deliver_held_requests(world);
+    fail_attempt_and_restart(world);
+}
+
 static bool types_are_held;
 
 /* A request_fault_fn: the first list of machine types gets no answer. */
@@ -251,6 +295,7 @@
         WORLD_TEST_SETTLED(records_carried_out_before_the_fence_are_used),
         WORLD_TEST_SETTLED(node_keeps_its_lease_after_a_fence_without_an_answer),
         WORLD_TEST_SETTLED(lost_lease_replaces_the_fence),
+        WORLD_TEST_SETTLED(answer_of_a_fence_may_show_a_later_revision),
         WORLD_TEST(late_machine_types_do_not_replace_newer_ones),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
