test_role_process_pauses: a process group for each node

Cause: the test stops nodes with SIGSTOP, and they were in the process group of the test. When the last parent outside of that group ends, the group is orphaned, and the kernel sends SIGHUP to its members because one of them is stopped. No fault of the service. Change: each node is in a group of its own, which the test checks. The check that no node has exited is made after all have been killed; before, it left the other nodes behind. Why it works: the parent of a node is the test, in another group of the same session, so the node's group is orphaned only when the test ends.

--- a/tests/test_role_process_pauses.c
+++ b/tests/test_role_process_pauses.c
@@ -14,6 +14,7 @@
 #include <glib/gstdio.h>
 #include <signal.h>
 #include <stdio.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -127,6 +128,18 @@
     return g_strdup_printf("%s/mast-%d.log", test->directory, node);
 }
 
+/**
+ * Runs in a new process before it becomes a node. The kernel sends SIGHUP to the members of a
+ * process group that is orphaned while one of them is stopped, as paused nodes are. A group for
+ * each node is orphaned only when the test ends, and a node does not outlive the test.
+ */
+static void isolate_process(gpointer arg)
+{
+    (void)arg;
+    setpgid(0, 0);
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 static void start_process(struct loopback_test *test, int node)
 {
     char *log = log_path(test, node);
@@ -136,8 +149,9 @@
     char *settings = write_settings(test, node);
     char *args[] = {LL_DAEMON, "--features", features, "--config", settings, NULL};
     assert_true(g_file_set_contents(features, "[duties]\nenabled = true\n", -1, NULL));
-    assert_true(g_spawn_async_with_fds(NULL, args, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL,
-                                       &test->processes[node], -1, -1, log_fd, NULL));
+    assert_true(g_spawn_async_with_fds(NULL, args, NULL, G_SPAWN_DO_NOT_REAP_CHILD, isolate_process,
+                                       NULL, &test->processes[node], -1, -1, log_fd, NULL));
+    assert_int_equal(getpgid(test->processes[node]), test->processes[node]);
     close(log_fd);
     g_free(log);
     g_free(settings);
@@ -159,16 +173,21 @@
     g_free(path);
 }
 
-/** Checks that the process of a node is still running, then kills it. */
-static void kill_process(struct loopback_test *test, int node)
+/** Kills the processes of all nodes, then checks that each was still running before. */
+static void kill_processes(struct loopback_test *test)
 {
-    int status = 0;
-    pid_t ended = waitpid(test->processes[node], &status, WNOHANG);
-    if (ended)
-        print_process_end(test, node, status);
-    assert_int_equal(ended, 0); /* has not exited */
-    kill(test->processes[node], SIGKILL);
-    waitpid(test->processes[node], &status, 0);
+    int ended_count = 0;
+    for (int node = 0; node < NODE_COUNT; node++) {
+        int status = 0;
+        if (waitpid(test->processes[node], &status, WNOHANG) != 0) {
+            print_process_end(test, node, status);
+            ended_count++;
+            continue;
+        }
+        kill(test->processes[node], SIGKILL);
+        waitpid(test->processes[node], &status, 0);
+    }
+    assert_int_equal(ended_count, 0); /* none has exited */
 }
 
 /* ---- the driver ---- */
@@ -274,8 +293,7 @@
     timer_init(&test.step_timer, run_step, &test);
     timer_start(test.loop, &test.step_timer, STEP_MS);
     loop_run(test.loop);
-    for (int i = 0; i < NODE_COUNT; i++)
-        kill_process(&test, i);
+    kill_processes(&test);
     print_message("%u pauses, %u holders, %u effects\n", test.pause_count,
                   duty_history_count_holders(test.history),
                   duty_history_count_cloud_effects(test.history));
