test_combined_machine_failures: no new epoch in the rounds without a cancellation

Cause: let delayed_commands_to_continuing_machines_have_no_effect raise the epoch in odd rounds, which made it narrower: held starts of the present epoch were not tried there. No trace showed that it was needed.

--- a/tests/test_combined_machine_failures.c
+++ b/tests/test_combined_machine_failures.c
@@ -197,14 +197,6 @@
     assert_true(world->held_requests->len > 0);
 }
 
-/* Begins a new epoch. Only nodes of earlier versions push run commands, so that a copy of one is
- * never of the present owner's epoch. */
-static void end_epoch_of_held_runs(struct world *world)
-{
-    holding_runs = false;
-    membership_raise_epoch(world_get_leader(world)->membership, "test");
-}
-
 /* Commands or their responses are delayed for seconds, and the machines then continue. Commands for
  * jobs that were cancelled or are finished by then must have no effect. */
 static void delayed_commands_to_continuing_machines_have_no_effect(void **state)
@@ -226,8 +218,6 @@
             world->workers[i].unreachable = round % 2 == 0 && (i + round) % 3 != 0;
         if (round % 2 == 0) /* this raises the epoch, which invalidates old commands */
             combined_cancel(world, 2, jobs[0]);
-        else
-            end_epoch_of_held_runs(world);
         combined_run(world, round % 2 ? 5000 : 7500);
         for (int i = 5; i < 8; i++)
             world->workers[i].unreachable = false;
