Tests: the 8 s hang and the cloud without machines are back

Cause: shortened the hang in a_machine_that_hangs_when_a_stop_command_arrives_stops_the_task_later from 8 to 7.5 s, and let a machine be rented in a_machine_permanently_without_inbound_messages_is_returned. Change: both are as on again.

--- a/tests/test_cancellations_in_outages.c
+++ b/tests/test_cancellations_in_outages.c
@@ -297,7 +297,7 @@
         world->workers[i].unreachable = true;
     assert_int_equal(world_cancel_job(world, (refused_node + 1) % 3, cancelled_job), 200);
     world->state_down = true;
-    world_run(world, 7500); /* the response to the last heartbeat may have been lost, too */
+    world_run(world, 8000);
     for (int i = 0; i < WORLD_WORKERS; i += 2)
         world->workers[i].unreachable = false;
     world_run(world, 3000);
--- a/tests/test_message_faults.c
+++ b/tests/test_message_faults.c
@@ -43,7 +43,6 @@
 {
     struct world *world = *state;
     struct worker *worker = start_service_on_two_machines(world, 1);
-    world->cloud_capacity = 1; /* the idle machine may be returned before the task is lost */
     worker->inbound_blocked = true;
     world_run(world, 50000);
     assert_false(worker->up);
